--- /dev/null
+++ b/cmd/gale/main.go
@@ -0,0 +1,12 @@
+// Command gale tries seamshunt out: stand-ins, whole fleets on one machine, drills and the judging of runs.
+package main
+
+import (
+	"seamshunt/internal/console"
+)
+
+func main() {
+	root := console.Root("gale", "tries seamshunt out: stand-ins, fleets, drills, checks")
+	root.AddCommand(workerCmd(), fleetCmd(), checkCmd())
+	console.Main(root)
+}
--- /dev/null
+++ b/cmd/gale/worker.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"seamshunt/internal/standin"
+)
+
+var wrongs = []string{"", "id", "gap", "double", "cut", "text", "seal", "more", "endless"}
+
+// workerCmd is one stand-in back end.
+func workerCmd() *cobra.Command {
+	w := &standin.Worker{Model: standin.DefaultModel}
+	var listen, journal string
+	c := &cobra.Command{Use: "worker", Short: "a stand-in model worker", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		if !slices.Contains(wrongs, w.Wrong) {
+			return fmt.Errorf("--wrong is one of %q", wrongs)
+		}
+		if w.Model.Knee < 1 || w.Model.Blocks < 1 || w.Model.BatchMost < 1 {
+			return fmt.Errorf("--knee, --blocks and --batch are above 0")
+		}
+		j, err := standin.Open(journal)
+		if err != nil {
+			return err
+		}
+		w.Journal = j
+		ln, err := net.Listen("tcp", listen)
+		if err != nil {
+			return err
+		}
+		return w.Serve(ln)
+	}}
+	f := c.Flags()
+	f.StringVar(&w.Name, "name", "w", "its id")
+	f.StringVar(&w.Pool, "pool", "main", "its pool")
+	f.StringVar(&w.Zone, "zone", "", "its zone")
+	f.StringVar(&w.Wrong, "wrong", "", "answer wrongly: id gap double cut text seal more endless")
+	f.IntVar(&w.Model.Knee, "knee", w.Model.Knee, "prompts it carries well")
+	f.IntVar(&w.Model.Blocks, "blocks", w.Model.Blocks, "its prefix cache, in blocks of 256 bytes")
+	f.IntVar(&w.Model.BatchMost, "batch", w.Model.BatchMost, "prompts beyond which it refuses, sealed")
+	f.StringVar(&listen, "listen", "127.0.0.1:0", "its address")
+	f.StringVar(&journal, "journal", "worker.jsonl", "where it writes its runs down")
+	return c
+}
--- /dev/null
+++ b/internal/anemometer/budget.go
@@ -0,0 +1,60 @@
+package anemometer
+
+import (
+	"sync"
+	"time"
+
+	"seamshunt/internal/units"
+)
+
+const (
+	budgetSpan = 10 * time.Second
+	budgetSlot = 100 * time.Millisecond
+	slots      = int(budgetSpan / budgetSlot)
+)
+
+type slot struct {
+	at           int64
+	first, again int
+}
+
+// Budget holds a service's further tries to a fifth of this node's own first tries over ten seconds (design 8).
+type Budget struct {
+	mu   sync.Mutex
+	ring [slots]slot
+}
+
+func (b *Budget) slot(now units.Time) *slot {
+	at := int64(now) / int64(budgetSlot)
+	s := &b.ring[at%int64(slots)]
+	if s.at != at {
+		*s = slot{at: at}
+	}
+	return s
+}
+
+// First counts a first try.
+func (b *Budget) First(now units.Time) {
+	b.mu.Lock()
+	b.slot(now).first++
+	b.mu.Unlock()
+}
+
+// Again asks for a further try and counts it when it is allowed.
+func (b *Budget) Again(now units.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.slot(now)
+	first, again := 0, 0
+	for i := range b.ring {
+		if x := &b.ring[i]; x.at > s.at-int64(slots) {
+			first += x.first
+			again += x.again
+		}
+	}
+	if 5*(again+1) > first {
+		return false
+	}
+	s.again++
+	return true
+}
--- /dev/null
+++ b/internal/ballot/ballot.go
@@ -0,0 +1,131 @@
+// Package ballot fills one-node duties by a round of ballots whenever they fall vacant (design 5).
+package ballot
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// The notes of ballots.
+const (
+	Stand = station.Ballot + iota
+	Vote
+)
+
+// Spans (start values). A term is counted from before the asking by the holder and from after it by the
+// voters, so that clocks need only run at like rates.
+const (
+	Term  = 2 * time.Second
+	renew = 500 * time.Millisecond
+	slack = 200 * time.Millisecond
+)
+
+type head struct {
+	Round uint64
+	Ok    uint8
+}
+
+type grant struct {
+	to    units.Node
+	until units.Time
+}
+
+// Ballot is the step machine for one duty.
+type Ballot struct {
+	self   units.Node
+	Duty   string
+	Voters func() []units.Node
+	born   units.Time
+	grant  grant
+	round  uint64
+	sent   units.Time
+	got    map[units.Node]bool
+	until  units.Time // till then the duty is ours
+	next   units.Time
+	rng    *rand.Rand
+	Ours   int // rounds won, for status
+}
+
+// New gives a node that has voted for nobody; it abstains for a term, since it may have voted before it started.
+func New(self units.Node, duty string, voters func() []units.Node, now units.Time, rng *rand.Rand) *Ballot {
+	return &Ballot{self: self, Duty: duty, Voters: voters, born: now, rng: rng, next: now.Add(Term)}
+}
+
+// Holds says whether the duty is ours now.
+func (b *Ballot) Holds(now units.Time) bool { return now < b.until }
+
+// Holder names whom this node has voted for.
+func (b *Ballot) Holder(now units.Time) units.Node {
+	if now < b.grant.until {
+		return b.grant.to
+	}
+	return 0
+}
+
+// Tick stands for the duty when it is vacant, and renews it when it is ours. A node that leaves does not stand.
+func (b *Ballot) Tick(now units.Time, stand bool) (out station.Out) {
+	if !stand || now < b.next {
+		return out
+	}
+	if !b.Holds(now) && now < b.grant.until && b.grant.to != b.self {
+		return out
+	}
+	gap := renew
+	if !b.Holds(now) {
+		gap += time.Duration(b.rng.Int64N(int64(renew)))
+	}
+	b.next = now.Add(gap)
+	b.round++
+	b.sent, b.got = now, map[units.Node]bool{}
+	for _, n := range b.Voters() {
+		out.Send(n, Stand, station.Pack(head{Round: b.round}, []byte(b.Duty)))
+	}
+	return out
+}
+
+// Step takes one note; the note's duty must be this one.
+func (b *Ballot) Step(now units.Time, n station.Note) (out station.Out) {
+	var h head
+	var duty []byte
+	if err := station.Unpack(n.Body, &h, &duty); err != nil {
+		out.Fail(err)
+		return out
+	}
+	if string(duty) != b.Duty {
+		return out
+	}
+	switch n.Kind {
+	case Stand:
+		ok := now >= b.born.Add(Term) && (now >= b.grant.until || b.grant.to == n.From)
+		r := head{Round: h.Round}
+		if ok {
+			b.grant = grant{n.From, now.Add(Term)}
+			r.Ok = 1
+		}
+		out.Send(n.From, Vote, station.Pack(r, duty))
+	case Vote:
+		if h.Round != b.round || h.Ok == 0 {
+			return out
+		}
+		b.got[n.From] = true
+		k, vs := 0, b.Voters()
+		for _, v := range vs {
+			if b.got[v] {
+				k++
+			}
+		}
+		if k > len(vs)/2 {
+			if !b.Holds(now) {
+				b.Ours++
+			}
+			b.until = max(b.until, b.sent.Add(Term-slack))
+		}
+	}
+	return out
+}
+
+// Drop gives the duty up.
+func (b *Ballot) Drop() { b.until = 0 }
--- /dev/null
+++ b/internal/barod/baro.go
@@ -0,0 +1,260 @@
+// Package barod is the control plane: state on disk, operators, the platform, news (design 1, 2, 4, 5, 9).
+package barod
+
+import (
+	"errors"
+	"fmt"
+	mrand "math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"seamshunt/internal/almanac"
+	"seamshunt/internal/ballot"
+	"seamshunt/internal/barograph"
+	"seamshunt/internal/boot"
+	"seamshunt/internal/bulletin"
+	"seamshunt/internal/mast"
+	"seamshunt/internal/station"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/tower"
+	"seamshunt/internal/units"
+)
+
+const recSelf uint8 = 1
+
+// Barometer is one process of the control plane.
+type Barometer struct {
+	*tower.Tower
+	baroMu  sync.Mutex
+	baro    *barograph.Barograph
+	waits   map[uint64]chan barograph.Result
+	disk    disk
+	dutyMu  sync.Mutex
+	duty    *ballot.Ballot
+	tag     atomic.Uint64
+	plans   sync.Map // plan id to *plan
+	leaving atomic.Bool
+	web     *fasthttp.Server
+	polled  poll
+	lostAt  map[units.Node]units.Time
+}
+
+// New opens the disk, and with it learns who it is.
+func New(b *boot.Boot) (*Barometer, error) {
+	a, self, blank, err := openDisk(b)
+	if err != nil {
+		return nil, err
+	}
+	c := &Barometer{Tower: tower.New(b, self, mast.Barometer), waits: map[uint64]chan barograph.Result{}, lostAt: map[units.Node]units.Time{}}
+	c.disk.file = a
+	c.disk.wake = make(chan struct{}, 1)
+	c.baro = barograph.New(self, tower.Random())
+	if err := c.baro.Load(a.Live()); err != nil {
+		return nil, fmt.Errorf("barometer: %w", err)
+	}
+	if blank {
+		c.Log.Warn("a blank disk: this node has no vote yet")
+	}
+	c.tag.Store(uint64(tower.Random()) >> 2)
+	c.duty = ballot.New(self, "platform", func() []units.Node { return c.voters().IDs }, c.Crew.Now(), mrand.New(mrand.NewPCG(uint64(tower.Random()), 1)))
+	c.Later = c.later
+	c.Woke = func(units.Time) { c.dutyMu.Lock(); c.duty.Drop(); c.dutyMu.Unlock() }
+	c.Steps[station.Barograph] = c.step
+	c.Steps[station.Ballot] = func(now units.Time, n station.Note) {
+		c.dutyMu.Lock()
+		out := c.duty.Step(now, n)
+		c.dutyMu.Unlock()
+		c.Deliver(out)
+	}
+	c.Bull.Stored = func() map[string]units.Num {
+		c.baroMu.Lock()
+		defer c.baroMu.Unlock()
+		return c.baro.Stored()
+	}
+	return c, nil
+}
+
+// openDisk reads the almanac; a blank or damaged one begins a new identity, which has no vote (design 2, 3).
+func openDisk(b *boot.Boot) (*almanac.Almanac, units.Node, bool, error) {
+	a, err := almanac.Open(b.Data, int64(b.Reserve))
+	if errors.Is(err, almanac.ErrDamaged) {
+		if err = almanac.SetAside(b.Data); err == nil {
+			a, err = almanac.Open(b.Data, int64(b.Reserve))
+		}
+	}
+	if err != nil {
+		return nil, 0, false, err
+	}
+	for _, r := range a.Live() {
+		var h struct{ ID uint64 }
+		if r.Kind == recSelf && station.Unpack(r.Data, &h) == nil {
+			return a, units.Node(h.ID), false, nil
+		}
+	}
+	self := tower.Random()
+	err = a.Append([]station.Record{{Kind: recSelf, Data: station.Pack(struct{ ID uint64 }{uint64(self)})}})
+	return a, self, true, err
+}
+
+// Start opens everything and returns.
+func (c *Barometer) Start() error {
+	ln, err := net.Listen("tcp", c.Boot.Web)
+	if err != nil {
+		return fmt.Errorf("barometer: %w", err)
+	}
+	if err := c.Tower.Start(); err != nil {
+		ln.Close()
+		return err
+	}
+	c.web = &fasthttp.Server{Handler: c.serve, Name: "barometer", MaxRequestBodySize: 16 << 20, NoDefaultDate: true, Logger: quiet{}}
+	c.Crew.Go(func() { _ = c.web.Serve(ln) })
+	c.Crew.Go(c.writer)
+	c.Crew.Every(50*time.Millisecond, c.beat)
+	for _, p := range c.Boot.Pools {
+		c.Crew.Go(func() { c.poller(p) })
+	}
+	return nil
+}
+
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+func (c *Barometer) voters() barograph.Voters {
+	c.baroMu.Lock()
+	defer c.baroMu.Unlock()
+	return c.baro.Voters()
+}
+
+// step runs under the lock until its output is queued, so that the disk sees the order that the machine had.
+func (c *Barometer) step(now units.Time, n station.Note) {
+	c.baroMu.Lock()
+	out := c.baro.Step(now, n)
+	news := c.drain()
+	c.Deliver(out)
+	c.baroMu.Unlock()
+	c.spread(now, news)
+}
+
+// drain passes results to those who wait and takes what was chosen; baroMu is held.
+func (c *Barometer) drain() []barograph.News {
+	for _, r := range c.baro.Results {
+		if ch := c.waits[r.Tag]; ch != nil {
+			delete(c.waits, r.Tag)
+			ch <- r
+		}
+	}
+	c.baro.Results = nil
+	news := c.baro.Fresh
+	c.baro.Fresh = nil
+	return news
+}
+
+func (c *Barometer) spread(now units.Time, news []barograph.News) {
+	if len(news) == 0 {
+		return
+	}
+	var to []units.Node
+	for _, m := range c.Members() {
+		if m.State <= mast.Suspect && m.Node != c.Self {
+			to = append(to, m.Node)
+		}
+	}
+	for _, x := range news {
+		c.BullMu.Lock()
+		out := c.Bull.Spread(now, bulletin.Item{Key: x.Key, Num: x.Num, Data: x.Data}, to)
+		c.BullMu.Unlock()
+		c.Deliver(out)
+	}
+}
+
+// beat compares what is with what should be: owners, voters, founding, the duty.
+func (c *Barometer) beat(now units.Time) {
+	all := c.Members()
+	unfit := c.disk.unfit(now)
+	c.Flag(mast.Unfit, unfit)
+	c.Flag(mast.Draining, c.leaving.Load())
+	var fit, blanks []units.Node
+	fleet := false
+	for _, m := range all {
+		if m.Role != mast.Barometer {
+			// A vane that serves has heard of a fleet that stands.
+			fleet = fleet || m.State <= mast.Suspect && m.Flags&mast.Ready != 0
+			continue
+		}
+		if m.State <= mast.Suspect && m.Flags&(mast.Draining|mast.Unfit) == 0 {
+			fit = append(fit, m.Node)
+		}
+		if m.Flags&mast.Voter != 0 {
+			fleet = true
+		} else if m.State <= mast.Suspect {
+			blanks = append(blanks, m.Node)
+		}
+	}
+	c.BullMu.Lock()
+	told := c.Bull.Items[barograph.KeyVoters]
+	c.BullMu.Unlock()
+	c.baroMu.Lock()
+	if told != nil {
+		c.Deliver(c.baro.Learn(told.Data))
+	}
+	c.baro.View(fit)
+	c.baro.Blank(c.Boot.Founders, blanks, fleet)
+	if now.Sub(c.disk.stalledSince(now)) < 2*time.Second {
+		c.doctor(now, all)
+	}
+	out := c.baro.Tick(now)
+	voter := c.baro.Voters().Has(c.Self)
+	news := c.drain()
+	c.Deliver(out)
+	c.baroMu.Unlock()
+	c.Flag(mast.Voter, voter)
+	c.spread(now, news)
+	c.dutyMu.Lock()
+	d := c.duty.Tick(now, voter && !c.leaving.Load())
+	c.dutyMu.Unlock()
+	c.Deliver(d)
+}
+
+// Ask carries a wish to a key's owner and waits for its result.
+func (c *Barometer) Ask(a barograph.Ask) barograph.Result {
+	a.Tag = c.tag.Add(1)
+	ch := make(chan barograph.Result, 1)
+	now := c.Crew.Now()
+	c.baroMu.Lock()
+	c.waits[a.Tag] = ch
+	out := c.baro.Ask(now, a)
+	c.drain()
+	c.Deliver(out)
+	c.baroMu.Unlock()
+	t := time.NewTimer(3 * time.Second)
+	defer t.Stop()
+	select {
+	case r := <-ch:
+		return r
+	case <-t.C:
+	}
+	c.baroMu.Lock()
+	delete(c.waits, a.Tag)
+	c.baroMu.Unlock()
+	if a.Write {
+		return barograph.Result{Code: synop.Unsure}
+	}
+	return barograph.Result{Code: synop.NoMajority}
+}
+
+// Drain hands keys and duty over, then leaves.
+func (c *Barometer) Drain() {
+	c.leaving.Store(true)
+	c.dutyMu.Lock()
+	c.duty.Drop()
+	c.dutyMu.Unlock()
+	c.Flag(mast.Draining, true)
+	time.Sleep(500 * time.Millisecond) // the others take the keys over under higher epochs
+	_ = c.web.Shutdown()
+	c.Goodbye()
+}
--- /dev/null
+++ b/internal/barod/disk.go
@@ -0,0 +1,167 @@
+package barod
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"seamshunt/internal/almanac"
+	"seamshunt/internal/mast"
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// stallAt is how long one sync may last before this node hands its keys over.
+const stallAt = 500 * time.Millisecond
+
+// disk is the queue before the one writer of the file.
+type disk struct {
+	mu    sync.Mutex
+	file  *almanac.Almanac
+	queue []station.Out
+	wake  chan struct{}
+	since units.Time // when the write under way began; zero when idle
+	sick  bool
+	full  bool
+	slow  time.Duration
+}
+
+// later queues writes and what must wait for them. It never blocks.
+func (c *Barometer) later(out station.Out) {
+	d := &c.disk
+	d.mu.Lock()
+	d.queue = append(d.queue, station.Out{Writes: out.Writes, After: out.After})
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// writer is the file's only user. It takes all that is queued, syncs once, and lets the replies go.
+func (c *Barometer) writer() {
+	d := &c.disk
+	for {
+		select {
+		case <-c.Crew.Stopped():
+			d.file.Close()
+			return
+		case <-d.wake:
+		}
+		d.mu.Lock()
+		batch := d.queue
+		d.queue = nil
+		d.since = c.Crew.Now()
+		sick := d.sick
+		d.mu.Unlock()
+		if sick {
+			continue // no reply ever leaves again: the node must be restarted
+		}
+		var rs []station.Record
+		for _, o := range batch {
+			rs = append(rs, o.Writes...)
+		}
+		err := d.file.Append(rs)
+		d.mu.Lock()
+		d.slow = c.Crew.Now().Sub(d.since)
+		d.since = 0
+		d.sick = d.sick || err != nil && !errors.Is(err, almanac.ErrFull)
+		if len(rs) > 0 {
+			d.full = errors.Is(err, almanac.ErrFull)
+		}
+		d.mu.Unlock()
+		if err != nil {
+			c.Log.WithError(err).Error("the disk failed")
+			c.diskFailed(err)
+			continue
+		}
+		for _, o := range batch {
+			for _, n := range o.After {
+				c.Tel.Send(n)
+			}
+		}
+	}
+}
+
+// diskFailed: what the machine believes is not what the disk holds. It is rebuilt from the disk alone.
+func (c *Barometer) diskFailed(err error) {
+	if errors.Is(err, almanac.ErrFull) {
+		c.reload(c.disk.file)
+		return
+	}
+	c.disk.file.Close()
+	a, _, blank, err := openDisk(c.Boot)
+	if err != nil || blank {
+		c.Log.Error("the disk can't be opened again: this node stops voting")
+		return
+	}
+	c.reload(a)
+	c.disk.mu.Lock()
+	c.disk.file, c.disk.sick = a, false
+	c.disk.mu.Unlock()
+}
+
+// unfit says whether this disk is too slow, stalled, full or sick for owning keys.
+func (d *disk) unfit(now units.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sick || d.full || d.since > 0 && now.Sub(d.since) > stallAt || d.slow > stallAt
+}
+
+func (d *disk) stalledSince(now units.Time) units.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.since == 0 {
+		return now
+	}
+	return d.since
+}
+
+// doctor replaces lost voters by learners, one step at a time (design 2); baroMu is held.
+func (c *Barometer) doctor(now units.Time, all []mast.Member) {
+	v := c.baro.Voters()
+	if v.Ver == 0 {
+		return
+	}
+	live := map[units.Node]bool{}
+	var learner units.Node
+	for _, m := range all {
+		if m.Role != mast.Barometer || m.State > mast.Suspect || m.Flags&(mast.Draining|mast.Unfit) != 0 {
+			continue
+		}
+		live[m.Node] = true
+		if !v.Has(m.Node) && (learner == 0 || m.Node < learner) {
+			learner = m.Node
+		}
+	}
+	var gone units.Node
+	for _, n := range v.IDs {
+		if live[n] {
+			delete(c.lostAt, n)
+			continue
+		}
+		if _, ok := c.lostAt[n]; !ok {
+			c.lostAt[n] = now
+		}
+		if now.Sub(c.lostAt[n]) >= lostVoter && (gone == 0 || n < gone) {
+			gone = n
+		}
+	}
+	var ids []units.Node
+	switch {
+	case learner != 0 && (gone != 0 && len(v.IDs) <= c.Boot.Founders || len(v.IDs) < c.Boot.Founders):
+		ids = append(append(ids, v.IDs...), learner)
+	case gone != 0 && len(v.IDs) > c.Boot.Founders:
+		for _, n := range v.IDs {
+			if n != gone {
+				ids = append(ids, n)
+			}
+		}
+	default:
+		return
+	}
+	c.baro.Want(now, ids)
+}
+
+// lostVoter is how long a voter must be gone before a learner takes its place (start).
+const lostVoter = 5 * time.Second
--- /dev/null
+++ b/internal/barod/plan.go
@@ -0,0 +1,193 @@
+package barod
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
+
+	"seamshunt/internal/barograph"
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/mast"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/tower"
+	"seamshunt/internal/units"
+)
+
+// plan waits for an operator's confirmation on the node that made it; its id names that node.
+type plan struct {
+	key  string
+	num  units.Num
+	data []byte
+	made units.Time
+}
+
+const planLife = 10 * time.Minute
+
+// propose works out what a configuration, or a zone's evacuation, would change; nothing is written.
+func (c *Barometer) propose(ctx *fasthttp.RequestCtx) {
+	body := append([]byte(nil), ctx.PostBody()...)
+	p := &plan{key: keyConfig, data: body, made: c.Crew.Now()}
+	var next *forecast.Config
+	if zone := string(ctx.QueryArgs().Peek("zone")); zone != "" {
+		if f := c.checkZone(zone, body); f != nil {
+			c.fail(ctx, f)
+			return
+		}
+		p.key = "zone/" + zone
+	} else {
+		var fs []*synop.Fault
+		if next, fs = forecast.Read(body); len(fs) > 0 {
+			c.fail(ctx, fs...)
+			return
+		}
+	}
+	r := c.Ask(barograph.Ask{Key: p.key})
+	if r.Code != synop.OK {
+		c.result(ctx, r)
+		return
+	}
+	p.num = r.Num
+	var d forecast.Plan
+	if next != nil {
+		var old *forecast.Config
+		if r.Num > 0 {
+			old, _ = forecast.Read(r.Data)
+		}
+		d = forecast.Compare(old, next, c.known)
+	} else {
+		d = c.compareZone(strings.TrimPrefix(p.key, "zone/"), r.Data, body)
+	}
+	c.plans.Range(func(k, v any) bool {
+		if p.made.Sub(v.(*plan).made) > planLife {
+			c.plans.Delete(k)
+		}
+		return true
+	})
+	id := c.Self.String() + "-" + tower.Random().String()
+	c.plans.Store(id, p)
+	c.showPlan(ctx, id, p, d)
+}
+
+func (c *Barometer) showPlan(ctx *fasthttp.RequestCtx, id string, p *plan, d forecast.Plan) {
+	var a fastjson.Arena
+	o := a.NewObject()
+	o.Set("code", a.NewNumberInt(int(synop.OK)))
+	o.Set("plan", a.NewString(id))
+	o.Set("key", a.NewString(p.key))
+	o.Set("number", a.NewNumberInt(int(p.num)))
+	for _, x := range []struct {
+		name string
+		l    []string
+	}{{"changes", d.Changes}, {"ceilings", d.Ceilings}, {"warnings", d.Warnings}} {
+		l := a.NewArray()
+		for i, s := range x.l {
+			l.SetArrayItem(i, a.NewString(s))
+		}
+		o.Set(x.name, l)
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(o.MarshalTo(nil), '\n'))
+}
+
+// known counts a pool's workers that are listed and not leaving.
+func (c *Barometer) known(pool string) int {
+	k := 0
+	for _, w := range c.listed(pool) {
+		if !w.Leaving {
+			k++
+		}
+	}
+	return k
+}
+
+func (c *Barometer) listed(pool string) []forecast.Worker {
+	c.BullMu.Lock()
+	defer c.BullMu.Unlock()
+	if it := c.Bull.Items["workers/"+pool]; it != nil {
+		l, _ := forecast.ReadWorkers(it.Data)
+		return l
+	}
+	return nil
+}
+
+func (c *Barometer) compareZone(zone string, old, body []byte) (d forecast.Plan) {
+	was, is := fastjson.GetBool(old, "evacuated"), fastjson.GetBool(body, "evacuated")
+	if was == is {
+		d.Warnings = append(d.Warnings, "zone "+zone+" is so already")
+	}
+	in, all := 0, 0
+	for _, p := range c.Boot.Pools {
+		for _, w := range c.listed(p) {
+			if w.Leaving || c.evacuated(w.Zone) && w.Zone != zone {
+				continue
+			}
+			all++
+			if w.Zone == zone {
+				in++
+			}
+		}
+	}
+	verb := "is taken back into service"
+	if is {
+		verb = "gets nothing new"
+		if all-in < in {
+			d.Warnings = append(d.Warnings, "fewer workers would stay in service than leave it")
+		}
+	}
+	d.Changes = append(d.Changes, "zone "+zone+" "+verb)
+	d.Ceilings = append(d.Ceilings, fmt.Sprintf("%d of %d workers in service are in zone %s", in, all, zone))
+	return d
+}
+
+func (c *Barometer) evacuated(zone string) bool {
+	c.BullMu.Lock()
+	defer c.BullMu.Unlock()
+	it := c.Bull.Items["zone/"+zone]
+	return it != nil && fastjson.GetBool(it.Data, "evacuated")
+}
+
+// confirm applies a plan if its number still stands. The node that made the plan is asked where it was another.
+func (c *Barometer) confirm(ctx *fasthttp.RequestCtx) {
+	v, err := fastjson.ParseBytes(ctx.PostBody())
+	if err != nil || len(v.GetStringBytes("plan")) == 0 {
+		c.fail(ctx, &synop.Fault{Code: synop.BadCall, Place: "$.plan", Text: "the plan's id is wanted"})
+		return
+	}
+	id := string(v.GetStringBytes("plan"))
+	if x, ok := c.plans.Load(id); ok {
+		p := x.(*plan)
+		c.result(ctx, c.Ask(barograph.Ask{Key: p.key, Write: true, Expect: p.num, Plan: id, Data: p.data}))
+		return
+	}
+	node, _, _ := strings.Cut(id, "-")
+	for _, m := range c.Members() {
+		if m.Node.String() == node && m.Node != c.Self && m.State <= mast.Suspect && len(ctx.Request.Header.Peek("Passed-On")) == 0 {
+			c.passOn(ctx, m.Web)
+			return
+		}
+	}
+	c.fail(ctx, &synop.Fault{Code: synop.NoPlan, Text: "no such plan here, or it is too old; plan again"})
+}
+
+// passOn gives an operator's call to the barometer it belongs to, once.
+func (c *Barometer) passOn(ctx *fasthttp.RequestCtx, web string) {
+	cl := &fasthttp.HostClient{Addr: web, MaxIdemponentCallAttempts: 1,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
+	defer cl.CloseIdleConnections()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	ctx.Request.CopyTo(req)
+	req.SetRequestURI("http://" + web + string(ctx.Path()))
+	req.Header.Set("Passed-On", c.Self.String())
+	if err := cl.DoTimeout(req, resp, patience); err != nil {
+		c.fail(ctx, &synop.Fault{Code: synop.Unsure, Text: texts[synop.Unsure]})
+		return
+	}
+	ctx.SetStatusCode(resp.StatusCode())
+	ctx.SetContentType("application/json")
+	ctx.SetBody(resp.Body())
+}
--- /dev/null
+++ b/internal/barod/status.go
@@ -0,0 +1,108 @@
+package barod
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
+
+	"seamshunt/internal/mast"
+	"seamshunt/internal/vaned"
+)
+
+// status tells operators all there is to know of this node.
+func (c *Barometer) status(ctx *fasthttp.RequestCtx) {
+	now := c.Crew.Now()
+	var a fastjson.Arena
+	o := a.NewObject()
+	o.Set("node", a.NewString(c.Self.String()))
+	o.Set("name", a.NewString(c.Boot.Name))
+	o.Set("zone", a.NewString(c.Boot.Zone))
+	c.baroMu.Lock()
+	v := c.baro.Voters()
+	vs := a.NewArray()
+	for i, n := range v.IDs {
+		vs.SetArrayItem(i, a.NewString(n.String()))
+	}
+	keys := a.NewObject()
+	for k, s := range c.baro.Slots() {
+		x := a.NewObject()
+		x.Set("owner", a.NewString(c.baro.Owner(k).String()))
+		x.Set("number_here", a.NewNumberInt(int(s.Num)))
+		x.Set("epoch", a.NewNumberInt(int(s.Prom.N)))
+		keys.Set(k, x)
+	}
+	c.baroMu.Unlock()
+	o.Set("voters_version", a.NewNumberInt(int(v.Ver)))
+	o.Set("voters", vs)
+	o.Set("keys", keys)
+	members := c.Members()
+	news := a.NewObject()
+	c.BullMu.Lock()
+	for k, it := range c.Bull.Items {
+		x := a.NewObject()
+		x.Set("number", a.NewNumberInt(int(it.Num)))
+		at, all := 0, 0
+		for _, m := range members {
+			if m.Role == mast.Vane && m.State <= mast.Suspect {
+				all++
+				if c.Bull.Acks[k][m.Node] >= it.Num || m.News == c.Bull.Sum {
+					at++
+				}
+			}
+		}
+		x.Set("vanes_at_it", a.NewNumberInt(at))
+		x.Set("vanes", a.NewNumberInt(all))
+		news.Set(k, x)
+	}
+	c.BullMu.Unlock()
+	o.Set("news", news)
+	c.dutyMu.Lock()
+	o.Set("platform_duty_here", jsonBool(&a, c.duty.Holds(now)))
+	o.Set("platform_duty", a.NewString(c.duty.Holder(now).String()))
+	c.dutyMu.Unlock()
+	c.polled.mu.Lock()
+	o.Set("platform_answers", a.NewNumberInt(int(c.polled.ok)))
+	o.Set("platform_failures", a.NewNumberInt(int(c.polled.bad)))
+	o.Set("platform_last_fault", a.NewString(c.polled.last))
+	c.polled.mu.Unlock()
+	c.disk.mu.Lock()
+	d := a.NewObject()
+	d.Set("sick", jsonBool(&a, c.disk.sick))
+	d.Set("full", jsonBool(&a, c.disk.full))
+	d.Set("last_sync_ms", a.NewNumberInt(int(c.disk.slow/time.Millisecond)))
+	c.disk.mu.Unlock()
+	o.Set("disk", d)
+	ms := a.NewArray()
+	for i, m := range members {
+		ms.SetArrayItem(i, vaned.Member(&a, m))
+	}
+	o.Set("members", ms)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(o.MarshalTo(nil), '\n'))
+}
+
+func jsonBool(a *fastjson.Arena, b bool) *fastjson.Value {
+	if b {
+		return a.NewTrue()
+	}
+	return a.NewFalse()
+}
+
+// metrics writes Prometheus text.
+func (c *Barometer) metrics(ctx *fasthttp.RequestCtx) {
+	now := c.Crew.Now()
+	ctx.SetContentType("text/plain; version=0.0.4")
+	c.baroMu.Lock()
+	fmt.Fprintf(ctx, "seamshunt_voters %d\nseamshunt_voters_version %d\n", len(c.baro.Voters().IDs), c.baro.Voters().Ver)
+	c.baroMu.Unlock()
+	c.polled.mu.Lock()
+	fmt.Fprintf(ctx, "seamshunt_platform_answers_total %d\nseamshunt_platform_failures_total %d\n", c.polled.ok, c.polled.bad)
+	c.polled.mu.Unlock()
+	n := 0
+	if c.disk.unfit(now) {
+		n = 1
+	}
+	fmt.Fprintf(ctx, "seamshunt_disk_unfit %d\nseamshunt_bad_frames_total %d\nseamshunt_dropped_notes_total %d\n", n, c.Tel.Bad.Load(), c.Dropped.Load())
+}
--- /dev/null
+++ b/internal/barod/web.go
@@ -0,0 +1,170 @@
+package barod
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
+
+	"seamshunt/internal/barograph"
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+const keyConfig = "config"
+
+// serve is the operators' door (docs/operators.md).
+func (c *Barometer) serve(ctx *fasthttp.RequestCtx) {
+	path, m := string(ctx.Path()), string(ctx.Method())
+	zone, isZone := strings.CutPrefix(path, "/v1/zones/")
+	switch {
+	case path == "/healthz":
+		ctx.SetBodyString("up\n")
+	case path == "/status":
+		c.status(ctx)
+	case path == "/metrics":
+		c.metrics(ctx)
+	case path == "/v1/config" && m == "GET":
+		c.read(ctx, keyConfig)
+	case path == "/v1/config" && m == "PUT":
+		c.apply(ctx)
+	case path == "/v1/plan" && m == "POST":
+		c.propose(ctx)
+	case path == "/v1/confirm" && m == "POST":
+		c.confirm(ctx)
+	case isZone && m == "GET":
+		c.read(ctx, "zone/"+zone)
+	case isZone && m == "PUT":
+		c.zone(ctx, zone)
+	default:
+		c.fail(ctx, &synop.Fault{Code: synop.NotFound, Text: m + " " + path + " means nothing here"})
+	}
+}
+
+// fail answers with all faults found; the first one's code gives the status.
+func (c *Barometer) fail(ctx *fasthttp.RequestCtx, fs ...*synop.Fault) {
+	var a fastjson.Arena
+	l := a.NewArray()
+	for i, f := range fs {
+		o := a.NewObject()
+		o.Set("code", a.NewNumberInt(int(f.Code)))
+		if f.Place != "" {
+			o.Set("place", a.NewString(f.Place))
+		}
+		o.Set("text", a.NewString(f.Text))
+		l.SetArrayItem(i, o)
+	}
+	o := a.NewObject()
+	o.Set("code", a.NewNumberInt(int(fs[0].Code)))
+	o.Set("faults", l)
+	ctx.SetStatusCode(fs[0].Code.Status())
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(o.MarshalTo(nil), '\n'))
+}
+
+var texts = map[synop.Code]string{
+	synop.Conflict:   "another change came first: read, and plan again",
+	synop.Unsure:     "the outcome is not known: send the same plan again to learn it",
+	synop.NoMajority: "no majority of the disks answers; nothing was written by this call",
+	synop.DiskFull:   "the disks are full; nothing was written by this call",
+}
+
+func (c *Barometer) result(ctx *fasthttp.RequestCtx, r barograph.Result) {
+	if r.Code != synop.OK {
+		f := &synop.Fault{Code: r.Code, Text: texts[r.Code]}
+		if r.Code == synop.Conflict {
+			f.Place = fmt.Sprintf("number %d", r.Num)
+		}
+		c.fail(ctx, f)
+		return
+	}
+	var a fastjson.Arena
+	o := a.NewObject()
+	o.Set("code", a.NewNumberInt(int(r.Code)))
+	o.Set("number", a.NewNumberInt(int(r.Num)))
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(o.MarshalTo(nil), '\n'))
+}
+
+// read gives the exact bytes of the newest acknowledged value, confirmed with a majority.
+func (c *Barometer) read(ctx *fasthttp.RequestCtx, key string) {
+	r := c.Ask(barograph.Ask{Key: key})
+	if r.Code != synop.OK {
+		c.result(ctx, r)
+		return
+	}
+	if r.Num == 0 {
+		c.fail(ctx, &synop.Fault{Code: synop.NotFound, Text: "nothing was ever set here"})
+		return
+	}
+	ctx.Response.Header.Set("Number", strconv.FormatUint(uint64(r.Num), 10))
+	ctx.SetContentType("application/json")
+	ctx.SetBody(r.Data)
+}
+
+// expect reads the number that a change builds on.
+func (c *Barometer) expect(ctx *fasthttp.RequestCtx) (units.Num, bool) {
+	s := string(ctx.QueryArgs().Peek("number"))
+	n, err := strconv.ParseUint(s, 10, 62)
+	if err != nil {
+		c.fail(ctx, &synop.Fault{Code: synop.BadCall, Place: "?number=", Text: "the number that the change builds on is wanted; 0 for the first"})
+		return 0, false
+	}
+	return units.Num(n), true
+}
+
+// apply is the direct way for machines, under the same check as a plan.
+func (c *Barometer) apply(ctx *fasthttp.RequestCtx) {
+	num, ok := c.expect(ctx)
+	if !ok {
+		return
+	}
+	body := append([]byte(nil), ctx.PostBody()...)
+	if _, fs := forecast.Read(body); len(fs) > 0 {
+		c.fail(ctx, fs...)
+		return
+	}
+	c.result(ctx, c.Ask(barograph.Ask{Key: keyConfig, Write: true, Expect: num, Plan: string(ctx.Request.Header.Peek("Plan-Id")), Data: body}))
+}
+
+// zone evacuates a zone or takes the evacuation back.
+func (c *Barometer) zone(ctx *fasthttp.RequestCtx, zone string) {
+	num, ok := c.expect(ctx)
+	if !ok {
+		return
+	}
+	body := append([]byte(nil), ctx.PostBody()...)
+	if f := c.checkZone(zone, body); f != nil {
+		c.fail(ctx, f)
+		return
+	}
+	c.result(ctx, c.Ask(barograph.Ask{Key: "zone/" + zone, Write: true, Expect: num, Plan: string(ctx.Request.Header.Peek("Plan-Id")), Data: body}))
+}
+
+func (c *Barometer) checkZone(zone string, body []byte) *synop.Fault {
+	known := false
+	for _, m := range c.Members() {
+		known = known || m.Zone == zone
+	}
+	if !known {
+		return &synop.Fault{Code: synop.BadZone, Text: "no member is in zone " + zone}
+	}
+	v, err := fastjson.ParseBytes(body)
+	if err != nil {
+		return &synop.Fault{Code: synop.BadCall, Place: place(err), Text: `{"evacuated": true} or false is wanted`}
+	}
+	x := v.Get("evacuated")
+	if x == nil || x.Type() != fastjson.TypeTrue && x.Type() != fastjson.TypeFalse {
+		return &synop.Fault{Code: synop.BadCall, Place: "$.evacuated", Text: "true or false is wanted"}
+	}
+	return nil
+}
+
+func place(err error) string { return strings.TrimSpace(err.Error()) }
+
+// patience is how long an operator's call passed on to another node may take.
+const patience = 5 * time.Second
--- /dev/null
+++ b/internal/barograph/found.go
@@ -0,0 +1,89 @@
+package barograph
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// founding is the one time that blank disks write the first set of voters (design 2).
+type founding struct {
+	want int
+	set  Voters
+	got  map[units.Node]bool
+	sent units.Time
+}
+
+// Blank tells the machine how many founding disks the boot file names, and which blank disks membership
+// shows now. Another number than want, or any word of a fleet that stands, and nobody founds.
+func (b *Barograph) Blank(want int, blanks []units.Node, fleet bool) {
+	if b.cfg.Ver > 0 {
+		return
+	}
+	if b.found == nil {
+		b.found = &founding{}
+	}
+	f := b.found
+	f.want = want
+	ids := slices.Clone(blanks)
+	slices.Sort(ids)
+	if fleet || len(ids) != want || !slices.Contains(ids, b.self) {
+		f.set = Voters{}
+		return
+	}
+	if !slices.Equal(ids, f.set.IDs) {
+		f.set, f.got = Voters{Ver: 1, IDs: ids}, map[units.Node]bool{}
+	}
+}
+
+func (b *Barograph) foundTick(now units.Time, out *station.Out) {
+	f := b.found
+	if f == nil || f.set.Ver == 0 || f.set.IDs[0] != b.self || now.Sub(f.sent) < 300*time.Millisecond {
+		return
+	}
+	f.sent = now
+	for _, n := range f.set.IDs {
+		if !f.got[n] {
+			out.Send(n, Found, b.pack(head{}, "", f.set.Pack()))
+		}
+	}
+}
+
+// foundVote: a blank disk votes for one set in its life, the one it sees itself.
+func (b *Barograph) foundVote(n station.Note, body []byte, out *station.Out) {
+	if b.cfg.Ver > 0 || b.found == nil || !bytes.Equal(b.found.set.Pack(), body) {
+		return
+	}
+	if b.vote != nil && !bytes.Equal(b.vote, body) {
+		return
+	}
+	if b.vote == nil {
+		b.vote = bytes.Clone(body)
+		out.Writes = append(out.Writes, station.Record{Kind: RecFound, Data: b.vote})
+	}
+	out.Later(n.From, Founded, b.pack(head{}, "", body))
+}
+
+// foundCount: only when all have voted does the set stand.
+func (b *Barograph) foundCount(n station.Note, body []byte, out *station.Out) {
+	f := b.found
+	if b.cfg.Ver > 0 || f == nil || f.set.Ver == 0 || !bytes.Equal(f.set.Pack(), body) {
+		return
+	}
+	f.got[n.From] = true
+	for _, x := range f.set.IDs {
+		if !f.got[x] {
+			return
+		}
+	}
+	v := f.set
+	b.adopt(v, out)
+	for _, x := range v.IDs {
+		if x != b.self {
+			out.Later(x, Done, b.pack(head{}, "", nil))
+		}
+	}
+}
--- /dev/null
+++ b/internal/boot/boot.go
@@ -0,0 +1,130 @@
+// Package boot reads a process's boot file and names all its faults at once (docs/boot.md).
+package boot
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/valyala/fastjson"
+)
+
+// Boot is a process's place in the world.
+type Boot struct {
+	Name     string
+	Zone     string
+	Addr     string   // for the system's own processes
+	Web      string   // HTTP for callers, or for operators
+	Seeds    []string // three other processes
+	Data     string   // barometer: the one data folder
+	Founders int      // barometer: how many blank disks found the fleet
+	Platform string   // barometer: where the platform lists workers
+	Pools    []string // barometer: the pools to ask for
+	PollMs   int      // barometer: least gap between two questions to the platform
+	DrainMs  int      // how long streams may last after a warning
+	Reserve  int      // barometer: bytes kept free on the disk for a rewrite
+}
+
+// Faults lists everything wrong with a boot file.
+type Faults []string
+
+func (f Faults) Error() string { return strings.Join(f, "\n") }
+
+var known = map[string][]string{
+	"vane":      {"name", "zone", "addr", "web", "seeds", "drain_ms"},
+	"barometer": {"name", "zone", "addr", "web", "seeds", "drain_ms", "data", "founders", "platform", "pools", "poll_ms", "reserve_bytes"},
+}
+
+// Read checks a boot file for one of the two programs.
+func Read(path, program string) (*Boot, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Faults{err.Error()}
+	}
+	v, err := fastjson.ParseBytes(b)
+	if err != nil {
+		return nil, Faults{path + ": " + err.Error()}
+	}
+	o, err := v.Object()
+	if err != nil {
+		return nil, Faults{path + ": an object is wanted"}
+	}
+	var f Faults
+	bad := func(at, text string) { f = append(f, path+": "+at+": "+text) }
+	o.Visit(func(k []byte, _ *fastjson.Value) {
+		if !slices.Contains(known[program], string(k)) {
+			bad(string(k), "unknown field")
+		}
+	})
+	text := func(name string, must bool) string {
+		x := v.Get(name)
+		if x == nil {
+			if must {
+				bad(name, "missing")
+			}
+			return ""
+		}
+		s, err := x.StringBytes()
+		if err != nil || len(s) == 0 {
+			bad(name, "a text is wanted")
+		}
+		return string(s)
+	}
+	list := func(name string) []string {
+		var l []string
+		for i, x := range v.GetArray(name) {
+			s, err := x.StringBytes()
+			if err != nil || len(s) == 0 {
+				bad(fmt.Sprintf("%s[%d]", name, i), "a text is wanted")
+			}
+			l = append(l, string(s))
+		}
+		return l
+	}
+	number := func(name string, def, least, most int) int {
+		x := v.Get(name)
+		if x == nil {
+			if def < least {
+				bad(name, "missing")
+			}
+			return def
+		}
+		n, err := x.Int()
+		if err != nil || n < least || n > most {
+			bad(name, fmt.Sprintf("a whole number from %d to %d is wanted", least, most))
+		}
+		return n
+	}
+	c := &Boot{Name: text("name", true), Zone: text("zone", true), Addr: text("addr", true), Web: text("web", true), Seeds: list("seeds")}
+	addr := func(at, s string) {
+		if h, _, err := net.SplitHostPort(s); s != "" && (err != nil || net.ParseIP(h) == nil) {
+			bad(at, "an IP number with a port is wanted, not "+s)
+		}
+	}
+	addr("addr", c.Addr)
+	addr("web", c.Web)
+	if len(c.Seeds) == 0 {
+		bad("seeds", "at least one address is wanted")
+	}
+	for i, s := range c.Seeds {
+		addr(fmt.Sprintf("seeds[%d]", i), s)
+	}
+	c.DrainMs = number("drain_ms", 20000, 0, 600000)
+	if program == "barometer" {
+		c.Data = text("data", true)
+		c.Platform = text("platform", true)
+		addr("platform", c.Platform)
+		if c.Pools = list("pools"); len(c.Pools) == 0 {
+			bad("pools", "at least one pool is wanted")
+		}
+		c.Founders = number("founders", 0, 1, 9)
+		c.PollMs = number("poll_ms", 500, 50, 60000)
+		c.Reserve = number("reserve_bytes", 1<<20, 0, 1<<30)
+	}
+	if len(f) > 0 {
+		return nil, f
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/bulletin/bulletin.go
@@ -0,0 +1,233 @@
+// Package bulletin brings numbered news to every node and counts acknowledgements (design 4).
+package bulletin
+
+import (
+	"slices"
+	"time"
+
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// The notes of news.
+const (
+	Push = station.Bulletin + iota
+	Ackn
+	Pull
+	Vouch
+	Vouched
+)
+
+const again = 300 * time.Millisecond
+
+type newsHead struct{ Num uint64 }
+
+// Item is one key's newest news.
+type Item struct {
+	Key  string
+	Num  units.Num
+	Data []byte
+}
+
+type pushed struct {
+	need map[units.Node]bool
+	sent units.Time
+	num  units.Num
+}
+
+// Bulletin is the step machine of both programs.
+type Bulletin struct {
+	Items  map[string]*Item
+	Sum    uint64
+	Fresh  []Item                              // what changed since the daemon last looked
+	Acks   map[string]map[units.Node]units.Num // who has acknowledged what, on the pushing side
+	asked  map[units.Node]units.Time           // when a neighbour was last asked for its news
+	out    map[string]*pushed                  // news on its way
+	Vouch  map[units.Node]map[string]units.Num // a starting node's confirmations
+	Stored func() map[string]units.Num         // a barometer's numbers on disk; nil on a vane
+}
+
+// New gives an empty one.
+func New() *Bulletin {
+	return &Bulletin{Items: map[string]*Item{}, Acks: map[string]map[units.Node]units.Num{}, asked: map[units.Node]units.Time{},
+		out: map[string]*pushed{}, Vouch: map[units.Node]map[string]units.Num{}}
+}
+
+// Take sets a key's news if it is newer; it never goes back.
+func (b *Bulletin) Take(it Item) bool {
+	old := b.Items[it.Key]
+	if old != nil && old.Num >= it.Num {
+		return false
+	}
+	b.Items[it.Key] = &it
+	b.Fresh = append(b.Fresh, it)
+	b.Sum = 0
+	for k, x := range b.Items {
+		b.Sum += units.Mix(k, units.Hex(uint64(x.Num)))
+	}
+	return true
+}
+
+// Spread takes a chosen value and begins to push it to the nodes given.
+func (b *Bulletin) Spread(now units.Time, it Item, to []units.Node) (out station.Out) {
+	b.Take(it)
+	p := &pushed{need: map[units.Node]bool{}, num: it.Num, sent: now}
+	for _, n := range to {
+		p.need[n] = true
+		out.Send(n, Push, pack(it))
+	}
+	b.out[it.Key] = p
+	return out
+}
+
+func pack(it Item) []byte {
+	return station.Pack(newsHead{uint64(it.Num)}, []byte(it.Key), it.Data)
+}
+
+// Tick pushes again to those that have not acknowledged and still live, and to newcomers.
+func (b *Bulletin) Tick(now units.Time, live []units.Node) (out station.Out) {
+	for key, p := range b.out {
+		it := b.Items[key]
+		if now.Sub(p.sent) < again || it == nil || it.Num != p.num {
+			continue
+		}
+		p.sent = now
+		for n := range p.need {
+			if slices.Contains(live, n) {
+				out.Send(n, Push, pack(*it))
+			} else {
+				delete(p.need, n)
+			}
+		}
+		if len(p.need) == 0 {
+			delete(b.out, key)
+		}
+	}
+	return out
+}
+
+// Behind is told that a neighbour's digest differs: the two exchange what each lacks.
+func (b *Bulletin) Behind(now units.Time, from units.Node) (out station.Out) {
+	if t, ok := b.asked[from]; ok && now.Sub(t) < again {
+		return out
+	}
+	b.asked[from] = now
+	out.Send(from, Pull, b.packNums(b.nums()))
+	return out
+}
+
+func (b *Bulletin) nums() map[string]units.Num {
+	m := map[string]units.Num{}
+	for k, x := range b.Items {
+		m[k] = x.Num
+	}
+	return m
+}
+
+func (b *Bulletin) packNums(m map[string]units.Num) []byte {
+	var l [][]byte
+	for k, x := range m {
+		l = append(l, station.Pack(newsHead{uint64(x)}, []byte(k)))
+	}
+	return station.PackList(l)
+}
+
+func unpackNums(body []byte) (map[string]units.Num, error) {
+	l, err := station.UnpackList(body)
+	m := map[string]units.Num{}
+	for _, t := range l {
+		var h newsHead
+		var k []byte
+		if err == nil {
+			err = station.Unpack(t, &h, &k)
+		}
+		m[string(k)] = units.Num(h.Num)
+	}
+	return m, err
+}
+
+// Step takes one note.
+func (b *Bulletin) Step(now units.Time, n station.Note) (out station.Out) {
+	var h newsHead
+	var key, data []byte
+	var err error
+	switch n.Kind {
+	case Push:
+		if err = station.Unpack(n.Body, &h, &key, &data); err == nil {
+			b.Take(Item{Key: string(key), Num: units.Num(h.Num), Data: data})
+			out.Send(n.From, Ackn, station.Pack(h, key))
+		}
+	case Ackn:
+		if err = station.Unpack(n.Body, &h, &key); err == nil {
+			b.acked(n.From, string(key), units.Num(h.Num))
+		}
+	case Pull:
+		var theirs map[string]units.Num
+		if theirs, err = unpackNums(n.Body); err == nil {
+			b.pulled(now, n.From, theirs, &out)
+		}
+	case Vouch:
+		m := b.nums()
+		if b.Stored != nil {
+			for k, x := range b.Stored() {
+				m[k] = max(m[k], x)
+			}
+		}
+		out.Later(n.From, Vouched, b.packNums(m))
+	case Vouched:
+		var m map[string]units.Num
+		if m, err = unpackNums(n.Body); err == nil {
+			b.Vouch[n.From] = m
+		}
+	}
+	out.Fail(err)
+	return out
+}
+
+func (b *Bulletin) acked(from units.Node, key string, num units.Num) {
+	m := b.Acks[key]
+	if m == nil {
+		m = map[units.Node]units.Num{}
+		b.Acks[key] = m
+	}
+	m[from] = max(m[from], num)
+	if p := b.out[key]; p != nil && num >= p.num {
+		delete(p.need, from)
+	}
+}
+
+// pulled sends what the neighbour lacks, and asks back when it is ahead.
+func (b *Bulletin) pulled(now units.Time, from units.Node, theirs map[string]units.Num, out *station.Out) {
+	for k, it := range b.Items {
+		if theirs[k] < it.Num {
+			out.Send(from, Push, pack(*it))
+		}
+	}
+	for k, x := range theirs {
+		if it := b.Items[k]; it == nil || it.Num < x {
+			out.Join(b.Behind(now, from))
+			return
+		}
+	}
+}
+
+// Confirmed says whether enough of voters have vouched and nothing they hold is newer than the news here.
+func (b *Bulletin) Confirmed(voters []units.Node, need int) bool {
+	k := 0
+	for _, n := range voters {
+		m, ok := b.Vouch[n]
+		if !ok {
+			continue
+		}
+		k++
+		for key, x := range m {
+			if key == "voters" {
+				continue
+			}
+			if it := b.Items[key]; it == nil || it.Num < x {
+				return false
+			}
+		}
+	}
+	return k >= need
+}
--- /dev/null
+++ b/internal/crew/crew.go
@@ -0,0 +1,91 @@
+// Package crew is the one place that starts goroutines (design 1).
+package crew
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"seamshunt/internal/units"
+)
+
+// Crew runs a process's work and waits for it at the end.
+type Crew struct {
+	clock clockwork.Clock
+	zero  time.Time
+	stop  chan struct{}
+	once  sync.Once
+	wg    sync.WaitGroup
+	jobs  chan func()
+}
+
+// New gives a crew with a pool of hands for short jobs.
+func New(clock clockwork.Clock, hands int) *Crew {
+	c := &Crew{clock: clock, zero: clock.Now(), stop: make(chan struct{}), jobs: make(chan func(), 8192)}
+	for range hands {
+		c.Go(func() {
+			for {
+				select {
+				case <-c.stop:
+					return
+				case f := <-c.jobs:
+					f()
+				}
+			}
+		})
+	}
+	return c
+}
+
+// Now reads the process's monotonic clock.
+func (c *Crew) Now() units.Time { return units.Time(c.clock.Since(c.zero)) }
+
+// Stopped is closed when the crew is to go home.
+func (c *Crew) Stopped() <-chan struct{} { return c.stop }
+
+// Go starts a long piece of work.
+func (c *Crew) Go(f func()) {
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		f()
+	}()
+}
+
+// Do hands a short job to the pool; it says false when the pool is swamped.
+func (c *Crew) Do(f func()) bool {
+	select {
+	case c.jobs <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+// Every runs f again and again until the crew stops.
+func (c *Crew) Every(gap time.Duration, f func(units.Time)) {
+	c.Go(func() {
+		t := c.clock.NewTicker(gap)
+		defer t.Stop()
+		for {
+			select {
+			case <-c.stop:
+				return
+			case <-t.Chan():
+				f(c.Now())
+			}
+		}
+	})
+}
+
+// Stop tells everyone and waits up to limit.
+func (c *Crew) Stop(limit time.Duration) {
+	c.once.Do(func() { close(c.stop) })
+	done := make(chan struct{})
+	go func() { c.wg.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(limit):
+	}
+}
--- /dev/null
+++ b/internal/fleet/deploy.go
@@ -0,0 +1,90 @@
+// Package fleet runs a whole deployment on one machine, with stand-ins for what is outside. It is the only
+// thing that starts processes, and no part of the product.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+)
+
+// Machine is one machine of a deployment.
+type Machine struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	Disk bool   `json:"disk"`
+}
+
+// Deployment is a user's machines and their pool.
+type Deployment struct {
+	Name     string    `json:"name"`
+	Machines []Machine `json:"machines"`
+	Pool     string    `json:"pool"`
+	Workers  []struct {
+		Zone  string `json:"zone"`
+		Count int    `json:"count"`
+	} `json:"workers"`
+	Config string `json:"config"`
+	dir    string
+}
+
+// Load reads a deployment's file.
+func Load(path string) (*Deployment, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	var d Deployment
+	if err := json.Unmarshal(b, &d); err != nil {
+		return nil, fmt.Errorf("fleet: %s: %w", path, err)
+	}
+	d.dir = filepath.Dir(path)
+	disks := 0
+	for _, m := range d.Machines {
+		if m.Disk {
+			disks++
+		}
+	}
+	if disks == 0 || disks == len(d.Machines) || len(d.Workers) == 0 || d.Pool == "" || d.Config == "" {
+		return nil, fmt.Errorf("fleet: %s: machines with and without a disk, a pool, workers and a configuration are wanted", path)
+	}
+	return &d, nil
+}
+
+// Disks counts the machines with a disk.
+func (d *Deployment) Disks() int {
+	k := 0
+	for _, m := range d.Machines {
+		if m.Disk {
+			k++
+		}
+	}
+	return k
+}
+
+// ConfigBytes reads the deployment's configuration.
+func (d *Deployment) ConfigBytes() ([]byte, error) {
+	return os.ReadFile(filepath.Join(d.dir, d.Config))
+}
+
+// ports asks the kernel for free addresses.
+func ports(n int) ([]string, error) {
+	var ls []net.Listener
+	var l []string
+	defer func() {
+		for _, x := range ls {
+			x.Close()
+		}
+	}()
+	for range n {
+		x, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("fleet: %w", err)
+		}
+		ls = append(ls, x)
+		l = append(l, x.Addr().String())
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/fleet/events.go
@@ -0,0 +1,173 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Event is one thing that the harness does at a time of the run.
+type Event struct {
+	At   time.Duration
+	Verb string
+	On   string
+	Arg  string
+}
+
+var verbs = []string{"kill", "stop", "start", "restart", "freeze", "thaw", "evacuate", "readmit", "leave", "drop", "mood",
+	"wipe", "apply", "rate", "killall", "startall", "join"}
+
+// ParseEvents reads a list like "12:kill:n1,15:start:n1".
+func ParseEvents(s string) ([]Event, error) {
+	var l []Event
+	for _, x := range strings.Split(s, ",") {
+		if x = strings.TrimSpace(x); x == "" {
+			continue
+		}
+		p := strings.SplitN(x, ":", 4)
+		at, err := strconv.ParseFloat(p[0], 64)
+		if err != nil || len(p) < 2 || at < 0 {
+			return nil, fmt.Errorf("fleet: event %q: SECONDS:VERB[:NAME[:VALUE]] is wanted", x)
+		}
+		if !slices.Contains(verbs, p[1]) {
+			return nil, fmt.Errorf("fleet: event %q: the verbs are %s", x, strings.Join(verbs, " "))
+		}
+		p = append(p, "", "")
+		l = append(l, Event{At: time.Duration(at * float64(time.Second)), Verb: p[1], On: p[2], Arg: p[3]})
+	}
+	slices.SortStableFunc(l, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return l, nil
+}
+
+// Do carries one event out and notes it in the journal.
+func (f *Fleet) Do(e Event, t *Traffic) error {
+	f.Event(e.Verb, e.On)
+	switch e.Verb {
+	case "kill":
+		return f.kill(e.On)
+	case "stop":
+		return f.Signal(e.On, syscall.SIGTERM)
+	case "start":
+		return f.Start(e.On)
+	case "restart":
+		if err := f.Signal(e.On, syscall.SIGTERM); err != nil {
+			return err
+		}
+		if err := f.Wait(e.On, 30*time.Second); err != nil {
+			return err
+		}
+		return f.Start(e.On)
+	case "freeze":
+		return f.Signal(e.On, syscall.SIGSTOP)
+	case "thaw":
+		return f.Signal(e.On, syscall.SIGCONT)
+	case "evacuate", "readmit":
+		_, err := f.Set("/v1/zones/"+e.On, fmt.Appendf(nil, `{"evacuated":%v}`, e.Verb == "evacuate"), 10*time.Second)
+		f.Event(e.Verb+"-acknowledged", e.On)
+		return err
+	case "leave", "drop":
+		return f.leave(e)
+	case "mood":
+		f.Platform.SetMood(e.On)
+	case "wipe":
+		return f.wipe(e.On)
+	case "apply":
+		b, err := os.ReadFile(e.On)
+		if err != nil {
+			return err
+		}
+		_, err = f.Set("/v1/config", b, 10*time.Second)
+		return err
+	case "rate":
+		r, err := strconv.ParseFloat(e.On, 64)
+		if err != nil {
+			return err
+		}
+		t.Rate(r)
+	case "killall", "startall":
+		return f.all(e.Verb)
+	case "join":
+		as, err := ports(1)
+		if err != nil {
+			return err
+		}
+		f.mu.Lock()
+		f.addWorker(e.On, e.Arg, as[0], 0)
+		f.mu.Unlock()
+		return f.Start(e.On)
+	}
+	return nil
+}
+
+func (f *Fleet) kill(name string) error {
+	if err := f.Signal(name, syscall.SIGKILL); err != nil {
+		return err
+	}
+	return f.Wait(name, 5*time.Second)
+}
+
+func (f *Fleet) leave(e Event) error {
+	w, ok := f.Platform.Get(f.Dep.Pool, e.On)
+	if !ok {
+		return fmt.Errorf("fleet: no worker %s", e.On)
+	}
+	if e.Verb == "drop" {
+		f.Platform.Remove(f.Dep.Pool, e.On)
+		return nil
+	}
+	w.Leaving = true
+	f.Platform.Set(f.Dep.Pool, w)
+	return nil
+}
+
+// wipe replaces a core machine by an empty one at a new address.
+func (f *Fleet) wipe(name string) error {
+	_ = f.kill(name)
+	p, err := f.get(name)
+	if err != nil {
+		return err
+	}
+	as, err := ports(2)
+	if err != nil {
+		return err
+	}
+	p.addr, p.web = as[0], as[1]
+	p.data += ".next"
+	if err := f.boot(p); err != nil {
+		return err
+	}
+	return f.Start(name)
+}
+
+// all ends or starts every process of the product at once; workers are not part of it.
+func (f *Fleet) all(verb string) error {
+	for _, n := range f.order {
+		p, err := f.get(n)
+		if err != nil {
+			return err
+		}
+		if p.kind == "worker" {
+			continue
+		}
+		if verb == "killall" {
+			_ = f.Signal(n, syscall.SIGKILL)
+		} else if err := f.Start(n); err != nil {
+			return err
+		}
+	}
+	if verb == "killall" {
+		for _, n := range f.order {
+			if p, _ := f.get(n); p.kind != "worker" {
+				if err := f.Wait(n, 5*time.Second); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,254 @@
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/standin"
+)
+
+// proc is one process of the fleet.
+type proc struct {
+	name, zone, kind string
+	args             []string
+	addr, web        string
+	data             string
+	cmd              *exec.Cmd
+	done             chan struct{}
+	frozen           bool
+}
+
+// Fleet is a deployment that runs.
+type Fleet struct {
+	Dep      *Deployment
+	Dir      string
+	Bin      string
+	Model    []string // further flags for the workers
+	Wrong    map[string]string
+	Journal  *standin.Journal
+	Platform *standin.Platform
+	mu       sync.Mutex
+	procs    map[string]*proc
+	order    []string
+	ln       net.Listener
+	seeds    []string
+}
+
+// New lays a fleet out in dir: boot files, data folders, journals. Nothing runs yet.
+func New(d *Deployment, dir, bin string, perSec int) (*Fleet, error) {
+	f := &Fleet{Dep: d, Dir: dir, Bin: bin, procs: map[string]*proc{}, Wrong: map[string]string{}, Platform: standin.NewPlatform(perSec)}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	old, _ := filepath.Glob(filepath.Join(dir, "*.jsonl"))
+	if len(old) > 0 {
+		return nil, fmt.Errorf("fleet: %s holds the journals of an earlier run", dir)
+	}
+	var err error
+	if f.Journal, err = standin.Open(filepath.Join(dir, "harness.jsonl")); err != nil {
+		return nil, err
+	}
+	workers := 0
+	for _, w := range d.Workers {
+		workers += w.Count
+	}
+	as, err := ports(2*len(d.Machines) + workers)
+	if err != nil {
+		return nil, err
+	}
+	if f.ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	for i, m := range d.Machines {
+		p := &proc{name: m.Name, zone: m.Zone, kind: "vane", addr: as[2*i], web: as[2*i+1]}
+		if m.Disk {
+			p.kind, p.data = "barometer", filepath.Join(dir, m.Name+".data")
+		}
+		if len(f.seeds) < 3 && m.Disk {
+			f.seeds = append(f.seeds, p.addr)
+		}
+		f.add(p)
+	}
+	for _, p := range f.procs {
+		if err := f.boot(p); err != nil {
+			return nil, err
+		}
+	}
+	as, k := as[2*len(d.Machines):], 0
+	for _, w := range d.Workers {
+		for range w.Count {
+			k++
+			f.addWorker(fmt.Sprintf("w%02d", k), w.Zone, as[k-1], time.Hour)
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) add(p *proc) {
+	f.procs[p.name] = p
+	f.order = append(f.order, p.name)
+}
+
+func (f *Fleet) addWorker(name, zone, addr string, age time.Duration) {
+	p := &proc{name: name, zone: zone, kind: "worker", web: addr}
+	p.args = []string{"worker", "--name", name, "--pool", f.Dep.Pool, "--zone", zone, "--listen", addr, "--journal", filepath.Join(f.Dir, name+".jsonl")}
+	f.add(p)
+	f.Platform.Set(f.Dep.Pool, forecast.Worker{ID: name, Addr: addr, Zone: zone, Age: age})
+}
+
+// boot writes a process's boot file.
+func (f *Fleet) boot(p *proc) error {
+	b := map[string]any{"name": p.name, "zone": p.zone, "addr": p.addr, "web": p.web, "seeds": f.seeds, "drain_ms": 15000}
+	if p.kind == "barometer" {
+		b["data"], b["founders"], b["platform"], b["pools"] = p.data, f.Dep.Disks(), f.ln.Addr().String(), []string{f.Dep.Pool}
+		b["poll_ms"], b["reserve_bytes"] = 500, 1<<20
+	}
+	path := filepath.Join(f.Dir, p.name+".boot.json")
+	p.args = []string{"run", "--boot", path}
+	x, err := json.MarshalIndent(b, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, x, 0o644)
+}
+
+// Up starts every process.
+func (f *Fleet) Up() error {
+	go func() { _ = f.Platform.Serve(f.ln) }()
+	for _, n := range f.order {
+		if err := f.Start(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) get(name string) (*proc, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.procs[name]
+	if p == nil {
+		return nil, fmt.Errorf("fleet: nothing is called %s", name)
+	}
+	return p, nil
+}
+
+// Start runs a process that does not run.
+func (f *Fleet) Start(name string) error {
+	p, err := f.get(name)
+	if err != nil {
+		return err
+	}
+	if p.cmd != nil {
+		return fmt.Errorf("fleet: %s runs already", name)
+	}
+	bin := map[string]string{"vane": "vane", "barometer": "barometer", "worker": "gale"}[p.kind]
+	args := append([]string(nil), p.args...)
+	if p.kind == "worker" {
+		args = append(args, f.Model...)
+		if w := f.Wrong[name]; w != "" {
+			args = append(args, "--wrong", w)
+		}
+	}
+	out, err := os.OpenFile(filepath.Join(f.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	defer out.Close()
+	c := exec.Command(filepath.Join(f.Bin, bin), args...)
+	c.Stdout, c.Stderr = out, out
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := c.Start(); err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	done := make(chan struct{})
+	f.mu.Lock()
+	p.cmd, p.done, p.frozen = c, done, false
+	f.mu.Unlock()
+	go func() {
+		_ = c.Wait()
+		f.mu.Lock()
+		p.cmd = nil
+		f.mu.Unlock()
+		close(done)
+	}()
+	return nil
+}
+
+// Signal sends a signal to a process that runs.
+func (f *Fleet) Signal(name string, s syscall.Signal) error {
+	p, err := f.get(name)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p.cmd == nil {
+		return fmt.Errorf("fleet: %s does not run", name)
+	}
+	p.frozen = s == syscall.SIGSTOP
+	return p.cmd.Process.Signal(s)
+}
+
+// Wait waits for a process to end.
+func (f *Fleet) Wait(name string, limit time.Duration) error {
+	p, err := f.get(name)
+	if err != nil {
+		return err
+	}
+	if p.done == nil {
+		return nil
+	}
+	select {
+	case <-p.done:
+		return nil
+	case <-time.After(limit):
+		return fmt.Errorf("fleet: %s did not end in %v", name, limit)
+	}
+}
+
+// Down ends every process that this fleet started, by its id.
+func (f *Fleet) Down() {
+	for _, n := range f.order {
+		_ = f.Signal(n, syscall.SIGCONT)
+		_ = f.Signal(n, syscall.SIGKILL)
+	}
+	for _, n := range f.order {
+		_ = f.Wait(n, 5*time.Second)
+	}
+	f.ln.Close()
+	f.Journal.Close()
+}
+
+// Event notes in the journal what the harness did.
+func (f *Fleet) Event(how, target string) {
+	if p, err := f.get(target); err == nil && p.kind == "vane" {
+		target = p.web // callers know a node by its address
+	}
+	f.Journal.Write(standin.Entry{Kind: "event", At: standin.Now(), How: how, Target: target})
+}
+
+// Webs lists the web addresses of a kind, running or not.
+func (f *Fleet) Webs(kind string) map[string]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := map[string]string{}
+	for n, p := range f.procs {
+		if p.kind == kind {
+			m[n] = p.web
+		}
+	}
+	return m
+}
+
+// ErrNone says that no barometer answered.
+var ErrNone = errors.New("fleet: no barometer answers")
--- /dev/null
+++ b/internal/fleet/operator.go
@@ -0,0 +1,115 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// HTTP asks once, without any retry.
+func HTTP(method, addr, path string, body []byte, head map[string]string, limit time.Duration) (int, []byte, string, error) {
+	cl := &fasthttp.HostClient{Addr: addr, MaxIdemponentCallAttempts: 1,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
+	defer cl.CloseIdleConnections()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr + path)
+	req.Header.SetMethod(method)
+	for k, v := range head {
+		req.Header.Set(k, v)
+	}
+	req.SetBody(body)
+	if err := cl.DoTimeout(req, resp, limit); err != nil {
+		return 0, nil, "", err
+	}
+	return resp.StatusCode(), append([]byte(nil), resp.Body()...), string(resp.Header.Peek("Number")), nil
+}
+
+func (f *Fleet) barometers() []string {
+	var l []string
+	for _, w := range f.Webs("barometer") {
+		l = append(l, w)
+	}
+	slices.Sort(l)
+	return l
+}
+
+// Set writes a key under an operator's rules: read its number, write on it, send the same plan again while
+// the outcome is unknown.
+func (f *Fleet) Set(path string, body []byte, limit time.Duration) (uint64, error) {
+	end := time.Now().Add(limit)
+	plan := fmt.Sprintf("harness-%d", time.Now().UnixNano())
+	last := ErrNone
+	num, have := "", false
+	for time.Now().Before(end) {
+		for _, at := range f.barometers() {
+			if !have {
+				code, _, n, err := HTTP("GET", at, path, nil, nil, 5*time.Second)
+				if err != nil || code != 200 && code != 404 {
+					last = fmt.Errorf("fleet: read %s: %d %w", path, code, err)
+					continue
+				}
+				num, have = n, true
+				if num == "" {
+					num = "0"
+				}
+			}
+			code, b, _, err := HTTP("PUT", at, path+"?number="+num, body, map[string]string{"Plan-Id": plan}, 5*time.Second)
+			if err != nil {
+				last = err
+				continue
+			}
+			if code == 200 {
+				var x struct{ Number uint64 }
+				return x.Number, json.Unmarshal(b, &x)
+			}
+			last = fmt.Errorf("fleet: write %s: %d %s", path, code, b)
+			if code == 400 {
+				return 0, last
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return 0, last
+}
+
+// Get reads a key back.
+func (f *Fleet) Get(path string, limit time.Duration) ([]byte, uint64, error) {
+	end := time.Now().Add(limit)
+	last := ErrNone
+	for time.Now().Before(end) {
+		for _, at := range f.barometers() {
+			code, b, n, err := HTTP("GET", at, path, nil, nil, 5*time.Second)
+			if err == nil && code == 200 {
+				x, err := strconv.ParseUint(n, 10, 64)
+				return b, x, err
+			}
+			last = fmt.Errorf("fleet: read %s: %d %s %w", path, code, b, err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return nil, 0, last
+}
+
+// Ready lists the vanes that say they are ready, by zone.
+func (f *Fleet) Ready() map[string][]string {
+	m := map[string][]string{}
+	for name, web := range f.Webs("vane") {
+		p, _ := f.get(name)
+		f.mu.Lock()
+		up := p.cmd != nil
+		f.mu.Unlock()
+		if !up {
+			continue
+		}
+		if code, _, _, err := HTTP("GET", web, "/healthz", nil, nil, 300*time.Millisecond); err == nil && code == 200 {
+			m[p.zone] = append(m[p.zone], web)
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/internal/fleet/run.go
@@ -0,0 +1,164 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"path/filepath"
+	"time"
+
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/observer"
+	"seamshunt/internal/units"
+)
+
+// Plan is one run of a deployment.
+type Plan struct {
+	Seed    uint64
+	Rate    float64
+	Topics  int
+	Traffic time.Duration
+	Events  []Event
+	From    time.Duration // when traffic begins, after the start
+	Edit    func([]byte) []byte
+}
+
+// Run brings the fleet up, applies its configuration, sends traffic from the tenth second on, carries the
+// events out, and reads the configuration back at the end.
+func (f *Fleet) Run(ctx context.Context, p Plan, say io.Writer) error {
+	start := time.Now()
+	if err := f.Up(); err != nil {
+		return err
+	}
+	config, err := f.Dep.ConfigBytes()
+	if err != nil {
+		return err
+	}
+	if p.Edit != nil {
+		config = p.Edit(config)
+	}
+	if err := f.Apply(config); err != nil {
+		return err
+	}
+	fmt.Fprintf(say, "configuration acknowledged %.1f s after the start\n", time.Since(start).Seconds())
+	t := NewTraffic(f, p.Seed, p.Topics)
+	t.Rate(p.Rate)
+	tctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sent := make(chan struct{})
+	time.AfterFunc(time.Until(start.Add(p.From)), func() { f.Event("traffic", ""); t.Run(tctx); close(sent) })
+	end := start.Add(p.From + p.Traffic)
+	for _, e := range p.Events {
+		if err := sleep(ctx, start.Add(e.At)); err != nil {
+			break
+		}
+		fmt.Fprintf(say, "%6.1f s: %s %s %s\n", time.Since(start).Seconds(), e.Verb, e.On, e.Arg)
+		if err := f.Do(e, t); err != nil {
+			cancel()
+			return fmt.Errorf("event %s %s: %w", e.Verb, e.On, err)
+		}
+	}
+	_ = sleep(ctx, end)
+	cancel()
+	<-sent
+	b, num, err := f.Get("/v1/config", 15*time.Second)
+	if err != nil {
+		return err
+	}
+	f.Event("config-read", mark(num, b))
+	return nil
+}
+
+// Apply sends a configuration and notes its acknowledgement.
+func (f *Fleet) Apply(b []byte) error {
+	num, err := f.Set("/v1/config", b, 20*time.Second)
+	if err == nil {
+		f.Event("config-acknowledged", mark(num, b))
+	}
+	return err
+}
+
+// mark names a configuration by its number and its bytes.
+func mark(num uint64, b []byte) string {
+	return fmt.Sprintf("%d/%d/%x", num, len(b), units.Mix(string(b)))
+}
+
+func sleep(ctx context.Context, until time.Time) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(time.Until(until)):
+		return nil
+	}
+}
+
+// Rules takes what is promised from the deployment's own configuration.
+func (f *Fleet) Rules(edit func([]byte) []byte) (observer.Rules, error) {
+	u := observer.DefaultRules()
+	b, err := f.Dep.ConfigBytes()
+	if err != nil {
+		return u, err
+	}
+	if edit != nil {
+		b = edit(b)
+	}
+	c, faults := forecast.Read(b)
+	if len(faults) > 0 {
+		return u, faults[0]
+	}
+	for _, m := range c.Mappings {
+		u.Once[m.Name] = m.Once
+		for _, s := range m.To {
+			u.Pools[m.Name] = append(u.Pools[m.Name], c.Services[s].Pool)
+		}
+	}
+	for _, s := range c.Services {
+		if s.Allow == "knee" {
+			u.Cap = max(u.Cap, s.Cap)
+		}
+	}
+	return u, nil
+}
+
+// Report judges the run and prints what it measured. It says whether every promise held.
+func (f *Fleet) Report(u observer.Rules, say io.Writer) (bool, error) {
+	r, err := observer.Load(f.Dir)
+	if err != nil {
+		return false, err
+	}
+	zone := map[string]string{}
+	for n, w := range f.Webs("vane") {
+		p, _ := f.get(n)
+		zone[w] = p.zone
+	}
+	return Show(r, u, zone, say), nil
+}
+
+// Show prints findings and figures.
+func Show(r *observer.Run, u observer.Rules, zone map[string]string, say io.Writer) bool {
+	good := true
+	for _, x := range r.Judge(u) {
+		word := "holds"
+		if !x.Good {
+			word, good = "BROKEN", false
+		}
+		fmt.Fprintf(say, "%-7s %s: %s\n", word, x.Promise, x.Seen)
+	}
+	fmt.Fprintf(say, "%-10s %7s %8s %8s %7s %6s %10s %10s\n", "mapping", "sent", "on time", "refused", "broken", "other", "first p50", "first p95")
+	for _, x := range r.Measure(0, 1<<62) {
+		fmt.Fprintf(say, "%-10s %7d %7.1f%% %8d %7d %6d %7.0f ms %7.0f ms\n", x.Mapping, x.Sent, 100*float64(x.OnTime)/float64(max(1, x.Sent)),
+			x.Refused, x.Broken, x.Other, x.First50, x.First9)
+	}
+	hit, cross := r.Hits(zone)
+	fmt.Fprintf(say, "prefix hit rate %.1f%%; runs handed over to another zone %.1f%%\n", 100*hit, 100*cross)
+	return good
+}
+
+// Abs makes a folder's path whole.
+func Abs(p string) string {
+	a, err := filepath.Abs(p)
+	if err != nil {
+		return p
+	}
+	return a
+}
--- /dev/null
+++ b/internal/forecast/config.go
@@ -0,0 +1,76 @@
+// Package forecast reads the operator's configuration, compiles its layout and works out plans (design 9).
+package forecast
+
+import (
+	"time"
+
+	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/vernier"
+	"seamshunt/internal/windvane"
+)
+
+// MaxConfig bounds a configuration's bytes.
+const MaxConfig = 8 << 20
+
+// Service is one model behind one pool, with the policies that rule it.
+type Service struct {
+	Name       string
+	Pool       string
+	Cap        int           // prompts in flight per worker: the measured knee
+	Waitlist   int           // prompts waiting per worker; 2 x cap unless stated
+	Warm       time.Duration // how long a started worker takes to its full cap
+	Allow      string        // admission policy by name
+	Place      string        // placement policy by name
+	Prefix     int           // bytes of a prompt that name its shared prefix
+	Spread     int           // how many workers a prefix may try
+	Adapt      bool          // AIMD on waiting time
+	Floor      int           // the least an adapted cap may be
+	WaitAim    time.Duration // the waiting time that AIMD steers by
+	RetryAfter time.Duration // least time a refused caller is told to stay away
+	Jitter     time.Duration // spread on top of it
+	First      time.Duration // expected time to first words before any was measured
+}
+
+// Promise is what an operator promises for one kind of request.
+type Promise struct {
+	Name    string
+	First   time.Duration
+	Longest time.Duration
+	Smaller bool
+}
+
+// Mapping is one route of the layout.
+type Mapping struct {
+	Name    string
+	Promise *Promise
+	To      []string // the services it may ever reach
+	Step    string   // the service of a step down, if any
+	Once    bool
+	Match   []vernier.Match
+	line    int
+	col     int
+}
+
+// Config is one whole configuration, compiled.
+type Config struct {
+	Services map[string]*Service
+	Promises map[string]*Promise
+	Mappings []*Mapping
+	Program  *vernier.Program
+}
+
+// faults are collected and looked at once.
+type faults struct {
+	list []*synop.Fault
+}
+
+func (f *faults) add(c synop.Code, place, text string) {
+	if len(f.list) < 20 {
+		f.list = append(f.list, &synop.Fault{Code: c, Place: place, Text: text, NotRun: true})
+	}
+}
+
+// Policies that can be named are those that the hygrometer and the windvane hold.
+func allowNames() []string { return sorted(hygrometer.Policies) }
+func placeNames() []string { return sorted(windvane.Policies) }
--- /dev/null
+++ b/internal/forecast/plan.go
@@ -0,0 +1,106 @@
+package forecast
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Plan says what a configuration would change, for an operator to confirm (design 9).
+type Plan struct {
+	Changes  []string
+	Ceilings []string
+	Warnings []string
+}
+
+// Compare works out the plan from the configuration in force, which may be nil, to the next.
+// Workers counts the pool's workers that are known.
+func Compare(old, next *Config, workers func(pool string) int) Plan {
+	var p Plan
+	if old == nil {
+		old = &Config{}
+	}
+	for _, n := range sorted(next.Services) {
+		s, o := next.Services[n], old.Services[n]
+		k := workers(s.Pool)
+		p.Ceilings = append(p.Ceilings, fmt.Sprintf("service %s: at most %d in flight and %d waiting per worker; %d workers known, so %d in flight",
+			n, s.Cap, s.Waitlist, k, k*s.Cap))
+		switch {
+		case o == nil:
+			p.Changes = append(p.Changes, "service "+n+" is new")
+		case *o != *s:
+			p.Changes = append(p.Changes, fmt.Sprintf("service %s: cap %d to %d, waitlist %d to %d, allow %s to %s, place %s to %s",
+				n, o.Cap, s.Cap, o.Waitlist, s.Waitlist, o.Allow, s.Allow, o.Place, s.Place))
+		}
+		if k == 0 {
+			p.Warnings = append(p.Warnings, "pool "+s.Pool+" has no worker known: its prompts would be refused")
+		}
+		if s.Allow == "open" {
+			p.Warnings = append(p.Warnings, "service "+n+" admits without a cap: for comparisons only")
+		}
+	}
+	for _, n := range sorted(old.Services) {
+		if next.Services[n] == nil {
+			p.Changes = append(p.Changes, "service "+n+" goes; streams under way end as they began")
+		}
+	}
+	compareMappings(old, next, &p)
+	for _, n := range sorted(next.Promises) {
+		o := old.Promises[n]
+		if x := next.Promises[n]; o == nil || *o != *x {
+			p.Changes = append(p.Changes, fmt.Sprintf("promise %s: first words in %v, longest wait %v, smaller model %v", n, x.First, x.Longest, x.Smaller))
+		}
+	}
+	return p
+}
+
+func compareMappings(old, next *Config, p *Plan) {
+	was, is := byName(old), byName(next)
+	add, drop, change := 0, 0, 0
+	for _, n := range sorted(is) {
+		m, o := is[n], was[n]
+		if o == nil {
+			add++
+			if add <= 20 {
+				p.Changes = append(p.Changes, "mapping "+n+" is new")
+			}
+			continue
+		}
+		if signature(m.Match) != signature(o.Match) || !slices.Equal(m.To, o.To) || m.Step != o.Step || m.Once != o.Once || m.Promise.Name != o.Promise.Name {
+			change++
+			if change <= 20 {
+				p.Changes = append(p.Changes, "mapping "+n+" changes")
+			}
+		}
+		if o.Once && !m.Once {
+			p.Warnings = append(p.Warnings, "mapping "+n+" could not repeat and now may")
+		}
+	}
+	for _, n := range sorted(was) {
+		if is[n] == nil {
+			drop++
+			if drop <= 20 {
+				p.Changes = append(p.Changes, "mapping "+n+" goes")
+			}
+		}
+	}
+	if add+drop+change > 0 {
+		p.Changes = append(p.Changes, fmt.Sprintf("mappings: %d new, %d changed, %d gone", add, change, drop))
+	}
+}
+
+func byName(c *Config) map[string]*Mapping {
+	m := map[string]*Mapping{}
+	for _, x := range c.Mappings {
+		m[x.Name] = x
+	}
+	return m
+}
+
+func sorted[T any](m map[string]T) []string {
+	var l []string
+	for k := range m {
+		l = append(l, k)
+	}
+	slices.Sort(l)
+	return l
+}
--- /dev/null
+++ b/internal/forecast/workers.go
@@ -0,0 +1,61 @@
+package forecast
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/valyala/fastjson"
+)
+
+// Worker is one back end as the platform lists it.
+type Worker struct {
+	ID      string
+	Addr    string
+	Zone    string
+	Leaving bool
+	Age     time.Duration // how long it ran when listed; short ones are still warming
+}
+
+// ReadWorkers reads the platform's list of a pool.
+func ReadWorkers(b []byte) ([]Worker, error) {
+	v, err := fastjson.ParseBytes(b)
+	if err != nil {
+		return nil, fmt.Errorf("forecast: worker list: %w", err)
+	}
+	x := v.Get("workers")
+	if x == nil || x.Type() != fastjson.TypeArray {
+		return nil, fmt.Errorf("forecast: worker list: no workers in it")
+	}
+	var l []Worker
+	seen := map[string]bool{}
+	for i, w := range x.GetArray() {
+		y := Worker{ID: string(w.GetStringBytes("id")), Addr: string(w.GetStringBytes("addr")), Zone: string(w.GetStringBytes("zone")),
+			Leaving: w.GetBool("leaving"), Age: time.Duration(w.GetInt64("age_ms")) * time.Millisecond}
+		if y.ID == "" || y.Addr == "" || seen[y.ID] {
+			return nil, fmt.Errorf("forecast: worker list: entry %d lacks its id or address, or stands twice", i)
+		}
+		seen[y.ID] = true
+		l = append(l, y)
+	}
+	return l, nil
+}
+
+// PackWorkers writes a list as news.
+func PackWorkers(l []Worker) []byte {
+	var a fastjson.Arena
+	arr := a.NewArray()
+	for i, w := range l {
+		o := a.NewObject()
+		o.Set("id", a.NewString(w.ID))
+		o.Set("addr", a.NewString(w.Addr))
+		o.Set("zone", a.NewString(w.Zone))
+		if w.Leaving {
+			o.Set("leaving", a.NewTrue())
+		}
+		o.Set("age_ms", a.NewNumberInt(int(w.Age.Milliseconds())))
+		arr.SetArrayItem(i, o)
+	}
+	o := a.NewObject()
+	o.Set("workers", arr)
+	return o.MarshalTo(nil)
+}
--- /dev/null
+++ b/internal/gauge/gauge.go
@@ -0,0 +1,221 @@
+package gauge
+
+import (
+	"slices"
+	"time"
+
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// Spans of the keeping (start values).
+const (
+	grace    = 500 * time.Millisecond // what a run may last past its time left
+	audit    = time.Second
+	reask    = 200 * time.Millisecond
+	burst    = 300 * time.Millisecond // after a process is known to be gone, till its runs are broken off
+	adaptGap = time.Second
+)
+
+type permit struct {
+	node units.Node
+	tag  uint64
+}
+
+type ask struct {
+	permit
+	until units.Time // its deadline
+	since units.Time
+}
+
+type loan struct {
+	until units.Time
+	since units.Time
+}
+
+// keep is one worker in this node's keeping.
+type keep struct {
+	open    bool
+	lent    map[permit]*loan
+	list    []ask // by deadline
+	need    map[units.Node]bool
+	sent    units.Time
+	holdTil units.Time // until then a silent node may still hold what it was lent before
+	turn    time.Duration
+	hold    time.Duration // mean time that a slot is held
+	back    units.Time
+	cap     float64
+	waitSum time.Duration
+	waitN   int
+	adapted units.Time
+}
+
+// Gauge is the keeper's step machine.
+type Gauge struct {
+	self    units.Node
+	Longest time.Duration // the longest time left that any mapping allows
+	workers map[string]Worker
+	vanes   []Peer
+	lost    map[units.Node]units.Time // vanes gone silent, since when
+	keeps   map[string]*keep
+	started units.Time
+	audited units.Time
+}
+
+// New begins a node that keeps nothing.
+func New(self units.Node, now units.Time) *Gauge {
+	return &Gauge{self: self, workers: map[string]Worker{}, keeps: map[string]*keep{}, lost: map[units.Node]units.Time{}, started: now}
+}
+
+// Workers sets what there is to keep.
+func (g *Gauge) Workers(w map[string]Worker) { g.workers = w }
+
+// View takes membership's view: the live vanes, and those that fell silent within the longest time left.
+func (g *Gauge) View(vanes []Peer, lost map[units.Node]units.Time) { g.vanes, g.lost = vanes, lost }
+
+// Gone frees what a process held that is known to have ended: the kernel broke its runs' wires off.
+func (g *Gauge) Gone(now units.Time, n units.Node) {
+	for _, k := range g.keeps {
+		for p, l := range k.lent {
+			if p.node == n {
+				l.until = min(l.until, now.Add(burst))
+			}
+		}
+		k.list = slices.DeleteFunc(k.list, func(a ask) bool { return a.node == n })
+	}
+}
+
+// Cap gives how many permits a worker may have out now.
+func (g *Gauge) Cap(now units.Time, name string) int {
+	w, ok := g.workers[name]
+	if !ok || w.Closed {
+		return 0
+	}
+	c := w.Cap
+	if k := g.keeps[name]; w.Adapt && k != nil && k.cap > 0 {
+		c = min(c, int(k.cap))
+	}
+	if up := now.Sub(w.Start); w.Warm > 0 && up < w.Warm {
+		c = min(c, max(1, int(int64(w.Cap)*int64(up)/int64(w.Warm))))
+	}
+	return c
+}
+
+// Tick takes over what fell to this node, gives up what did not, and ends what ran out.
+func (g *Gauge) Tick(now units.Time) (out station.Out) {
+	for name, w := range g.workers {
+		mine := Keeper(g.vanes, name, w.Zone) == g.self
+		k := g.keeps[name]
+		if mine && k == nil {
+			g.begin(now, name, &out)
+		}
+		if !mine && k != nil {
+			g.cede(name, k, &out)
+		}
+	}
+	for name, k := range g.keeps {
+		if _, ok := g.workers[name]; !ok {
+			g.cede(name, k, &out)
+			continue
+		}
+		for p, l := range k.lent {
+			if now >= l.until {
+				delete(k.lent, p)
+			}
+		}
+		if !k.open {
+			g.collect(now, name, k, &out)
+			continue
+		}
+		g.adapt(now, name, k)
+		g.serve(now, name, k, &out)
+	}
+	if now.Sub(g.audited) >= audit {
+		g.audited = now
+		g.audit(now, &out)
+	}
+	return out
+}
+
+// begin asks every live vane what it holds; until all have said so, nothing is lent.
+func (g *Gauge) begin(now units.Time, name string, out *station.Out) {
+	k := &keep{lent: map[permit]*loan{}, need: map[units.Node]bool{}, sent: now.Add(-reask), adapted: now}
+	for _, v := range g.vanes {
+		k.need[v.Node] = true
+	}
+	for _, t := range g.lost {
+		k.holdTil = max(k.holdTil, t.Add(g.Longest+grace))
+	}
+	g.keeps[name] = k
+	g.collect(now, name, k, out)
+}
+
+func (g *Gauge) collect(now units.Time, name string, k *keep, out *station.Out) {
+	live := map[units.Node]bool{}
+	for _, v := range g.vanes {
+		live[v.Node] = true
+	}
+	for n := range k.need {
+		if live[n] {
+			continue
+		}
+		delete(k.need, n)
+		if t, silent := g.lost[n]; silent {
+			k.holdTil = max(k.holdTil, t.Add(g.Longest+grace))
+		}
+	}
+	if len(k.need) == 0 {
+		if now >= k.holdTil {
+			k.open = true
+			g.serve(now, name, k, out)
+		}
+		return
+	}
+	if now.Sub(k.sent) >= reask {
+		k.sent = now
+		for n := range k.need {
+			out.Send(n, ReportAsk, Pack(Head{}, name))
+		}
+	}
+}
+
+// cede lets those that wait ask elsewhere.
+func (g *Gauge) cede(name string, k *keep, out *station.Out) {
+	for _, a := range k.list {
+		out.Send(a.node, No, Pack(Head{Tag: a.tag, Reason: NotKeeper}, name))
+	}
+	delete(g.keeps, name)
+}
+
+// audit asks holders about permits that have been out for a while; they return what they don't know.
+func (g *Gauge) audit(now units.Time, out *station.Out) {
+	for name, k := range g.keeps {
+		by := map[units.Node][]Held{}
+		for p, l := range k.lent {
+			if now.Sub(l.since) >= audit {
+				by[p.node] = append(by[p.node], Held{Tag: p.tag})
+			}
+		}
+		for n, l := range by {
+			out.Send(n, Audit, packReport(name, l))
+		}
+	}
+}
+
+// adapt is the optional AIMD, keyed on waiting time only.
+func (g *Gauge) adapt(now units.Time, name string, k *keep) {
+	w := g.workers[name]
+	if !w.Adapt || now.Sub(k.adapted) < adaptGap {
+		return
+	}
+	k.adapted = now
+	if k.cap == 0 {
+		k.cap = float64(w.Cap)
+	}
+	if k.waitN > 0 && k.waitSum/time.Duration(k.waitN) > w.Aim {
+		k.cap = max(float64(w.Floor), k.cap*0.8)
+	} else {
+		k.cap = min(float64(w.Cap), k.cap+1)
+	}
+	k.waitSum, k.waitN = 0, 0
+}
--- /dev/null
+++ b/internal/gauge/step.go
@@ -0,0 +1,198 @@
+package gauge
+
+import (
+	"slices"
+	"time"
+
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// Step takes one note for the keeper.
+func (g *Gauge) Step(now units.Time, n station.Note) (out station.Out) {
+	if n.Kind == Report {
+		name, held, err := UnpackReport(n.Body)
+		out.Fail(err)
+		if k := g.keeps[name]; err == nil && k != nil && !k.open {
+			for _, h := range held {
+				k.lent[permit{n.From, h.Tag}] = &loan{until: now.Add(units.Millis(h.Left).Span() + grace), since: now}
+			}
+			delete(k.need, n.From)
+			g.collect(now, name, k, &out)
+		}
+		return out
+	}
+	h, name, err := Unpack(n.Body)
+	if err != nil {
+		out.Fail(err)
+		return out
+	}
+	k := g.keeps[name]
+	if k == nil {
+		if n.Kind == Ask {
+			out.Send(n.From, No, Pack(Head{Tag: h.Tag, Reason: NotKeeper}, name))
+		}
+		return out
+	}
+	switch n.Kind {
+	case ReportAsk:
+		if n.From != g.self {
+			g.cede(name, k, &out) // another has taken the worker over; if views differ, the taking over is repeated
+		}
+	case Ask:
+		g.asked(now, n.From, name, k, h, &out)
+	case Return:
+		g.returned(now, name, k, permit{n.From, h.Tag}, h.Wait == 1, &out)
+	}
+	return out
+}
+
+func (g *Gauge) state(now units.Time, name string, k *keep, h Head) Head {
+	h.Lent, h.Cap = uint16(len(k.lent)), uint16(g.Cap(now, name))
+	h.Wait = uint8(min(255, len(k.list)))
+	h.Turn = uint16(min(k.gap(max(1, int(h.Cap)))/time.Millisecond, 65535))
+	return h
+}
+
+// gap is the mean time between two returned slots.
+func (k *keep) gap(cap int) time.Duration {
+	if k.turn == 0 {
+		return k.hold / time.Duration(cap)
+	}
+	return k.turn
+}
+
+func (g *Gauge) asked(now units.Time, from units.Node, name string, k *keep, h Head, out *station.Out) {
+	p := permit{from, h.Tag}
+	if k.lent[p] != nil {
+		out.Send(from, Grant, Pack(g.state(now, name, k, Head{Tag: h.Tag}), name))
+		return
+	}
+	left := units.Millis(h.Left).Span()
+	wait := k.gap(max(1, g.Cap(now, name)))
+	for i, a := range k.list {
+		if a.permit == p {
+			out.Send(from, Waiting, Pack(g.state(now, name, k, Head{Tag: h.Tag, Left: uint32(units.ToMillis(wait * time.Duration(i+1)))}), name))
+			return
+		}
+	}
+	r := Head{Tag: h.Tag}
+	c := g.Cap(now, name)
+	if c == 0 {
+		r.Reason = Closed
+		out.Send(from, No, Pack(g.state(now, name, k, r), name))
+		return
+	}
+	if k.open && len(k.lent) < c && len(k.list) == 0 {
+		g.lend(now, name, k, ask{permit: p, until: now.Add(left), since: now}, out)
+		return
+	}
+	at, _ := slices.BinarySearchFunc(k.list, now.Add(left), func(a ask, t units.Time) int {
+		if a.until <= t {
+			return -1
+		}
+		return 1
+	})
+	due := wait * time.Duration(at+1)
+	if !k.open {
+		due = max(due, k.holdTil.Sub(now))
+	}
+	r.Left = uint32(units.ToMillis(due))
+	switch {
+	case len(k.list) >= g.workers[name].Bound:
+		r.Reason = Full
+	case due+g.workers[name].First > left:
+		r.Reason = Late
+	case h.Wait == 0:
+		r.Reason = Busy
+	}
+	if r.Reason != 0 {
+		out.Send(from, No, Pack(g.state(now, name, k, r), name))
+		return
+	}
+	k.list = slices.Insert(k.list, at, ask{permit: p, until: now.Add(left), since: now})
+	out.Send(from, Waiting, Pack(g.state(now, name, k, r), name))
+}
+
+func (g *Gauge) lend(now units.Time, name string, k *keep, a ask, out *station.Out) {
+	k.lent[a.permit] = &loan{until: a.until.Add(grace), since: now}
+	k.waitSum += now.Sub(a.since)
+	k.waitN++
+	out.Send(a.node, Grant, Pack(g.state(now, name, k, Head{Tag: a.tag}), name))
+}
+
+// serve lends free slots to the earliest deadlines. What can no longer be met is told so at once, wherever
+// it stands in the list: nothing is held back until its time has run out.
+func (g *Gauge) serve(now units.Time, name string, k *keep, out *station.Out) {
+	w := g.workers[name]
+	c := g.Cap(now, name)
+	for c > 0 && k.open && len(k.list) > 0 && len(k.lent) < c {
+		a := k.list[0]
+		if a.until < now.Add(w.First) {
+			break
+		}
+		k.list = k.list[1:]
+		g.lend(now, name, k, a, out)
+	}
+	gap, left := k.gap(max(1, c)), k.list[:0:0]
+	for _, a := range k.list {
+		due := gap * time.Duration(len(left)+1)
+		switch {
+		case c == 0:
+			out.Send(a.node, No, Pack(g.state(now, name, k, Head{Tag: a.tag, Reason: Closed}), name))
+		case a.until < now.Add(w.First) || len(left) > 0 && a.until < now.Add(due+w.First):
+			out.Send(a.node, No, Pack(g.state(now, name, k, Head{Tag: a.tag, Reason: Late, Left: uint32(units.ToMillis(due))}), name))
+		default:
+			left = append(left, a)
+		}
+	}
+	k.list = left
+}
+
+func (g *Gauge) returned(now units.Time, name string, k *keep, p permit, unsure bool, out *station.Out) {
+	k.list = slices.DeleteFunc(k.list, func(a ask) bool { return a.permit == p })
+	l := k.lent[p]
+	if l == nil || unsure {
+		return // an unsure run keeps its slot till its own end
+	}
+	delete(k.lent, p)
+	k.hold = ewma(k.hold, now.Sub(l.since))
+	if busy := len(k.list) > 0; busy && k.back != 0 {
+		k.turn = ewma(k.turn, min(now.Sub(k.back), 5*time.Second))
+	}
+	k.back = now
+	if k.open {
+		g.serve(now, name, k, out)
+	}
+}
+
+func ewma(old, x time.Duration) time.Duration {
+	if old == 0 {
+		return x
+	}
+	return (7*old + x) / 8
+}
+
+// Kept describes one worker in this node's keeping, for status and tests.
+type Kept struct {
+	Worker  string
+	Open    bool
+	Lent    int
+	Cap     int
+	Waiting int
+}
+
+// Kept lists all that this node keeps.
+func (g *Gauge) Kept(now units.Time) []Kept {
+	var l []Kept
+	for n, k := range g.keeps {
+		l = append(l, Kept{n, k.open, len(k.lent), g.Cap(now, n), len(k.list)})
+	}
+	slices.SortFunc(l, func(a, b Kept) int {
+		if a.Worker < b.Worker {
+			return -1
+		}
+		return 1
+	})
+	return l
+}
--- /dev/null
+++ b/internal/hygrometer/hygrometer.go
@@ -0,0 +1,232 @@
+// Package hygrometer is admission on the node that took the prompt (design 6): in, wait, or refused at once.
+package hygrometer
+
+import (
+	"time"
+
+	"seamshunt/internal/gauge"
+	"seamshunt/internal/station"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// Policies by name. Knee is the paper's: a cap, a bounded waitlist by deadline, early shedding. Open is none,
+// for comparisons.
+var Policies = map[string]func(*Hygrometer, units.Time, *Req, *station.Out){
+	"knee": (*Hygrometer).knee,
+	"open": (*Hygrometer).open,
+}
+
+// Spans (start values).
+const (
+	silent = 150 * time.Millisecond // a keeper that says nothing for so long is passed over
+	again  = 300 * time.Millisecond // a waiting prompt's ask is repeated
+	lostAt = 900 * time.Millisecond // a waiting prompt's keeper that says nothing for so long is given up
+	grace  = 500 * time.Millisecond
+	waits  = 3 // how many waitlists one prompt may try
+)
+
+type stage uint8
+
+const (
+	asking stage = iota
+	waiting
+	held
+	ghost // its run may still be going: the slot stays taken till the prompt's time is out
+)
+
+type option struct {
+	name string
+	due  time.Duration
+}
+
+// Req is one prompt at the door of one service.
+type Req struct {
+	Tag    uint64
+	Policy string
+	Cands  []string // workers, best first
+	Tries  int      // how many of them may be asked for a free slot
+	Until  units.Time
+	First  time.Duration
+	Keeper func(worker string) units.Node
+
+	stage  stage
+	worker string
+	keeper units.Node
+	next   int
+	tried  int
+	opts   []option
+	why    uint8
+	due    time.Duration
+	sent   units.Time
+	heard  units.Time
+}
+
+// Verdict is what becomes of a prompt.
+type Verdict struct {
+	Tag    uint64
+	Worker string // set when it goes in
+	Code   synop.Code
+	Due    time.Duration // when refused: how long the shortest waitlist seen would take
+}
+
+// Load is what was last heard of a worker.
+type Load struct {
+	Lent, Cap, Wait int
+	At              units.Time
+}
+
+// Hygrometer is the step machine.
+type Hygrometer struct {
+	self     units.Node
+	reqs     map[uint64]*Req
+	Flight   map[string]int // this node's own prompts in flight, per worker
+	loyal    map[string]units.Node
+	Loads    map[string]Load
+	Verdicts []Verdict
+}
+
+// New gives an empty one.
+func New(self units.Node) *Hygrometer {
+	return &Hygrometer{self: self, reqs: map[uint64]*Req{}, Flight: map[string]int{}, loyal: map[string]units.Node{}, Loads: map[string]Load{}}
+}
+
+// Arrive takes a prompt in at the door.
+func (h *Hygrometer) Arrive(now units.Time, r Req) (out station.Out) {
+	h.reqs[r.Tag] = &r
+	Policies[r.Policy](h, now, &r, &out)
+	return out
+}
+
+// open lets everything in at the first worker.
+func (h *Hygrometer) open(now units.Time, r *Req, out *station.Out) {
+	if len(r.Cands) == 0 {
+		h.shed(r, synop.NoWorker)
+		return
+	}
+	r.worker = r.Cands[0]
+	h.enter(r)
+}
+
+// knee asks the candidates' keepers for a free slot in turn, then waits where the wait is shortest.
+func (h *Hygrometer) knee(now units.Time, r *Req, out *station.Out) {
+	for r.next < len(r.Cands) && r.next < r.Tries {
+		r.worker = r.Cands[r.next]
+		r.next++
+		if r.keeper = r.Keeper(r.worker); r.keeper != 0 {
+			h.ask(now, r, false, out)
+			return
+		}
+	}
+	h.queue(now, r, out)
+}
+
+// queue joins the waitlist with the shortest expected wait that still leaves time for an answer.
+func (h *Hygrometer) queue(now units.Time, r *Req, out *station.Out) {
+	best := -1
+	for i, o := range r.opts {
+		if best < 0 || o.due < r.opts[best].due {
+			best = i
+		}
+	}
+	if best < 0 || r.tried >= waits {
+		h.shed(r, why(r.why))
+		return
+	}
+	o := r.opts[best]
+	r.opts = append(r.opts[:best:best], r.opts[best+1:]...)
+	if now.Add(o.due+r.First) > r.Until {
+		r.why = gauge.Late
+		h.shed(r, synop.WaitLate)
+		return
+	}
+	r.tried++
+	r.worker, r.keeper = o.name, r.Keeper(o.name)
+	r.stage = waiting
+	h.ask(now, r, true, out)
+}
+
+func why(reason uint8) synop.Code {
+	switch reason {
+	case gauge.Full, gauge.Busy:
+		return synop.WaitFull
+	case gauge.Late:
+		return synop.WaitLate
+	}
+	return synop.NoWorker
+}
+
+func (h *Hygrometer) ask(now units.Time, r *Req, wait bool, out *station.Out) {
+	a := gauge.Head{Tag: r.Tag, Left: uint32(units.ToMillis(r.Until.Sub(now)))}
+	if wait {
+		a.Wait = 1
+	}
+	r.sent = now
+	r.heard = now
+	out.Send(r.keeper, gauge.Ask, gauge.Pack(a, r.worker))
+}
+
+func (h *Hygrometer) enter(r *Req) {
+	r.stage = held
+	h.Flight[r.worker]++
+	h.Verdicts = append(h.Verdicts, Verdict{Tag: r.Tag, Worker: r.worker, Code: synop.OK})
+}
+
+func (h *Hygrometer) shed(r *Req, c synop.Code) {
+	delete(h.reqs, r.Tag)
+	h.Verdicts = append(h.Verdicts, Verdict{Tag: r.Tag, Code: c, Due: r.due})
+}
+
+// Done gives a prompt's slot back when its stream ended, or when its caller went away.
+// Unsure says that the run may still be going.
+func (h *Hygrometer) Done(now units.Time, tag uint64, unsure bool) (out station.Out) {
+	r := h.reqs[tag]
+	if r == nil {
+		return out
+	}
+	if r.stage == held {
+		if h.Flight[r.worker]--; h.Flight[r.worker] <= 0 {
+			delete(h.Flight, r.worker)
+		}
+	}
+	b := gauge.Head{Tag: tag}
+	if unsure && r.stage == held {
+		r.stage = ghost
+		b.Wait = 1
+	} else {
+		delete(h.reqs, tag)
+	}
+	if r.keeper != 0 {
+		out.Send(h.keeper(r), gauge.Return, gauge.Pack(b, r.worker))
+	}
+	return out
+}
+
+// keeper is whoever this node last reported to, else whom it asked.
+func (h *Hygrometer) keeper(r *Req) units.Node {
+	if k, ok := h.loyal[r.worker]; ok {
+		return k
+	}
+	return r.keeper
+}
+
+// Waiting counts the prompts that are not in yet.
+func (h *Hygrometer) Waiting() int {
+	k := 0
+	for _, r := range h.reqs {
+		if r.stage <= waiting {
+			k++
+		}
+	}
+	return k
+}
+
+// Woke distrusts every permit after a freeze: what ran out is gone, and what waits asks anew (design 6).
+func (h *Hygrometer) Woke(now units.Time) {
+	for _, r := range h.reqs {
+		if r.stage <= waiting {
+			r.sent = now.Add(-lostAt)
+			r.heard = r.sent
+		}
+	}
+}
--- /dev/null
+++ b/internal/hygrometer/step.go
@@ -0,0 +1,153 @@
+package hygrometer
+
+import (
+	"slices"
+	"time"
+
+	"seamshunt/internal/gauge"
+	"seamshunt/internal/station"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// Tick gives up what can't be met any more, and passes over keepers that say nothing.
+func (h *Hygrometer) Tick(now units.Time) (out station.Out) {
+	for _, r := range h.sorted() {
+		switch r.stage {
+		case asking:
+			if now.Sub(r.sent) >= silent {
+				h.drop(r, &out)
+				h.refused(now, r, gauge.Silent, 0, &out)
+			}
+		case waiting:
+			switch {
+			case now.Add(r.First) > r.Until:
+				h.drop(r, &out)
+				h.shed(r, synop.WaitLate)
+			case now.Sub(r.heard) >= lostAt:
+				h.drop(r, &out)
+				h.refused(now, r, gauge.Silent, 0, &out)
+			case now.Sub(r.sent) >= again:
+				heard := r.heard
+				h.ask(now, r, true, &out)
+				r.heard = heard
+			}
+		case ghost:
+			if now > r.Until.Add(grace) {
+				delete(h.reqs, r.Tag)
+			}
+		}
+	}
+	return out
+}
+
+func (h *Hygrometer) sorted() []*Req {
+	l := make([]*Req, 0, len(h.reqs))
+	for _, r := range h.reqs {
+		l = append(l, r)
+	}
+	slices.SortFunc(l, func(a, b *Req) int {
+		if a.Tag < b.Tag {
+			return -1
+		}
+		return 1
+	})
+	return l
+}
+
+// drop voids an ask, so that a late grant has nobody.
+func (h *Hygrometer) drop(r *Req, out *station.Out) {
+	out.Send(r.keeper, gauge.Return, gauge.Pack(gauge.Head{Tag: r.Tag}, r.worker))
+}
+
+// refused takes a keeper's no, or its silence, and goes on to the next worker.
+func (h *Hygrometer) refused(now units.Time, r *Req, reason uint8, due time.Duration, out *station.Out) {
+	if r.why == 0 || reason == gauge.Full || reason == gauge.Late && r.why != gauge.Full {
+		r.why = reason
+	}
+	if due > 0 && (r.due == 0 || due < r.due) {
+		r.due = due
+	}
+	if r.stage == asking {
+		if reason == gauge.Busy {
+			r.opts = append(r.opts, option{r.worker, due})
+		}
+		h.knee(now, r, out)
+		return
+	}
+	h.queue(now, r, out)
+}
+
+// Step takes one note for the node that asks.
+func (h *Hygrometer) Step(now units.Time, n station.Note) (out station.Out) {
+	if n.Kind == gauge.Audit {
+		name, l, err := gauge.UnpackReport(n.Body)
+		out.Fail(err)
+		for _, x := range l {
+			if h.reqs[x.Tag] == nil {
+				out.Send(n.From, gauge.Return, gauge.Pack(gauge.Head{Tag: x.Tag}, name))
+			}
+		}
+		return out
+	}
+	b, name, err := gauge.Unpack(n.Body)
+	if err != nil {
+		out.Fail(err)
+		return out
+	}
+	if n.Kind == gauge.ReportAsk {
+		h.report(now, n.From, name, &out)
+		return out
+	}
+	if b.Cap > 0 {
+		h.Loads[name] = Load{Lent: int(b.Lent), Cap: int(b.Cap), Wait: int(b.Wait), At: now}
+	}
+	r := h.reqs[b.Tag]
+	mine := r != nil && r.stage <= waiting && r.worker == name && r.keeper == n.From
+	switch n.Kind {
+	case gauge.Grant:
+		h.granted(now, n.From, r, mine, b, name, &out)
+	case gauge.No:
+		if mine {
+			h.refused(now, r, b.Reason, units.Millis(b.Left).Span(), &out)
+		}
+	case gauge.Waiting:
+		if mine {
+			r.heard = now
+			r.due = units.Millis(b.Left).Span()
+		}
+	}
+	return out
+}
+
+func (h *Hygrometer) granted(now units.Time, from units.Node, r *Req, mine bool, b gauge.Head, name string, out *station.Out) {
+	if r != nil && r.stage >= held && r.worker == name {
+		return // the same grant again
+	}
+	back := gauge.Pack(gauge.Head{Tag: b.Tag}, name)
+	if k, ok := h.loyal[name]; !mine || ok && k != from {
+		out.Send(from, gauge.Return, back)
+		if mine {
+			h.refused(now, r, gauge.NotKeeper, 0, out)
+		}
+		return
+	}
+	if now.Add(r.First) > r.Until {
+		out.Send(from, gauge.Return, back)
+		h.shed(r, synop.WaitLate)
+		return
+	}
+	h.enter(r)
+}
+
+// report tells a new keeper all that is held of a worker; from then on only its grants count (design 6).
+func (h *Hygrometer) report(now units.Time, from units.Node, name string, out *station.Out) {
+	h.loyal[name] = from
+	var l []gauge.Held
+	for _, r := range h.sorted() {
+		if r.worker == name && r.stage >= held && r.keeper != 0 {
+			l = append(l, gauge.Held{Tag: r.Tag, Left: uint32(units.ToMillis(r.Until.Sub(now)))})
+		}
+	}
+	out.Send(from, gauge.Report, gauge.PackReport(name, l))
+}
--- /dev/null
+++ b/internal/mast/mast.go
@@ -0,0 +1,245 @@
+// Package mast is membership: probes in turn, second opinions, suspicion before removal (design 5).
+package mast
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// State of a member as this node sees it.
+type State uint8
+
+// Later states win at the same incarnation.
+const (
+	Alive State = iota
+	Suspect
+	Dead
+	Left
+)
+
+// Role says which program a member runs.
+type Role uint8
+
+// The two programs.
+const (
+	Vane Role = 1 + iota
+	Barometer
+)
+
+// Flags a member says of itself.
+const (
+	Draining uint16 = 1 << iota
+	Unfit           // its disk can't be trusted with ownership now
+	Ready           // a vane that serves
+	Voter           // a barometer that believes it votes
+)
+
+// Member is one process.
+type Member struct {
+	Node  units.Node
+	Inc   uint64
+	State State
+	Role  Role
+	Flags uint16
+	Addr  string
+	Web   string
+	Zone  string
+	News  uint64 // digest of its news, as last told by itself
+	since units.Time
+}
+
+// Rates of the probing (start values).
+const (
+	round   = 400 * time.Millisecond
+	askAt   = 150 * time.Millisecond
+	doubt   = 1500 * time.Millisecond
+	forget  = 10 * time.Minute
+	introAt = time.Second
+)
+
+type relay struct {
+	to  units.Node
+	seq uint64
+	at  units.Time
+}
+
+// Mast is the step machine.
+type Mast struct {
+	Self  units.Node
+	News  uint64
+	all   map[units.Node]*Member
+	seeds []string
+	rng   *rand.Rand
+	ring  []units.Node
+	seq   uint64
+	open  units.Node
+	seqOf uint64
+	at    units.Time
+	asked bool
+	relay map[uint64]relay
+	intro units.Time
+}
+
+// New starts with oneself and the seeds.
+func New(self Member, seeds []string, rng *rand.Rand) *Mast {
+	m := &Mast{Self: self.Node, all: map[units.Node]*Member{}, seeds: seeds, rng: rng, relay: map[uint64]relay{}}
+	m.all[self.Node] = &self
+	m.at = -units.Time(round)
+	m.intro = -units.Time(introAt)
+	return m
+}
+
+// Flag sets or clears what this node says of itself.
+func (m *Mast) Flag(f uint16, on bool) {
+	s := m.all[m.Self]
+	old := s.Flags
+	if on {
+		s.Flags |= f
+	} else {
+		s.Flags &^= f
+	}
+	if s.Flags != old {
+		s.Inc++
+	}
+}
+
+// Get finds a member.
+func (m *Mast) Get(n units.Node) (Member, bool) {
+	x, ok := m.all[n]
+	if !ok {
+		return Member{}, false
+	}
+	return *x, true
+}
+
+// All lists every member that isn't forgotten, in order of id.
+func (m *Mast) All() []Member {
+	var l []Member
+	for _, x := range m.all {
+		l = append(l, *x)
+	}
+	slices.SortFunc(l, func(a, b Member) int { return cmp(a.Node, b.Node) })
+	return l
+}
+
+// Live lists the members of a role that are alive or only suspected.
+func (m *Mast) Live(r Role) []Member {
+	l := m.All()
+	return slices.DeleteFunc(l, func(x Member) bool { return x.Role != r || x.State > Suspect })
+}
+
+func cmp(a, b units.Node) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
+
+// Tick moves the probing on.
+func (m *Mast) Tick(now units.Time) (out station.Out) {
+	if m.open != 0 && !m.asked && now.Sub(m.at) >= askAt {
+		m.asked = true
+		for _, x := range m.pick(3, m.open) {
+			out.Send(x, Second, m.pack(m.seqOf, m.open))
+		}
+	}
+	for _, x := range m.all {
+		if x.State == Suspect && now.Sub(x.since) >= doubt {
+			m.set(x, Dead, now)
+		}
+		if x.State >= Dead && now.Sub(x.since) > forget {
+			delete(m.all, x.Node)
+		}
+	}
+	for s, r := range m.relay {
+		if now.Sub(r.at) > 2*round {
+			delete(m.relay, s)
+		}
+	}
+	if now.Sub(m.at) >= round {
+		if x := m.all[m.open]; x != nil && x.State == Alive {
+			m.set(x, Suspect, now)
+		}
+		m.open = 0
+		if n := m.turn(); n != 0 {
+			m.seq++
+			m.open, m.seqOf, m.at, m.asked = n, m.seq, now, false
+			out.Send(n, Probe, m.pack(m.seq, 0))
+		}
+	}
+	if now.Sub(m.intro) >= introAt {
+		m.intro = now
+		m.introduce(&out)
+	}
+	return out
+}
+
+// introduce talks to seeds nobody lives at, and to one node given up on, so that cuts heal.
+func (m *Mast) introduce(out *station.Out) {
+	here := map[string]bool{}
+	var gone []string
+	for _, x := range m.all {
+		if x.State <= Suspect {
+			here[x.Addr] = true
+		}
+	}
+	for _, x := range m.all {
+		if x.State > Suspect && !here[x.Addr] {
+			gone = append(gone, x.Addr)
+		}
+	}
+	slices.Sort(gone)
+	to := slices.Clone(m.seeds)
+	if len(gone) > 0 {
+		to = append(to, gone[m.rng.IntN(len(gone))])
+	}
+	for _, a := range to {
+		if !here[a] {
+			out.Notes = append(out.Notes, station.Note{Addr: a, Kind: Probe, Body: m.pack(0, 0)})
+		}
+	}
+}
+
+// turn gives the next neighbour of a shuffled round.
+func (m *Mast) turn() units.Node {
+	for range 2 {
+		for len(m.ring) > 0 {
+			n := m.ring[0]
+			m.ring = m.ring[1:]
+			if x := m.all[n]; x != nil && x.State <= Suspect {
+				return n
+			}
+		}
+		m.ring = m.others(0)
+		m.rng.Shuffle(len(m.ring), func(i, j int) { m.ring[i], m.ring[j] = m.ring[j], m.ring[i] })
+	}
+	return 0
+}
+
+func (m *Mast) others(but units.Node) []units.Node {
+	var l []units.Node
+	for n, x := range m.all {
+		if n != m.Self && n != but && x.State <= Suspect {
+			l = append(l, n)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
+func (m *Mast) pick(k int, but units.Node) []units.Node {
+	l := m.others(but)
+	m.rng.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	return l[:min(k, len(l))]
+}
+
+func (m *Mast) set(x *Member, s State, now units.Time) {
+	x.State, x.since = s, now
+}
--- /dev/null
+++ b/internal/mast/step.go
@@ -0,0 +1,104 @@
+package mast
+
+import (
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// Step takes one note.
+func (m *Mast) Step(now units.Time, n station.Note) (out station.Out) {
+	h, list, err := unpack(n.Body)
+	if err != nil {
+		out.Fail(err)
+		return out
+	}
+	for i := range list {
+		m.merge(now, &list[i])
+	}
+	if x := m.all[n.From]; x != nil {
+		x.News = h.News
+	}
+	switch n.Kind {
+	case Probe:
+		out.Send(n.From, Ack, m.pack(h.Seq, 0))
+	case Ack:
+		m.acked(now, n.From, h.Seq, &out)
+	case Second:
+		m.seq++
+		m.relay[m.seq] = relay{to: n.From, seq: h.Seq, at: now}
+		out.Send(units.Node(h.Target), Probe, m.pack(m.seq, 0))
+	case SecondAck:
+		if h.Seq == m.seqOf && units.Node(h.Target) == m.open {
+			m.hold(now, m.open)
+			m.open = 0
+		}
+	}
+	return out
+}
+
+func (m *Mast) acked(now units.Time, from units.Node, seq uint64, out *station.Out) {
+	if r, ok := m.relay[seq]; ok {
+		delete(m.relay, seq)
+		out.Send(r.to, SecondAck, m.pack(r.seq, from))
+	}
+	if seq != 0 && seq == m.seqOf && from == m.open {
+		m.open = 0
+	}
+	m.hold(now, from)
+}
+
+// hold takes back one's own suspicion after word from the node itself or from a witness.
+func (m *Mast) hold(now units.Time, n units.Node) {
+	if x := m.all[n]; x != nil && x.State == Suspect {
+		m.set(x, Alive, now)
+	}
+}
+
+// merge takes another's view of one member: higher incarnation first, then the graver state.
+func (m *Mast) merge(now units.Time, y *Member) {
+	if y.Node == m.Self {
+		s := m.all[m.Self]
+		if y.Inc > s.Inc || y.Inc == s.Inc && y.State > s.State {
+			s.Inc = y.Inc + 1
+		}
+		return
+	}
+	x := m.all[y.Node]
+	if x == nil {
+		c := *y
+		c.since, c.News = now, 0
+		m.all[y.Node] = &c
+		return
+	}
+	if y.Inc > x.Inc || y.Inc == x.Inc && y.State > x.State {
+		news, old, since := x.News, x.State, x.since
+		*x = *y
+		x.News, x.since = news, since
+		if x.State != old {
+			x.since = now
+		}
+	}
+}
+
+// Refused takes evidence that nobody listens at addr: whoever lived there is gone at once (design 6).
+func (m *Mast) Refused(now units.Time, addr string) []units.Node {
+	var l []units.Node
+	for _, x := range m.all {
+		if x.Addr == addr && x.Node != m.Self && x.State <= Suspect {
+			m.set(x, Dead, now)
+			l = append(l, x.Node)
+		}
+	}
+	return l
+}
+
+// Leave says goodbye to everybody.
+func (m *Mast) Leave() (out station.Out) {
+	s := m.all[m.Self]
+	s.Inc++
+	s.State = Left
+	for _, n := range m.others(0) {
+		out.Send(n, Probe, m.pack(0, 0))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/observer/observer.go
@@ -0,0 +1,131 @@
+// Package observer judges a run by what workers and callers wrote down, against the brief's list. It knows
+// nothing of the daemons' own counters.
+package observer
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"seamshunt/internal/standin"
+)
+
+// Rules say what was promised in the run that is judged.
+type Rules struct {
+	Once   map[string]bool     // mappings that may not repeat
+	Pools  map[string][]string // pools that each mapping may reach
+	Cap    int                 // prompts in flight per worker; 0 leaves it unjudged
+	First  time.Duration       // first words
+	Leave  time.Duration
+	Evac   time.Duration
+	Back   time.Duration
+	Budget float64
+}
+
+// DefaultRules are the brief's figures.
+func DefaultRules() Rules {
+	return Rules{Leave: 3 * time.Second, Evac: 5 * time.Second, Back: 12 * time.Second, Budget: 0.2, First: 160 * time.Millisecond,
+		Once: map[string]bool{}, Pools: map[string][]string{}}
+}
+
+// Finding is one promise with what was seen.
+type Finding struct {
+	Promise string
+	Good    bool
+	Seen    string
+}
+
+// Run is all that was written down.
+type Run struct {
+	Calls  []standin.Entry
+	Starts []standin.Entry
+	Ends   map[string]standin.Entry // by worker and request id
+	Events []standin.Entry
+}
+
+// Load reads every journal of a folder.
+func Load(dir string) (*Run, error) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.jsonl"))
+	if err != nil || len(files) == 0 {
+		return nil, fmt.Errorf("observer: no journals in %s", dir)
+	}
+	r := &Run{Ends: map[string]standin.Entry{}}
+	for _, path := range files {
+		if err := r.file(path); err != nil {
+			return nil, err
+		}
+	}
+	if len(r.Calls) == 0 {
+		return nil, fmt.Errorf("observer: no call was written down in %s", dir)
+	}
+	for _, l := range [][]standin.Entry{r.Calls, r.Starts, r.Events} {
+		slices.SortStableFunc(l, func(a, b standin.Entry) int { return cmp.Compare(a.At, b.At) })
+	}
+	return r, nil
+}
+
+func (r *Run) file(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("observer: %w", err)
+	}
+	defer f.Close()
+	s := bufio.NewScanner(f)
+	s.Buffer(nil, 1<<20)
+	for n := 1; s.Scan(); n++ {
+		var e standin.Entry
+		if err := json.Unmarshal(s.Bytes(), &e); err != nil {
+			return fmt.Errorf("observer: %s line %d: %w", path, n, err)
+		}
+		r.Add(e)
+	}
+	return s.Err()
+}
+
+// Add takes one entry.
+func (r *Run) Add(e standin.Entry) {
+	switch e.Kind {
+	case "call":
+		r.Calls = append(r.Calls, e)
+	case "start":
+		r.Starts = append(r.Starts, e)
+	case "end":
+		r.Ends[e.Worker+" "+e.ID] = e
+	case "event":
+		r.Events = append(r.Events, e)
+	}
+}
+
+// Judge looks at every promise.
+func (r *Run) Judge(u Rules) []Finding {
+	runs := map[string][]standin.Entry{}
+	for _, s := range r.Starts {
+		runs[s.Job] = append(runs[s.Job], s)
+	}
+	calls := map[string]standin.Entry{}
+	for _, c := range r.Calls {
+		calls[c.Job] = c
+	}
+	l := []Finding{
+		r.once(u, calls, runs), r.notRun(runs), r.whole(runs), r.service(u, calls),
+		r.atOnce(), r.leaving(u), r.zones(u), r.retries(u), r.config(), r.cuts(),
+	}
+	if u.Cap > 0 {
+		l = append(l, r.caps(u))
+	}
+	return append(l, r.back(u))
+}
+
+func find(promise string, bad []string, seen string) Finding {
+	if len(bad) > 0 {
+		return Finding{promise, false, fmt.Sprintf("%d violations, first: %s", len(bad), bad[0])}
+	}
+	return Finding{promise, true, seen}
+}
+
+func ms(us int64) string { return fmt.Sprintf("%d ms", us/1000) }
--- /dev/null
+++ b/internal/standin/journal.go
@@ -0,0 +1,72 @@
+// Package standin holds the stand-ins for what is outside: model workers, the platform and callers.
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// Entry is one line of a journal; the observer judges a run by them alone.
+type Entry struct {
+	Kind    string  `json:"kind"` // start, end, call, event
+	At      int64   `json:"at"`   // microseconds of the wall clock, one machine's for all
+	Job     string  `json:"job,omitempty"`
+	Worker  string  `json:"worker,omitempty"`
+	Pool    string  `json:"pool,omitempty"`
+	Zone    string  `json:"zone,omitempty"`
+	ID      string  `json:"id,omitempty"`
+	How     string  `json:"how,omitempty"` // end: done or cut; event: what was done
+	Hit     float64 `json:"hit,omitempty"` // share of the prompt found in the prefix cache
+	Flight  int     `json:"flight,omitempty"`
+	Mapping string  `json:"mapping,omitempty"`
+	Vane    string  `json:"vane,omitempty"`
+	End     int64   `json:"end,omitempty"`
+	FirstUs int64   `json:"first_us,omitempty"`
+	LeftMs  int     `json:"left_ms,omitempty"`
+	Status  int     `json:"status,omitempty"`
+	Code    int     `json:"code,omitempty"`
+	NotRun  bool    `json:"not_run,omitempty"`
+	BackMs  int     `json:"back_ms,omitempty"`
+	Whole   bool    `json:"whole,omitempty"` // ended properly, as HTTP has it
+	Fault   string  `json:"fault,omitempty"` // what the caller found wrong in an answer that ended properly
+	Pieces  int     `json:"pieces,omitempty"`
+	Target  string  `json:"target,omitempty"`
+	Bytes   int     `json:"bytes,omitempty"`
+}
+
+// Journal is a file of entries.
+type Journal struct {
+	mu sync.Mutex
+	f  *os.File
+}
+
+// Open makes or continues a journal.
+func Open(path string) (*Journal, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	return &Journal{f: f}, nil
+}
+
+// Now is the journal's time.
+func Now() int64 { return time.Now().UnixMicro() }
+
+// Write adds an entry at once; a killed process loses none that it wrote.
+func (j *Journal) Write(e Entry) {
+	b, err := json.Marshal(e)
+	if err != nil {
+		panic(err)
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if _, err := j.f.Write(append(b, '\n')); err != nil {
+		fmt.Fprintln(os.Stderr, "journal:", err)
+	}
+}
+
+// Close closes the file.
+func (j *Journal) Close() { j.f.Close() }
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,117 @@
+package standin
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"seamshunt/internal/forecast"
+)
+
+// Platform lists workers, marks leaving ones, and limits how often it may be asked.
+type Platform struct {
+	mu     sync.Mutex
+	pools  map[string][]forecast.Worker
+	born   map[string]time.Time
+	Mood   string // "", refuse, empty, slow, bad
+	PerSec int    // questions allowed in a second; 0 for any number
+	second int64
+	asked  int
+	Asked  int
+	Denied int
+}
+
+// NewPlatform gives one without workers.
+func NewPlatform(perSec int) *Platform {
+	return &Platform{pools: map[string][]forecast.Worker{}, born: map[string]time.Time{}, PerSec: perSec}
+}
+
+// Set adds a worker or replaces its entry; age is how long it has been warm already.
+func (p *Platform) Set(pool string, w forecast.Worker) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.born[w.ID]; !ok {
+		p.born[w.ID] = time.Now().Add(-w.Age)
+	}
+	for i, x := range p.pools[pool] {
+		if x.ID == w.ID {
+			p.pools[pool][i] = w
+			return
+		}
+	}
+	p.pools[pool] = append(p.pools[pool], w)
+}
+
+// Remove takes a worker off the list.
+func (p *Platform) Remove(pool, id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var l []forecast.Worker
+	for _, x := range p.pools[pool] {
+		if x.ID != id {
+			l = append(l, x)
+		}
+	}
+	p.pools[pool] = l
+}
+
+// Get finds a worker.
+func (p *Platform) Get(pool, id string) (forecast.Worker, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, x := range p.pools[pool] {
+		if x.ID == id {
+			return x, true
+		}
+	}
+	return forecast.Worker{}, false
+}
+
+// SetMood changes how the platform answers.
+func (p *Platform) SetMood(m string) {
+	p.mu.Lock()
+	p.Mood = m
+	p.mu.Unlock()
+}
+
+// Serve answers on ln until it is closed.
+func (p *Platform) Serve(ln net.Listener) error {
+	return (&fasthttp.Server{Handler: p.handle, Name: "platform", NoDefaultDate: true}).Serve(ln)
+}
+
+func (p *Platform) handle(ctx *fasthttp.RequestCtx) {
+	pool, ok := strings.CutPrefix(string(ctx.Path()), "/v1/pools/")
+	pool, ok2 := strings.CutSuffix(pool, "/workers")
+	if !ok || !ok2 {
+		ctx.SetStatusCode(404)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Asked++
+	if now := time.Now().Unix(); now != p.second {
+		p.second, p.asked = now, 0
+	}
+	p.asked++
+	switch {
+	case p.PerSec > 0 && p.asked > p.PerSec:
+		p.Denied++
+		ctx.SetStatusCode(429)
+	case p.Mood == "refuse":
+		ctx.SetStatusCode(503)
+	case p.Mood == "bad":
+		ctx.SetBodyString(`{"workers": [`)
+	case p.Mood == "empty":
+		ctx.SetBodyString(`{"workers": []}`)
+	default:
+		l := append([]forecast.Worker(nil), p.pools[pool]...)
+		for i := range l {
+			l[i].Age = time.Since(p.born[l[i].ID])
+		}
+		ctx.SetContentType("application/json")
+		ctx.SetBody(forecast.PackWorkers(l))
+	}
+}
--- /dev/null
+++ b/internal/telegraph/telegraph.go
@@ -0,0 +1,225 @@
+package telegraph
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+
+	"seamshunt/internal/crew"
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// wire is one held connection for sending; the way back is the neighbour's own wire.
+type wire struct {
+	c      gnet.Conn
+	dial   bool
+	wait   [][]byte
+	next   units.Time
+	back   time.Duration
+	refuse units.Time
+}
+
+const waitMost = 512
+
+// Telegraph holds a process's wires.
+type Telegraph struct {
+	gnet.BuiltinEventEngine
+	Self    units.Node
+	crew    *crew.Crew
+	take    func(station.Note)
+	refused func(addr string)
+	eng     gnet.Engine
+	cli     *gnet.Client
+	up      chan error
+	mu      sync.Mutex // last in the lock order: nothing is called while it is held
+	wires   map[string]*wire
+	addrs   map[units.Node]string
+	Bad     atomic.Uint64
+	In      atomic.Uint64
+	Out     atomic.Uint64
+}
+
+type outSide struct {
+	gnet.BuiltinEventEngine
+	t *Telegraph
+}
+
+// quiet keeps gnet's own log out of the process's.
+type quiet struct{}
+
+func (quiet) Debugf(string, ...any) {}
+func (quiet) Infof(string, ...any)  {}
+func (quiet) Warnf(string, ...any)  {}
+func (quiet) Errorf(string, ...any) {}
+func (quiet) Fatalf(string, ...any) {}
+
+var _ logging.Logger = quiet{}
+
+// Open listens on addr and gives notes to take, which must not block.
+func Open(self units.Node, addr string, c *crew.Crew, take func(station.Note), refused func(string)) (*Telegraph, error) {
+	t := &Telegraph{Self: self, crew: c, take: take, refused: refused, up: make(chan error, 2),
+		wires: map[string]*wire{}, addrs: map[units.Node]string{}}
+	cli, err := gnet.NewClient(&outSide{t: t}, gnet.WithLogger(quiet{}), gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
+	if err != nil {
+		return nil, fmt.Errorf("telegraph: %w", err)
+	}
+	if err := cli.Start(); err != nil {
+		return nil, fmt.Errorf("telegraph: %w", err)
+	}
+	t.cli = cli
+	c.Go(func() {
+		err := gnet.Run(t, "tcp://"+addr, gnet.WithLogger(quiet{}), gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
+		t.up <- err
+	})
+	if err := <-t.up; err != nil {
+		return nil, fmt.Errorf("telegraph: listen on %s: %w", addr, err)
+	}
+	return t, nil
+}
+
+// OnBoot tells Open that the listener stands.
+func (t *Telegraph) OnBoot(eng gnet.Engine) gnet.Action {
+	t.eng = eng
+	t.up <- nil
+	return gnet.None
+}
+
+// OnTraffic takes whole frames off a neighbour's wire; a bad one closes it.
+func (t *Telegraph) OnTraffic(c gnet.Conn) gnet.Action {
+	for c.InboundBuffered() >= headLen {
+		b, err := c.Peek(headLen)
+		if err != nil {
+			return gnet.None
+		}
+		h, err := readHead(b)
+		if err != nil {
+			t.Bad.Add(1)
+			return gnet.Close
+		}
+		if c.InboundBuffered() < headLen+int(h.Len) {
+			return gnet.None
+		}
+		b, err = c.Next(headLen + int(h.Len))
+		if err != nil {
+			return gnet.None
+		}
+		t.In.Add(uint64(len(b)))
+		if to := units.Node(h.To); to != 0 && to != t.Self {
+			continue // meant for one that lived at this address before
+		}
+		t.take(h.note(bytes.Clone(b[headLen:])))
+	}
+	return gnet.None
+}
+
+// OnClose forgets a broken sending wire.
+func (o *outSide) OnClose(c gnet.Conn, _ error) gnet.Action {
+	o.t.mu.Lock()
+	defer o.t.mu.Unlock()
+	for _, w := range o.t.wires {
+		if w.c == c {
+			w.c = nil
+		}
+	}
+	return gnet.None
+}
+
+// OnTraffic on a sending wire: a neighbour never talks back on it.
+func (o *outSide) OnTraffic(c gnet.Conn) gnet.Action {
+	o.t.Bad.Add(1)
+	return gnet.Close
+}
+
+// Learn notes where a node can be reached.
+func (t *Telegraph) Learn(n units.Node, addr string) {
+	t.mu.Lock()
+	t.addrs[n] = addr
+	t.mu.Unlock()
+}
+
+// Send puts a note on its wire, dialling when there is none; what can't be sent is lost, as on any net.
+func (t *Telegraph) Send(n station.Note) {
+	n.From = t.Self
+	if n.To == t.Self {
+		t.take(n)
+		return
+	}
+	b := frame(n)
+	t.mu.Lock()
+	addr := n.Addr
+	if addr == "" {
+		addr = t.addrs[n.To]
+	}
+	if addr == "" {
+		t.mu.Unlock()
+		return
+	}
+	w := t.wires[addr]
+	if w == nil {
+		w = &wire{}
+		t.wires[addr] = w
+	}
+	if w.c != nil {
+		c := w.c
+		t.mu.Unlock()
+		t.Out.Add(uint64(len(b)))
+		_ = c.AsyncWrite(b, nil)
+		return
+	}
+	now := t.crew.Now()
+	if now < w.next || len(w.wait) >= waitMost {
+		t.mu.Unlock()
+		return
+	}
+	w.wait = append(w.wait, b)
+	start := !w.dial
+	w.dial = true
+	t.mu.Unlock()
+	if start {
+		t.crew.Go(func() { t.dial(addr, w) })
+	}
+}
+
+func (t *Telegraph) dial(addr string, w *wire) {
+	nc, err := net.DialTimeout("tcp", addr, time.Second)
+	var c gnet.Conn
+	if err == nil {
+		c, err = t.cli.Enroll(nc)
+	}
+	t.mu.Lock()
+	w.dial = false
+	wait := w.wait
+	w.wait = nil
+	if err != nil {
+		w.back = min(max(2*w.back, 50*time.Millisecond), time.Second)
+		w.next = t.crew.Now().Add(w.back)
+		t.mu.Unlock()
+		if errors.Is(err, syscall.ECONNREFUSED) && t.refused != nil {
+			t.refused(addr)
+		}
+		return
+	}
+	w.back, w.c = 0, c
+	t.mu.Unlock()
+	for _, b := range wait {
+		t.Out.Add(uint64(len(b)))
+		_ = c.AsyncWrite(b, nil)
+	}
+}
+
+// Close ends all wires.
+func (t *Telegraph) Close() {
+	_ = t.cli.Stop()
+	done := t.eng
+	_ = done.Stop(context.Background())
+}
--- /dev/null
+++ b/internal/tower/tower.go
@@ -0,0 +1,194 @@
+// Package tower is what both programs stand on: the crew, the wires, membership and news (design 1, 4, 5).
+package tower
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	mrand "math/rand/v2"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"seamshunt/internal/boot"
+	"seamshunt/internal/bulletin"
+	"seamshunt/internal/crew"
+	"seamshunt/internal/logbook"
+	"seamshunt/internal/mast"
+	"seamshunt/internal/station"
+	"seamshunt/internal/telegraph"
+	"seamshunt/internal/units"
+)
+
+// Tower holds the shared tables. Lock order: mast, bulletin, control state, rules, hygrometer, gauge,
+// screen, disk queue, wires.
+type Tower struct {
+	Boot *boot.Boot
+	Self units.Node
+	Crew *crew.Crew
+	Tel  *telegraph.Telegraph
+	Book *logbook.Book
+	Log  *log.Logger
+
+	MastMu sync.Mutex
+	Mast   *mast.Mast
+	BullMu sync.Mutex
+	Bull   *bulletin.Bulletin
+
+	Steps   map[station.Kind]func(units.Time, station.Note) // by range of kinds, for the program's own machines
+	Woke    func(units.Time)                                // after a freeze
+	Refused func(units.Time, []units.Node)                  // processes found to have ended
+	Later   func(station.Out)                               // disk work; nil on a vane
+	Dropped atomic.Uint64
+	Errors  atomic.Uint64
+	last    units.Time
+}
+
+// Random gives a fresh id.
+func Random() units.Node {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return units.Node(binary.LittleEndian.Uint64(b[:]) | 1)
+}
+
+// New builds the tables; Start brings them to life.
+func New(b *boot.Boot, self units.Node, role mast.Role) *Tower {
+	t := &Tower{Boot: b, Self: self, Crew: crew.New(clockwork.NewRealClock(), 4), Book: logbook.New(512, os.Stderr),
+		Bull: bulletin.New(), Steps: map[station.Kind]func(units.Time, station.Note){}}
+	t.Log = &log.Logger{Handler: t.Book, Level: log.DebugLevel}
+	me := mast.Member{Node: self, Inc: uint64(time.Now().UnixMilli()), Role: role, Addr: b.Addr, Web: b.Web, Zone: b.Zone}
+	t.Mast = mast.New(me, b.Seeds, mrand.New(mrand.NewPCG(uint64(Random()), 0)))
+	return t
+}
+
+// Start opens the wires and begins the common loops.
+func (t *Tower) Start() error {
+	tel, err := telegraph.Open(t.Self, t.Boot.Addr, t.Crew, t.take, t.refused)
+	if err != nil {
+		return fmt.Errorf("tower: %w", err)
+	}
+	t.Tel = tel
+	t.last = t.Crew.Now()
+	t.Crew.Every(50*time.Millisecond, t.beat)
+	return nil
+}
+
+func (t *Tower) beat(now units.Time) {
+	if gap := now.Sub(t.last); gap > time.Second && t.Woke != nil {
+		t.Log.WithField("gap", gap).Error("woke from a freeze: nothing held before is trusted")
+		t.Woke(now)
+	}
+	t.last = now
+	t.BullMu.Lock()
+	sum := t.Bull.Sum
+	t.BullMu.Unlock()
+	t.MastMu.Lock()
+	t.Mast.News = sum
+	out := t.Mast.Tick(now)
+	all := t.Mast.All()
+	t.MastMu.Unlock()
+	live := make([]units.Node, 0, len(all))
+	for _, m := range all {
+		t.Tel.Learn(m.Node, m.Addr)
+		if m.State <= mast.Suspect && m.Node != t.Self {
+			live = append(live, m.Node)
+		}
+	}
+	t.BullMu.Lock()
+	out.Join(t.Bull.Tick(now, live))
+	for _, m := range all {
+		if m.State == mast.Alive && m.Node != t.Self && m.News != 0 && m.News != sum {
+			out.Join(t.Bull.Behind(now, m.Node))
+		}
+	}
+	t.BullMu.Unlock()
+	t.Deliver(out)
+}
+
+// take is called on the wires' loop and only passes the note to the crew.
+func (t *Tower) take(n station.Note) {
+	if !t.Crew.Do(func() { t.step(n) }) {
+		t.Dropped.Add(1)
+	}
+}
+
+func (t *Tower) step(n station.Note) {
+	now := t.Crew.Now()
+	switch n.Kind &^ 15 {
+	case station.Mast:
+		t.MastMu.Lock()
+		out := t.Mast.Step(now, n)
+		m, ok := t.Mast.Get(n.From)
+		t.MastMu.Unlock()
+		if ok {
+			t.Tel.Learn(m.Node, m.Addr)
+		}
+		t.Deliver(out)
+	case station.Bulletin:
+		t.BullMu.Lock()
+		out := t.Bull.Step(now, n)
+		t.BullMu.Unlock()
+		t.Deliver(out)
+	default:
+		if f := t.Steps[n.Kind&^15]; f != nil {
+			f(now, n)
+		}
+	}
+}
+
+// Deliver sends what a step gave out and looks at its errors once.
+func (t *Tower) Deliver(out station.Out) {
+	for _, n := range out.Notes {
+		t.Tel.Send(n)
+	}
+	if t.Later != nil && len(out.Writes)+len(out.After) > 0 {
+		t.Later(out)
+	} else {
+		for _, n := range out.After {
+			t.Tel.Send(n)
+		}
+	}
+	for _, err := range out.Errs {
+		t.Errors.Add(1)
+		t.Log.WithError(err).Warn("bad note")
+	}
+}
+
+func (t *Tower) refused(addr string) {
+	now := t.Crew.Now()
+	t.MastMu.Lock()
+	l := t.Mast.Refused(now, addr)
+	t.MastMu.Unlock()
+	if len(l) > 0 && t.Refused != nil {
+		t.Refused(now, l)
+	}
+}
+
+// Flag sets what this node says of itself.
+func (t *Tower) Flag(f uint16, on bool) {
+	t.MastMu.Lock()
+	t.Mast.Flag(f, on)
+	t.MastMu.Unlock()
+}
+
+// Members lists all members.
+func (t *Tower) Members() []mast.Member {
+	t.MastMu.Lock()
+	defer t.MastMu.Unlock()
+	return t.Mast.All()
+}
+
+// Goodbye tells the others and closes the wires.
+func (t *Tower) Goodbye() {
+	t.MastMu.Lock()
+	out := t.Mast.Leave()
+	t.MastMu.Unlock()
+	t.Deliver(out)
+	time.Sleep(100 * time.Millisecond) // lets the goodbye leave the machine
+	t.Tel.Close()
+	t.Crew.Stop(2 * time.Second)
+}
--- /dev/null
+++ b/internal/units/units.go
@@ -0,0 +1,70 @@
+// Package units holds the small types for ids, versions, epochs and times (design 1).
+package units
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"time"
+)
+
+// Node names one process: a random number for a vane, the disk's id for a barometer.
+type Node uint64
+
+func (n Node) String() string { return fmt.Sprintf("%016x", uint64(n)) }
+
+// Num numbers the changes of one key of the control state (design 4).
+type Num uint64
+
+// Epoch fences the owners of one key; the node breaks ties (design 2).
+type Epoch struct {
+	N  uint64
+	By Node
+}
+
+// Less says whether e is older than o.
+func (e Epoch) Less(o Epoch) bool {
+	return e.N < o.N || e.N == o.N && e.By < o.By
+}
+
+// Time is an instant on a process's own monotonic clock, or on the simulator's.
+// It never crosses a wire; spans do.
+type Time int64
+
+// Add gives the instant s later.
+func (t Time) Add(s time.Duration) Time { return t + Time(s) }
+
+// Sub gives the span from o to t.
+func (t Time) Sub(o Time) time.Duration { return time.Duration(t - o) }
+
+// Millis is a span in whole milliseconds, as it crosses wires.
+type Millis uint32
+
+// Span turns m into a duration.
+func (m Millis) Span() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// ToMillis rounds a span down; below zero is zero.
+func ToMillis(d time.Duration) Millis {
+	if d < 0 {
+		return 0
+	}
+	return Millis(d / time.Millisecond)
+}
+
+// Mix hashes parts into one number; equal parts give equal numbers on every node.
+func Mix(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, p := range parts {
+		h.Write([]byte(p))
+		h.Write([]byte{0})
+	}
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Hex writes a number as text for Mix and for people.
+func Hex(x uint64) string { return strconv.FormatUint(x, 16) }
--- /dev/null
+++ b/internal/vaned/status.go
@@ -0,0 +1,153 @@
+package vaned
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
+
+	"seamshunt/internal/mast"
+	"seamshunt/internal/synop"
+)
+
+// stats counts results and times to first words.
+type stats struct {
+	mu    sync.Mutex
+	codes map[synop.Code]uint64
+	firsN map[string]uint64
+	firsT map[string]time.Duration
+}
+
+func (s *stats) count(c synop.Code) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.codes == nil {
+		s.codes = map[synop.Code]uint64{}
+	}
+	s.codes[c]++
+}
+
+func (s *stats) first(mapping string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.firsN == nil {
+		s.firsN, s.firsT = map[string]uint64{}, map[string]time.Duration{}
+	}
+	s.firsN[mapping]++
+	s.firsT[mapping] += d
+}
+
+func (v *Vane) health(ctx *fasthttp.RequestCtx) {
+	v.tableMu.Lock()
+	out := v.table.out[v.Boot.Zone]
+	v.tableMu.Unlock()
+	if !v.ready.Load() || v.leaving.Load() || out {
+		ctx.SetStatusCode(503)
+		ctx.SetBodyString("not ready\n")
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+// status tells operators all there is to know of this node.
+func (v *Vane) status(ctx *fasthttp.RequestCtx) {
+	now := v.Crew.Now()
+	var a fastjson.Arena
+	o := a.NewObject()
+	o.Set("node", a.NewString(v.Self.String()))
+	o.Set("name", a.NewString(v.Boot.Name))
+	o.Set("zone", a.NewString(v.Boot.Zone))
+	o.Set("ready", flag(&a, v.ready.Load()))
+	o.Set("leaving", flag(&a, v.leaving.Load()))
+	o.Set("in_flight", a.NewNumberInt(int(v.flight.Load())))
+	if t := v.static.Load(); t > 0 {
+		o.Set("cut_from_control_ms", a.NewNumberInt(int((int64(now)-t)/int64(time.Millisecond))))
+	}
+	news := a.NewObject()
+	v.BullMu.Lock()
+	for k, it := range v.Bull.Items {
+		news.Set(k, a.NewNumberInt(int(it.Num)))
+	}
+	v.BullMu.Unlock()
+	o.Set("news", news)
+	kept := a.NewArray()
+	v.gaugeMu.Lock()
+	for i, k := range v.gauge.Kept(now) {
+		x := a.NewObject()
+		x.Set("worker", a.NewString(k.Worker))
+		x.Set("open", flag(&a, k.Open))
+		x.Set("lent", a.NewNumberInt(k.Lent))
+		x.Set("cap", a.NewNumberInt(k.Cap))
+		x.Set("waiting", a.NewNumberInt(k.Waiting))
+		kept.SetArrayItem(i, x)
+	}
+	v.gaugeMu.Unlock()
+	o.Set("keeps", kept)
+	flight := a.NewObject()
+	v.deskMu.Lock()
+	for w, n := range v.desk.Flight {
+		flight.Set(w, a.NewNumberInt(n))
+	}
+	v.deskMu.Unlock()
+	o.Set("flight", flight)
+	members := a.NewArray()
+	for i, m := range v.Members() {
+		members.SetArrayItem(i, Member(&a, m))
+	}
+	o.Set("members", members)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(o.MarshalTo(nil), '\n'))
+}
+
+// Member lays a member out for status pages.
+func Member(a *fastjson.Arena, m mast.Member) *fastjson.Value {
+	x := a.NewObject()
+	x.Set("node", a.NewString(m.Node.String()))
+	x.Set("role", a.NewString([]string{"", "vane", "barometer"}[m.Role%3]))
+	x.Set("zone", a.NewString(m.Zone))
+	x.Set("addr", a.NewString(m.Addr))
+	x.Set("web", a.NewString(m.Web))
+	x.Set("state", a.NewString([]string{"alive", "suspect", "dead", "left"}[m.State%4]))
+	x.Set("draining", flag(a, m.Flags&mast.Draining != 0))
+	x.Set("unfit", flag(a, m.Flags&mast.Unfit != 0))
+	x.Set("ready", flag(a, m.Flags&mast.Ready != 0))
+	return x
+}
+
+func flag(a *fastjson.Arena, b bool) *fastjson.Value {
+	if b {
+		return a.NewTrue()
+	}
+	return a.NewFalse()
+}
+
+// metrics writes Prometheus text.
+func (v *Vane) metrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain; version=0.0.4")
+	s := &v.stats
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var codes []synop.Code
+	for c := range s.codes {
+		codes = append(codes, c)
+	}
+	slices.Sort(codes)
+	for _, c := range codes {
+		fmt.Fprintf(ctx, "seamshunt_results_total{code=\"%d\"} %d\n", c, s.codes[c])
+	}
+	for m, n := range s.firsN {
+		fmt.Fprintf(ctx, "seamshunt_first_words_seconds_sum{mapping=%q} %g\n", m, s.firsT[m].Seconds())
+		fmt.Fprintf(ctx, "seamshunt_first_words_seconds_count{mapping=%q} %d\n", m, n)
+	}
+	fmt.Fprintf(ctx, "seamshunt_in_flight %d\n", v.flight.Load())
+	fmt.Fprintf(ctx, "seamshunt_bad_frames_total %d\n", v.Tel.Bad.Load())
+	fmt.Fprintf(ctx, "seamshunt_dropped_notes_total %d\n", v.Dropped.Load())
+	age := 0.0
+	if t := v.static.Load(); t > 0 {
+		age = v.Crew.Now().Sub(v.began).Seconds() - (time.Duration(t) - time.Duration(v.began)).Seconds()
+	}
+	fmt.Fprintf(ctx, "seamshunt_cut_from_control_seconds %g\n", age)
+}
--- /dev/null
+++ b/internal/vaned/stream.go
@@ -0,0 +1,134 @@
+package vaned
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"seamshunt/internal/anemometer"
+	"seamshunt/internal/synop"
+)
+
+// end gives the final answer at once, with its code and when to come back.
+func (w *way) end() bool {
+	w.refuse()
+	return true
+}
+
+// refuse says "not run" only where no byte of the prompt can still arrive anywhere; a doubt is "outcome unknown".
+func (w *way) refuse() {
+	c := w.why
+	if c == 0 {
+		c = synop.NoWorker
+	}
+	if !w.sure {
+		w.v.refuse(w.ctx, synop.Unknown, "the outcome is unknown: it may have run", false, 0)
+		return
+	}
+	s := w.rules.Services[w.m.To[0]]
+	w.v.refuse(w.ctx, c, reasons[c], true, back(s.RetryAfter, s.Jitter, w.due))
+}
+
+var reasons = map[synop.Code]string{
+	synop.WaitFull:  "every waitlist is full",
+	synop.WaitLate:  "the time left does not reach to an answer",
+	synop.NoWorker:  "no worker can be reached",
+	synop.OutOfTime: "out of time",
+	synop.Budget:    "no further try is left in the budget",
+	synop.WorkerNo:  "the workers refused",
+	synop.NoClaim:   "the key could not be claimed",
+	synop.Claimed:   "the key is claimed already: its request ran or may run",
+}
+
+// stream begins the caller's answer; the rest is read from the try as it comes.
+func (w *way) stream(tag uint64, t *anemometer.Try, first anemometer.Event, worker string) {
+	w.streaming = true
+	s := &stream{w: w, tag: tag, t: t, worker: worker, e: &first}
+	w.v.stats.first(w.m.Name, w.v.Crew.Now().Sub(w.begun))
+	w.ctx.SetStatusCode(200)
+	w.ctx.SetContentType("application/x-ndjson")
+	w.ctx.Response.Header.Set("Request-Id", t.ID)
+	w.ctx.Response.Header.Set("Worker", worker)
+	w.ctx.Response.ImmediateHeaderFlush = true
+	w.ctx.SetBodyStream(s, -1)
+}
+
+var errBroken = errors.New("vane: the worker's answer broke")
+
+// stream is the body of a caller's answer. An error from Read makes the server break the wire off
+// without a final chunk, so that a broken answer never looks whole.
+type stream struct {
+	w      *way
+	tag    uint64
+	t      *anemometer.Try
+	worker string
+	e      *anemometer.Event
+	rest   []byte
+	whole  bool
+	unsure bool
+	closed bool
+}
+
+// Read gives the next piece as soon as it comes.
+func (s *stream) Read(p []byte) (int, error) {
+	if len(s.rest) == 0 {
+		if s.whole {
+			return 0, io.EOF
+		}
+		e, err := s.next()
+		if err != nil {
+			return 0, err
+		}
+		s.rest = e.Line
+		s.whole = e.Kind == anemometer.Sealed
+	}
+	n := copy(p, s.rest)
+	s.rest = s.rest[n:]
+	return n, nil
+}
+
+func (s *stream) next() (*anemometer.Event, error) {
+	if e := s.e; e != nil {
+		s.e = nil
+		return e, nil
+	}
+	v := s.w.v
+	tick := time.NewTicker(peekAt)
+	defer tick.Stop()
+	for {
+		select {
+		case e := <-s.t.Events:
+			if e.Kind == anemometer.Piece || e.Kind == anemometer.Sealed {
+				return &e, nil
+			}
+			s.unsure = true
+			v.stats.count(synop.BrokenStream)
+			v.Log.WithError(e.Err).WithField("worker", s.worker).Warn("a stream broke")
+			return nil, errBroken
+		case <-tick.C:
+			if anemometer.HungUp(s.w.ctx.Conn()) {
+				v.stats.count(synop.HungUp)
+				return nil, errBroken
+			}
+			if v.Crew.Now() > s.w.until {
+				v.stats.count(synop.OutOfTime)
+				return nil, errBroken
+			}
+		}
+	}
+}
+
+// Close ends the try and gives the slot back; the server calls it however the answer ended.
+func (s *stream) Close() error {
+	if s.closed {
+		return nil
+	}
+	s.closed = true
+	s.t.Cancel()
+	if s.whole && len(s.rest) == 0 {
+		s.w.v.stats.count(synop.OK)
+	}
+	s.w.v.done(s.tag, s.unsure)
+	s.w.v.flight.Add(-1)
+	return nil
+}
--- /dev/null
+++ b/internal/vaned/vane.go
@@ -0,0 +1,178 @@
+// Package vaned is the data plane: callers' prompts in, workers' streams out (design 1, 4, 6, 8).
+package vaned
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"seamshunt/internal/anemometer"
+	"seamshunt/internal/boot"
+	"seamshunt/internal/gauge"
+	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/mast"
+	"seamshunt/internal/station"
+	"seamshunt/internal/tower"
+	"seamshunt/internal/units"
+	"seamshunt/internal/windvane"
+)
+
+// MaxPrompt bounds a caller's body.
+const MaxPrompt = 4 << 20
+
+type verdict struct {
+	hygrometer.Verdict
+	at units.Time
+}
+
+// Vane is one process of the data plane.
+type Vane struct {
+	*tower.Tower
+	rules   atomic.Pointer[rules]
+	tableMu sync.Mutex
+	table   table
+	deskMu  sync.Mutex
+	desk    *hygrometer.Hygrometer
+	doors   map[uint64]chan verdict
+	gaugeMu sync.Mutex
+	gauge   *gauge.Gauge
+	wind    windvane.Windvane
+	budget  sync.Map // service to *anemometer.Budget
+	tag     atomic.Uint64
+	ready   atomic.Bool
+	leaving atomic.Bool
+	static  atomic.Int64 // since when no barometer has been heard, zero while one is
+	asked   units.Time
+	began   units.Time
+	flight  atomic.Int64
+	web     *fasthttp.Server
+	stats   stats
+}
+
+// New builds a vane.
+func New(b *boot.Boot) *Vane {
+	v := &Vane{Tower: tower.New(b, tower.Random(), mast.Vane), doors: map[uint64]chan verdict{}}
+	v.desk = hygrometer.New(v.Self)
+	v.gauge = gauge.New(v.Self, v.Crew.Now())
+	v.table = newTable()
+	v.tag.Store(uint64(tower.Random()) >> 1)
+	v.Woke = v.woke
+	v.Refused = v.gone
+	v.Steps[station.Gauge] = v.permits
+	return v
+}
+
+// Start opens everything and returns.
+func (v *Vane) Start() error {
+	ln, err := net.Listen("tcp", v.Boot.Web)
+	if err != nil {
+		return fmt.Errorf("vane: %w", err)
+	}
+	if err := v.Tower.Start(); err != nil {
+		ln.Close()
+		return err
+	}
+	v.began = v.Crew.Now()
+	v.web = &fasthttp.Server{Handler: v.serve, Name: "vane", MaxRequestBodySize: MaxPrompt, NoDefaultDate: true,
+		ReadTimeout: 30 * time.Second, Logger: quiet{}, ErrorHandler: v.malformed, Concurrency: 65536}
+	v.Crew.Go(func() { _ = v.web.Serve(ln) })
+	v.Crew.Every(20*time.Millisecond, v.beat)
+	return nil
+}
+
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// permits goes to the asking side and to the keeping side.
+func (v *Vane) permits(now units.Time, n station.Note) {
+	if n.Kind != gauge.Ask && n.Kind != gauge.Return && n.Kind != gauge.Report {
+		v.deskMu.Lock()
+		out := v.desk.Step(now, n)
+		v.tell(now)
+		v.deskMu.Unlock()
+		v.Deliver(out)
+	}
+	if n.Kind == gauge.Ask || n.Kind == gauge.Return || n.Kind == gauge.Report || n.Kind == gauge.ReportAsk {
+		v.gaugeMu.Lock()
+		out := v.gauge.Step(now, n)
+		v.gaugeMu.Unlock()
+		v.Deliver(out)
+	}
+}
+
+// tell passes verdicts to the prompts that wait for them; the desk's lock is held.
+func (v *Vane) tell(now units.Time) {
+	for _, x := range v.desk.Verdicts {
+		if c := v.doors[x.Tag]; c != nil {
+			delete(v.doors, x.Tag)
+			c <- verdict{x, now}
+		}
+	}
+	v.desk.Verdicts = v.desk.Verdicts[:0]
+}
+
+// beat works out the difference between what is wanted and what is, every 20 ms.
+func (v *Vane) beat(now units.Time) {
+	v.refresh(now)
+	v.deskMu.Lock()
+	out := v.desk.Tick(now)
+	v.tell(now)
+	v.deskMu.Unlock()
+	v.gaugeMu.Lock()
+	out.Join(v.gauge.Tick(now))
+	v.gaugeMu.Unlock()
+	v.Deliver(out)
+	v.confirm(now)
+}
+
+// woke after a freeze: waiting prompts ask anew, and nothing new is taken before the news is confirmed.
+func (v *Vane) woke(now units.Time) {
+	v.unready()
+	v.deskMu.Lock()
+	v.desk.Woke(now)
+	v.deskMu.Unlock()
+	v.gaugeMu.Lock()
+	v.gauge = gauge.New(v.Self, now)
+	v.gaugeMu.Unlock()
+}
+
+func (v *Vane) gone(now units.Time, l []units.Node) {
+	v.gaugeMu.Lock()
+	for _, n := range l {
+		v.gauge.Gone(now, n)
+	}
+	v.gaugeMu.Unlock()
+	v.tableMu.Lock()
+	for _, n := range l {
+		delete(v.table.lost, n)
+		v.table.void[n] = true
+	}
+	v.tableMu.Unlock()
+}
+
+func (v *Vane) budgetOf(service string) *anemometer.Budget {
+	b, _ := v.budget.LoadOrStore(service, &anemometer.Budget{})
+	return b.(*anemometer.Budget)
+}
+
+// Drain takes nothing new, gives its duties away and lets streams end within the limit.
+func (v *Vane) Drain() {
+	v.leaving.Store(true)
+	v.Flag(mast.Draining, true)
+	v.Flag(mast.Ready, false)
+	end := v.Crew.Now().Add(time.Duration(v.Boot.DrainMs) * time.Millisecond)
+	for quietSince := v.Crew.Now(); v.Crew.Now() < end; time.Sleep(20 * time.Millisecond) {
+		if v.flight.Load() > 0 {
+			quietSince = v.Crew.Now()
+		}
+		if v.Crew.Now().Sub(quietSince) > 300*time.Millisecond {
+			break
+		}
+	}
+	v.Goodbye()
+}
--- /dev/null
+++ b/internal/vaned/way.go
@@ -0,0 +1,243 @@
+package vaned
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"seamshunt/internal/anemometer"
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/gauge"
+	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+	"seamshunt/internal/windvane"
+)
+
+// way is one request on its way.
+type way struct {
+	v         *Vane
+	ctx       *fasthttp.RequestCtx
+	rules     *rules
+	m         *forecast.Mapping
+	begun     units.Time
+	until     units.Time
+	left      time.Duration
+	key       string
+	body      []byte
+	text      []byte
+	sent      int // hand-overs whose bytes may have left
+	sure      bool
+	why       synop.Code
+	due       time.Duration
+	streaming bool
+}
+
+const (
+	triesMost = 3
+	staleAt   = 300 * time.Millisecond // a verdict older than this is not acted on: the process may have been frozen
+	peekAt    = 50 * time.Millisecond
+)
+
+// limit bounds the caller's time left by the mapping's.
+func (w *way) limit(ms int) bool {
+	w.sure = true
+	w.until = w.begun.Add(min(w.left, time.Duration(ms)*time.Millisecond))
+	return false
+}
+
+// claim takes the caller's key for a mapping that may not repeat.
+func (w *way) claim() bool { return false }
+
+// try offers the prompt to one service. True ends the request's way.
+func (w *way) try(service string) bool {
+	s := w.rules.Services[service]
+	v := w.v
+	for range triesMost {
+		now := v.Crew.Now()
+		if w.until.Sub(now) < s.First {
+			w.why = synop.OutOfTime
+			return w.sent > 0 && w.end()
+		}
+		if w.sent > 0 && !v.budgetOf(service).Again(now) {
+			w.why = synop.Budget
+			return w.end()
+		}
+		tag := v.tag.Add(1)
+		x, hung := w.admit(now, tag, s)
+		if hung {
+			return w.hungUp(tag)
+		}
+		if x.Code != synop.OK {
+			w.why, w.due = x.Code, x.Due
+			return w.sent > 0 && w.end()
+		}
+		if v.Crew.Now().Sub(x.at) > staleAt {
+			v.done(tag, false)
+			continue
+		}
+		if w.handOver(tag, x.Worker, s) {
+			return true
+		}
+	}
+	if w.why == 0 {
+		w.why = synop.NoWorker
+	}
+	return w.sent > 0 && w.end()
+}
+
+// admit asks the hygrometer and waits for its verdict, noticing a caller that hangs up.
+func (w *way) admit(now units.Time, tag uint64, s *forecast.Service) (verdict, bool) {
+	v := w.v
+	cands, keepers := v.cands(now, s, w.text)
+	c := make(chan verdict, 1)
+	v.deskMu.Lock()
+	v.doors[tag] = c
+	out := v.desk.Arrive(now, hygrometer.Req{Tag: tag, Policy: s.Allow, Cands: cands, Tries: s.Spread + 4, Until: w.until, First: s.First,
+		Keeper: func(n string) units.Node { return keepers[n] }})
+	v.tell(now)
+	v.deskMu.Unlock()
+	v.Deliver(out)
+	t := time.NewTicker(peekAt)
+	defer t.Stop()
+	for {
+		select {
+		case x := <-c:
+			return x, false
+		case <-t.C:
+			if anemometer.HungUp(w.ctx.Conn()) {
+				return verdict{}, true
+			}
+		}
+	}
+}
+
+// cands asks the placement policy for the workers' order, and finds each one's keeper.
+func (v *Vane) cands(now units.Time, s *forecast.Service, text []byte) ([]string, map[string]units.Node) {
+	q := windvane.Query{Prefix: windvane.Fingerprint(text, s.Prefix), Zone: v.Boot.Zone, Spread: s.Spread}
+	keepers := map[string]units.Node{}
+	v.tableMu.Lock()
+	for _, x := range v.table.pools[s.Pool] {
+		name := s.Name + "/" + x.ID
+		if x.Leaving || v.table.out[x.Zone] || now < v.table.down[name] {
+			continue
+		}
+		q.Spots = append(q.Spots, windvane.Spot{Name: name, Zone: x.Zone})
+		keepers[name] = gauge.Keeper(v.table.peers, name, x.Zone)
+	}
+	v.tableMu.Unlock()
+	v.deskMu.Lock()
+	for i := range q.Spots {
+		if l, ok := v.desk.Loads[q.Spots[i].Name]; ok && now.Sub(l.At) < 2*time.Second {
+			q.Spots[i].Load = float64(l.Lent+l.Wait) / float64(l.Cap)
+		}
+	}
+	v.deskMu.Unlock()
+	return v.wind.Order(s.Place, q), keepers
+}
+
+func (v *Vane) done(tag uint64, unsure bool) {
+	v.deskMu.Lock()
+	delete(v.doors, tag)
+	out := v.desk.Done(v.Crew.Now(), tag, unsure)
+	v.tell(v.Crew.Now())
+	v.deskMu.Unlock()
+	v.Deliver(out)
+}
+
+// address finds a worker that may still be handed something.
+func (v *Vane) address(name string, s *forecast.Service) (string, bool) {
+	v.tableMu.Lock()
+	defer v.tableMu.Unlock()
+	for _, x := range v.table.pools[s.Pool] {
+		if s.Name+"/"+x.ID == name {
+			return x.Addr, !x.Leaving && !v.table.out[x.Zone]
+		}
+	}
+	return "", false
+}
+
+// handOver sends the prompt to the worker. True ends the request's way; false lets it look further.
+func (w *way) handOver(tag uint64, name string, s *forecast.Service) bool {
+	v := w.v
+	addr, ok := v.address(name, s)
+	if !ok || !w.m.Reaches(s.Name) {
+		v.done(tag, false)
+		w.why = synop.NoWorker
+		return false
+	}
+	now := v.Crew.Now()
+	id := fmt.Sprintf("%s-%s", v.Self, strconv.FormatUint(tag, 16))
+	t := anemometer.NewTry(addr, id, w.body, w.until.Sub(now))
+	v.Crew.Go(t.Run)
+	if w.sent == 0 {
+		v.budgetOf(s.Name).First(now)
+	}
+	e, hung := w.first(t)
+	if hung {
+		t.Cancel()
+		w.sent++
+		return w.hungUp(tag)
+	}
+	switch e.Kind {
+	case anemometer.Piece, anemometer.Sealed:
+		w.stream(tag, t, e, name)
+		return true
+	case anemometer.NotSent:
+		v.done(tag, false)
+		if e.Down {
+			v.passOver(name)
+		}
+		w.why = synop.NoWorker
+		return false
+	case anemometer.NotRun:
+		v.done(tag, false)
+		w.why = synop.WorkerNo
+		w.sent++
+		return false
+	}
+	// It may have run: only a mapping that may repeat is tried again.
+	w.sent++
+	w.sure = false
+	w.why = synop.Unknown
+	v.done(tag, !e.Down)
+	v.passOver(name)
+	v.Log.WithError(e.Err).WithField("worker", name).Warn("a try of unknown outcome")
+	return w.m.Once && w.end()
+}
+
+// first waits for the first thing that a try has to tell.
+func (w *way) first(t *anemometer.Try) (anemometer.Event, bool) {
+	tick := time.NewTicker(peekAt)
+	defer tick.Stop()
+	for {
+		select {
+		case e := <-t.Events:
+			return e, false
+		case <-tick.C:
+			if anemometer.HungUp(w.ctx.Conn()) {
+				return anemometer.Event{}, true
+			}
+			if w.v.Crew.Now() > w.until {
+				t.Cancel()
+				return anemometer.Event{Kind: anemometer.Unknown, Err: fmt.Errorf("vane: out of time")}, false
+			}
+		}
+	}
+}
+
+func (v *Vane) passOver(name string) {
+	v.tableMu.Lock()
+	v.table.down[name] = v.Crew.Now().Add(time.Second)
+	v.tableMu.Unlock()
+}
+
+func (w *way) hungUp(tag uint64) bool {
+	w.v.done(tag, false)
+	w.v.stats.count(synop.HungUp)
+	w.ctx.SetConnectionClose()
+	w.ctx.SetStatusCode(synop.HungUp.Status())
+	return true
+}
--- /dev/null
+++ b/internal/vernier/vernier.go
@@ -0,0 +1,142 @@
+// Package vernier is the small interpreter that takes a request its way over compiled rules (design 4, 8).
+package vernier
+
+import "strings"
+
+// Op is one operation.
+type Op uint8
+
+// Matching operations first, then those that act.
+const (
+	OpPath Op = 1 + iota
+	OpUnder
+	OpHeader
+	OpLimit
+	OpClaim
+	OpTry
+	OpRefuse
+)
+
+// Match is one condition of a way.
+type Match struct {
+	Op   Op
+	Name string
+	Text string
+}
+
+// Instr is one step that acts; Mapping names the route that it belongs to.
+type Instr struct {
+	Op      Op
+	Arg     int
+	Text    string
+	Mapping int
+}
+
+// Way is a route: its conditions, then what is done.
+type Way struct {
+	Match []Match
+	Do    []Instr
+}
+
+// Program is all ways, with an index over exact paths.
+type Program struct {
+	ways  []Way
+	exact map[string][]int // path to ways, in order
+	loose []int            // ways without an exact path
+}
+
+// Build indexes the ways.
+func Build(ways []Way) *Program {
+	p := &Program{ways: ways, exact: map[string][]int{}}
+	for i, w := range ways {
+		at := ""
+		for _, m := range w.Match {
+			if m.Op == OpPath {
+				at = m.Text
+			}
+		}
+		if at == "" {
+			p.loose = append(p.loose, i)
+		} else {
+			p.exact[at] = append(p.exact[at], i)
+		}
+	}
+	return p
+}
+
+// Ask is what the rules can look at.
+type Ask struct {
+	Path   string
+	Header func(string) string
+}
+
+// Find gives the first way, in the configuration's order, whose conditions all hold.
+func (p *Program) Find(a Ask) ([]Instr, bool) {
+	best := -1
+	for _, i := range p.exact[a.Path] {
+		if p.ways[i].holds(a) {
+			best = i
+			break
+		}
+	}
+	for _, i := range p.loose {
+		if best >= 0 && i > best {
+			break
+		}
+		if p.ways[i].holds(a) {
+			best = i
+			break
+		}
+	}
+	if best < 0 {
+		return nil, false
+	}
+	return p.ways[best].Do, true
+}
+
+func (w *Way) holds(a Ask) bool {
+	for _, m := range w.Match {
+		ok := false
+		switch m.Op {
+		case OpPath:
+			ok = a.Path == m.Text
+		case OpUnder:
+			ok = a.Path == m.Text || strings.HasPrefix(a.Path, strings.TrimSuffix(m.Text, "/")+"/")
+		case OpHeader:
+			ok = a.Header(m.Name) == m.Text
+		}
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// Hands do what the steps say; each says whether the request's way ends there.
+type Hands struct {
+	Limit  func(ms int) bool
+	Claim  func() bool
+	Try    func(service string) bool
+	Refuse func()
+}
+
+// Run takes a request along a way to its end.
+func Run(do []Instr, h Hands) {
+	for _, in := range do {
+		end := false
+		switch in.Op {
+		case OpLimit:
+			end = h.Limit(in.Arg)
+		case OpClaim:
+			end = h.Claim()
+		case OpTry:
+			end = h.Try(in.Text)
+		case OpRefuse:
+			h.Refuse()
+			end = true
+		}
+		if end {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/windvane/windvane.go
@@ -0,0 +1,127 @@
+// Package windvane is placement: which workers a prompt may be offered, in which order (design 7).
+package windvane
+
+import (
+	"slices"
+	"sync/atomic"
+
+	"seamshunt/internal/units"
+)
+
+// Spot is one worker that could take the prompt.
+type Spot struct {
+	Name string
+	Zone string
+	Load float64 // last known share of its cap in use, its waitlist counted; late and never trusted for admission
+}
+
+// Query is what a policy may look at.
+type Query struct {
+	Prefix uint64
+	Zone   string // the node's own
+	Spread int
+	Spots  []Spot
+}
+
+// Policies by name; a new one is a new line here and nothing elsewhere.
+var Policies = map[string]func(*Windvane, Query) []string{
+	"prefix": (*Windvane).prefix,
+	"least":  (*Windvane).least,
+	"turn":   (*Windvane).turn,
+}
+
+// Windvane holds what policies remember between prompts.
+type Windvane struct {
+	next atomic.Uint64
+}
+
+// Fingerprint names a prompt's shared prefix: its first bytes.
+func Fingerprint(prompt []byte, n int) uint64 {
+	return units.Mix(string(prompt[:min(n, len(prompt))]))
+}
+
+// Order lists workers, best first.
+func (w *Windvane) Order(policy string, q Query) []string { return Policies[policy](w, q) }
+
+func names(l []Spot) []string {
+	s := make([]string, len(l))
+	for i, x := range l {
+		s[i] = x.Name
+	}
+	return s
+}
+
+// prefix: the own zone's first few in rendezvous order hold the prefix; behind them the least loaded.
+func (w *Windvane) prefix(q Query) []string {
+	type ranked struct {
+		Spot
+		rank uint64
+	}
+	l := make([]ranked, len(q.Spots))
+	for i, s := range q.Spots {
+		l[i] = ranked{s, units.Mix(units.Hex(q.Prefix), s.Name)}
+	}
+	slices.SortFunc(l, func(a, b ranked) int {
+		if near := (a.Zone == q.Zone); near != (b.Zone == q.Zone) {
+			return flip(near)
+		}
+		return flip(a.rank > b.rank)
+	})
+	if len(l) > q.Spread {
+		slices.SortStableFunc(l[q.Spread:], func(a, b ranked) int { return byLoad(a.Spot, b.Spot, q.Zone) })
+	}
+	s := make([]string, len(l))
+	for i, x := range l {
+		s[i] = x.Name
+	}
+	return s
+}
+
+func flip(first bool) int {
+	if first {
+		return -1
+	}
+	return 1
+}
+
+// byLoad puts the less loaded first; a worker in another zone must be much less loaded to come before.
+func byLoad(a, b Spot, zone string) int {
+	x, y := a.Load, b.Load
+	if a.Zone != zone {
+		x += 0.5
+	}
+	if b.Zone != zone {
+		y += 0.5
+	}
+	if x < y {
+		return -1
+	}
+	if x > y {
+		return 1
+	}
+	return 0
+}
+
+// least: the least loaded first, the own zone preferred.
+func (w *Windvane) least(q Query) []string {
+	l := slices.Clone(q.Spots)
+	rotate(l, int(w.next.Add(1)))
+	slices.SortStableFunc(l, func(a, b Spot) int { return byLoad(a, b, q.Zone) })
+	return names(l)
+}
+
+// turn: each in its turn, whatever the zone.
+func (w *Windvane) turn(q Query) []string {
+	l := slices.Clone(q.Spots)
+	rotate(l, int(w.next.Add(1)))
+	return names(l)
+}
+
+func rotate(l []Spot, by int) {
+	if len(l) < 2 {
+		return
+	}
+	k := by % len(l)
+	t := append(slices.Clone(l[k:]), l[:k]...)
+	copy(l, t)
+}
