--- a/internal/ballot/ballot.go
+++ b/internal/ballot/ballot.go
@@ -13,14 +13,16 @@
 const (
 	Stand = station.Ballot + iota
 	Vote
+	Release
 )
 
 // Spans (start values). A term is counted from before the asking by the holder and from after it by the
 // voters, so that clocks need only run at like rates.
 const (
-	Term  = 2 * time.Second
-	renew = 500 * time.Millisecond
-	slack = 200 * time.Millisecond
+	Term  = 1200 * time.Millisecond
+	renew = 300 * time.Millisecond
+	slack = 100 * time.Millisecond
+	count = 300 * time.Millisecond // a round not won by then is lost, and its votes are given back
 )
 
 type head struct {
@@ -65,19 +67,29 @@
 	return 0
 }
 
+// lost gives the votes of a lost round back; a late vote for it counts no more. Without this, two candidates
+// with half the votes each would renew them for ever.
+func (b *Ballot) lost(now units.Time, out *station.Out) {
+	for _, n := range b.Voters() {
+		out.Send(n, Release, station.Pack(head{Round: b.round}, []byte(b.Duty)))
+	}
+	b.round++
+	b.got = nil
+	b.next = now.Add(time.Duration(b.rng.Int64N(int64(renew))))
+}
+
 // Tick stands for the duty when it is vacant, and renews it when it is ours. A node that leaves does not stand.
 func (b *Ballot) Tick(now units.Time, stand bool) (out station.Out) {
+	if b.got != nil && !b.Holds(now) && now.Sub(b.sent) >= count {
+		b.lost(now, &out)
+	}
 	if !stand || now < b.next {
 		return out
 	}
 	if !b.Holds(now) && now < b.grant.until && b.grant.to != b.self {
 		return out
 	}
-	gap := renew
-	if !b.Holds(now) {
-		gap += time.Duration(b.rng.Int64N(int64(renew)))
-	}
-	b.next = now.Add(gap)
+	b.next = now.Add(renew)
 	b.round++
 	b.sent, b.got = now, map[units.Node]bool{}
 	for _, n := range b.Voters() {
@@ -106,8 +118,12 @@
 			r.Ok = 1
 		}
 		out.Send(n.From, Vote, station.Pack(r, duty))
+	case Release:
+		if b.grant.to == n.From {
+			b.grant.until = min(b.grant.until, now)
+		}
 	case Vote:
-		if h.Round != b.round || h.Ok == 0 {
+		if b.got == nil || h.Round != b.round || h.Ok == 0 {
 			return out
 		}
 		b.got[n.From] = true
@@ -127,5 +143,12 @@
 	return out
 }
 
+// Gone frees the vote for a holder whose process is known to have ended.
+func (b *Ballot) Gone(now units.Time, n units.Node) {
+	if b.grant.to == n {
+		b.grant.until = min(b.grant.until, now)
+	}
+}
+
 // Drop gives the duty up.
 func (b *Ballot) Drop() { b.until = 0 }
--- a/internal/barod/baro.go
+++ b/internal/barod/baro.go
@@ -19,7 +19,6 @@
 	"seamshunt/internal/bulletin"
 	"seamshunt/internal/mast"
 	"seamshunt/internal/station"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
 )
@@ -40,7 +39,7 @@
 	leaving atomic.Bool
 	web     *fasthttp.Server
 	polled  poll
-	lostAt  map[units.Node]units.Time
+	doctor  barograph.Doctor
 }
 
 // New opens the disk, and with it learns who it is.
@@ -49,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Barometer{Tower: tower.New(b, self, mast.Barometer), waits: map[uint64]chan barograph.Result{}, lostAt: map[units.Node]units.Time{}}
+	c := &Barometer{Tower: tower.New(b, self, mast.Barometer), waits: map[uint64]chan barograph.Result{}, doctor: barograph.Doctor{Founders: b.Founders}}
 	c.disk.file = a
 	c.disk.wake = make(chan struct{}, 1)
 	c.baro = barograph.New(self, tower.Random())
@@ -63,6 +62,13 @@
 	c.duty = ballot.New(self, "platform", func() []units.Node { return c.voters().IDs }, c.Crew.Now(), mrand.New(mrand.NewPCG(uint64(tower.Random()), 1)))
 	c.Later = c.later
 	c.Woke = func(units.Time) { c.dutyMu.Lock(); c.duty.Drop(); c.dutyMu.Unlock() }
+	c.Refused = func(now units.Time, l []units.Node) {
+		c.dutyMu.Lock()
+		for _, n := range l {
+			c.duty.Gone(now, n)
+		}
+		c.dutyMu.Unlock()
+	}
 	c.Steps[station.Barograph] = c.step
 	c.Steps[station.Ballot] = func(now units.Time, n station.Note) {
 		c.dutyMu.Lock()
@@ -178,23 +184,7 @@
 	unfit := c.disk.unfit(now)
 	c.Flag(mast.Unfit, unfit)
 	c.Flag(mast.Draining, c.leaving.Load())
-	var fit, blanks []units.Node
-	fleet := false
-	for _, m := range all {
-		if m.Role != mast.Barometer {
-			// A vane that serves has heard of a fleet that stands.
-			fleet = fleet || m.State <= mast.Suspect && m.Flags&mast.Ready != 0
-			continue
-		}
-		if m.State <= mast.Suspect && m.Flags&(mast.Draining|mast.Unfit) == 0 {
-			fit = append(fit, m.Node)
-		}
-		if m.Flags&mast.Voter != 0 {
-			fleet = true
-		} else if m.State <= mast.Suspect {
-			blanks = append(blanks, m.Node)
-		}
-	}
+	look := barograph.LookAt(all)
 	c.BullMu.Lock()
 	told := c.Bull.Items[barograph.KeyVoters]
 	c.BullMu.Unlock()
@@ -202,10 +192,10 @@
 	if told != nil {
 		c.Deliver(c.baro.Learn(told.Data))
 	}
-	c.baro.View(fit)
-	c.baro.Blank(c.Boot.Founders, blanks, fleet)
-	if now.Sub(c.disk.stalledSince(now)) < 2*time.Second {
-		c.doctor(now, all)
+	c.baro.View(look.Fit)
+	c.baro.Blank(c.Boot.Founders, look)
+	if ids := c.doctor.Next(now, c.baro.Voters(), look); ids != nil {
+		c.baro.Want(now, ids)
 	}
 	out := c.baro.Tick(now)
 	voter := c.baro.Voters().Has(c.Self)
@@ -219,42 +209,3 @@
 	c.dutyMu.Unlock()
 	c.Deliver(d)
 }
-
-// Ask carries a wish to a key's owner and waits for its result.
-func (c *Barometer) Ask(a barograph.Ask) barograph.Result {
-	a.Tag = c.tag.Add(1)
-	ch := make(chan barograph.Result, 1)
-	now := c.Crew.Now()
-	c.baroMu.Lock()
-	c.waits[a.Tag] = ch
-	out := c.baro.Ask(now, a)
-	c.drain()
-	c.Deliver(out)
-	c.baroMu.Unlock()
-	t := time.NewTimer(3 * time.Second)
-	defer t.Stop()
-	select {
-	case r := <-ch:
-		return r
-	case <-t.C:
-	}
-	c.baroMu.Lock()
-	delete(c.waits, a.Tag)
-	c.baroMu.Unlock()
-	if a.Write {
-		return barograph.Result{Code: synop.Unsure}
-	}
-	return barograph.Result{Code: synop.NoMajority}
-}
-
-// Drain hands keys and duty over, then leaves.
-func (c *Barometer) Drain() {
-	c.leaving.Store(true)
-	c.dutyMu.Lock()
-	c.duty.Drop()
-	c.dutyMu.Unlock()
-	c.Flag(mast.Draining, true)
-	time.Sleep(500 * time.Millisecond) // the others take the keys over under higher epochs
-	_ = c.web.Shutdown()
-	c.Goodbye()
-}
--- a/internal/barod/disk.go
+++ b/internal/barod/disk.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"seamshunt/internal/almanac"
-	"seamshunt/internal/mast"
 	"seamshunt/internal/station"
 	"seamshunt/internal/units"
 )
@@ -107,61 +106,3 @@
 	defer d.mu.Unlock()
 	return d.sick || d.full || d.since > 0 && now.Sub(d.since) > stallAt || d.slow > stallAt
 }
-
-func (d *disk) stalledSince(now units.Time) units.Time {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.since == 0 {
-		return now
-	}
-	return d.since
-}
-
-// doctor replaces lost voters by learners, one step at a time (design 2); baroMu is held.
-func (c *Barometer) doctor(now units.Time, all []mast.Member) {
-	v := c.baro.Voters()
-	if v.Ver == 0 {
-		return
-	}
-	live := map[units.Node]bool{}
-	var learner units.Node
-	for _, m := range all {
-		if m.Role != mast.Barometer || m.State > mast.Suspect || m.Flags&(mast.Draining|mast.Unfit) != 0 {
-			continue
-		}
-		live[m.Node] = true
-		if !v.Has(m.Node) && (learner == 0 || m.Node < learner) {
-			learner = m.Node
-		}
-	}
-	var gone units.Node
-	for _, n := range v.IDs {
-		if live[n] {
-			delete(c.lostAt, n)
-			continue
-		}
-		if _, ok := c.lostAt[n]; !ok {
-			c.lostAt[n] = now
-		}
-		if now.Sub(c.lostAt[n]) >= lostVoter && (gone == 0 || n < gone) {
-			gone = n
-		}
-	}
-	var ids []units.Node
-	switch {
-	case learner != 0 && (gone != 0 && len(v.IDs) <= c.Boot.Founders || len(v.IDs) < c.Boot.Founders):
-		ids = append(append(ids, v.IDs...), learner)
-	case gone != 0 && len(v.IDs) > c.Boot.Founders:
-		for _, n := range v.IDs {
-			if n != gone {
-				ids = append(ids, n)
-			}
-		}
-	default:
-		return
-	}
-	c.baro.Want(now, ids)
-}
-
-// lostVoter is how long a voter must be gone before a learner takes its place (start).
-const lostVoter = 5 * time.Second
--- a/internal/barograph/change.go
+++ b/internal/barograph/change.go
@@ -78,7 +78,8 @@
 	}
 	if now.Sub(c.asked) >= resend {
 		c.asked = now
-		for k, tag := range c.keys {
+		for _, k := range station.Keys(c.keys) {
+			tag := c.keys[k]
 			if !c.done[tag] {
 				out.Join(b.Ask(now, Ask{Tag: tag, Key: k}))
 			}
@@ -94,7 +95,7 @@
 // listKeys answers with the keys on this disk, behind the disk's queue.
 func (b *Barograph) listKeys(n station.Note, out *station.Out) {
 	var l [][]byte
-	for k := range b.slots {
+	for _, k := range station.Keys(b.slots) {
 		l = append(l, []byte(k))
 	}
 	out.Later(n.From, KeysAre, b.pack(head{}, "", station.PackList(l)))
--- a/internal/barograph/found.go
+++ b/internal/barograph/found.go
@@ -19,7 +19,7 @@
 
 // Blank tells the machine how many founding disks the boot file names, and which blank disks membership
 // shows now. Another number than want, or any word of a fleet that stands, and nobody founds.
-func (b *Barograph) Blank(want int, blanks []units.Node, fleet bool) {
+func (b *Barograph) Blank(want int, l Look) {
 	if b.cfg.Ver > 0 {
 		return
 	}
@@ -28,9 +28,9 @@
 	}
 	f := b.found
 	f.want = want
-	ids := slices.Clone(blanks)
+	ids := slices.Clone(l.Blanks)
 	slices.Sort(ids)
-	if fleet || len(ids) != want || !slices.Contains(ids, b.self) {
+	if l.Fleet || len(ids) != want || !slices.Contains(ids, b.self) {
 		f.set = Voters{}
 		return
 	}
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -86,13 +86,14 @@
 
 // Tick pushes again to those that have not acknowledged and still live, and to newcomers.
 func (b *Bulletin) Tick(now units.Time, live []units.Node) (out station.Out) {
-	for key, p := range b.out {
+	for _, key := range station.Keys(b.out) {
+		p := b.out[key]
 		it := b.Items[key]
 		if now.Sub(p.sent) < again || it == nil || it.Num != p.num {
 			continue
 		}
 		p.sent = now
-		for n := range p.need {
+		for _, n := range station.Keys(p.need) {
 			if slices.Contains(live, n) {
 				out.Send(n, Push, pack(*it))
 			} else {
@@ -126,8 +127,8 @@
 
 func (b *Bulletin) packNums(m map[string]units.Num) []byte {
 	var l [][]byte
-	for k, x := range m {
-		l = append(l, station.Pack(newsHead{uint64(x)}, []byte(k)))
+	for _, k := range station.Keys(m) {
+		l = append(l, station.Pack(newsHead{uint64(m[k])}, []byte(k)))
 	}
 	return station.PackList(l)
 }
@@ -198,7 +199,8 @@
 
 // pulled sends what the neighbour lacks, and asks back when it is ahead.
 func (b *Bulletin) pulled(now units.Time, from units.Node, theirs map[string]units.Num, out *station.Out) {
-	for k, it := range b.Items {
+	for _, k := range station.Keys(b.Items) {
+		it := b.Items[k]
 		if theirs[k] < it.Num {
 			out.Send(from, Push, pack(*it))
 		}
--- a/internal/fleet/traffic.go
+++ b/internal/fleet/traffic.go
@@ -40,6 +40,7 @@
 
 // Run sends until the context ends, then waits for what is under way.
 func (t *Traffic) Run(ctx context.Context) {
+	t.ready = t.f.Ready()
 	look := make(chan struct{})
 	go func() {
 		defer close(look)
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -1,6 +1,7 @@
 package gauge
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -53,25 +54,23 @@
 // Gauge is the keeper's step machine.
 type Gauge struct {
 	self    units.Node
-	Longest time.Duration // the longest time left that any mapping allows
 	workers map[string]Worker
 	vanes   []Peer
-	lost    map[units.Node]units.Time // vanes gone silent, since when
+	holds   map[units.Node]units.Time // processes not live, till when their runs may still be going
 	keeps   map[string]*keep
-	started units.Time
 	audited units.Time
 }
 
 // New begins a node that keeps nothing.
-func New(self units.Node, now units.Time) *Gauge {
-	return &Gauge{self: self, workers: map[string]Worker{}, keeps: map[string]*keep{}, lost: map[units.Node]units.Time{}, started: now}
+func New(self units.Node) *Gauge {
+	return &Gauge{self: self, workers: map[string]Worker{}, keeps: map[string]*keep{}, holds: map[units.Node]units.Time{}}
 }
 
 // Workers sets what there is to keep.
 func (g *Gauge) Workers(w map[string]Worker) { g.workers = w }
 
-// View takes membership's view: the live vanes, and those that fell silent within the longest time left.
-func (g *Gauge) View(vanes []Peer, lost map[units.Node]units.Time) { g.vanes, g.lost = vanes, lost }
+// View takes membership's view: the live vanes, and till when others' runs may still be going.
+func (g *Gauge) View(vanes []Peer, holds map[units.Node]units.Time) { g.vanes, g.holds = vanes, holds }
 
 // Gone frees what a process held that is known to have ended: the kernel broke its runs' wires off.
 func (g *Gauge) Gone(now units.Time, n units.Node) {
@@ -103,7 +102,8 @@
 
 // Tick takes over what fell to this node, gives up what did not, and ends what ran out.
 func (g *Gauge) Tick(now units.Time) (out station.Out) {
-	for name, w := range g.workers {
+	for _, name := range station.Keys(g.workers) {
+		w := g.workers[name]
 		mine := Keeper(g.vanes, name, w.Zone) == g.self
 		k := g.keeps[name]
 		if mine && k == nil {
@@ -113,7 +113,8 @@
 			g.cede(name, k, &out)
 		}
 	}
-	for name, k := range g.keeps {
+	for _, name := range station.Keys(g.keeps) {
+		k := g.keeps[name]
 		if _, ok := g.workers[name]; !ok {
 			g.cede(name, k, &out)
 			continue
@@ -143,8 +144,8 @@
 	for _, v := range g.vanes {
 		k.need[v.Node] = true
 	}
-	for _, t := range g.lost {
-		k.holdTil = max(k.holdTil, t.Add(g.Longest+grace))
+	for _, t := range g.holds {
+		k.holdTil = max(k.holdTil, t)
 	}
 	g.keeps[name] = k
 	g.collect(now, name, k, out)
@@ -160,9 +161,7 @@
 			continue
 		}
 		delete(k.need, n)
-		if t, silent := g.lost[n]; silent {
-			k.holdTil = max(k.holdTil, t.Add(g.Longest+grace))
-		}
+		k.holdTil = max(k.holdTil, g.holds[n])
 	}
 	if len(k.need) == 0 {
 		if now >= k.holdTil {
@@ -173,7 +172,7 @@
 	}
 	if now.Sub(k.sent) >= reask {
 		k.sent = now
-		for n := range k.need {
+		for _, n := range station.Keys(k.need) {
 			out.Send(n, ReportAsk, Pack(Head{}, name))
 		}
 	}
@@ -187,17 +186,28 @@
 	delete(g.keeps, name)
 }
 
+// permits lists what is lent, in order.
+func (k *keep) permits() []permit {
+	l := make([]permit, 0, len(k.lent))
+	for p := range k.lent {
+		l = append(l, p)
+	}
+	slices.SortFunc(l, func(a, b permit) int { return cmp.Or(cmp.Compare(a.node, b.node), cmp.Compare(a.tag, b.tag)) })
+	return l
+}
+
 // audit asks holders about permits that have been out for a while; they return what they don't know.
 func (g *Gauge) audit(now units.Time, out *station.Out) {
-	for name, k := range g.keeps {
+	for _, name := range station.Keys(g.keeps) {
+		k := g.keeps[name]
 		by := map[units.Node][]Held{}
-		for p, l := range k.lent {
-			if now.Sub(l.since) >= audit {
+		for _, p := range k.permits() {
+			if now.Sub(k.lent[p].since) >= audit {
 				by[p.node] = append(by[p.node], Held{Tag: p.tag})
 			}
 		}
-		for n, l := range by {
-			out.Send(n, Audit, packReport(name, l))
+		for _, n := range station.Keys(by) {
+			out.Send(n, Audit, packReport(name, by[n]))
 		}
 	}
 }
--- /dev/null
+++ b/internal/gauge/watch.go
@@ -0,0 +1,66 @@
+package gauge
+
+import (
+	"time"
+
+	"seamshunt/internal/mast"
+	"seamshunt/internal/units"
+)
+
+// Watch keeps what membership says of the vanes: who may keep workers, who fell silent and since when, and
+// who is known to have ended.
+type Watch struct {
+	lost map[units.Node]units.Time
+	void map[units.Node]units.Time
+}
+
+// NewWatch gives an empty one.
+func NewWatch() *Watch {
+	return &Watch{lost: map[units.Node]units.Time{}, void: map[units.Node]units.Time{}}
+}
+
+// Void notes that a process has ended: its wires are broken, it holds nothing.
+func (w *Watch) Void(now units.Time, n units.Node) {
+	if _, ok := w.void[n]; !ok {
+		delete(w.lost, n)
+		w.void[n] = now
+	}
+}
+
+// See takes membership's list. Changed says whether somebody fell silent since the last look.
+func (w *Watch) See(now units.Time, all []mast.Member) (peers []Peer, changed bool) {
+	for _, m := range all {
+		if m.Role != mast.Vane {
+			continue
+		}
+		switch {
+		case m.State <= mast.Suspect:
+			delete(w.lost, m.Node)
+			if m.Flags&mast.Draining == 0 {
+				peers = append(peers, Peer{Node: m.Node, Zone: m.Zone})
+			}
+		case m.State == mast.Left:
+			delete(w.lost, m.Node)
+		default:
+			_, void := w.void[m.Node]
+			if _, ok := w.lost[m.Node]; !ok && !void {
+				w.lost[m.Node] = now
+				changed = true
+			}
+		}
+	}
+	return peers, changed
+}
+
+// Holds gives the moments until which processes that are not live may still have runs going: those that fell
+// silent for the longest time left there is, those known to have ended for as long as workers take to notice.
+func (w *Watch) Holds(longest time.Duration) map[units.Node]units.Time {
+	m := map[units.Node]units.Time{}
+	for n, t := range w.lost {
+		m[n] = t.Add(longest + grace)
+	}
+	for n, t := range w.void {
+		m[n] = t.Add(burst)
+	}
+	return m
+}
--- a/internal/mast/note.go
+++ b/internal/mast/note.go
@@ -29,7 +29,7 @@
 
 func (m *Mast) pack(seq uint64, target units.Node) []byte {
 	items := make([][]byte, 0, len(m.all))
-	for _, x := range m.all {
+	for _, x := range m.All() {
 		h := memberHead{Node: uint64(x.Node), Inc: x.Inc, Flags: x.Flags, State: uint8(x.State), Role: uint8(x.Role)}
 		items = append(items, station.Pack(h, []byte(x.Addr), []byte(x.Web), []byte(x.Zone)))
 	}
--- a/internal/mast/step.go
+++ b/internal/mast/step.go
@@ -80,14 +80,18 @@
 	}
 }
 
-// Refused takes evidence that nobody listens at addr: whoever lived there is gone at once (design 6).
+// Refused takes evidence that nobody listens at addr: whoever lived there has ended, even where membership
+// had given it up before for its silence (design 6).
 func (m *Mast) Refused(now units.Time, addr string) []units.Node {
 	var l []units.Node
-	for _, x := range m.all {
-		if x.Addr == addr && x.Node != m.Self && x.State <= Suspect {
-			m.set(x, Dead, now)
-			l = append(l, x.Node)
+	for _, x := range m.All() {
+		if x.Addr != addr || x.Node == m.Self || x.State == Left {
+			continue
 		}
+		if x.State <= Suspect {
+			m.set(m.all[x.Node], Dead, now)
+		}
+		l = append(l, x.Node)
 	}
 	return l
 }
--- a/internal/station/station.go
+++ b/internal/station/station.go
@@ -2,8 +2,10 @@
 package station
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
+	"slices"
 
 	"seamshunt/internal/units"
 )
@@ -135,3 +137,13 @@
 	}
 	return items, nil
 }
+
+// Keys gives a map's keys in order, so that equal states give out equal notes and a seed replays (design 1).
+func Keys[K cmp.Ordered, V any](m map[K]V) []K {
+	l := make([]K, 0, len(m))
+	for k := range m {
+		l = append(l, k)
+	}
+	slices.Sort(l)
+	return l
+}
--- a/internal/vaned/rules.go
+++ b/internal/vaned/rules.go
@@ -1,7 +1,6 @@
 package vaned
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -33,16 +32,14 @@
 	first  map[string]units.Time // when a worker id was first seen, less its age then
 	out    map[string]bool       // zones evacuated
 	down   map[string]units.Time // workers found dead here, until when they are passed over
-	lost   map[units.Node]units.Time
-	void   map[units.Node]bool // vanes known to have ended
+	watch  *gauge.Watch
 	peers  []gauge.Peer
 	voters barograph.Voters
 	fresh  bool
 }
 
 func newTable() table {
-	return table{pools: map[string][]worker{}, first: map[string]units.Time{}, out: map[string]bool{}, down: map[string]units.Time{},
-		lost: map[units.Node]units.Time{}, void: map[units.Node]bool{}}
+	return table{pools: map[string][]worker{}, first: map[string]units.Time{}, out: map[string]bool{}, down: map[string]units.Time{}, watch: gauge.NewWatch()}
 }
 
 // refresh brings news and membership into the tables and from there to the keeper.
@@ -59,7 +56,8 @@
 	defer v.tableMu.Unlock()
 	t := &v.table
 	t.fresh = t.fresh || len(fresh) > 0
-	peers := v.vanes(now, all)
+	peers, silent := t.watch.See(now, all)
+	t.fresh = t.fresh || silent
 	if !t.fresh && slices.Equal(peers, t.peers) {
 		return
 	}
@@ -72,38 +70,11 @@
 		}
 	}
 	v.gaugeMu.Lock()
-	v.gauge.Longest = longest
 	v.gauge.Workers(ws)
-	v.gauge.View(peers, maps.Clone(t.lost))
+	v.gauge.View(peers, t.watch.Holds(longest))
 	v.gaugeMu.Unlock()
 }
 
-// vanes lists who may keep workers, and notes who fell silent and since when.
-func (v *Vane) vanes(now units.Time, all []mast.Member) []gauge.Peer {
-	t := &v.table
-	var l []gauge.Peer
-	for _, m := range all {
-		if m.Role != mast.Vane {
-			continue
-		}
-		switch {
-		case m.State <= mast.Suspect:
-			delete(t.lost, m.Node)
-			if m.Flags&mast.Draining == 0 {
-				l = append(l, gauge.Peer{Node: m.Node, Zone: m.Zone})
-			}
-		case m.State == mast.Left:
-			delete(t.lost, m.Node)
-		case !t.void[m.Node]:
-			if _, ok := t.lost[m.Node]; !ok {
-				t.lost[m.Node] = now
-				t.fresh = true
-			}
-		}
-	}
-	return l
-}
-
 // wanted is what the keeper must know of every worker; tableMu is held.
 func (v *Vane) wanted() map[string]gauge.Worker {
 	ws := map[string]gauge.Worker{}
--- a/internal/vaned/vane.go
+++ b/internal/vaned/vane.go
@@ -57,7 +57,7 @@
 func New(b *boot.Boot) *Vane {
 	v := &Vane{Tower: tower.New(b, tower.Random(), mast.Vane), doors: map[uint64]chan verdict{}}
 	v.desk = hygrometer.New(v.Self)
-	v.gauge = gauge.New(v.Self, v.Crew.Now())
+	v.gauge = gauge.New(v.Self)
 	v.table = newTable()
 	v.tag.Store(uint64(tower.Random()) >> 1)
 	v.Woke = v.woke
@@ -137,7 +137,7 @@
 	v.desk.Woke(now)
 	v.deskMu.Unlock()
 	v.gaugeMu.Lock()
-	v.gauge = gauge.New(v.Self, now)
+	v.gauge = gauge.New(v.Self)
 	v.gaugeMu.Unlock()
 }
 
@@ -149,8 +149,8 @@
 	v.gaugeMu.Unlock()
 	v.tableMu.Lock()
 	for _, n := range l {
-		delete(v.table.lost, n)
-		v.table.void[n] = true
+		v.table.watch.Void(now, n)
+		v.table.fresh = true
 	}
 	v.tableMu.Unlock()
 }
--- /dev/null
+++ b/internal/windtunnel/core.go
@@ -0,0 +1,166 @@
+package windtunnel
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"seamshunt/internal/ballot"
+	"seamshunt/internal/barograph"
+	"seamshunt/internal/bulletin"
+	"seamshunt/internal/mast"
+	"seamshunt/internal/station"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// common is what both programs share, as package tower has it in the daemons.
+type common struct {
+	mast *mast.Mast
+	bull *bulletin.Bulletin
+}
+
+func (s *Sim) common(h *Host, self units.Node, role mast.Role, seeds []string) common {
+	me := mast.Member{Node: self, Inc: uint64(s.Now) + 1, Role: role, Addr: h.Addr, Zone: h.Zone}
+	return common{mast.New(me, seeds, rand.New(rand.NewPCG(s.Rng.Uint64(), 3))), bulletin.New()}
+}
+
+func (c *common) beat(now units.Time, self units.Node) ([]mast.Member, station.Out) {
+	c.mast.News = c.bull.Sum
+	out := c.mast.Tick(now)
+	all := c.mast.All()
+	var live []units.Node
+	for _, m := range all {
+		if m.State <= mast.Suspect && m.Node != self {
+			live = append(live, m.Node)
+		}
+	}
+	out.Join(c.bull.Tick(now, live))
+	for _, m := range all {
+		if m.State == mast.Alive && m.Node != self && m.News != 0 && m.News != c.bull.Sum {
+			out.Join(c.bull.Behind(now, m.Node))
+		}
+	}
+	return all, out
+}
+
+// Core is a simulated barometer.
+type Core struct {
+	common
+	*Proc
+	H     *Host
+	Baro  *barograph.Barograph
+	Duty  *ballot.Ballot
+	doc   barograph.Doctor
+	waits map[uint64]func(barograph.Result)
+	tag   uint64
+	Drain bool
+}
+
+// Core adds a machine with a disk; cores finds the machine that runs there now.
+func (s *Sim) Core(addr, zone string, founders int, seeds []string, cores map[*Host]*Core) *Host {
+	return s.Add(addr, zone, NewDisk(), func(h *Host) *Proc {
+		if h.Disk.ID == 0 {
+			h.Disk.ID = units.Node(s.Rng.Uint64() | 1)
+		}
+		self := h.Disk.ID
+		c := &Core{common: s.common(h, self, mast.Barometer, seeds), H: h, doc: barograph.Doctor{Founders: founders}, waits: map[uint64]func(barograph.Result){}}
+		c.Proc = &Proc{Self: self, Step: c.step, Tick: c.tick, Refused: func(now units.Time, a string) {
+			for _, n := range c.mast.Refused(now, a) {
+				c.Duty.Gone(now, n)
+			}
+		},
+			Woke: func(units.Time) { c.Duty.Drop() }}
+		c.Reload = func() {
+			c.Baro = barograph.New(self, units.Node(s.Rng.Uint64()))
+			if err := c.Baro.Load(h.Disk.Records()); err != nil {
+				panic(err)
+			}
+		}
+		c.Reload()
+		c.Duty = ballot.New(self, "platform", func() []units.Node { return c.Baro.Voters().IDs }, s.Now, rand.New(rand.NewPCG(s.Rng.Uint64(), 5)))
+		c.bull.Stored = func() map[string]units.Num { return c.Baro.Stored() }
+		cores[h] = c
+		return c.Proc
+	})
+}
+
+func (c *Core) step(now units.Time, n station.Note) station.Out {
+	switch n.Kind &^ 15 {
+	case station.Mast:
+		return c.mast.Step(now, n)
+	case station.Bulletin:
+		return c.bull.Step(now, n)
+	case station.Ballot:
+		return c.Duty.Step(now, n)
+	case station.Barograph:
+		out := c.Baro.Step(now, n)
+		c.drain(now, &out)
+		return out
+	}
+	return station.Out{}
+}
+
+func (c *Core) tick(now units.Time) station.Out {
+	c.mast.Flag(mast.Unfit, c.H.Disk.Unfit(now))
+	c.mast.Flag(mast.Draining, c.Drain)
+	all, out := c.beat(now, c.Self)
+	look := barograph.LookAt(all)
+	if it := c.bull.Items[barograph.KeyVoters]; it != nil {
+		out.Join(c.Baro.Learn(it.Data))
+	}
+	c.Baro.View(look.Fit)
+	c.Baro.Blank(c.doc.Founders, look)
+	if ids := c.doc.Next(now, c.Baro.Voters(), look); ids != nil {
+		c.Baro.Want(now, ids)
+	}
+	out.Join(c.Baro.Tick(now))
+	voter := c.Baro.Voters().Has(c.Self)
+	c.mast.Flag(mast.Voter, voter)
+	c.drain(now, &out)
+	out.Join(c.Duty.Tick(now, voter && !c.Drain))
+	return out
+}
+
+func (c *Core) drain(now units.Time, out *station.Out) {
+	for _, r := range c.Baro.Results {
+		if f := c.waits[r.Tag]; f != nil {
+			delete(c.waits, r.Tag)
+			f(r)
+		}
+	}
+	c.Baro.Results = nil
+	fresh := c.Baro.Fresh
+	c.Baro.Fresh = nil
+	for _, x := range fresh {
+		var to []units.Node
+		for _, m := range c.mast.All() {
+			if m.State <= mast.Suspect && m.Node != c.Self {
+				to = append(to, m.Node)
+			}
+		}
+		out.Join(c.bull.Spread(now, bulletin.Item{Key: x.Key, Num: x.Num, Data: slices.Clone(x.Data)}, to))
+	}
+}
+
+// Ask brings an operator's wish to this machine; done hears the result, or Unsure after three seconds.
+func (c *Core) Ask(s *Sim, a barograph.Ask, done func(barograph.Result)) {
+	c.tag++
+	a.Tag = c.tag
+	tag := a.Tag
+	c.waits[tag] = done
+	s.Inject(c.H, func(now units.Time) station.Out {
+		out := c.Baro.Ask(now, a)
+		c.drain(now, &out)
+		return out
+	})
+	s.After(3e9, func() {
+		if f := c.waits[tag]; f != nil {
+			delete(c.waits, tag)
+			r := barograph.Result{Code: synop.NoMajority}
+			if a.Write {
+				r.Code = synop.Unsure
+			}
+			f(r)
+		}
+	})
+}
--- /dev/null
+++ b/internal/windtunnel/disk.go
@@ -0,0 +1,95 @@
+package windtunnel
+
+import (
+	"time"
+
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// Disk keeps synced records; it can be slow, stalled, full or lost.
+type Disk struct {
+	ID      units.Node // zero while blank
+	Delay   time.Duration
+	Stalled bool
+	Full    bool
+	live    map[string]station.Record
+	wait    []station.Out
+	busy    bool
+	life    int
+	since   units.Time
+}
+
+// NewDisk gives a blank one.
+func NewDisk() *Disk { return &Disk{Delay: 2 * time.Millisecond, live: map[string]station.Record{}} }
+
+// Records gives what is synced.
+func (d *Disk) Records() []station.Record {
+	l := make([]station.Record, 0, len(d.live))
+	for _, k := range station.Keys(d.live) {
+		l = append(l, d.live[k])
+	}
+	return l
+}
+
+func (d *Disk) crash() {
+	d.wait, d.busy = nil, false
+	d.life++
+}
+
+// Wipe loses everything, the identity too.
+func (d *Disk) Wipe() {
+	d.crash()
+	d.ID, d.live, d.Stalled, d.Full = 0, map[string]station.Record{}, false, false
+}
+
+// Unfit is what the daemon's own disk watch would say.
+func (d *Disk) Unfit(now units.Time) bool {
+	return d.Full || d.busy && now.Sub(d.since) > 500*time.Millisecond
+}
+
+func (d *Disk) queue(s *Sim, h *Host, o station.Out) {
+	d.wait = append(d.wait, o)
+	if !d.busy {
+		d.write(s, h)
+	}
+}
+
+// write syncs all that waits at once, then lets the replies go.
+func (d *Disk) write(s *Sim, h *Host) {
+	batch := d.wait
+	d.wait = nil
+	d.busy, d.since = true, s.Now
+	life, disk := h.life, d.life
+	var done func()
+	done = func() {
+		if h.life != life || d.life != disk {
+			return
+		}
+		if d.Stalled {
+			s.After(50*time.Millisecond, done)
+			return
+		}
+		var notes []station.Note
+		for _, o := range batch {
+			if d.Full && len(o.Writes) > 0 {
+				// Nothing behind a refused write may be said either.
+				d.wait = nil
+				h.Proc.Reload()
+				break
+			}
+			for _, r := range o.Writes {
+				d.live[string(rune(r.Kind))+r.Key] = r
+			}
+			notes = append(notes, o.After...)
+		}
+		d.busy = false
+		for _, n := range notes {
+			s.send(h, n)
+		}
+		if len(d.wait) > 0 {
+			d.write(s, h)
+		}
+	}
+	s.After(d.Delay+time.Duration(s.Rng.Int64N(int64(d.Delay)+1)), done)
+}
--- /dev/null
+++ b/internal/windtunnel/edge.go
@@ -0,0 +1,188 @@
+package windtunnel
+
+import (
+	"strings"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"seamshunt/internal/barograph"
+	"seamshunt/internal/bulletin"
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/gauge"
+	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/mast"
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+	"seamshunt/internal/windvane"
+)
+
+// Edge is a simulated vane.
+type Edge struct {
+	common
+	*Proc
+	H       *Host
+	Config  *forecast.Config
+	Num     units.Num
+	Ready   bool
+	Pools   map[string][]forecast.Worker
+	Out     map[string]bool
+	first   map[string]units.Time
+	voters  []units.Node
+	desk    *hygrometer.Hygrometer
+	gauge   *gauge.Gauge
+	watch   *gauge.Watch
+	wind    windvane.Windvane
+	peers   []gauge.Peer
+	began   units.Time
+	asked   units.Time
+	verdict map[uint64]func(hygrometer.Verdict)
+	tag     uint64
+	Drain   bool
+}
+
+// Edge adds a machine without a disk.
+func (s *Sim) Edge(addr, zone string, seeds []string, edges map[*Host]*Edge) *Host {
+	return s.Add(addr, zone, nil, func(h *Host) *Proc {
+		self := units.Node(s.Rng.Uint64() | 1)
+		e := &Edge{common: s.common(h, self, mast.Vane, seeds), H: h, Pools: map[string][]forecast.Worker{}, Out: map[string]bool{},
+			first: map[string]units.Time{}, desk: hygrometer.New(self), gauge: gauge.New(self), watch: gauge.NewWatch(), began: s.Now,
+			verdict: map[uint64]func(hygrometer.Verdict){}, tag: s.Rng.Uint64() >> 8}
+		e.Proc = &Proc{Self: self, Step: e.step, Tick: e.tick, Woke: func(now units.Time) {
+			e.unready()
+			e.desk.Woke(now)
+			e.gauge = gauge.New(self)
+		}, Refused: func(now units.Time, a string) {
+			for _, n := range e.mast.Refused(now, a) {
+				e.gauge.Gone(now, n)
+				e.watch.Void(now, n)
+			}
+		}}
+		edges[h] = e
+		return e.Proc
+	})
+}
+
+func (e *Edge) unready() {
+	e.Ready = false
+	e.mast.Flag(mast.Ready, false)
+	clear(e.bull.Vouch)
+}
+
+func (e *Edge) step(now units.Time, n station.Note) (out station.Out) {
+	switch n.Kind &^ 15 {
+	case station.Mast:
+		return e.mast.Step(now, n)
+	case station.Bulletin:
+		return e.bull.Step(now, n)
+	case station.Gauge:
+		if n.Kind != gauge.Ask && n.Kind != gauge.Return && n.Kind != gauge.Report {
+			out = e.desk.Step(now, n)
+		}
+		if n.Kind == gauge.Ask || n.Kind == gauge.Return || n.Kind == gauge.Report || n.Kind == gauge.ReportAsk {
+			out.Join(e.gauge.Step(now, n))
+		}
+		e.tell()
+	}
+	return out
+}
+
+func (e *Edge) tell() {
+	l := e.desk.Verdicts
+	e.desk.Verdicts = nil
+	for _, v := range l {
+		if f := e.verdict[v.Tag]; f != nil {
+			delete(e.verdict, v.Tag)
+			f(v)
+		}
+	}
+}
+
+func (e *Edge) tick(now units.Time) station.Out {
+	all, out := e.beat(now, e.Self)
+	e.mast.Flag(mast.Draining, e.Drain)
+	fresh := e.bull.Fresh
+	e.bull.Fresh = nil
+	for _, it := range fresh {
+		e.news(now, it)
+	}
+	peers, _ := e.watch.See(now, all)
+	e.peers = peers
+	longest := time.Duration(0)
+	ws := map[string]gauge.Worker{}
+	if e.Config != nil {
+		for _, p := range e.Config.Promises {
+			longest = max(longest, p.Longest)
+		}
+		for _, sv := range e.Config.Services {
+			for _, w := range e.Pools[sv.Pool] {
+				ws[sv.Name+"/"+w.ID] = gauge.Worker{Zone: w.Zone, Cap: sv.Cap, Bound: sv.Waitlist, Warm: sv.Warm, Start: e.first[w.ID],
+					Closed: w.Leaving || e.Out[w.Zone], Adapt: sv.Adapt, Floor: sv.Floor, Aim: sv.WaitAim, First: sv.First}
+			}
+		}
+	}
+	e.gauge.Workers(ws)
+	e.gauge.View(peers, e.watch.Holds(longest))
+	out.Join(e.desk.Tick(now))
+	out.Join(e.gauge.Tick(now))
+	e.tell()
+	e.confirm(now, all, &out)
+	return out
+}
+
+func (e *Edge) news(now units.Time, it bulletin.Item) {
+	kind, name, _ := strings.Cut(it.Key, "/")
+	switch kind {
+	case "config":
+		if c, faults := forecast.Read(it.Data); len(faults) == 0 {
+			e.Config, e.Num = c, it.Num
+		}
+	case "zone":
+		e.Out[name] = fastjson.GetBool(it.Data, "evacuated")
+	case "workers":
+		if l, err := forecast.ReadWorkers(it.Data); err == nil {
+			for _, w := range l {
+				if _, ok := e.first[w.ID]; !ok {
+					e.first[w.ID] = now.Add(-w.Age)
+				}
+			}
+			e.Pools[name] = l
+		}
+	case barograph.KeyVoters:
+		if v, err := barograph.UnpackVoters(it.Data); err == nil {
+			e.voters = v.IDs
+		}
+	}
+}
+
+func (e *Edge) confirm(now units.Time, all []mast.Member, out *station.Out) {
+	if e.Ready || e.Drain || e.Config == nil {
+		return
+	}
+	var core, peers []units.Node
+	for _, m := range all {
+		if m.State > mast.Suspect || m.Node == e.Self {
+			continue
+		}
+		if m.Role == mast.Barometer {
+			core = append(core, m.Node)
+		} else if m.Flags&mast.Ready != 0 {
+			peers = append(peers, m.Node)
+		}
+	}
+	ok := len(e.voters) > 0 && e.bull.Confirmed(e.voters, len(e.voters)/2+1)
+	if !ok && len(core) == 0 && now.Sub(e.began) > 3*time.Second && len(peers) > 0 {
+		ok = e.bull.Confirmed(peers, len(peers)/2+1)
+	}
+	if ok {
+		e.Ready = true
+		e.mast.Flag(mast.Ready, true)
+		return
+	}
+	if now.Sub(e.asked) > 100*time.Millisecond {
+		e.asked = now
+		for _, n := range append(core, peers...) {
+			out.Send(n, bulletin.Vouch, nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/windtunnel/load.go
@@ -0,0 +1,192 @@
+package windtunnel
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"seamshunt/internal/gauge"
+	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+	"seamshunt/internal/windvane"
+)
+
+// work is a simulated worker; it counts what really runs.
+type work struct {
+	id      string
+	zone    string
+	up      bool
+	start   units.Time
+	leaving units.Time
+	runs    map[*run]bool
+}
+
+type run struct {
+	job  int
+	edge *Edge
+	end  units.Time
+}
+
+// Load sends prompts at the world's rate from now on.
+func (w *World) Load() {
+	if w.rate > 0 {
+		w.prompt()
+		w.After(time.Duration(w.Rng.ExpFloat64()/w.rate*1e9), w.Load)
+		return
+	}
+	w.After(100*time.Millisecond, w.Load)
+}
+
+// prompt brings one to a vane that the platform finds ready.
+func (w *World) prompt() {
+	var l []*Edge
+	for _, h := range w.edgeH {
+		if e := w.edges[h]; w.alive(h) && e.Ready && !e.Drain && !e.Out[h.Zone] {
+			l = append(l, e)
+		}
+	}
+	if len(l) == 0 {
+		w.Figures.Lost++
+		return
+	}
+	e := l[w.Rng.IntN(len(l))]
+	longest := []time.Duration{6 * time.Second, 4 * time.Second, 20 * time.Second}[w.Rng.IntN(3)]
+	w.admit(e, w.Now.Add(longest), w.Rng.IntN(40))
+}
+
+func (w *World) admit(e *Edge, until units.Time, topic int) {
+	s := e.Config.Services["advice"]
+	q := windvane.Query{Prefix: units.Mix("topic", fmt.Sprint(topic)), Zone: e.H.Zone, Spread: s.Spread}
+	keepers := map[string]units.Node{}
+	for _, x := range e.Pools[s.Pool] {
+		name := s.Name + "/" + x.ID
+		if x.Leaving || e.Out[x.Zone] {
+			continue
+		}
+		load := 0.0
+		if l, ok := e.desk.Loads[name]; ok && w.Now.Sub(l.At) < 2*time.Second {
+			load = float64(l.Lent+l.Wait) / float64(l.Cap)
+		}
+		q.Spots = append(q.Spots, windvane.Spot{Name: name, Zone: x.Zone, Load: load})
+		keepers[name] = gauge.Keeper(e.peers, name, x.Zone)
+	}
+	e.tag++
+	tag := e.tag
+	e.verdict[tag] = func(v hygrometer.Verdict) { w.verdict(e, tag, until, v) }
+	out := e.desk.Arrive(w.Now, hygrometer.Req{Tag: tag, Policy: s.Allow, Cands: e.wind.Order(s.Place, q), Tries: s.Spread + 4, Until: until,
+		First: s.First, Keeper: func(n string) units.Node { return keepers[n] }})
+	e.tell()
+	w.out(e.H, out)
+}
+
+func (w *World) verdict(e *Edge, tag uint64, until units.Time, v hygrometer.Verdict) {
+	if v.Code != synop.OK {
+		w.Figures.Refused++
+		return
+	}
+	_, id, _ := strings.Cut(v.Worker, "/")
+	x := w.workers[id]
+	if x == nil || !x.up || !w.alive(e.H) {
+		w.done(e, tag, false)
+		return
+	}
+	if closed(e, id) {
+		w.done(e, tag, false) // the daemon looks once more before it hands over
+		return
+	}
+	w.begin(e, tag, until, x)
+}
+
+func closed(e *Edge, id string) bool {
+	for _, y := range e.Pools["main"] {
+		if y.ID == id {
+			return y.Leaving || e.Out[y.Zone]
+		}
+	}
+	return true
+}
+
+// begin is a run that really starts; everything is judged here.
+func (w *World) begin(e *Edge, tag uint64, until units.Time, x *work) {
+	dur := 300*time.Millisecond + time.Duration(w.Rng.Int64N(int64(1800*time.Millisecond)))
+	r := &run{edge: e, end: min(w.Now.Add(dur), until)}
+	x.runs[r] = true
+	w.Figures.Runs++
+	if e.H.Zone != x.zone {
+		w.Figures.Cross++
+	}
+	w.judgeStart(e, x)
+	life := e.H.life
+	var finish func()
+	finish = func() {
+		switch {
+		case e.H.life != life:
+			// The vane ended: the worker notices the broken wire.
+			delete(x.runs, r)
+		case e.H.Frozen:
+			delete(x.runs, r) // the worker is through; the vane hears of it when it wakes
+			w.After(50*time.Millisecond, finish)
+		default:
+			delete(x.runs, r)
+			w.done(e, tag, !x.up && e.H.Dark)
+		}
+	}
+	w.At(r.end, finish)
+	var gone func()
+	gone = func() {
+		if x.runs[r] && e.H.life != life {
+			w.After(100*time.Millisecond, func() { delete(x.runs, r) })
+		} else if x.runs[r] {
+			w.After(100*time.Millisecond, gone)
+		}
+	}
+	w.After(100*time.Millisecond, gone)
+}
+
+func (w *World) done(e *Edge, tag uint64, unsure bool) {
+	out := e.desk.Done(w.Now, tag, unsure)
+	e.tell()
+	w.out(e.H, out)
+}
+
+// judgeStart: cap, warm-up, leaving and evacuated, at the worker's own door.
+func (w *World) judgeStart(e *Edge, x *work) {
+	n := len(x.runs)
+	w.Figures.MostAtOnce = max(w.Figures.MostAtOnce, n)
+	if n > workerCap {
+		w.fault("worker %s carries %d, cap %d", x.id, n, workerCap)
+	}
+	if up := w.Now.Sub(x.start); up < warm {
+		if most := max(1, int(int64(workerCap)*int64(up)/int64(warm))); n > most+1 {
+			w.fault("worker %s, %v old, carries %d", x.id, up, n)
+		}
+	}
+	if x.leaving > 0 {
+		late := w.Now.Sub(max(x.leaving, w.cutAt[e.H]))
+		if !w.excused(x.leaving, w.Now) {
+			w.Figures.LeaveMax = max(w.Figures.LeaveMax, late)
+			if late > 3*time.Second {
+				w.fault("worker %s got a run %v after it was marked as leaving, from %s", x.id, late, e.H.Addr)
+			}
+		}
+	}
+	if at, out := w.evac[x.zone]; out && at > 0 {
+		late := w.Now.Sub(max(at, w.cutAt[e.H]))
+		if !w.excused(at, w.Now) {
+			w.Figures.EvacMax = max(w.Figures.EvacMax, late)
+			if late > 5*time.Second {
+				w.fault("zone %s got a run %v after its evacuation, from %s", x.zone, late, e.H.Addr)
+			}
+		}
+	}
+	if w.full > 0 {
+		w.Figures.Back = max(w.Figures.Back, w.Now.Sub(w.full))
+		if b := w.Now.Sub(w.full); b > 12*time.Second {
+			w.fault("service came back %v after a full loss", b)
+		}
+		w.full = 0
+	}
+}
+
+const warm = 5 * time.Second
--- /dev/null
+++ b/internal/windtunnel/operators.go
@@ -0,0 +1,135 @@
+package windtunnel
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"seamshunt/internal/barograph"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// Op is one operator's call, as its history has it.
+type Op struct {
+	Key        string
+	Write      bool
+	From, To   units.Time // To is zero while it is open
+	Expect     units.Num
+	Code       synop.Code
+	Num        units.Num
+	Data       string
+	at         string
+	unresolved bool
+}
+
+type ackedConfig struct {
+	num  units.Num
+	at   units.Time
+	data string
+}
+
+// configText is a configuration whose bytes differ by n.
+func configText(n int) string {
+	return strings.ReplaceAll(fmt.Sprintf(`{"services":[{"name":"advice","pool":"main","cap":%d,"warm_ms":%d,"first_ms":150,"spread":3}],
+"promises":[{"name":"p6","first_ms":800,"deadline_ms":6000},{"name":"p4","first_ms":800,"deadline_ms":4000},{"name":"p20","first_ms":800,"deadline_ms":20000}],
+"layout":"# number %d\nmapping briefing { when path = '/v1/briefing' to advice promise p6 repeat }\nmapping notice { when path = '/v1/notice' to advice promise p4 once }\nmapping chat { when path = '/v1/chat' to advice promise p20 repeat }"}`,
+		workerCap, warm.Milliseconds(), n), "'", `\"`)
+}
+
+// anyCore picks a machine that an operator can reach.
+func (w *World) anyCore() *Core {
+	var l []*Host
+	for _, h := range w.coreH {
+		if w.alive(h) {
+			l = append(l, h)
+		}
+	}
+	if len(l) == 0 {
+		return nil
+	}
+	return w.cores[l[w.Rng.IntN(len(l))]]
+}
+
+// Call is one operator's call; its outcome goes into the history.
+func (w *World) Call(a barograph.Ask, done func(*Op)) {
+	c := w.anyCore()
+	if c == nil {
+		return
+	}
+	i := len(w.History)
+	w.History = append(w.History, Op{Key: a.Key, Write: a.Write, From: w.Now, Expect: a.Expect, Data: string(a.Data), at: c.H.Addr})
+	c.Ask(w.Sim, a, func(r barograph.Result) {
+		o := &w.History[i]
+		o.To, o.Code, o.Num = w.Now, r.Code, r.Num
+		if !a.Write && r.Code == synop.OK {
+			o.Data = string(r.Data)
+		}
+		if a.Write && r.Code == synop.OK && a.Key == "config" {
+			w.acked = append(w.acked, ackedConfig{r.Num, w.Now, string(a.Data)})
+		}
+		if done != nil {
+			done(o)
+		}
+	})
+}
+
+// change reads a key and writes on the number found.
+func (w *World) change(key, data string, done func(*Op)) {
+	w.Call(barograph.Ask{Key: key}, func(o *Op) {
+		if o.Code != synop.OK {
+			return
+		}
+		w.Call(barograph.Ask{Key: key, Write: true, Expect: o.Num, Plan: fmt.Sprintf("p%d", w.Rng.Uint64()), Data: []byte(data)}, done)
+	})
+}
+
+// Operators race each other over the configuration for a span: calls from two sides at random moments.
+func (w *World) Operators(until units.Time, gap time.Duration) {
+	if w.Now > until {
+		return
+	}
+	w.serial++
+	w.change("config", configText(w.serial), nil)
+	w.After(time.Duration(w.Rng.Int64N(int64(2*gap))), func() { w.Operators(until, gap) })
+}
+
+// Evacuate sets or withdraws a zone's evacuation; the promise counts from the acknowledgement.
+func (w *World) Evacuate(zone string, on bool) {
+	w.evac[zone] = 0
+	w.change("zone/"+zone, fmt.Sprintf(`{"evacuated":%v}`, on), func(o *Op) {
+		if o.Code == synop.OK && on {
+			w.evac[zone] = w.Now
+		} else if !on {
+			delete(w.evac, zone)
+		}
+	})
+}
+
+// watchConfig: in force within 2 s of the acknowledgement, or of the end of a cut, on every vane that serves and isn't cut off, never older again.
+func (w *World) watchConfig() {
+	for _, h := range w.edgeH {
+		e := w.edges[h]
+		if e == nil || !w.alive(h) || !e.Ready {
+			continue
+		}
+		if e.Num < w.nums[e] {
+			w.fault("%s slid back from configuration %d to %d", h.Addr, w.nums[e], e.Num)
+		}
+		w.nums[e] = e.Num
+		for i := len(w.acked) - 1; i >= 0; i-- {
+			a := w.acked[i]
+			late := w.Now.Sub(max(a.at, w.cutAt[h]))
+			if a.num <= e.Num || late <= 2*time.Second {
+				if a.num > e.Num {
+					w.Figures.ConfigMax = max(w.Figures.ConfigMax, late)
+				}
+				continue
+			}
+			if !w.excused(a.at, w.Now) {
+				w.fault("%s serves with configuration %d, %v after %d was acknowledged", h.Addr, e.Num, late, a.num)
+			}
+			break
+		}
+	}
+}
--- /dev/null
+++ b/internal/windtunnel/play.go
@@ -0,0 +1,66 @@
+package windtunnel
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"seamshunt/internal/barograph"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// Play runs a world from its start to its judgement: troubles drawn from the seed, everything healed at the
+// end but for a closing fault, then the read-back.
+func Play(p Place, seed uint64, names ...string) *World {
+	w := NewWorld(p, seed)
+	w.At(units.Time(3*time.Second), func() { w.change("config", configText(0), nil) })
+	w.At(units.Time(6*time.Second), func() { w.Operators(units.Time(55*time.Second), 2*time.Second) })
+	w.At(units.Time(10*time.Second), w.Load)
+	var l []Trouble
+	for _, t := range Troubles {
+		if slices.Contains(names, t.Name) {
+			l = append(l, t)
+		}
+	}
+	for len(names) == 0 && len(l) < 4 {
+		l = append(l, pick(w, Troubles))
+	}
+	for _, t := range l {
+		at := units.Time(12*time.Second) + units.Time(w.Rng.Int64N(int64(30*time.Second)))
+		span := 2*time.Second + time.Duration(w.Rng.Int64N(int64(6*time.Second)))
+		w.Plan = append(w.Plan, fmt.Sprintf("%v %s for %v", time.Duration(at).Round(time.Millisecond), t.Name, span.Round(time.Millisecond)))
+		w.At(at, func() { t.Do(w, span) })
+	}
+	w.Run(units.Time(70 * time.Second))
+	w.end()
+	return w
+}
+
+// end reads the configuration back and judges the histories.
+func (w *World) end() {
+	if w.full > 0 {
+		w.fault("service never came back after a full loss")
+	}
+	var last *Op
+	w.Call(barograph.Ask{Key: "config"}, func(o *Op) { last = o })
+	w.Run(w.Now.Add(5 * time.Second))
+	newest := ackedConfig{}
+	for _, a := range w.acked {
+		if a.num > newest.num {
+			newest = a
+		}
+	}
+	switch {
+	case last == nil || last.Code != synop.OK:
+		w.fault("the configuration can't be read back")
+	case last.Num < newest.num || last.Num == newest.num && last.Data != newest.data:
+		w.fault("read back number %d, acknowledged %d", last.Num, newest.num)
+	case len(w.acked) == 0:
+		w.fault("no configuration was ever acknowledged")
+	}
+	if w.Figures.Runs == 0 {
+		w.fault("no prompt ever ran")
+	}
+	w.Faults = append(w.Faults, Linear(w.History)...)
+}
--- /dev/null
+++ b/internal/windtunnel/play_test.go
@@ -0,0 +1,89 @@
+package windtunnel
+
+import (
+	"flag"
+	"testing"
+
+	"seamshunt/internal/synop"
+)
+
+var (
+	seeds = flag.Int("seeds", 3, "how many seeds each deployment is played with")
+	from  = flag.Uint64("from", 1, "the first seed")
+)
+
+func play(t *testing.T, p Place, seed uint64, names ...string) *World {
+	t.Helper()
+	w := Play(p, seed, names...)
+	for i, f := range w.Faults {
+		if i < 5 {
+			t.Errorf("%s seed %d %v: %s", p.Name, seed, w.Plan, f)
+		}
+	}
+	return w
+}
+
+// Troubles drawn from seeds, several a run, with traffic and operators' changes running (docs/promises.md).
+func TestSeeds(t *testing.T) {
+	for _, p := range []Place{Vatuloa, Council} {
+		t.Run(p.Name, func(t *testing.T) {
+			t.Parallel()
+			var f Figures
+			for s := *from; s < *from+uint64(*seeds); s++ {
+				w := play(t, p, s)
+				f.Runs += w.Figures.Runs
+				f.LeaveMax, f.EvacMax = max(f.LeaveMax, w.Figures.LeaveMax), max(f.EvacMax, w.Figures.EvacMax)
+				f.ConfigMax, f.Back = max(f.ConfigMax, w.Figures.ConfigMax), max(f.Back, w.Figures.Back)
+				f.MostAtOnce = max(f.MostAtOnce, w.Figures.MostAtOnce)
+			}
+			t.Logf("%d seeds: %d runs, at most %d at once; leaving %v, evacuated %v, configuration %v, back %v",
+				*seeds, f.Runs, f.MostAtOnce, f.LeaveMax, f.EvacMax, f.ConfigMax, f.Back)
+		})
+	}
+}
+
+// Each trouble alone.
+func TestEachTrouble(t *testing.T) {
+	for _, x := range Troubles {
+		t.Run(x.Name, func(t *testing.T) {
+			t.Parallel()
+			play(t, Vatuloa, *from, x.Name)
+			play(t, Council, *from, x.Name)
+		})
+	}
+}
+
+// A failing seed must replay: the same seed gives the same notes at the same times and the same disks.
+func TestReplay(t *testing.T) {
+	a, b := Play(Council, 5), Play(Council, 5)
+	if a.state() != b.state() {
+		t.Errorf("two runs of one seed differ:\n%s\n%s", a.state(), b.state())
+	}
+	if c := Play(Council, 6); c.state() == a.state() {
+		t.Error("two seeds give the same run: the seed has no say")
+	}
+}
+
+// The checker of histories must see planted violations.
+func TestLinearSeesViolations(t *testing.T) {
+	ok := synop.OK
+	good := []Op{
+		{Key: "k", Write: true, From: 1, To: 2, Expect: 0, Num: 1, Data: "a", Code: ok},
+		{Key: "k", From: 3, To: 4, Num: 1, Data: "a", Code: ok},
+		{Key: "k", Write: true, From: 3, To: 6, Expect: 1, Num: 2, Data: "b", Code: ok},
+		{Key: "k", From: 5, To: 7, Num: 1, Data: "a", Code: ok},
+	}
+	if bad := Linear(good); len(bad) > 0 {
+		t.Fatalf("a good history is refused: %v", bad)
+	}
+	for name, o := range map[string]Op{
+		"lost write":      {Key: "k", From: 8, To: 9, Num: 1, Data: "a", Code: ok},
+		"other bytes":     {Key: "k", From: 8, To: 9, Num: 2, Data: "x", Code: ok},
+		"two of a number": {Key: "k", Write: true, From: 3, To: 9, Expect: 1, Num: 2, Data: "b", Code: ok},
+		"gap":             {Key: "k", Write: true, From: 8, To: 9, Expect: 2, Num: 5, Data: "e", Code: ok},
+	} {
+		if len(Linear(append(append([]Op(nil), good...), o))) == 0 {
+			t.Errorf("%s is not seen", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/windtunnel/sim.go
@@ -0,0 +1,167 @@
+// Package windtunnel is the seeded simulator: virtual clock, network, disks and processes, running the
+// daemons' own step machines (design 1).
+package windtunnel
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+type event struct {
+	at  units.Time
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	l := *e
+	x := l[len(l)-1]
+	*e = l[:len(l)-1]
+	return x
+}
+
+// Proc is one process: its step machines behind two functions.
+type Proc struct {
+	Self    units.Node
+	Step    func(units.Time, station.Note) station.Out
+	Tick    func(units.Time) station.Out
+	Refused func(units.Time, string)
+	Woke    func(units.Time)
+	Reload  func() // the disk refused a write: the machines begin again from what it holds
+}
+
+// Host is one machine.
+type Host struct {
+	Addr   string
+	Zone   string
+	Disk   *Disk
+	Proc   *Proc
+	Dark   bool // its network is gone: no refusal comes back either
+	Frozen bool
+	life   int
+	held   []station.Note
+	start  func(h *Host) *Proc
+}
+
+// Sim is one world.
+type Sim struct {
+	Now   units.Time
+	Rng   *rand.Rand
+	Hosts []*Host
+	Loss  float64
+	cuts  []*func(from, to *Host) bool
+	Sent  int
+	Trace uint64
+	queue events
+	seq   uint64
+}
+
+const tickGap = 25 * time.Millisecond
+
+// New gives an empty world for a seed.
+func New(seed uint64) *Sim {
+	return &Sim{Rng: rand.New(rand.NewPCG(seed, 11))}
+}
+
+// Cut says whether nothing gets from one machine to the other.
+func (s *Sim) Cut(from, to *Host) bool {
+	for _, f := range s.cuts {
+		if (*f)(from, to) {
+			return true
+		}
+	}
+	return false
+}
+
+// At plans a thing for later.
+func (s *Sim) At(t units.Time, do func()) {
+	s.seq++
+	heap.Push(&s.queue, event{max(t, s.Now), s.seq, do})
+}
+
+// After plans a thing for a span from now.
+func (s *Sim) After(d time.Duration, do func()) { s.At(s.Now.Add(d), do) }
+
+// Run lets the world go on until t.
+func (s *Sim) Run(t units.Time) {
+	for len(s.queue) > 0 && s.queue[0].at <= t {
+		e := heap.Pop(&s.queue).(event)
+		s.Now = e.at
+		e.do()
+	}
+	s.Now = t
+}
+
+// Add puts a machine into the world and starts its process.
+func (s *Sim) Add(addr, zone string, disk *Disk, start func(h *Host) *Proc) *Host {
+	h := &Host{Addr: addr, Zone: zone, Disk: disk, start: start}
+	s.Hosts = append(s.Hosts, h)
+	s.Start(h)
+	return h
+}
+
+// Start runs a fresh process on a machine, from what its disk holds.
+func (s *Sim) Start(h *Host) {
+	h.life++
+	h.held, h.Frozen = nil, false
+	h.Proc = h.start(h)
+	life := h.life
+	var tick func()
+	tick = func() {
+		if h.life != life || h.Proc == nil {
+			return
+		}
+		if !h.Frozen {
+			s.out(h, h.Proc.Tick(s.Now))
+		}
+		s.After(tickGap, tick)
+	}
+	s.After(time.Duration(s.Rng.Int64N(int64(tickGap))), tick)
+}
+
+// Kill ends a process; what its disk has not synced is lost.
+func (s *Sim) Kill(h *Host) {
+	h.life++
+	h.Proc, h.Frozen, h.held = nil, false, nil
+	if h.Disk != nil {
+		h.Disk.crash()
+	}
+}
+
+// Freeze stops a process; the wires keep what comes.
+func (s *Sim) Freeze(h *Host) { h.Frozen = h.Proc != nil }
+
+// Thaw wakes it: it first notices the gap, then finds all that came.
+func (s *Sim) Thaw(h *Host) {
+	if !h.Frozen || h.Proc == nil {
+		return
+	}
+	h.Frozen = false
+	if h.Proc.Woke != nil {
+		h.Proc.Woke(s.Now)
+	}
+	held := h.held
+	h.held = nil
+	for _, n := range held {
+		s.out(h, h.Proc.Step(s.Now, n))
+	}
+}
+
+// Inject gives a host's machines something from outside the net, such as an operator's wish.
+func (s *Sim) Inject(h *Host, f func(now units.Time) station.Out) {
+	if h.Proc != nil && !h.Frozen {
+		s.out(h, f(s.Now))
+	}
+}
--- /dev/null
+++ b/internal/windtunnel/trouble.go
@@ -0,0 +1,219 @@
+package windtunnel
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Trouble is one failure that can be brought about; each heals itself.
+type Trouble struct {
+	Name string
+	Do   func(w *World, span time.Duration)
+}
+
+func pick[T any](w *World, l []T) T { return l[w.Rng.IntN(len(l))] }
+
+// Troubles are all of them, for scripts drawn from a seed.
+var Troubles = []Trouble{
+	{"kill vane", func(w *World, d time.Duration) { w.bounce(pick(w, w.edgeH), d, true) }},
+	{"kill barometer", func(w *World, d time.Duration) { w.bounce(pick(w, w.coreH), d, true) }},
+	{"power lost on a barometer", func(w *World, d time.Duration) { w.bounce(pick(w, w.coreH), d, false) }},
+	{"power lost on a vane", func(w *World, d time.Duration) { w.bounce(pick(w, w.edgeH), d, false) }},
+	{"freeze vane", func(w *World, d time.Duration) { w.freeze(pick(w, w.edgeH), d) }},
+	{"freeze vane past every permit", func(w *World, d time.Duration) { w.freeze(pick(w, w.edgeH), 22*time.Second) }},
+	{"freeze barometer", func(w *World, d time.Duration) { w.freeze(pick(w, w.coreH), d) }},
+	{"vane cut off", func(w *World, d time.Duration) { w.dark(pick(w, w.edgeH), d) }},
+	{"barometer cut off", func(w *World, d time.Duration) { w.dark(pick(w, w.coreH), d) }},
+	{"slow disk", func(w *World, d time.Duration) { w.slow(pick(w, w.coreH), 150*time.Millisecond, d) }},
+	{"stalled disk", func(w *World, d time.Duration) {
+		h := pick(w, w.coreH)
+		h.Disk.Stalled = true
+		w.After(d, func() { h.Disk.Stalled = false })
+	}},
+	{"full disk", func(w *World, d time.Duration) {
+		if !w.Fills {
+			return
+		}
+		h := pick(w, w.coreH)
+		h.Disk.Full = true
+		w.After(d, func() { h.Disk.Full = false })
+	}},
+	{"core cut in two", func(w *World, d time.Duration) { w.cutCore(d, false) }},
+	{"one-way cut", func(w *World, d time.Duration) { w.cutCore(d, true) }},
+	{"core cut off", func(w *World, d time.Duration) {
+		w.cut(d, func(a, b *Host) bool { return (a.Disk != nil) != (b.Disk != nil) })
+	}},
+	{"zone cut", func(w *World, d time.Duration) {
+		z := pick(w, w.Cores)
+		w.cut(d, func(a, b *Host) bool { return (a.Zone == z) != (b.Zone == z) })
+	}},
+	{"lossy net", func(w *World, d time.Duration) {
+		w.Loss = 0.1
+		w.After(d, func() { w.Loss = 0 })
+	}},
+	{"zone lost", func(w *World, d time.Duration) {
+		z := pick(w, w.Cores)
+		for _, h := range append(slices.Clone(w.coreH), w.edgeH...) {
+			if h.Zone == z {
+				w.bounce(h, d, false)
+			}
+		}
+	}},
+	{"core machine replaced by an empty one", func(w *World, _ time.Duration) { w.replace(w.Rng.IntN(len(w.coreH))) }},
+	{"everything lost", func(w *World, _ time.Duration) { w.loseAll() }},
+	{"rolling restart", func(w *World, _ time.Duration) { w.roll() }},
+	{"worker leaves", func(w *World, _ time.Duration) { w.leave() }},
+	{"worker lost and replaced", func(w *World, d time.Duration) { w.crash(d) }},
+	{"evacuation and withdrawal", func(w *World, d time.Duration) {
+		z := pick(w, w.Cores)
+		w.Evacuate(z, true)
+		w.After(max(d, 8*time.Second), func() { w.Evacuate(z, false) })
+	}},
+	{"storm of configurations", func(w *World, _ time.Duration) { w.Operators(w.Now.Add(3*time.Second), 60*time.Millisecond) }},
+	{"platform fails", func(w *World, d time.Duration) {
+		w.mood = "refuse"
+		w.After(d, func() { w.mood = "" })
+	}},
+	{"crowd", func(w *World, d time.Duration) {
+		w.rate *= 5
+		w.After(d, func() { w.rate /= 5 })
+	}},
+}
+
+func (w *World) bounce(h *Host, d time.Duration, refused bool) {
+	if h.Proc == nil {
+		return
+	}
+	w.Kill(h)
+	if refused {
+		w.Refuse(h)
+	}
+	w.After(d, func() {
+		if h.Proc == nil {
+			w.Start(h)
+		}
+	})
+}
+
+func (w *World) freeze(h *Host, d time.Duration) {
+	if h.Proc == nil || h.Frozen {
+		return
+	}
+	w.Freeze(h)
+	life := h.life
+	w.After(d, func() {
+		if h.life == life {
+			w.Thaw(h)
+		}
+	})
+}
+
+func (w *World) dark(h *Host, d time.Duration) {
+	h.Dark = true
+	w.After(d, func() { h.Dark = false })
+}
+
+func (w *World) slow(h *Host, by, d time.Duration) {
+	old := h.Disk.Delay
+	h.Disk.Delay = by
+	w.After(d, func() { h.Disk.Delay = old })
+}
+
+func (w *World) cut(d time.Duration, f func(a, b *Host) bool) {
+	c := &f
+	w.cuts = append(w.cuts, c)
+	w.After(d, func() { w.cuts = slices.DeleteFunc(w.cuts, func(x *func(a, b *Host) bool) bool { return x == c }) })
+}
+
+// cutCore parts the core in two; one way only if so wished.
+func (w *World) cutCore(d time.Duration, oneWay bool) {
+	side := map[*Host]bool{}
+	for i, h := range w.coreH {
+		side[h] = i < len(w.coreH)/2
+	}
+	w.cut(d, func(a, b *Host) bool {
+		if a.Disk == nil || b.Disk == nil {
+			return false
+		}
+		return side[a] && !side[b] || !oneWay && side[b] && !side[a]
+	})
+}
+
+// replace loses a core machine with its disk and brings an empty one at a new address.
+func (w *World) replace(i int) {
+	h := w.coreH[i]
+	if h.Proc == nil {
+		return
+	}
+	w.Kill(h)
+	h.Disk.Wipe()
+	w.serial++
+	h.Addr = fmt.Sprintf("core%d.%d", i+1, w.serial)
+	w.After(time.Second, func() {
+		if h.Proc == nil {
+			w.Start(h)
+		}
+	})
+}
+
+func (w *World) loseAll() {
+	all := append(slices.Clone(w.coreH), w.edgeH...)
+	for _, h := range all {
+		if h.Proc != nil {
+			w.Kill(h)
+		}
+	}
+	w.After(time.Second, func() {
+		for _, h := range all {
+			if h.Proc == nil {
+				w.Start(h)
+			}
+		}
+		if w.whole() {
+			w.full = w.Now
+		}
+	})
+}
+
+// whole says whether nothing else is broken just now, so that limits count.
+func (w *World) whole() bool {
+	for _, h := range append(slices.Clone(w.coreH), w.edgeH...) {
+		if !w.alive(h) || h.Disk != nil && (h.Disk.Stalled || h.Disk.Full || h.Disk.Delay > 10*time.Millisecond) {
+			return false
+		}
+	}
+	return w.Loss == 0 && w.mood == "" && !w.Cut(w.coreH[0], w.coreH[1]) && !w.Cut(w.coreH[0], w.edgeH[0]) && !w.Cut(w.coreH[1], w.coreH[0])
+}
+
+// roll restarts every process of the product, one by one.
+func (w *World) roll() {
+	for i, h := range append(slices.Clone(w.edgeH), w.coreH...) {
+		w.After(time.Duration(i)*1500*time.Millisecond, func() { w.bounce(h, 500*time.Millisecond, true) })
+	}
+}
+
+func (w *World) leave() {
+	i := w.Rng.IntN(len(w.listed))
+	if w.listed[i].Leaving {
+		return
+	}
+	w.listed[i].Leaving = true
+	w.workers[w.listed[i].ID].leaving = w.Now
+	w.addWorker(w.listed[i].Zone, 0)
+}
+
+func (w *World) crash(d time.Duration) {
+	i := w.Rng.IntN(len(w.listed))
+	x := w.workers[w.listed[i].ID]
+	x.up = false
+	w.After(d, func() {
+		for i, y := range w.listed {
+			if y.ID == x.id {
+				w.listed = slices.Delete(w.listed, i, i+1)
+				w.addWorker(x.zone, 0)
+				return
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/windtunnel/world.go
@@ -0,0 +1,249 @@
+package windtunnel
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"seamshunt/internal/barograph"
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/units"
+)
+
+// Place is a deployment's shape.
+type Place struct {
+	Name  string
+	Cores []string // zone of each machine with a disk
+	Edges []string
+	Work  []string // zone of each worker
+	Fills bool     // its disks may fill
+}
+
+func spread(zones []string, counts ...int) []string {
+	var l []string
+	for i, n := range counts {
+		for range n {
+			l = append(l, zones[i])
+		}
+	}
+	return l
+}
+
+// The two deployments.
+var (
+	Vatuloa = Place{"vatuloa", []string{"v1", "v2", "v3"}, spread([]string{"v1", "v2", "v3"}, 3, 3, 3), spread([]string{"v1", "v2", "v3"}, 6, 6, 6), true}
+	Council = Place{"council", []string{"t1", "t2", "t3", "t4"}, spread([]string{"t1", "t2", "t3", "t4"}, 2, 2, 2, 1),
+		spread([]string{"t1", "t2", "t3", "t4"}, 5, 5, 4, 4), false}
+)
+
+const workerCap = 4
+
+// World is a deployment in the simulator with its workers, prompts, operators and platform.
+type World struct {
+	*Sim
+	Place
+	cores   map[*Host]*Core
+	edges   map[*Host]*Edge
+	coreH   []*Host
+	edgeH   []*Host
+	seeds   []string
+	workers map[string]*work
+	listed  []forecast.Worker
+	born    map[string]units.Time
+	mood    string
+	History []Op
+	Faults  []string
+	Figures Figures
+	down    []window // spans without a majority of healthy disks
+	evac    map[string]units.Time
+	rate    float64
+	full    units.Time // when all was started again after a full loss, until service is back
+	serial  int
+	polled  units.Time
+	acked   []ackedConfig
+	nums    map[*Edge]units.Num
+	cutAt   map[*Host]units.Time // when a machine last had no path to the core's majority
+	Plan    []string
+}
+
+type window struct{ from, to units.Time }
+
+// Figures are a world's measured distributions, in virtual time.
+type Figures struct {
+	Runs, Refused, Lost     int
+	LeaveMax, EvacMax, Back time.Duration
+	ConfigMax               time.Duration
+	MostAtOnce              int
+	Cross                   int
+	DutyGap                 time.Duration
+}
+
+// NewWorld builds a deployment; nothing has found anything yet.
+func NewWorld(p Place, seed uint64) *World {
+	w := &World{Sim: New(seed), Place: p, cores: map[*Host]*Core{}, edges: map[*Host]*Edge{}, workers: map[string]*work{},
+		born: map[string]units.Time{}, evac: map[string]units.Time{}, rate: 20, nums: map[*Edge]units.Num{}, cutAt: map[*Host]units.Time{}}
+	for i := range p.Cores {
+		w.seeds = append(w.seeds, fmt.Sprintf("core%d", i+1))
+	}
+	w.seeds = w.seeds[:3]
+	for i, z := range p.Cores {
+		w.coreH = append(w.coreH, w.Core(fmt.Sprintf("core%d", i+1), z, len(p.Cores), w.seeds, w.cores))
+	}
+	for i, z := range p.Edges {
+		w.edgeH = append(w.edgeH, w.Edge(fmt.Sprintf("n%d", i+1), z, w.seeds, w.edges))
+	}
+	for _, z := range p.Work {
+		w.addWorker(z, time.Hour)
+	}
+	w.After(100*time.Millisecond, w.pollLoop)
+	w.After(100*time.Millisecond, w.watchLoop)
+	return w
+}
+
+func (w *World) fault(format string, a ...any) {
+	w.Faults = append(w.Faults, fmt.Sprintf("%8.3f s: ", time.Duration(w.Now).Seconds())+fmt.Sprintf(format, a...))
+}
+
+func (w *World) addWorker(zone string, age time.Duration) *work {
+	w.serial++
+	id := fmt.Sprintf("w%02d", w.serial)
+	x := &work{id: id, zone: zone, runs: map[*run]bool{}, up: true, start: w.Now.Add(-age)}
+	w.workers[id] = x
+	w.listed = append(w.listed, forecast.Worker{ID: id, Addr: id, Zone: zone})
+	return x
+}
+
+func (w *World) alive(h *Host) bool { return h.Proc != nil && !h.Frozen && !h.Dark }
+
+// pollLoop is the platform duty: whoever holds it asks, and writes a list that differs.
+func (w *World) pollLoop() {
+	w.After(500*time.Millisecond, w.pollLoop)
+	if w.mood != "" {
+		return
+	}
+	for _, h := range w.coreH {
+		c := w.cores[h]
+		if !w.alive(h) || !c.Duty.Holds(w.Now) {
+			continue
+		}
+		l := slices.Clone(w.listed)
+		for i := range l {
+			l[i].Age = w.Now.Sub(w.workers[l[i].ID].start)
+		}
+		num := units.Num(0)
+		if it := c.bull.Items["workers/main"]; it != nil {
+			num = it.Num
+			old, _ := forecast.ReadWorkers(it.Data)
+			if sameList(old, l) {
+				continue
+			}
+		}
+		c.Ask(w.Sim, barograph.Ask{Key: "workers/main", Write: true, Expect: num, Data: forecast.PackWorkers(l)}, func(barograph.Result) {})
+	}
+}
+
+func sameList(a, b []forecast.Worker) bool {
+	return slices.EqualFunc(a, b, func(x, y forecast.Worker) bool { return x.ID == y.ID && x.Leaving == y.Leaving })
+}
+
+// healthy says whether a majority of the voters' disks could answer now.
+func (w *World) healthy() bool {
+	var v barograph.Voters
+	for _, h := range w.coreH {
+		if c := w.cores[h]; c != nil && c.Baro.Voters().Ver > v.Ver {
+			v = c.Baro.Voters()
+		}
+	}
+	ok := map[units.Node]bool{}
+	for _, h := range w.coreH {
+		if w.alive(h) && !h.Disk.Stalled && !h.Disk.Full && h.Disk.Delay < 400*time.Millisecond {
+			reach := 0
+			for _, o := range w.coreH {
+				if w.alive(o) && !w.Cut(h, o) && !w.Cut(o, h) {
+					reach++
+				}
+			}
+			ok[h.Disk.ID] = reach > len(v.IDs)/2
+		}
+	}
+	return v.Most(ok) && w.Loss < 0.2
+}
+
+// excused says whether control could not act for a time within the span: then a limit can't be kept (docs/promises.md).
+func (w *World) excused(from, to units.Time) bool {
+	for _, x := range w.down {
+		if x.from <= to && (x.to == 0 || x.to.Add(settle) >= from) {
+			return true
+		}
+	}
+	return false
+}
+
+// settle is what control may take to be itself again once a majority is back: the duty's term, owners' epochs.
+const settle = 4 * time.Second
+
+// watchLoop looks at the promises that hold at every moment.
+func (w *World) watchLoop() {
+	w.After(50*time.Millisecond, w.watchLoop)
+	n := len(w.down)
+	open := n > 0 && w.down[n-1].to == 0
+	switch ok := w.healthy(); {
+	case !ok && !open:
+		w.down = append(w.down, window{from: w.Now})
+	case ok && open:
+		w.down[n-1].to = w.Now
+	}
+	holders := 0
+	for _, h := range w.coreH {
+		if h.Proc != nil && !h.Frozen && w.cores[h].Duty.Holds(w.Now) {
+			holders++
+		}
+	}
+	if holders > 1 {
+		w.fault("%d nodes hold one duty", holders)
+	}
+	w.watchPaths()
+	w.watchConfig()
+}
+
+// watchPaths notes which machines have no path to a core that could answer.
+func (w *World) watchPaths() {
+	all := append(slices.Clone(w.coreH), w.edgeH...)
+	var seen map[*Host]bool
+	for _, h := range w.coreH {
+		got, cores := map[*Host]bool{h: true}, 0
+		for list := []*Host{h}; len(list) > 0; list = list[1:] {
+			for _, o := range all {
+				if !got[o] && w.alive(o) && w.alive(list[0]) && !w.Cut(list[0], o) && !w.Cut(o, list[0]) {
+					got[o] = true
+					list = append(list, o)
+				}
+			}
+		}
+		for _, o := range w.coreH {
+			if got[o] && w.alive(o) {
+				cores++
+			}
+		}
+		if cores > len(w.coreH)/2 {
+			seen = got
+			break
+		}
+	}
+	for _, h := range all {
+		if !seen[h] {
+			w.cutAt[h] = w.Now
+		}
+	}
+}
+
+// state hashes what all hosts hold, for comparing two runs of a seed.
+func (w *World) state() string {
+	s := fmt.Sprintf("%d notes, trace %x, runs %d, refused %d", w.Sent, w.Trace, w.Figures.Runs, w.Figures.Refused)
+	for _, h := range w.coreH {
+		for _, r := range h.Disk.Records() {
+			s += fmt.Sprintf(" %d%s%x", r.Kind, r.Key, units.Mix(string(r.Data)))
+		}
+	}
+	return s
+}
