Claims for what may not repeat, repair by range digests, both in the simulator

Conclusion: only a node whose claim was granted may say 'not run' for a key and burn it; a claim that finds no majority is answered 309 with not_run false. Repair sends the owner's last Accept once more, so a voter's promise guards it; at the end of every simulated run all voters' copies must be alike.

--- a/internal/barod/baro.go
+++ b/internal/barod/baro.go
@@ -17,6 +17,7 @@
 	"seamshunt/internal/barograph"
 	"seamshunt/internal/boot"
 	"seamshunt/internal/bulletin"
+	"seamshunt/internal/isobar"
 	"seamshunt/internal/mast"
 	"seamshunt/internal/station"
 	"seamshunt/internal/tower"
@@ -40,6 +41,7 @@
 	web     *fasthttp.Server
 	polled  poll
 	doctor  barograph.Doctor
+	iso     *isobar.Isobar // under baroMu
 }
 
 // New opens the disk, and with it learns who it is.
@@ -60,7 +62,13 @@
 	}
 	c.tag.Store(uint64(tower.Random()) >> 2)
 	c.duty = ballot.New(self, "platform", func() []units.Node { return c.voters().IDs }, c.Crew.Now(), mrand.New(mrand.NewPCG(uint64(tower.Random()), 1)))
+	c.iso = isobar.New(self, c.Crew.Now(), mrand.New(mrand.NewPCG(uint64(tower.Random()), 2)))
 	c.Later = c.later
+	c.Steps[station.Isobar] = func(_ units.Time, n station.Note) {
+		c.baroMu.Lock()
+		c.Deliver(c.iso.Step(n, c.baro.Slots(), c.baro.Mend))
+		c.baroMu.Unlock()
+	}
 	c.Woke = func(units.Time) { c.dutyMu.Lock(); c.duty.Drop(); c.dutyMu.Unlock() }
 	c.Refused = func(now units.Time, l []units.Node) {
 		c.dutyMu.Lock()
@@ -198,6 +206,7 @@
 		c.baro.Want(now, ids)
 	}
 	out := c.baro.Tick(now)
+	out.Join(c.iso.Tick(now, c.baro.Voters().IDs, c.baro.Slots()))
 	voter := c.baro.Voters().Has(c.Self)
 	news := c.drain()
 	c.Deliver(out)
--- a/internal/barograph/voter.go
+++ b/internal/barograph/voter.go
@@ -107,5 +107,17 @@
 	return m
 }
 
+// Mend sends a key's accepted value to another voter as its owner's Accept once more: a voter that has since
+// promised a higher epoch refuses it, as it would a late one.
+func (b *Barograph) Mend(to units.Node, key string) (out station.Out) {
+	s := b.slots[key]
+	if s == nil || s.Num == 0 {
+		return out
+	}
+	h := head{N: s.Acc.N, By: uint64(s.Acc.By), Seq: s.Seq, Num: uint64(s.Num)}
+	out.Later(to, Accept, b.pack(h, key, s.Body))
+	return out
+}
+
 // Slots gives the voter's state for repair and status; the caller must not change it.
 func (b *Barograph) Slots() map[string]*Slot { return b.slots }
--- a/internal/synop/synop.go
+++ b/internal/synop/synop.go
@@ -17,6 +17,7 @@
 	BadKey       Code = 206
 	Claimed      Code = 207
 	NotFound     Code = 208
+	Burned       Code = 209
 	WaitFull     Code = 301
 	WaitLate     Code = 302
 	NoWorker     Code = 303
@@ -70,7 +71,7 @@
 		return 404
 	case TooLarge, ConfigLarge:
 		return 413
-	case Claimed, Conflict:
+	case Claimed, Burned, Conflict:
 		return 409
 	case Unknown, BrokenStream, Unsure:
 		return 502
--- /dev/null
+++ b/internal/vaned/claim.go
@@ -0,0 +1,102 @@
+package vaned
+
+import (
+	"time"
+
+	"seamshunt/internal/anemometer"
+	"seamshunt/internal/mast"
+	"seamshunt/internal/screen"
+	"seamshunt/internal/station"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// screened does a thing under the screen's lock, and passes results to those who wait.
+func (v *Vane) screened(f func() station.Out) {
+	v.screenMu.Lock()
+	out := f()
+	for _, r := range v.screen.Results {
+		if c := v.claims[r.Token]; c != nil {
+			delete(v.claims, r.Token)
+			c <- r.Code
+		}
+	}
+	v.screen.Results = nil
+	v.screenMu.Unlock()
+	v.Deliver(out)
+}
+
+// screenTick moves claims on; the longest time left of what may not repeat is how long a start abstains at most.
+func (v *Vane) screenTick(now units.Time) {
+	var longest time.Duration
+	if r := v.rules.Load(); r != nil {
+		longest = time.Second
+		for _, m := range r.Mappings {
+			if m.Once {
+				longest = max(longest, m.Promise.Longest)
+			}
+		}
+	}
+	var peers []units.Node
+	for _, m := range v.Members() {
+		if m.Role == mast.Vane && m.State <= mast.Suspect && m.Node != v.Self {
+			peers = append(peers, m.Node)
+		}
+	}
+	v.screened(func() station.Out { return v.screen.Tick(now, peers, longest) })
+}
+
+// claim takes the caller's key for a mapping that may not repeat, before anything is handed over (design 8).
+func (w *way) claim() bool {
+	if w.key == "" {
+		return false
+	}
+	v := w.v
+	key := w.m.Name + "/" + w.key
+	token := v.tag.Add(1)<<8 ^ uint64(v.Self)
+	c := make(chan synop.Code, 1)
+	holders := screen.Holders(v.Members(), key)
+	v.screened(func() station.Out {
+		v.claims[token] = c
+		return v.screen.Claim(v.Crew.Now(), token, key, holders)
+	})
+	t := time.NewTicker(peekAt)
+	defer t.Stop()
+	for {
+		select {
+		case code := <-c:
+			if code == synop.OK {
+				w.claimed, w.holders = key, holders
+			}
+			return w.claimedAs(code)
+		case <-t.C:
+			if anemometer.HungUp(w.ctx.Conn()) {
+				v.screenMu.Lock()
+				delete(v.claims, token)
+				v.screenMu.Unlock()
+				return w.hungUp(0)
+			}
+		}
+	}
+}
+
+func (w *way) claimedAs(c synop.Code) bool {
+	switch c {
+	case synop.OK:
+		return false
+	case synop.Claimed:
+		w.v.refuse(w.ctx, c, "the key is claimed already: its request ran, or may run", false, 0)
+	case synop.Burned:
+		w.v.refuse(w.ctx, c, "the key's request was said not to run, and it never will: take a new key", true, 0)
+	default:
+		w.v.refuse(w.ctx, c, "the key could not be claimed: a copy of the request may run elsewhere", false, time.Second)
+	}
+	return true
+}
+
+// burn keeps "not run" true for a key whose copy may still be on its way.
+func (w *way) burn() {
+	if w.claimed != "" {
+		w.v.screened(func() station.Out { return w.v.screen.Burn(w.claimed, w.holders) })
+	}
+}
--- a/internal/vaned/stream.go
+++ b/internal/vaned/stream.go
@@ -25,6 +25,7 @@
 		w.v.refuse(w.ctx, synop.Unknown, "the outcome is unknown: it may have run", false, 0)
 		return
 	}
+	w.burn()
 	s := w.rules.Services[w.m.To[0]]
 	w.v.refuse(w.ctx, c, reasons[c], true, back(s.RetryAfter, s.Jitter, w.due))
 }
@@ -36,8 +37,6 @@
 	synop.OutOfTime: "out of time",
 	synop.Budget:    "no further try is left in the budget",
 	synop.WorkerNo:  "the workers refused",
-	synop.NoClaim:   "the key could not be claimed",
-	synop.Claimed:   "the key is claimed already: its request ran or may run",
 }
 
 // stream begins the caller's answer; the rest is read from the try as it comes.
--- a/internal/vaned/vane.go
+++ b/internal/vaned/vane.go
@@ -15,7 +15,9 @@
 	"seamshunt/internal/gauge"
 	"seamshunt/internal/hygrometer"
 	"seamshunt/internal/mast"
+	"seamshunt/internal/screen"
 	"seamshunt/internal/station"
+	"seamshunt/internal/synop"
 	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
 	"seamshunt/internal/windvane"
@@ -32,37 +34,44 @@
 // Vane is one process of the data plane.
 type Vane struct {
 	*tower.Tower
-	rules   atomic.Pointer[rules]
-	tableMu sync.Mutex
-	table   table
-	deskMu  sync.Mutex
-	desk    *hygrometer.Hygrometer
-	doors   map[uint64]chan verdict
-	gaugeMu sync.Mutex
-	gauge   *gauge.Gauge
-	wind    windvane.Windvane
-	budget  sync.Map // service to *anemometer.Budget
-	tag     atomic.Uint64
-	ready   atomic.Bool
-	leaving atomic.Bool
-	static  atomic.Int64 // since when no barometer has been heard, zero while one is
-	asked   units.Time
-	began   units.Time
-	flight  atomic.Int64
-	web     *fasthttp.Server
-	stats   stats
+	rules    atomic.Pointer[rules]
+	tableMu  sync.Mutex
+	table    table
+	deskMu   sync.Mutex
+	desk     *hygrometer.Hygrometer
+	doors    map[uint64]chan verdict
+	gaugeMu  sync.Mutex
+	gauge    *gauge.Gauge
+	screenMu sync.Mutex
+	screen   *screen.Screen
+	claims   map[uint64]chan synop.Code
+	wind     windvane.Windvane
+	budget   sync.Map // service to *anemometer.Budget
+	tag      atomic.Uint64
+	ready    atomic.Bool
+	leaving  atomic.Bool
+	static   atomic.Int64 // since when no barometer has been heard, zero while one is
+	asked    units.Time
+	began    units.Time
+	flight   atomic.Int64
+	web      *fasthttp.Server
+	stats    stats
 }
 
 // New builds a vane.
 func New(b *boot.Boot) *Vane {
-	v := &Vane{Tower: tower.New(b, tower.Random(), mast.Vane), doors: map[uint64]chan verdict{}}
+	v := &Vane{Tower: tower.New(b, tower.Random(), mast.Vane), doors: map[uint64]chan verdict{}, claims: map[uint64]chan synop.Code{}}
 	v.desk = hygrometer.New(v.Self)
 	v.gauge = gauge.New(v.Self)
+	v.screen = screen.New(v.Self, v.Crew.Now())
 	v.table = newTable()
 	v.tag.Store(uint64(tower.Random()) >> 1)
 	v.Woke = v.woke
 	v.Refused = v.gone
 	v.Steps[station.Gauge] = v.permits
+	v.Steps[station.Claim] = func(now units.Time, n station.Note) {
+		v.screened(func() station.Out { return v.screen.Step(now, n) })
+	}
 	return v
 }
 
@@ -127,6 +136,7 @@
 	out.Join(v.gauge.Tick(now))
 	v.gaugeMu.Unlock()
 	v.Deliver(out)
+	v.screenTick(now)
 	v.confirm(now)
 }
 
--- a/internal/vaned/way.go
+++ b/internal/vaned/way.go
@@ -31,6 +31,8 @@
 	sent      int // hand-overs whose bytes may have left
 	sure      bool
 	why       synop.Code
+	claimed   string // the key whose claim was granted, with its mapping
+	holders   []units.Node
 	due       time.Duration
 	streaming bool
 }
@@ -48,9 +50,6 @@
 	return false
 }
 
-// claim takes the caller's key for a mapping that may not repeat.
-func (w *way) claim() bool { return false }
-
 // try offers the prompt to one service. True ends the request's way.
 func (w *way) try(service string) bool {
 	s := w.rules.Services[service]
--- a/internal/windtunnel/core.go
+++ b/internal/windtunnel/core.go
@@ -7,6 +7,7 @@
 	"seamshunt/internal/ballot"
 	"seamshunt/internal/barograph"
 	"seamshunt/internal/bulletin"
+	"seamshunt/internal/isobar"
 	"seamshunt/internal/mast"
 	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
@@ -51,6 +52,7 @@
 	Baro  *barograph.Barograph
 	Duty  *ballot.Ballot
 	doc   barograph.Doctor
+	Iso   *isobar.Isobar
 	waits map[uint64]func(barograph.Result)
 	tag   uint64
 	Drain bool
@@ -78,6 +80,7 @@
 		}
 		c.Reload()
 		c.Duty = ballot.New(self, "platform", func() []units.Node { return c.Baro.Voters().IDs }, s.Now, rand.New(rand.NewPCG(s.Rng.Uint64(), 5)))
+		c.Iso = isobar.New(self, s.Now, rand.New(rand.NewPCG(s.Rng.Uint64(), 6)))
 		c.bull.Stored = func() map[string]units.Num { return c.Baro.Stored() }
 		cores[h] = c
 		return c.Proc
@@ -92,6 +95,8 @@
 		return c.bull.Step(now, n)
 	case station.Ballot:
 		return c.Duty.Step(now, n)
+	case station.Isobar:
+		return c.Iso.Step(n, c.Baro.Slots(), c.Baro.Mend)
 	case station.Barograph:
 		out := c.Baro.Step(now, n)
 		c.drain(now, &out)
@@ -118,6 +123,7 @@
 	c.mast.Flag(mast.Voter, voter)
 	c.drain(now, &out)
 	out.Join(c.Duty.Tick(now, voter && !c.Drain))
+	out.Join(c.Iso.Tick(now, c.Baro.Voters().IDs, c.Baro.Slots()))
 	return out
 }
 
--- a/internal/windtunnel/edge.go
+++ b/internal/windtunnel/edge.go
@@ -12,7 +12,9 @@
 	"seamshunt/internal/gauge"
 	"seamshunt/internal/hygrometer"
 	"seamshunt/internal/mast"
+	"seamshunt/internal/screen"
 	"seamshunt/internal/station"
+	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 	"seamshunt/internal/windvane"
 )
@@ -32,6 +34,8 @@
 	desk    *hygrometer.Hygrometer
 	gauge   *gauge.Gauge
 	watch   *gauge.Watch
+	screen  *screen.Screen
+	claims  map[uint64]func(synop.Code)
 	wind    windvane.Windvane
 	peers   []gauge.Peer
 	began   units.Time
@@ -46,7 +50,7 @@
 	return s.Add(addr, zone, nil, func(h *Host) *Proc {
 		self := units.Node(s.Rng.Uint64() | 1)
 		e := &Edge{common: s.common(h, self, mast.Vane, seeds), H: h, Pools: map[string][]forecast.Worker{}, Out: map[string]bool{},
-			first: map[string]units.Time{}, desk: hygrometer.New(self), gauge: gauge.New(self), watch: gauge.NewWatch(), began: s.Now,
+			first: map[string]units.Time{}, desk: hygrometer.New(self), gauge: gauge.New(self), watch: gauge.NewWatch(), screen: screen.New(self, s.Now), claims: map[uint64]func(synop.Code){}, began: s.Now,
 			verdict: map[uint64]func(hygrometer.Verdict){}, tag: s.Rng.Uint64() >> 8}
 		e.Proc = &Proc{Self: self, Step: e.step, Tick: e.tick, Woke: func(now units.Time) {
 			e.unready()
@@ -83,6 +87,9 @@
 			out.Join(e.gauge.Step(now, n))
 		}
 		e.tell()
+	case station.Claim:
+		out = e.screen.Step(now, n)
+		e.tell()
 	}
 	return out
 }
@@ -96,6 +103,14 @@
 			f(v)
 		}
 	}
+	results := e.screen.Results
+	e.screen.Results = nil
+	for _, r := range results {
+		if f := e.claims[r.Token]; f != nil {
+			delete(e.claims, r.Token)
+			f(r.Code)
+		}
+	}
 }
 
 func (e *Edge) tick(now units.Time) station.Out {
@@ -123,6 +138,15 @@
 	}
 	e.gauge.Workers(ws)
 	e.gauge.View(peers, e.watch.Holds(longest))
+	var others []units.Node
+	for _, m := range all {
+		if m.Role == mast.Vane && m.State <= mast.Suspect && m.Node != e.Self {
+			others = append(others, m.Node)
+		}
+	}
+	if e.Config != nil {
+		out.Join(e.screen.Tick(now, others, 4*time.Second))
+	}
 	out.Join(e.desk.Tick(now))
 	out.Join(e.gauge.Tick(now))
 	e.tell()
--- a/internal/windtunnel/load.go
+++ b/internal/windtunnel/load.go
@@ -7,6 +7,7 @@
 
 	"seamshunt/internal/gauge"
 	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/screen"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 	"seamshunt/internal/windvane"
@@ -52,10 +53,57 @@
 	}
 	e := l[w.Rng.IntN(len(l))]
 	longest := []time.Duration{6 * time.Second, 4 * time.Second, 20 * time.Second}[w.Rng.IntN(3)]
-	w.admit(e, w.Now.Add(longest), w.Rng.IntN(40))
+	if longest != 4*time.Second {
+		w.admit(e, w.Now.Add(longest), w.Rng.IntN(40), "")
+		return
+	}
+	w.serial++
+	key := fmt.Sprintf("key%d", w.serial)
+	w.notice(e, key)
+	if w.Rng.IntN(3) == 0 {
+		// The caller's own copy, by way of another node, at once or late.
+		o := pick(w, l)
+		w.After(time.Duration(w.Rng.Int64N(int64(5*time.Second))), func() {
+			if w.alive(o.H) && w.edges[o.H] == o && o.Ready {
+				w.notice(o, key)
+			}
+		})
+	}
 }
 
-func (w *World) admit(e *Edge, until units.Time, topic int) {
+// notice may not repeat: its key is claimed first.
+func (w *World) notice(e *Edge, key string) {
+	e.tag++
+	token := e.tag<<8 ^ uint64(e.Self)
+	until := w.Now.Add(4 * time.Second)
+	holders := screen.Holders(e.mast.All(), key)
+	e.claims[token] = func(c synop.Code) {
+		switch {
+		case c == synop.OK && w.Now < until:
+			w.admit(e, until, w.Rng.IntN(40), key)
+		case c == synop.OK || c == synop.Burned:
+			w.notRun(e, key)
+		}
+	}
+	out := e.screen.Claim(w.Now, token, key, holders)
+	e.tell()
+	w.out(e.H, out)
+}
+
+// notRun is said to the caller, and the key is burned.
+func (w *World) notRun(e *Edge, key string) {
+	w.Figures.Refused++
+	if key == "" {
+		return
+	}
+	if w.ran[key] > 0 {
+		w.fault("%s was said not to run and had run", key)
+	}
+	w.never[key] = true
+	w.out(e.H, e.screen.Burn(key, screen.Holders(e.mast.All(), key)))
+}
+
+func (w *World) admit(e *Edge, until units.Time, topic int, key string) {
 	s := e.Config.Services["advice"]
 	q := windvane.Query{Prefix: units.Mix("topic", fmt.Sprint(topic)), Zone: e.H.Zone, Spread: s.Spread}
 	keepers := map[string]units.Node{}
@@ -73,16 +121,16 @@
 	}
 	e.tag++
 	tag := e.tag
-	e.verdict[tag] = func(v hygrometer.Verdict) { w.verdict(e, tag, until, v) }
+	e.verdict[tag] = func(v hygrometer.Verdict) { w.verdict(e, tag, until, key, v) }
 	out := e.desk.Arrive(w.Now, hygrometer.Req{Tag: tag, Policy: s.Allow, Cands: e.wind.Order(s.Place, q), Tries: s.Spread + 4, Until: until,
 		First: s.First, Keeper: func(n string) units.Node { return keepers[n] }})
 	e.tell()
 	w.out(e.H, out)
 }
 
-func (w *World) verdict(e *Edge, tag uint64, until units.Time, v hygrometer.Verdict) {
+func (w *World) verdict(e *Edge, tag uint64, until units.Time, key string, v hygrometer.Verdict) {
 	if v.Code != synop.OK {
-		w.Figures.Refused++
+		w.notRun(e, key)
 		return
 	}
 	_, id, _ := strings.Cut(v.Worker, "/")
@@ -95,6 +143,12 @@
 		w.done(e, tag, false) // the daemon looks once more before it hands over
 		return
 	}
+	if key != "" {
+		w.ran[key]++
+		if w.ran[key] > 1 || w.never[key] {
+			w.fault("%s ran %d times, said not to run: %v", key, w.ran[key], w.never[key])
+		}
+	}
 	w.begin(e, tag, until, x)
 }
 
--- a/internal/windtunnel/play.go
+++ b/internal/windtunnel/play.go
@@ -63,4 +63,31 @@
 		w.fault("no prompt ever ran")
 	}
 	w.Faults = append(w.Faults, Linear(w.History)...)
+	w.alike()
+}
+
+// alike: once all is healed, every voter's copy of every key is the same.
+func (w *World) alike() {
+	if !w.whole() {
+		return
+	}
+	var v barograph.Voters
+	for _, h := range w.coreH {
+		if x := w.cores[h].Baro.Voters(); x.Ver > v.Ver {
+			v = x
+		}
+	}
+	first := map[string]string{}
+	for _, h := range w.coreH {
+		if !v.Has(h.Disk.ID) {
+			continue
+		}
+		for k, s := range w.cores[h].Baro.Slots() {
+			x := fmt.Sprint(s.Acc, s.Seq, s.Num)
+			if y, ok := first[k]; ok && y != x {
+				w.fault("%s is %s on %s and %s elsewhere", k, x, h.Addr, y)
+			}
+			first[k] = x
+		}
+	}
 }
--- a/internal/windtunnel/world.go
+++ b/internal/windtunnel/world.go
@@ -64,6 +64,8 @@
 	nums    map[*Edge]units.Num
 	cutAt   map[*Host]units.Time // when a machine last had no path to the core's majority
 	Plan    []string
+	ran     map[string]int  // runs by key, for prompts that may not repeat
+	never   map[string]bool // keys whose prompt was said not to run
 }
 
 type window struct{ from, to units.Time }
@@ -81,7 +83,7 @@
 // NewWorld builds a deployment; nothing has found anything yet.
 func NewWorld(p Place, seed uint64) *World {
 	w := &World{Sim: New(seed), Place: p, cores: map[*Host]*Core{}, edges: map[*Host]*Edge{}, workers: map[string]*work{},
-		born: map[string]units.Time{}, evac: map[string]units.Time{}, rate: 20, nums: map[*Edge]units.Num{}, cutAt: map[*Host]units.Time{}}
+		born: map[string]units.Time{}, evac: map[string]units.Time{}, rate: 20, nums: map[*Edge]units.Num{}, cutAt: map[*Host]units.Time{}, ran: map[string]int{}, never: map[string]bool{}}
 	for i := range p.Cores {
 		w.seeds = append(w.seeds, fmt.Sprintf("core%d", i+1))
 	}
