Tests of the door, tries, disk and layout; a vane's close now ends its web server

Cause: the door's traps (buffering, false ends, hang-ups, doubtful refusals) were unproved. Found on the way: a drained vane waited out two seconds since its web server was never ended.

--- /dev/null
+++ b/internal/almanac/almanac_test.go
@@ -0,0 +1,157 @@
+package almanac
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"seamshunt/internal/station"
+)
+
+func rec(k string, n int) station.Record {
+	return station.Record{Kind: 3, Key: k, Data: fmt.Appendf(nil, "value %d of %s", n, k)}
+}
+
+func open(t *testing.T, dir string) *Almanac {
+	t.Helper()
+	a, err := Open(dir, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func value(a *Almanac, k string) string {
+	for _, r := range a.Live() {
+		if r.Key == k {
+			return string(r.Data)
+		}
+	}
+	return ""
+}
+
+func fill(t *testing.T, dir string) []byte {
+	t.Helper()
+	a := open(t, dir)
+	for i := range 3 {
+		if err := a.Append([]station.Record{rec("a", i), rec("b", i)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a.Close()
+	b, err := os.ReadFile(filepath.Join(dir, name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// A file cut at any byte loses only whole records from its end, and goes on being written (design 3).
+func TestTornTailAtEveryByte(t *testing.T) {
+	whole := fill(t, t.TempDir())
+	for cut := range len(whole) {
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, name), whole[:cut], 0o644); err != nil {
+			t.Fatal(err)
+		}
+		a := open(t, dir)
+		n := a.seq
+		if err := a.Append([]station.Record{rec("c", 9)}); err != nil {
+			t.Fatal(err)
+		}
+		a.Close()
+		a = open(t, dir)
+		if a.seq != n+1 || value(a, "c") != "value 9 of c" {
+			t.Fatalf("cut at %d: %d records before, %d after, c is %q", cut, n, a.seq, value(a, "c"))
+		}
+		a.Close()
+	}
+}
+
+// A byte changed anywhere before the last record is damage and never a silently shorter file.
+func TestDamageAtEveryByte(t *testing.T) {
+	whole := fill(t, t.TempDir())
+	last := len(whole) - headLen - 1 - len("value 2 of b")
+	for at := range last {
+		dir := t.TempDir()
+		b := append([]byte(nil), whole...)
+		b[at] ^= 0x55
+		if err := os.WriteFile(filepath.Join(dir, name), b, 0o644); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Open(dir, 0); !errors.Is(err, ErrDamaged) {
+			t.Fatalf("byte %d changed: %v", at, err)
+		}
+	}
+}
+
+// A long file is rewritten to what lives, and reads back the same.
+func TestRewrite(t *testing.T) {
+	dir := t.TempDir()
+	a := open(t, dir)
+	a.Long = 2000
+	for i := range 500 {
+		if err := a.Append([]station.Record{rec("a", i), rec("b", i)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if a.Size() > 3000 {
+		t.Errorf("%d bytes after the rewrite", a.Size())
+	}
+	a.Close()
+	a = open(t, dir)
+	if value(a, "a") != "value 499 of a" || value(a, "b") != "value 499 of b" {
+		t.Errorf("read back %q, %q", value(a, "a"), value(a, "b"))
+	}
+}
+
+// After a failed write the handle is never trusted again: not even for a write that would succeed.
+func TestFailedWriteIsFinal(t *testing.T) {
+	dir := t.TempDir()
+	a := open(t, dir)
+	if err := a.Append([]station.Record{rec("a", 1)}); err != nil {
+		t.Fatal(err)
+	}
+	good := a.f
+	a.f.Close() // every use of the handle fails from here on
+	if err := a.Append([]station.Record{rec("a", 2)}); !errors.Is(err, ErrSick) {
+		t.Fatalf("a failed write gives %v", err)
+	}
+	a.f, _ = os.OpenFile(good.Name(), os.O_RDWR, 0o644)
+	if err := a.Append([]station.Record{rec("a", 3)}); !errors.Is(err, ErrSick) {
+		t.Errorf("a sick file takes a write: %v", err)
+	}
+	b := open(t, dir)
+	if value(b, "a") != "value 1 of a" {
+		t.Errorf("read back %q", value(b, "a"))
+	}
+}
+
+// A full disk refuses with its own error, keeps what it had, and takes writes again once there is room.
+func TestFullDisk(t *testing.T) {
+	a := open(t, t.TempDir())
+	if err := a.Append([]station.Record{rec("a", 1)}); err != nil {
+		t.Fatal(err)
+	}
+	full, err := os.OpenFile("/dev/full", os.O_RDWR, 0)
+	if err != nil {
+		t.Skip("no /dev/full here")
+	}
+	good := a.f
+	a.f = full
+	err = a.Append([]station.Record{rec("a", 2)})
+	if !errors.Is(err, ErrFull) && !errors.Is(err, ErrSick) {
+		t.Fatalf("a full disk gives %v", err)
+	}
+	a.f = good
+	if errors.Is(err, ErrFull) && !a.sick {
+		if err := a.Append([]station.Record{rec("a", 3)}); err != nil {
+			t.Errorf("with room again: %v", err)
+		}
+	}
+	if value(a, "a") == "value 2 of a" {
+		t.Error("a refused write lives")
+	}
+}
--- /dev/null
+++ b/internal/forecast/forecast_test.go
@@ -0,0 +1,169 @@
+package forecast
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"seamshunt/internal/synop"
+	"seamshunt/internal/vernier"
+)
+
+const good = `{"services": [
+ {"name": "big", "pool": "main", "cap": 4},
+ {"name": "small", "pool": "side", "cap": 8}],
+"promises": [{"name": "p", "first_ms": 100, "deadline_ms": 4000, "smaller": true},
+ {"name": "q", "first_ms": 100, "deadline_ms": 4000}],
+"layout": ["mapping a {", " when path = \"/a\" and header \"X-Kind\" = \"long\"", " to big, small step small promise p once }",
+ "mapping b { when under = \"/b\" to big promise q repeat }",
+ "mapping c { when path = \"/a\" to big promise q repeat }"]}`
+
+func TestExamplesAreGood(t *testing.T) {
+	for _, p := range []string{"vatuloa", "council"} {
+		b, err := os.ReadFile("../../deploy/" + p + "-config.json")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, fs := Read(b); len(fs) > 0 {
+			t.Errorf("%s: %v", p, fs)
+		}
+	}
+}
+
+// The first mapping whose conditions all hold takes the request, and its steps are what the layout says.
+func TestProgram(t *testing.T) {
+	c, fs := Read([]byte(good))
+	if len(fs) > 0 {
+		t.Fatal(fs)
+	}
+	for _, x := range []struct{ path, kind, want, steps string }{
+		{"/a", "long", "a", "limit claim try big try small refuse"},
+		{"/a", "", "c", "limit try big refuse"},
+		{"/b/x", "long", "b", "limit try big refuse"},
+		{"/b", "", "b", "limit try big refuse"},
+		{"/bx", "", "", ""},
+		{"/", "", "", ""},
+	} {
+		do, ok := c.Program.Find(vernier.Ask{Path: x.path, Header: func(string) string { return x.kind }})
+		if !ok {
+			if x.want != "" {
+				t.Errorf("%v: nothing takes it", x)
+			}
+			continue
+		}
+		var steps []string
+		vernier.Run(do, vernier.Hands{
+			Limit:  func(int) bool { steps = append(steps, "limit"); return false },
+			Claim:  func() bool { steps = append(steps, "claim"); return false },
+			Try:    func(s string) bool { steps = append(steps, "try", s); return false },
+			Refuse: func() { steps = append(steps, "refuse") },
+		})
+		if m := c.Mappings[do[0].Mapping].Name; m != x.want || strings.Join(steps, " ") != x.steps {
+			t.Errorf("%v: %s does %v", x, m, steps)
+		}
+	}
+}
+
+// Every fault has its code and its place, and several are named at once.
+func TestFaults(t *testing.T) {
+	swap := func(a, b string) string {
+		if !strings.Contains(good, a) {
+			t.Fatalf("%q is not in the good one", a)
+		}
+		return strings.Replace(good, a, b, 1)
+	}
+	for _, x := range []struct {
+		name, text string
+		code       synop.Code
+		place      string
+	}{
+		{"no JSON", `{"services": [`, synop.BadConfig, "line 1 column 15"},
+		{"no object", `[]`, synop.BadConfig, "$"},
+		{"unknown field", swap(`"cap": 4`, `"cap": 4, "kap": 1`), synop.BadConfig, "$.services[0].kap"},
+		{"field twice", swap(`"cap": 4`, `"cap": 4, "cap": 5`), synop.Duplicate, "$.services[0].cap"},
+		{"cap zero", swap(`"cap": 4`, `"cap": 0`), synop.BadCap, "$.services[0].cap"},
+		{"cap missing", swap(`, "cap": 4`, ``), synop.BadCap, "$.services[0].cap"},
+		{"floor above", swap(`"cap": 4`, `"cap": 4, "floor": 5`), synop.BadCap, "$.services[0].floor"},
+		{"pool twice", swap(`"side"`, `"main"`), synop.Duplicate, "$.services[1].pool"},
+		{"unknown policy", swap(`"cap": 4`, `"cap": 4, "allow": "all"`), synop.BadConfig, "$.services[0].allow"},
+		{"late promise", swap(`"first_ms": 100`, `"first_ms": 9000`), synop.BadConfig, "$.promises[0].first_ms"},
+		{"no layout", `{"services":[],"promises":[]}`, synop.BadConfig, "$.layout"},
+		{"unknown service", swap("to big, small step", "to big, tiny step"), synop.NoService, "layout line 3 column 10"},
+		{"unknown promise", swap("promise q repeat }\",\n \"mapping c", "promise z repeat }\",\n \"mapping c"), synop.BadRule, "layout line 4 column 46"},
+		{"step not open", swap("to big, small step small", "to big step small"), synop.StepNotOpen, "layout line 1 column 9"},
+		{"no smaller", swap(`, "smaller": true`, ``), synop.StepNotOpen, "layout line 1 column 9"},
+		{"not said once", swap("promise p once", "promise p"), synop.BadRule, "layout line 1 column 9"},
+		{"same name", swap("mapping b", "mapping a"), synop.Duplicate, "layout line 4 column 9"},
+		{"same match", swap(`under = \"/b\"`, `path = \"/a\"`), synop.Duplicate, "layout line 5 column 9"},
+		{"bad mark", swap("mapping b {", "mapping b ;"), synop.BadRule, "layout line 4 column 11"},
+		{"open text", swap(`\"/b\" to`, `\"/b to`), synop.BadRule, "layout line 4 column 26"},
+		{"no such clause", swap("mapping b { when", "mapping b { whence"), synop.BadRule, "layout line 4 column 13"},
+		{"too large", good + strings.Repeat(" ", MaxConfig), synop.ConfigLarge, ""},
+	} {
+		c, fs := Read([]byte(x.text))
+		if c != nil || len(fs) == 0 {
+			t.Errorf("%s: taken", x.name)
+			continue
+		}
+		if fs[0].Code != x.code || fs[0].Place != x.place {
+			t.Errorf("%s: %d at %q, want %d at %q (%s)", x.name, fs[0].Code, fs[0].Place, x.code, x.place, fs[0].Text)
+		}
+	}
+	if _, fs := Read([]byte(strings.NewReplacer(`"cap": 4`, `"cap": 0`, `"cap": 8`, `"cap": -1`).Replace(good))); len(fs) != 2 {
+		t.Errorf("two faults are named as %v", fs)
+	}
+}
+
+// many gives a configuration with n mappings.
+func many(n int) []byte {
+	var b strings.Builder
+	b.WriteString(`{"services":[{"name":"big","pool":"main","cap":4}],"promises":[{"name":"p","first_ms":100,"deadline_ms":4000}],"layout":"`)
+	for i := range n {
+		fmt.Fprintf(&b, `mapping m%d { when path = \"/m/%d\" to big promise p repeat }\n`, i, i)
+	}
+	b.WriteString(`"}`)
+	return []byte(b.String())
+}
+
+// Thousands of mappings: finding the last one looks at no more ways than finding the first.
+func TestManyMappings(t *testing.T) {
+	c, fs := Read(many(5000))
+	if len(fs) > 0 {
+		t.Fatal(fs[0])
+	}
+	asked := 0
+	do, ok := c.Program.Find(vernier.Ask{Path: "/m/4999", Header: func(string) string { asked++; return "" }})
+	if !ok || c.Mappings[do[0].Mapping].Name != "m4999" || asked != 0 {
+		t.Errorf("found %v %v after %d looks at headers", ok, do, asked)
+	}
+}
+
+func BenchmarkRead5000(b *testing.B) {
+	x := many(5000)
+	for b.Loop() {
+		if _, fs := Read(x); len(fs) > 0 {
+			b.Fatal(fs[0])
+		}
+	}
+}
+
+// A plan names what changes, what it decides, and what to think twice about.
+func TestPlan(t *testing.T) {
+	old, _ := Read([]byte(good))
+	next, fs := Read([]byte(strings.NewReplacer(`"cap": 4`, `"cap": 6`, "promise p once", "promise p repeat", "mapping b", "mapping d").Replace(good)))
+	if len(fs) > 0 {
+		t.Fatal(fs)
+	}
+	p := Compare(old, next, func(pool string) int { return map[string]int{"main": 18}[pool] })
+	all := strings.Join(append(append(p.Changes, p.Ceilings...), p.Warnings...), "\n")
+	for _, want := range []string{"cap 4 to 6", "waitlist 8 to 12", "mapping d is new", "mapping a changes", "1 new, 1 changed, 1 gone", "108 in flight",
+		"pool side has no worker", "mapping a could not repeat and now may"} {
+		if !strings.Contains(all, want) {
+			t.Errorf("the plan does not say %q:\n%s", want, all)
+		}
+	}
+	if p := Compare(old, old, func(string) int { return 1 }); len(p.Changes) != 0 {
+		t.Errorf("nothing changes, and yet %v", p.Changes)
+	}
+}
--- /dev/null
+++ b/internal/vaned/rig_test.go
@@ -0,0 +1,190 @@
+package vaned
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"seamshunt/internal/boot"
+	"seamshunt/internal/bulletin"
+	"seamshunt/internal/forecast"
+)
+
+const rigConfig = `{"services":[{"name":"advice","pool":"main","cap":2,"warm_ms":0,"first_ms":20,"waitlist":1}],
+"promises":[{"name":"p","first_ms":100,"deadline_ms":3000}],
+"layout":"mapping notice { when path = \"/notice\" to advice promise p once }\nmapping chat { when path = \"/chat\" to advice promise p repeat }"}`
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// hand is one wire that a scripted worker took, with the request read.
+type hand struct {
+	net.Conn
+	id string
+}
+
+// scripted gives a worker whose every answer the test writes itself, byte for byte.
+func scripted(t *testing.T) (string, chan hand) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	hands := make(chan hand, 16)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			var req fasthttp.Request
+			if req.Read(bufio.NewReader(c)) == nil {
+				hands <- hand{c, string(req.Header.Peek("Request-Id"))}
+			}
+		}
+	}()
+	return ln.Addr().String(), hands
+}
+
+func (h hand) head() {
+	fmt.Fprintf(h, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n", h.id)
+}
+
+func (h hand) chunk(s string) { fmt.Fprintf(h, "%x\r\n%s\r\n", len(s), s) }
+
+func piece(n int) string { return fmt.Sprintf("{\"n\":%d,\"text\":\"p%d\"}\n", n, n) }
+
+func seal(id string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "p%d", i)
+	}
+	d := sha256.Sum256([]byte(b.String()))
+	return fmt.Sprintf("{\"seal\":{\"id\":%q,\"pieces\":%d,\"bytes\":%d,\"digest\":%q}}\n", id, n, b.Len(), hex.EncodeToString(d[:]))
+}
+
+// whole answers rightly with n pieces.
+func (h hand) whole(n int) {
+	h.head()
+	for i := range n {
+		h.chunk(piece(i))
+	}
+	h.chunk(seal(h.id, n))
+	fmt.Fprint(h, "0\r\n\r\n")
+	h.Close()
+}
+
+// rig is one vane alone, its news put in by hand; it keeps all workers itself.
+func rig(t *testing.T, workers ...string) *Vane {
+	t.Helper()
+	b := &boot.Boot{Name: "n1", Zone: "z1", Addr: freeAddr(t), Web: freeAddr(t), DrainMs: 1000}
+	b.Seeds = []string{b.Addr}
+	v := New(b)
+	if err := v.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(v.Close)
+	var l []forecast.Worker
+	for i, a := range workers {
+		l = append(l, forecast.Worker{ID: fmt.Sprintf("w%d", i+1), Addr: a, Zone: "z1", Age: time.Hour})
+	}
+	v.BullMu.Lock()
+	v.Bull.Take(bulletin.Item{Key: "config", Num: 1, Data: []byte(rigConfig)})
+	v.Bull.Take(bulletin.Item{Key: "workers/main", Num: 1, Data: forecast.PackWorkers(l)})
+	v.BullMu.Unlock()
+	v.ready.Store(true)
+	until(t, "the vane keeps its workers", func() bool {
+		v.gaugeMu.Lock()
+		defer v.gaugeMu.Unlock()
+		k := v.gauge.Kept(v.Crew.Now())
+		for _, x := range k {
+			if !x.Open {
+				return false
+			}
+		}
+		return len(k) == len(workers)
+	})
+	until(t, "the vane takes part in claims", func() bool {
+		v.screenMu.Lock()
+		defer v.screenMu.Unlock()
+		return v.screen.Whole()
+	})
+	return v
+}
+
+// until looks again and again, each time after the vane's next beat.
+func until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	end := time.After(20 * time.Second)
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for !f() {
+		select {
+		case <-tick.C:
+		case <-end:
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// caller is one caller's wire.
+type caller struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, v *Vane) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", v.Boot.Web)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	return &caller{c, bufio.NewReader(c)}
+}
+
+func (c *caller) post(path string, head string, body string) {
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\n%sContent-Length: %d\r\n\r\n%s", path, head, len(body), body)
+}
+
+const prompt = `{"prompt":"hello there"}`
+
+func ask(t *testing.T, v *Vane, path string) *caller {
+	t.Helper()
+	c := dial(t, v)
+	c.post(path, "Time-Left-Ms: 2500\r\n", prompt)
+	return c
+}
+
+// rest reads all that still comes, raw.
+func (c *caller) rest() string {
+	b, _ := io.ReadAll(c.r)
+	return string(b)
+}
+
+// reply reads one whole answer of known length.
+func (c *caller) reply(t *testing.T) (int, string) {
+	t.Helper()
+	var r fasthttp.Response
+	if err := r.Read(c.r); err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	return r.StatusCode(), string(r.Body())
+}
--- a/internal/vaned/vane.go
+++ b/internal/vaned/vane.go
@@ -2,6 +2,7 @@
 package vaned
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -184,5 +185,13 @@
 			break
 		}
 	}
+	v.Close()
+}
+
+// Close ends the door and the wires at once.
+func (v *Vane) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	_ = v.web.ShutdownWithContext(ctx)
 	v.Goodbye()
 }
