--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -138,6 +138,12 @@
 	return out
 }
 
+// Take begins the keeping of one worker, as Tick does when it falls to this node.
+func (g *Gauge) Take(now units.Time, name string) (out station.Out) {
+	g.begin(now, name, &out)
+	return out
+}
+
 // begin asks every live vane what it holds; until all have said so, nothing is lent.
 func (g *Gauge) begin(now units.Time, name string, out *station.Out) {
 	k := &keep{lent: map[permit]*loan{}, need: map[units.Node]bool{}, sent: now.Add(-reask), adapted: now}
--- /dev/null
+++ b/internal/windtunnel/orders_core_test.go
@@ -0,0 +1,158 @@
+package windtunnel
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"seamshunt/internal/barograph"
+	"seamshunt/internal/station"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// Two nodes that each believe to own one key write it at once: no order gives two values one number, and what was
+// acknowledged is what a third owner finds (design 2).
+func TestOrdersOwnership(t *testing.T) {
+	n := orders(6, func(choose func(int) int) {
+		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
+		m := voted(b, map[units.Node]units.Node{1: 1, 2: 2, 3: 3})
+		for _, x := range []units.Node{1, 2} {
+			b.put(x, m[x].Ask(0, barograph.Ask{Tag: uint64(x), Key: "k", Write: true, Expect: 0, Data: []byte{byte(x)}}))
+		}
+		b.run(choose, func() {})
+		// Both try again as their ticks would, then all is quiet.
+		for round := range 6 {
+			now := units.Time(round+1) * units.Time(time.Second)
+			for _, x := range []units.Node{1, 2} {
+				b.put(x, m[x].Tick(now))
+				b.run(func(int) int { return 0 }, func() {})
+			}
+		}
+		acked := map[units.Num]byte{}
+		for _, x := range []units.Node{1, 2} {
+			for _, r := range m[x].Results {
+				if r.Code == synop.OK {
+					if o, ok := acked[r.Num]; ok {
+						t.Fatalf("number %d was acknowledged to %d and %d", r.Num, o, x)
+					}
+					acked[r.Num] = byte(x)
+				}
+			}
+		}
+		m[3].Results = nil
+		b.put(3, m[3].Ask(0, barograph.Ask{Tag: 9, Key: "k"}))
+		for round := range 4 {
+			b.put(3, m[3].Tick(units.Time(20+round)*units.Time(time.Second)))
+			b.run(func(int) int { return 0 }, func() {})
+		}
+		if len(m[3].Results) != 1 || m[3].Results[0].Code != synop.OK {
+			t.Fatalf("the third owner reads %v", m[3].Results)
+		}
+		r := m[3].Results[0]
+		for num, by := range acked {
+			if num > r.Num || num == r.Num && r.Data[0] != by {
+				t.Fatalf("acknowledged %v, read %d %v", acked, r.Num, r.Data)
+			}
+		}
+	})
+	if n < 1000 {
+		t.Errorf("only %d orders", n)
+	}
+}
+
+// Blank disks with different views never found two sets.
+func TestOrdersFounding(t *testing.T) {
+	views := [][]units.Node{{1, 2, 3}, {2, 3, 4}, {1, 2, 3}, {2, 3, 4}}
+	n := orders(6, func(choose func(int) int) {
+		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
+		m := map[units.Node]*barograph.Barograph{}
+		for i := range views {
+			id := units.Node(i + 1)
+			x := barograph.New(id, id+100)
+			x.Blank(3, barograph.Look{Blanks: views[i]})
+			m[id] = x
+			b.step[id] = func(k station.Note) station.Out { return x.Step(0, k) }
+		}
+		for now := range 2 {
+			for id, x := range m {
+				x.Blank(3, barograph.Look{Blanks: views[(int(id)-1+now)%4]})
+			}
+			for id := units.Node(1); id <= 4; id++ {
+				b.put(id, m[id].Tick(units.Time(now+1)*units.Time(time.Second)))
+			}
+			b.run(choose, func() {})
+		}
+		var set []units.Node
+		for id, x := range m {
+			v := x.Voters()
+			if v.Ver == 0 {
+				continue
+			}
+			if set != nil && fmt.Sprint(set) != fmt.Sprint(v.IDs) {
+				t.Fatalf("two sets were founded: %v, and %v at %d", set, v.IDs, id)
+			}
+			set = v.IDs
+		}
+	})
+	if n < 30 {
+		t.Errorf("only %d orders", n)
+	}
+}
+
+// A voter is added while an owner under the old set writes: whatever is acknowledged, in any order, an owner under
+// the new set finds, also one whose majority holds the new disk.
+func TestOrdersVoterChange(t *testing.T) {
+	changed, acked := 0, 0
+	n := orders(6, func(choose func(int) int) {
+		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
+		m := voted(b, map[units.Node]units.Node{1: 1, 2: 1, 3: 1})
+		four := barograph.New(4, 104)
+		m[4] = four
+		b.step[4] = func(k station.Note) station.Out { return four.Step(0, k) }
+		quiet := func(from, rounds int, who ...units.Node) {
+			for r := range rounds {
+				for _, x := range who {
+					b.put(x, m[x].Tick(units.Time(from+r)*units.Time(time.Second)))
+				}
+				b.run(func(int) int { return 0 }, func() {})
+			}
+		}
+		b.put(1, m[1].Ask(0, barograph.Ask{Tag: 1, Key: "k", Write: true, Expect: 0, Data: []byte("one")}))
+		quiet(1, 3, 1)
+		m[1].Want(units.Time(4*time.Second), []units.Node{1, 2, 3, 4})
+		b.put(1, m[1].Tick(units.Time(4*time.Second)))
+		b.put(1, m[1].Ask(0, barograph.Ask{Tag: 2, Key: "k", Write: true, Expect: 1, Data: []byte("two")}))
+		b.run(choose, func() {})
+		quiet(5, 4, 1)
+		if m[1].Voters().Ver == 2 {
+			changed++
+		}
+		two := false
+		for _, r := range m[1].Results {
+			two = two || r.Tag == 2 && r.Code == synop.OK
+		}
+		if two {
+			acked++
+		}
+		// The old owner and one old disk are gone; the rest must know.
+		delete(b.step, 1)
+		for _, x := range []units.Node{2, 3, 4} {
+			m[x].View([]units.Node{4, 2})
+		}
+		owner := m[2].Owner("k")
+		quiet(20, 3, 2, 3, 4)
+		m[owner].Results = nil
+		b.put(owner, m[owner].Ask(0, barograph.Ask{Tag: 3, Key: "k"}))
+		quiet(30, 3, owner)
+		if len(m[owner].Results) != 1 || m[owner].Results[0].Code != synop.OK {
+			t.Fatalf("owner %d of set %v reads %v", owner, m[owner].Voters(), m[owner].Results)
+		}
+		if got := string(m[owner].Results[0].Data); two && got != "two" || got != "one" && got != "two" {
+			t.Fatalf("acknowledged %v, read %q", two, got)
+		}
+	})
+	if n < 100 || changed == 0 || acked == 0 {
+		t.Errorf("%d orders, set changed in %d, acknowledged in %d", n, changed, acked)
+	}
+}
--- /dev/null
+++ b/internal/windtunnel/orders_rig_test.go
@@ -0,0 +1,79 @@
+package windtunnel
+
+import (
+	"seamshunt/internal/barograph"
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// orders tries every sequence of choices one by one. A run asks choose(n) for a number below n; the first depth
+// of its choices are enumerated, the later ones are zero.
+func orders(depth int, run func(choose func(n int) int)) int {
+	var path, width []int
+	for count := 1; ; count++ {
+		at := 0
+		width = width[:0]
+		run(func(n int) int {
+			if at >= depth || n <= 1 {
+				return 0
+			}
+			if at == len(path) {
+				path = append(path, 0)
+			}
+			width = append(width, n)
+			at++
+			return path[at-1]
+		})
+		path = path[:at]
+		for len(path) > 0 && path[len(path)-1] == width[len(path)-1]-1 {
+			path = path[:len(path)-1]
+		}
+		if len(path) == 0 {
+			return count
+		}
+		path[len(path)-1]++
+	}
+}
+
+// bag is a small net: notes on their way, delivered in the order that the choices give.
+type bag struct {
+	notes []station.Note
+	step  map[units.Node]func(station.Note) station.Out
+}
+
+func (b *bag) put(from units.Node, o station.Out) {
+	for _, n := range append(o.Notes, o.After...) {
+		n.From = from
+		if b.step[n.To] != nil {
+			b.notes = append(b.notes, n)
+		}
+	}
+}
+
+func (b *bag) run(choose func(int) int, each func()) {
+	for k := 0; len(b.notes) > 0 && k < 400; k++ {
+		i := choose(len(b.notes))
+		n := b.notes[i]
+		b.notes = append(b.notes[:i:i], b.notes[i+1:]...)
+		b.put(n.To, b.step[n.To](n))
+		each()
+	}
+}
+
+var three = []units.Node{1, 2, 3}
+
+// voted gives three voters of one set, each believing the one it is told of to be the owner.
+func voted(b *bag, believe map[units.Node]units.Node) map[units.Node]*barograph.Barograph {
+	m := map[units.Node]*barograph.Barograph{}
+	set := barograph.Voters{Ver: 1, IDs: three}
+	for _, n := range three {
+		x := barograph.New(n, n+100)
+		if err := x.Load([]station.Record{{Kind: barograph.RecVoters, Data: set.Pack()}}); err != nil {
+			panic(err)
+		}
+		x.View([]units.Node{believe[n]})
+		m[n] = x
+		b.step[n] = func(k station.Note) station.Out { return x.Step(0, k) }
+	}
+	return m
+}
--- /dev/null
+++ b/internal/windtunnel/orders_test.go
@@ -0,0 +1,192 @@
+package windtunnel
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"seamshunt/internal/ballot"
+	"seamshunt/internal/bulletin"
+	"seamshunt/internal/gauge"
+	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/screen"
+	"seamshunt/internal/station"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// Two that stand for one duty at once never both hold it.
+func TestOrdersBallot(t *testing.T) {
+	won := 0
+	n := orders(6, func(choose func(int) int) {
+		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
+		now := units.Time(5 * time.Second)
+		m := map[units.Node]*ballot.Ballot{}
+		for _, x := range three {
+			y := ballot.New(x, "d", func() []units.Node { return three }, 0, rand.New(rand.NewPCG(uint64(x), 1)))
+			m[x] = y
+			b.step[x] = func(k station.Note) station.Out { return y.Step(now, k) }
+		}
+		b.put(1, m[1].Tick(now, true))
+		b.put(2, m[2].Tick(now, true))
+		b.run(choose, func() {
+			if m[1].Holds(now) && m[2].Holds(now) {
+				t.Fatal("two hold one duty")
+			}
+		})
+		if m[1].Holds(now) || m[2].Holds(now) {
+			won++
+		}
+	})
+	if n < 500 || won == 0 {
+		t.Errorf("%d orders, won in %d", n, won)
+	}
+}
+
+// Half the votes each must not last: a lost round gives its votes back, and one of the two wins in the end.
+func TestSplitBallotEnds(t *testing.T) {
+	four := []units.Node{1, 2, 3, 4}
+	for seed := range uint64(50) {
+		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
+		now := units.Time(5 * time.Second)
+		m := map[units.Node]*ballot.Ballot{}
+		for _, x := range four {
+			y := ballot.New(x, "d", func() []units.Node { return four }, 0, rand.New(rand.NewPCG(seed, uint64(x))))
+			m[x] = y
+			b.step[x] = func(k station.Note) station.Out { return y.Step(now, k) }
+		}
+		// The two stand at the same moment, and each reaches two voters first.
+		one, two := m[1].Tick(now, true), m[2].Tick(now, true)
+		b.put(1, station.Out{Notes: one.Notes[:2]})
+		b.put(2, station.Out{Notes: two.Notes[2:]})
+		b.put(1, station.Out{Notes: one.Notes[2:]})
+		b.put(2, station.Out{Notes: two.Notes[:2]})
+		b.run(func(int) int { return 0 }, func() {})
+		if m[1].Holds(now) || m[2].Holds(now) {
+			t.Fatal("this round was to be split")
+		}
+		held := false
+		for range 200 {
+			now = now.Add(25 * time.Millisecond)
+			for _, x := range four[:2] {
+				b.put(x, m[x].Tick(now, true))
+			}
+			b.run(func(int) int { return 0 }, func() {})
+			held = held || m[1].Holds(now) || m[2].Holds(now)
+		}
+		if !held {
+			t.Fatalf("seed %d: nobody ever won", seed)
+		}
+	}
+}
+
+// Two copies of one request claim its key by way of two nodes: never both get it.
+func TestOrdersClaims(t *testing.T) {
+	won := 0
+	n := orders(6, func(choose func(int) int) {
+		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
+		m := map[units.Node]*screen.Screen{}
+		for _, x := range three {
+			y := screen.New(x, 0)
+			y.Tick(units.Time(time.Minute), nil, time.Second) // takes part
+			m[x] = y
+			b.step[x] = func(k station.Note) station.Out { return y.Step(0, k) }
+		}
+		b.put(1, m[1].Claim(0, 11, "k", three))
+		b.put(2, m[2].Claim(0, 22, "k", three))
+		b.run(choose, func() {})
+		k := 0
+		for _, x := range m {
+			for _, r := range x.Results {
+				if r.Code == synop.OK {
+					k++
+				}
+			}
+		}
+		if k > 1 {
+			t.Fatal("both copies got the key")
+		}
+		won += k
+	})
+	if n < 500 || won == 0 {
+		t.Errorf("%d orders, won in %d", n, won)
+	}
+}
+
+// News never goes back, whatever order it comes in, and the newest is in force at the end.
+func TestOrdersNews(t *testing.T) {
+	n := orders(6, func(choose func(int) int) {
+		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
+		core, vane := bulletin.New(), bulletin.New()
+		b.step[1] = func(k station.Note) station.Out { return core.Step(0, k) }
+		b.step[2] = func(k station.Note) station.Out { return vane.Step(0, k) }
+		for i := range 4 {
+			b.put(1, core.Spread(0, bulletin.Item{Key: "config", Num: units.Num(i + 1), Data: []byte{byte(i)}}, []units.Node{2}))
+		}
+		last := units.Num(0)
+		b.run(choose, func() {
+			if it := vane.Items["config"]; it != nil {
+				if it.Num < last {
+					t.Fatalf("back from %d to %d", last, it.Num)
+				}
+				last = it.Num
+			}
+		})
+		if last != 4 || core.Acks["config"][2] != 4 {
+			t.Fatalf("number %d in force, %d acknowledged", last, core.Acks["config"][2])
+		}
+	})
+	if n < 24 {
+		t.Errorf("only %d orders", n)
+	}
+}
+
+// One slot, two nodes that want it, and its keeping passes from one to the other meanwhile: it is never lent twice.
+func TestOrdersPermits(t *testing.T) {
+	most := 0
+	n := orders(6, func(choose func(int) int) {
+		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
+		peers := []gauge.Peer{{Node: 1, Zone: "z"}, {Node: 2, Zone: "z"}}
+		w := map[string]gauge.Worker{"s/w": {Zone: "z", Cap: 1, Bound: 2}}
+		desks, keeps := map[units.Node]*hygrometer.Hygrometer{}, map[units.Node]*gauge.Gauge{}
+		for _, x := range []units.Node{1, 2} {
+			d, g := hygrometer.New(x), gauge.New(x)
+			desks[x], keeps[x] = d, g
+			b.step[x] = func(k station.Note) (out station.Out) {
+				if k.Kind != gauge.Ask && k.Kind != gauge.Return && k.Kind != gauge.Report {
+					out = d.Step(0, k)
+				}
+				if k.Kind == gauge.Ask || k.Kind == gauge.Return || k.Kind == gauge.Report || k.Kind == gauge.ReportAsk {
+					out.Join(g.Step(0, k))
+				}
+				return out
+			}
+		}
+		keeper := gauge.Keeper(peers, "s/w", "z")
+		other := 3 - keeper
+		keeps[keeper].Workers(w)
+		keeps[keeper].View(peers, nil)
+		b.put(keeper, keeps[keeper].Tick(0))
+		b.run(func(int) int { return 0 }, func() {})
+		ask := func(x, of units.Node) {
+			b.put(x, desks[x].Arrive(0, hygrometer.Req{Tag: uint64(x) * 10, Policy: "knee", Cands: []string{"s/w"}, Tries: 1, Until: units.Time(time.Minute),
+				Keeper: func(string) units.Node { return of }}))
+		}
+		ask(1, keeper)
+		ask(2, keeper)
+		// The other takes the worker over while the asks are on their way.
+		keeps[other].Workers(w)
+		keeps[other].View(peers, nil)
+		b.put(other, keeps[other].Take(0, "s/w"))
+		b.run(choose, func() {
+			if k := desks[1].Flight["s/w"] + desks[2].Flight["s/w"]; k > 1 {
+				t.Fatalf("%d in flight, cap 1", k)
+			} else {
+				most = max(most, k)
+			}
+		})
+	})
+	if n < 500 || most != 1 {
+		t.Errorf("%d orders, at most %d in flight", n, most)
+	}
+}
