--- /dev/null
+++ b/cmd/gale/drill.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"seamshunt/internal/console"
+	"seamshunt/internal/fleet"
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/standin"
+)
+
+// drillCmd takes a zone out and checks the promises.
+func drillCmd() *cobra.Command {
+	d := &fleet.Drill{Say: os.Stdout}
+	c := &cobra.Command{Use: "drill", Short: "take a zone out of a running fleet, check the promises, give it back", Args: cobra.NoArgs}
+	c.RunE = func(*cobra.Command, []string) error {
+		switch {
+		case d.How != "evacuate" && d.How != "kill":
+			return errors.New("--how is evacuate or kill")
+		case d.How == "kill" && d.Harness == "":
+			return errors.New("--how kill wants --harness: only a local fleet's harness ends processes")
+		case d.Hold < 7*time.Second:
+			return errors.New("--hold is at least 7s, so that the 5 s can be judged")
+		}
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+		defer stop()
+		l, err := d.Run(ctx)
+		if err != nil {
+			return err
+		}
+		bad := 0
+		for _, f := range l {
+			word := "holds"
+			if !f.Good {
+				word = "BROKEN"
+				bad++
+			}
+			fmt.Printf("%-7s %s: %s\n", word, f.Promise, f.Seen)
+		}
+		if bad > 0 {
+			return console.ErrPromise
+		}
+		return nil
+	}
+	f := c.Flags()
+	f.StringVar(&d.At, "at", "", "a barometer's web address")
+	f.StringVar(&d.Zone, "zone", "", "the zone")
+	f.StringVar(&d.How, "how", "evacuate", "evacuate, or kill")
+	f.StringVar(&d.Harness, "harness", "", "a local fleet's harness, for kill")
+	f.StringVar(&d.Journal, "dir", "", "a local fleet's journals, to be judged too")
+	f.DurationVar(&d.Hold, "hold", 10*time.Second, "how long the zone stays out")
+	_ = c.MarkFlagRequired("at")
+	_ = c.MarkFlagRequired("zone")
+	return c
+}
+
+// platformCmd is a stand-in platform with a fixed list.
+func platformCmd() *cobra.Command {
+	var listen, pool string
+	var workers []string
+	var perSec int
+	c := &cobra.Command{Use: "platform", Short: "a stand-in platform that lists workers", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		p := standin.NewPlatform(perSec)
+		for _, w := range workers {
+			x := strings.Split(w, "=")
+			if len(x) != 3 {
+				return fmt.Errorf("--worker %q: ID=ZONE=ADDRESS is wanted", w)
+			}
+			p.Set(pool, forecast.Worker{ID: x[0], Zone: x[1], Addr: x[2], Age: time.Hour})
+		}
+		ln, err := net.Listen("tcp", listen)
+		if err != nil {
+			return err
+		}
+		fmt.Println("listening on", ln.Addr())
+		return p.Serve(ln)
+	}}
+	f := c.Flags()
+	f.StringVar(&listen, "listen", "127.0.0.1:0", "its address")
+	f.StringVar(&pool, "pool", "main", "the pool")
+	f.StringSliceVar(&workers, "worker", nil, "a worker: ID=ZONE=ADDRESS; may stand again")
+	f.IntVar(&perSec, "limit", 5, "questions a second that it allows; 0 for any number")
+	return c
+}
+
+// callerCmd sends the three kinds of request to one vane.
+func callerCmd() *cobra.Command {
+	var vane string
+	var n int
+	var seed uint64
+	c := &cobra.Command{Use: "caller", Short: "a stand-in caller: send requests to a vane one after the other", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		if n < 1 {
+			return errors.New("--count is above 0")
+		}
+		mix, bad := standin.NewMix(seed, 24), 0
+		for range n {
+			a := mix.Next()
+			e := standin.Call(context.Background(), vane, a, fmt.Sprintf("%s-%d", a.Job, standin.Now()))
+			fmt.Printf("%-9s status %d code %d whole %v first words %d ms, all %d ms %s\n", e.Mapping, e.Status, e.Code, e.Whole, e.FirstUs/1000, (e.End-e.At)/1000, e.Fault)
+			if e.Status != 200 || !e.Whole || e.Fault != "" {
+				bad++
+			}
+		}
+		if bad > 0 {
+			return fmt.Errorf("%w: %d of %d calls were not answered whole", console.ErrPromise, bad, n)
+		}
+		return nil
+	}}
+	f := c.Flags()
+	f.StringVar(&vane, "vane", "", "a vane's web address")
+	f.IntVar(&n, "count", 9, "how many")
+	f.Uint64Var(&seed, "seed", 1, "seed of the requests")
+	_ = c.MarkFlagRequired("vane")
+	return c
+}
--- a/cmd/gale/fleet.go
+++ b/cmd/gale/fleet.go
@@ -22,6 +22,7 @@
 	var dep, dir, events, wrong, allow, place string
 	p := fleet.Plan{From: 10 * time.Second}
 	var secs, perSec int
+	var served float64
 	c := &cobra.Command{Use: "fleet", Short: "run a whole deployment on this machine, and judge the run", Args: cobra.NoArgs}
 	c.RunE = func(*cobra.Command, []string) error {
 		d, err := fleet.Load(dep)
@@ -66,6 +67,7 @@
 		if err != nil {
 			return err
 		}
+		u.Served = served
 		good, err := f.Report(u, os.Stdout)
 		if err == nil && !good {
 			err = console.ErrPromise
@@ -79,6 +81,7 @@
 	fl.StringVar(&wrong, "wrong", "", "workers that answer wrongly: w03=gap,...")
 	fl.StringVar(&allow, "allow", "", "another admission policy than the configuration's")
 	fl.StringVar(&place, "place", "", "another placement policy than the configuration's")
+	fl.Float64Var(&served, "served", 0.5, "least share of calls to be answered whole and on time")
 	fl.IntVar(&secs, "seconds", 20, "how long traffic lasts, from the tenth second on")
 	fl.IntVar(&perSec, "platform-limit", 5, "questions a second that the platform allows")
 	fl.Float64Var(&p.Rate, "rate", 30, "requests a second")
--- a/cmd/gale/main.go
+++ b/cmd/gale/main.go
@@ -7,6 +7,6 @@
 
 func main() {
 	root := console.Root("gale", "tries seamshunt out: stand-ins, fleets, drills, checks")
-	root.AddCommand(workerCmd(), fleetCmd(), checkCmd())
+	root.AddCommand(workerCmd(), platformCmd(), callerCmd(), fleetCmd(), drillCmd(), checkCmd())
 	console.Main(root)
 }
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -20,7 +20,7 @@
 }
 
 var verbs = []string{"kill", "stop", "start", "restart", "freeze", "thaw", "evacuate", "readmit", "leave", "drop", "mood",
-	"wipe", "apply", "rate", "killall", "startall", "join"}
+	"wipe", "apply", "rate", "killall", "startall", "killzone", "startzone", "join"}
 
 // ParseEvents reads a list like "12:kill:n1,15:start:n1".
 func ParseEvents(s string) ([]Event, error) {
@@ -89,8 +89,8 @@
 			return err
 		}
 		t.Rate(r)
-	case "killall", "startall":
-		return f.all(e.Verb)
+	case "killall", "startall", "killzone", "startzone":
+		return f.all(e.Verb, e.On)
 	case "join":
 		as, err := ports(1)
 		if err != nil {
@@ -144,25 +144,30 @@
 	return f.Start(name)
 }
 
-// all ends or starts every process of the product at once; workers are not part of it.
-func (f *Fleet) all(verb string) error {
+// all ends or starts every process of the product at once, or those of one zone; workers are not part of it.
+func (f *Fleet) all(verb, zone string) error {
+	kill := strings.HasPrefix(verb, "kill")
+	mine := func(p *proc) bool { return p.kind != "worker" && (zone == "" || p.zone == zone) }
 	for _, n := range f.order {
 		p, err := f.get(n)
 		if err != nil {
 			return err
 		}
-		if p.kind == "worker" {
+		if !mine(p) {
 			continue
 		}
-		if verb == "killall" {
+		if kill {
+			if zone != "" {
+				f.Event("kill", n)
+			}
 			_ = f.Signal(n, syscall.SIGKILL)
 		} else if err := f.Start(n); err != nil {
 			return err
 		}
 	}
-	if verb == "killall" {
+	if kill {
 		for _, n := range f.order {
-			if p, _ := f.get(n); p.kind != "worker" {
+			if p, _ := f.get(n); mine(p) {
 				if err := f.Wait(n, 5*time.Second); err != nil {
 					return err
 				}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,9 @@
 	"syscall"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
+	"seamshunt/internal/crew"
 	"seamshunt/internal/forecast"
 	"seamshunt/internal/standin"
 )
@@ -35,6 +38,7 @@
 	Wrong    map[string]string
 	Journal  *standin.Journal
 	Platform *standin.Platform
+	Crew     *crew.Crew
 	mu       sync.Mutex
 	procs    map[string]*proc
 	order    []string
@@ -44,7 +48,7 @@
 
 // New lays a fleet out in dir: boot files, data folders, journals. Nothing runs yet.
 func New(d *Deployment, dir, bin string, perSec int) (*Fleet, error) {
-	f := &Fleet{Dep: d, Dir: dir, Bin: bin, procs: map[string]*proc{}, Wrong: map[string]string{}, Platform: standin.NewPlatform(perSec)}
+	f := &Fleet{Dep: d, Dir: dir, Bin: bin, procs: map[string]*proc{}, Wrong: map[string]string{}, Platform: standin.NewPlatform(perSec), Crew: crew.New(clockwork.NewRealClock(), 1)}
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
@@ -122,7 +126,7 @@
 
 // Up starts every process.
 func (f *Fleet) Up() error {
-	go func() { _ = f.Platform.Serve(f.ln) }()
+	f.Crew.Go(func() { _ = f.Platform.Serve(f.ln) })
 	for _, n := range f.order {
 		if err := f.Start(n); err != nil {
 			return err
@@ -173,12 +177,12 @@
 	f.mu.Lock()
 	p.cmd, p.done, p.frozen = c, done, false
 	f.mu.Unlock()
-	go func() {
+	f.Crew.Go(func() {
 		_ = c.Wait()
 		f.mu.Lock()
 		p.cmd = nil
 		f.mu.Unlock()
 		close(done)
-	}()
+	})
 	return nil
 }
--- a/internal/fleet/proc.go
+++ b/internal/fleet/proc.go
@@ -51,6 +51,7 @@
 		_ = f.Wait(n, 5*time.Second)
 	}
 	f.ln.Close()
+	f.Crew.Stop(5 * time.Second)
 	f.Journal.Close()
 }
 
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -43,10 +43,24 @@
 	fmt.Fprintf(say, "configuration acknowledged %.1f s after the start\n", time.Since(start).Seconds())
 	t := NewTraffic(f, p.Seed, p.Topics)
 	t.Rate(p.Rate)
+	f.Platform.Control = func(s string) error {
+		l, err := ParseEvents("0:" + s)
+		if err == nil && len(l) == 1 {
+			err = f.Do(l[0], t)
+		}
+		return err
+	}
+	fmt.Fprintf(say, "barometer at %s, harness at %s, journals in %s\n", f.barometers()[0], f.ln.Addr(), f.Dir)
 	tctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sent := make(chan struct{})
-	time.AfterFunc(time.Until(start.Add(p.From)), func() { f.Event("traffic", ""); t.Run(tctx); close(sent) })
+	f.Crew.Go(func() {
+		defer close(sent)
+		if sleep(tctx, start.Add(p.From)) == nil {
+			f.Event("traffic", "")
+			t.Run(tctx)
+		}
+	})
 	end := start.Add(p.From + p.Traffic)
 	for _, e := range p.Events {
 		if err := sleep(ctx, start.Add(e.At)); err != nil {
--- a/internal/fleet/traffic.go
+++ b/internal/fleet/traffic.go
@@ -42,7 +42,7 @@
 func (t *Traffic) Run(ctx context.Context) {
 	t.ready = t.f.Ready()
 	look := make(chan struct{})
-	go func() {
+	t.f.Crew.Go(func() {
 		defer close(look)
 		for ctx.Err() == nil {
 			r := t.f.Ready()
@@ -51,7 +51,7 @@
 			t.mu.Unlock()
 			time.Sleep(200 * time.Millisecond)
 		}
-	}()
+	})
 	for ctx.Err() == nil {
 		a := t.mix.Next()
 		gap := t.mix.Gap(float64(t.rate.Load()) / 1000)
@@ -62,10 +62,10 @@
 		}
 		t.Sent++
 		t.wg.Add(1)
-		go func() {
+		t.f.Crew.Go(func() {
 			defer t.wg.Done()
 			t.f.Journal.Write(standin.Call(context.WithoutCancel(ctx), t.pick(zone), a, key))
-		}()
+		})
 		select {
 		case <-ctx.Done():
 		case <-time.After(gap):
--- a/internal/observer/more.go
+++ b/internal/observer/more.go
@@ -9,7 +9,7 @@
 
 // config: the harness writes down what was acknowledged and what was read back at the end.
 func (r *Run) config() Finding {
-	const p = "the configuration read back is the newest acknowledged one, as sent"
+	const p = ReadBack
 	acked, read, n := "", "", 0
 	for _, e := range r.Events {
 		switch e.How {
@@ -187,3 +187,15 @@
 	}
 	return sum / float64(n), float64(away) / float64(n)
 }
+
+// served: a fleet that refuses everybody keeps many promises, and is worth nothing.
+func (r *Run) served(u Rules) Finding {
+	good, all := 0, 0
+	for _, f := range r.Measure(0, 1<<62) {
+		good += f.OnTime
+		all += f.Sent
+	}
+	x := float64(good) / float64(max(1, all))
+	f := Finding{"callers are served", x >= u.Served, fmt.Sprintf("%.1f%% whole and on time, at least %.0f%% wanted", 100*x, 100*u.Served)}
+	return f
+}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -25,6 +25,7 @@
 	Evac   time.Duration
 	Back   time.Duration
 	Budget float64
+	Served float64 // least share of calls answered whole and on time; 0 leaves it unjudged
 }
 
 // DefaultRules are the brief's figures.
@@ -33,6 +34,12 @@
 		Once: map[string]bool{}, Pools: map[string][]string{}}
 }
 
+// Names of promises that others leave out or judge themselves.
+const (
+	Services = "nothing goes to a service that its mapping may not reach"
+	ReadBack = "the configuration read back is the newest acknowledged one, as sent"
+)
+
 // Finding is one promise with what was seen.
 type Finding struct {
 	Promise string
@@ -118,7 +125,7 @@
 	if u.Cap > 0 {
 		l = append(l, r.caps(u))
 	}
-	return append(l, r.back(u))
+	return append(l, r.back(u), r.served(u))
 }
 
 func find(promise string, bad []string, seen string) Finding {
--- /dev/null
+++ b/internal/observer/observer_test.go
@@ -0,0 +1,116 @@
+package observer
+
+import (
+	"fmt"
+	"testing"
+
+	"seamshunt/internal/standin"
+)
+
+type entry = standin.Entry
+
+const sec = 1_000_000
+
+func rules() Rules {
+	u := DefaultRules()
+	u.Once = map[string]bool{"notice": true}
+	u.Pools = map[string][]string{"notice": {"main"}, "chat": {"main"}}
+	u.Cap, u.Served = 2, 0.5
+	return u
+}
+
+// good is a run in which every promise holds and every rule has something to look at.
+func good() *Run {
+	r := &Run{Ends: map[string]entry{}}
+	for i := range 60 {
+		at := int64(i+10) * sec
+		job, id, m := fmt.Sprintf("j%d", i), fmt.Sprintf("r%d", i), []string{"notice", "chat"}[i%2]
+		r.Add(entry{Kind: "start", At: at, Job: job, ID: id, Worker: "w1", Pool: "main", Zone: "a"})
+		r.Add(entry{Kind: "end", At: at + sec/2, Job: job, ID: id, Worker: "w1", How: "done"})
+		r.Add(entry{Kind: "call", At: at - 1000, End: at + sec/2, Job: job, ID: id, Mapping: m, Status: 200, Whole: true, LeftMs: 4000, Worker: "s/w1", Vane: "v1", FirstUs: 5000})
+	}
+	r.Add(entry{Kind: "call", At: 80 * sec, End: 80*sec + 100, Job: "shed", Mapping: "chat", Status: 503, Code: 301, NotRun: true, BackMs: 700, LeftMs: 4000, Vane: "v1"})
+	for _, e := range []entry{
+		{How: "config-acknowledged", At: 1, Target: "1/x"}, {How: "config-acknowledged", At: 2, Target: "2/y"}, {How: "config-read", At: 99 * sec, Target: "2/y"},
+		{How: "leave", At: 5 * sec, Target: "w9"}, {How: "evacuate", At: 5 * sec, Target: "z9"}, {How: "startall", At: 5 * sec},
+	} {
+		e.Kind = "event"
+		r.Add(e)
+	}
+	return r
+}
+
+// Each planted violation is seen, by the rule it belongs to and by no other; the good run passes.
+func TestPlantedViolations(t *testing.T) {
+	for _, f := range good().Judge(rules()) {
+		if !f.Good {
+			t.Fatalf("a good run: %s: %s", f.Promise, f.Seen)
+		}
+	}
+	call := func(e entry) func(*Run) {
+		e.Kind, e.Vane, e.LeftMs, e.Mapping = "call", "v1", 4000, "chat"
+		if e.At == 0 {
+			e.At, e.End = 90*sec, 91*sec
+		}
+		return func(r *Run) { r.Add(e) }
+	}
+	start := func(e entry) func(*Run) {
+		e.Kind = "start"
+		if e.Pool == "" {
+			e.Pool = "main"
+		}
+		return func(r *Run) { r.Add(e) }
+	}
+	for name, x := range map[string]struct {
+		promise string
+		plant   func(*Run)
+	}{
+		"run twice":         {"what may not repeat never runs twice", start(entry{At: 11 * sec, Job: "j0", ID: "other", Worker: "w2", Zone: "a"})},
+		"not run, but ran":  {`"not run" is true forever`, start(entry{At: 95 * sec, Job: "shed", ID: "late", Worker: "w2", Zone: "a"})},
+		"fault in a whole":  {"a success is the worker's whole, sealed answer, the caller's own", call(entry{Job: "x", Status: 200, Whole: true, Fault: "gap"})},
+		"nobody ran it":     {"a success is the worker's whole, sealed answer, the caller's own", call(entry{Job: "x", ID: "none", Status: 200, Whole: true})},
+		"another's answer":  {"a success is the worker's whole, sealed answer, the caller's own", call(entry{Job: "x", ID: "r3", Status: 200, Whole: true})},
+		"wrong service":     {"nothing goes to a service that its mapping may not reach", func(r *Run) { r.Starts[3].Pool = "side" }},
+		"refused late":      {"a refusal comes at once and says when to come back", call(entry{Job: "x", At: 90 * sec, End: 93_900_000, Status: 503, Code: 302, NotRun: true, BackMs: 5})},
+		"not told when":     {"a refusal comes at once and says when to come back", call(entry{Job: "x", At: 90 * sec, End: 90*sec + 5, Status: 503, Code: 302, NotRun: true})},
+		"leaving":           {"a leaving worker gets nothing new after 3 s", func(r *Run) { r.Events = append(r.Events, entry{How: "leave", At: 20 * sec, Target: "w1"}) }},
+		"evacuated":         {"an evacuated zone gets nothing new after 5 s", func(r *Run) { r.Events = append(r.Events, entry{How: "evacuate", At: 20 * sec, Target: "a"}) }},
+		"old configuration": {"the configuration read back is the newest acknowledged one, as sent", func(r *Run) { r.Add(entry{Kind: "event", How: "config-read", At: 100 * sec, Target: "1/x"}) }},
+		"cut by a restart": {"planned restarts and changes cut no stream", func(r *Run) {
+			call(entry{Job: "x", Status: 200, Worker: "s/w1"})(r)
+			r.Add(entry{Kind: "event", How: "stop", Target: "v1"})
+		}},
+		"never back": {"after a full loss, service is back within 12 s", func(r *Run) { r.Add(entry{Kind: "event", How: "startall", At: 98 * sec}) }},
+		"back late":  {"after a full loss, service is back within 12 s", func(r *Run) { r.Events[5].At = -10 * sec }},
+		"over the cap": {"no worker carries more than its cap", func(r *Run) {
+			for i := range 3 {
+				id := fmt.Sprint("c", i)
+				start(entry{At: 90 * sec, Job: id, ID: id, Worker: "w3", Zone: "a"})(r)
+				r.Add(entry{Kind: "end", At: 91 * sec, ID: id, Worker: "w3"})
+			}
+		}},
+		"retry storm": {"retries stay within a fifth over any ten seconds", func(r *Run) {
+			for i := range 30 {
+				start(entry{At: 90*sec + int64(i), Job: "s", ID: fmt.Sprint("s", i), Worker: fmt.Sprint("q", i), Zone: "a"})(r)
+			}
+		}},
+		"everyone refused": {"callers are served", func(r *Run) {
+			for range 100 {
+				call(entry{Job: "x", At: 90 * sec, End: 90 * sec, Status: 503, Code: 301, NotRun: true, BackMs: 9})(r)
+			}
+		}},
+	} {
+		r := good()
+		x.plant(r)
+		seen := false
+		for _, f := range r.Judge(rules()) {
+			seen = seen || !f.Good && f.Promise == x.promise
+			if !f.Good && f.Promise != x.promise {
+				t.Errorf("%s: also %q: %s", name, f.Promise, f.Seen)
+			}
+		}
+		if !seen {
+			t.Errorf("%s is not seen", name)
+		}
+	}
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -13,15 +13,16 @@
 
 // Platform lists workers, marks leaving ones, and limits how often it may be asked.
 type Platform struct {
-	mu     sync.Mutex
-	pools  map[string][]forecast.Worker
-	born   map[string]time.Time
-	Mood   string // "", refuse, empty, slow, bad
-	PerSec int    // questions allowed in a second; 0 for any number
-	second int64
-	asked  int
-	Asked  int
-	Denied int
+	mu      sync.Mutex
+	pools   map[string][]forecast.Worker
+	born    map[string]time.Time
+	Mood    string // "", refuse, empty, slow, bad
+	PerSec  int    // questions allowed in a second; 0 for any number
+	second  int64
+	asked   int
+	Asked   int
+	Denied  int
+	Control func(event string) error // what the harness does on a drill's wish
 }
 
 // NewPlatform gives one without workers.
@@ -83,6 +84,13 @@
 }
 
 func (p *Platform) handle(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == "/harness" && p.Control != nil {
+		if err := p.Control(string(ctx.QueryArgs().Peek("event"))); err != nil {
+			ctx.SetStatusCode(400)
+			ctx.SetBodyString(err.Error())
+		}
+		return
+	}
 	pool, ok := strings.CutPrefix(string(ctx.Path()), "/v1/pools/")
 	pool, ok2 := strings.CutSuffix(pool, "/workers")
 	if !ok || !ok2 {
--- a/internal/vaned/status.go
+++ b/internal/vaned/status.go
@@ -19,6 +19,8 @@
 	codes map[synop.Code]uint64
 	firsN map[string]uint64
 	firsT map[string]time.Duration
+	hands map[string]uint64 // hand-overs by the worker's zone
+	cross uint64            // bytes of prompts handed over to another zone
 }
 
 func (s *stats) count(c synop.Code) {
@@ -30,6 +32,18 @@
 	s.codes[c]++
 }
 
+func (s *stats) hand(zone, own string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hands == nil {
+		s.hands = map[string]uint64{}
+	}
+	s.hands[zone]++
+	if zone != own {
+		s.cross += uint64(n)
+	}
+}
+
 func (s *stats) first(mapping string, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -93,6 +107,13 @@
 	}
 	v.deskMu.Unlock()
 	o.Set("flight", flight)
+	handed := a.NewObject()
+	v.stats.mu.Lock()
+	for z, n := range v.stats.hands {
+		handed.Set(z, a.NewNumberInt(int(n)))
+	}
+	v.stats.mu.Unlock()
+	o.Set("handed_over", handed)
 	members := a.NewArray()
 	for i, m := range v.Members() {
 		members.SetArrayItem(i, Member(&a, m))
@@ -142,6 +163,8 @@
 		fmt.Fprintf(ctx, "seamshunt_first_words_seconds_sum{mapping=%q} %g\n", m, s.firsT[m].Seconds())
 		fmt.Fprintf(ctx, "seamshunt_first_words_seconds_count{mapping=%q} %d\n", m, n)
 	}
+	fmt.Fprintf(ctx, "seamshunt_cross_zone_prompt_bytes_total %d\n", s.cross)
+	fmt.Fprintf(ctx, "seamshunt_wire_bytes_total %d\n", v.Tel.Out.Load())
 	fmt.Fprintf(ctx, "seamshunt_in_flight %d\n", v.flight.Load())
 	fmt.Fprintf(ctx, "seamshunt_bad_frames_total %d\n", v.Tel.Bad.Load())
 	fmt.Fprintf(ctx, "seamshunt_dropped_notes_total %d\n", v.Dropped.Load())
--- a/internal/vaned/way.go
+++ b/internal/vaned/way.go
@@ -147,21 +147,21 @@
 }
 
 // address finds a worker that may still be handed something.
-func (v *Vane) address(name string, s *forecast.Service) (string, bool) {
+func (v *Vane) address(name string, s *forecast.Service) (addr, zone string, ok bool) {
 	v.tableMu.Lock()
 	defer v.tableMu.Unlock()
 	for _, x := range v.table.pools[s.Pool] {
 		if s.Name+"/"+x.ID == name {
-			return x.Addr, !x.Leaving && !v.table.out[x.Zone]
+			return x.Addr, x.Zone, !x.Leaving && !v.table.out[x.Zone]
 		}
 	}
-	return "", false
+	return "", "", false
 }
 
 // handOver sends the prompt to the worker. True ends the request's way; false lets it look further.
 func (w *way) handOver(tag uint64, name string, s *forecast.Service) bool {
 	v := w.v
-	addr, ok := v.address(name, s)
+	addr, zone, ok := v.address(name, s)
 	if !ok || !w.m.Reaches(s.Name) {
 		v.done(tag, false)
 		w.why = synop.NoWorker
@@ -170,6 +170,7 @@
 	now := v.Crew.Now()
 	id := fmt.Sprintf("%s-%s", v.Self, strconv.FormatUint(tag, 16))
 	t := anemometer.NewTry(addr, id, w.body, w.until.Sub(now))
+	v.stats.hand(zone, v.Boot.Zone, len(w.body))
 	v.Crew.Go(t.Run)
 	if w.sent == 0 {
 		v.budgetOf(s.Name).First(now)
