--- /dev/null
+++ b/cmd/gale/main_test.go
@@ -0,0 +1,13 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) { testscript.Main(m, map[string]func(){"gale": main}) }
+
+func TestCommands(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata"})
+}
--- /dev/null
+++ b/internal/vaned/steps_test.go
@@ -0,0 +1,117 @@
+package vaned
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"seamshunt/internal/bulletin"
+	"seamshunt/internal/forecast"
+)
+
+const stepConfig = `{"services":[{"name":"big","pool":"main","cap":1,"warm_ms":0,"first_ms":20,"waitlist":1},{"name":"small","pool":"side","cap":1,"warm_ms":0,"first_ms":20,"waitlist":1}],
+"promises":[{"name":"p","first_ms":100,"deadline_ms":3000,"smaller":true}],
+"layout":"mapping stepped { when path = \"/stepped\" to big, small step small promise p repeat }\nmapping plain { when path = \"/plain\" to big promise p repeat }"}`
+
+// take gives the vane a change, and waits until it is in force.
+func take(t *testing.T, v *Vane, its ...bulletin.Item) {
+	t.Helper()
+	v.BullMu.Lock()
+	for _, it := range its {
+		v.Bull.Take(it)
+	}
+	v.BullMu.Unlock()
+	until(t, "the news is in force", func() bool {
+		v.BullMu.Lock()
+		defer v.BullMu.Unlock()
+		return len(v.Bull.Fresh) == 0
+	})
+}
+
+// A step down leads only to the service that the mapping allows, and only once the first is full; a mapping that
+// names none is refused honestly.
+func TestStepDown(t *testing.T) {
+	t.Parallel()
+	a, big := scripted(t)
+	b, small := scripted(t)
+	v := rig(t, a)
+	take(t, v, bulletin.Item{Key: "config", Num: 2, Data: []byte(stepConfig)},
+		bulletin.Item{Key: "workers/side", Num: 1, Data: forecast.PackWorkers([]forecast.Worker{{ID: "s1", Addr: b, Zone: "z1", Age: 1 << 40}})})
+	until(t, "both workers are kept", func() bool {
+		v.gaugeMu.Lock()
+		defer v.gaugeMu.Unlock()
+		k := v.gauge.Kept(v.Crew.Now())
+		return len(k) == 2 && k[0].Open && k[1].Open
+	})
+	ask(t, v, "/stepped")
+	first := <-big
+	defer first.Close()
+	waits := ask(t, v, "/stepped") // waits for big: its list has room
+	defer waits.Close()
+	until(t, "one waits", func() bool {
+		v.gaugeMu.Lock()
+		defer v.gaugeMu.Unlock()
+		return v.gauge.Kept(v.Crew.Now())[0].Waiting == 1
+	})
+	if status, body := ask(t, v, "/plain").reply(t); status != 503 || !strings.Contains(body, `"code":301`) || !strings.Contains(body, `"not_run":true`) {
+		t.Errorf("no step named: %d %s", status, body)
+	}
+	c := ask(t, v, "/stepped")
+	h := <-small
+	h.whole(2)
+	if status, body := c.reply(t); status != 200 || !strings.Contains(body, `"seal"`) {
+		t.Errorf("stepped: %d %s", status, body)
+	}
+	if len(big)+len(small) > 0 {
+		t.Error("something more was handed over")
+	}
+}
+
+// A change of the configuration, even one that takes the mapping away, leaves a stream under way as it began.
+func TestChangeCutsNoStream(t *testing.T) {
+	t.Parallel()
+	a, hands := scripted(t)
+	v := rig(t, a)
+	c := ask(t, v, "/chat")
+	h := <-hands
+	h.head()
+	h.chunk(piece(0))
+	if _, err := c.r.ReadString('}'); err != nil {
+		t.Fatal(err)
+	}
+	take(t, v, bulletin.Item{Key: "config", Num: 2, Data: []byte(stepConfig)}, bulletin.Item{Key: "zone/z1", Num: 1, Data: []byte(`{"evacuated":true}`)})
+	if status, body := ask(t, v, "/chat").reply(t); status != 404 || !strings.Contains(body, `"code":203`) {
+		t.Errorf("the mapping is gone: %d %s", status, body)
+	}
+	if status, body := ask(t, v, "/plain").reply(t); status != 503 || !strings.Contains(body, `"code":303`) {
+		t.Errorf("the zone is evacuated: %d %s", status, body)
+	}
+	v.leaving.Store(true) // as a warning would
+	if status, body := ask(t, v, "/plain").reply(t); status != 503 || !strings.Contains(body, `"code":305`) {
+		t.Errorf("leaving: %d %s", status, body)
+	}
+	h.chunk(piece(1))
+	h.chunk(seal(h.id, 2))
+	fmt.Fprint(h, "0\r\n\r\n")
+	for {
+		line, err := c.r.ReadString('\n')
+		if err != nil {
+			t.Fatalf("the stream was cut: %v", err)
+		}
+		if line == "0\r\n" {
+			break
+		}
+	}
+}
+
+// An older configuration is never taken again.
+func TestNewsNeverGoesBack(t *testing.T) {
+	t.Parallel()
+	a, _ := scripted(t)
+	v := rig(t, a)
+	take(t, v, bulletin.Item{Key: "config", Num: 3, Data: []byte(stepConfig)})
+	take(t, v, bulletin.Item{Key: "config", Num: 2, Data: []byte(rigConfig)})
+	if n := v.rules.Load().num; n != 3 {
+		t.Errorf("number %d in force", n)
+	}
+}
