--- a/internal/barod/ask.go
+++ b/internal/barod/ask.go
@@ -10,6 +10,9 @@
 
 // Ask carries a wish to a key's owner and waits for its result.
 func (c *Barometer) Ask(a barograph.Ask) barograph.Result {
+	if a.Write && c.noRoom() {
+		return barograph.Result{Code: synop.DiskFull}
+	}
 	a.Tag = c.tag.Add(1)
 	ch := make(chan barograph.Result, 1)
 	now := c.Crew.Now()
--- a/internal/barod/baro.go
+++ b/internal/barod/baro.go
@@ -109,9 +109,14 @@
 			return a, units.Node(h.ID), false, nil
 		}
 	}
-	self := tower.Random()
-	err = a.Append([]station.Record{{Kind: recSelf, Data: station.Pack(struct{ ID uint64 }{uint64(self)})}})
-	return a, self, true, err
+	id := tower.Random()
+	err = a.Append([]station.Record{self(id)})
+	return a, id, true, err
+}
+
+// self is the record of a disk's identity.
+func self(id units.Node) station.Record {
+	return station.Record{Kind: recSelf, Data: station.Pack(struct{ ID uint64 }{uint64(id)})}
 }
 
 // Start opens everything and returns.
@@ -191,6 +196,7 @@
 	all := c.Members()
 	unfit := c.disk.unfit(now)
 	c.Flag(mast.Unfit, unfit)
+	c.Flag(mast.Full, c.tryRoom(now))
 	c.Flag(mast.Draining, c.leaving.Load())
 	look := barograph.LookAt(all)
 	c.BullMu.Lock()
--- a/internal/barod/disk.go
+++ b/internal/barod/disk.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"seamshunt/internal/almanac"
+	"seamshunt/internal/mast"
 	"seamshunt/internal/station"
 	"seamshunt/internal/units"
 )
@@ -22,7 +23,9 @@
 	since units.Time // when the write under way began; zero when idle
 	sick  bool
 	full  bool
+	tried units.Time
 	slow  time.Duration
+	fault func() error // planted by tests in place of the file's own
 }
 
 // later queues writes and what must wait for them. It never blocks.
@@ -51,7 +54,7 @@
 		batch := d.queue
 		d.queue = nil
 		d.since = c.Crew.Now()
-		sick := d.sick
+		sick, fault := d.sick, d.fault
 		d.mu.Unlock()
 		if sick {
 			continue // no reply ever leaves again: the node must be restarted
@@ -60,7 +63,12 @@
 		for _, o := range batch {
 			rs = append(rs, o.Writes...)
 		}
-		err := d.file.Append(rs)
+		var err error
+		if fault != nil && len(rs) > 0 {
+			err = fault()
+		} else {
+			err = d.file.Append(rs)
+		}
 		d.mu.Lock()
 		d.slow = c.Crew.Now().Sub(d.since)
 		d.since = 0
@@ -106,3 +114,37 @@
 	defer d.mu.Unlock()
 	return d.sick || d.full || d.since > 0 && now.Sub(d.since) > stallAt || d.slow > stallAt
 }
+
+// tryRoom says whether the disk is full; while it is, a small record is tried once a second, since no other write
+// may come that would find room again.
+func (c *Barometer) tryRoom(now units.Time) bool {
+	d := &c.disk
+	d.mu.Lock()
+	full := d.full
+	try := full && now.Sub(d.tried) > time.Second
+	if try {
+		d.tried = now
+	}
+	d.mu.Unlock()
+	if try {
+		c.later(station.Out{Writes: []station.Record{self(c.Self)}})
+	}
+	return full
+}
+
+// noRoom says whether so many voters' disks are full that no write can find a majority.
+func (c *Barometer) noRoom() bool {
+	v := c.voters()
+	room, full := 0, 0
+	for _, m := range c.Members() {
+		if !v.Has(m.Node) || m.State > mast.Suspect {
+			continue
+		}
+		if m.Flags&mast.Full != 0 {
+			full++
+		} else {
+			room++
+		}
+	}
+	return full > 0 && room <= len(v.IDs)/2
+}
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/valyala/fastjson"
+
+	"seamshunt/internal/synop"
 )
 
 // Boot is a process's place in the world.
@@ -41,18 +43,18 @@
 func Read(path, program string) (*Boot, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return nil, Faults{err.Error()}
+		return nil, Faults{fmt.Sprintf("%d %v", synop.BadBoot, err)}
 	}
 	v, err := fastjson.ParseBytes(b)
 	if err != nil {
-		return nil, Faults{path + ": " + err.Error()}
+		return nil, Faults{fmt.Sprintf("%d %s: %v", synop.BadBoot, path, err)}
 	}
 	o, err := v.Object()
 	if err != nil {
-		return nil, Faults{path + ": an object is wanted"}
+		return nil, Faults{fmt.Sprintf("%d %s: an object is wanted", synop.BadBoot, path)}
 	}
 	var f Faults
-	bad := func(at, text string) { f = append(f, path+": "+at+": "+text) }
+	bad := func(at, text string) { f = append(f, fmt.Sprintf("%d %s: %s: %s", synop.BadBoot, path, at, text)) }
 	o.Visit(func(k []byte, _ *fastjson.Value) {
 		if !slices.Contains(known[program], string(k)) {
 			bad(string(k), "unknown field")
--- a/internal/mast/mast.go
+++ b/internal/mast/mast.go
@@ -36,6 +36,7 @@
 	Unfit           // its disk can't be trusted with ownership now
 	Ready           // a vane that serves
 	Voter           // a barometer that believes it votes
+	Full            // its disk has no room
 )
 
 // Member is one process.
--- /dev/null
+++ b/internal/screen/holders.go
@@ -0,0 +1,51 @@
+package screen
+
+import (
+	"cmp"
+	"slices"
+
+	"seamshunt/internal/mast"
+	"seamshunt/internal/units"
+)
+
+// Holders gives the three machines that hold a key's claim: rendezvous order over all vanes' addresses that are
+// known, gone or not, from different zones as far as there are any. A machine that is gone stands as zero, so that
+// losing machines never moves a key to others that know nothing of it.
+func Holders(all []mast.Member, key string) []units.Node {
+	type slot struct {
+		addr, zone string
+		node       units.Node
+		rank       uint64
+	}
+	by := map[string]*slot{}
+	for _, m := range all {
+		if m.Role != mast.Vane {
+			continue
+		}
+		s := by[m.Addr]
+		if s == nil {
+			s = &slot{addr: m.Addr, zone: m.Zone, rank: units.Mix(key, m.Addr)}
+			by[m.Addr] = s
+		}
+		if m.State <= mast.Suspect {
+			s.node = m.Node
+		}
+	}
+	l := make([]*slot, 0, len(by))
+	for _, s := range by {
+		l = append(l, s)
+	}
+	slices.SortFunc(l, func(a, b *slot) int { return cmp.Compare(b.rank, a.rank) })
+	var out []units.Node
+	zones := map[string]bool{}
+	for _, fresh := range []bool{true, false} {
+		for _, s := range l {
+			if len(out) < slots && s.addr != "" && (!fresh || !zones[s.zone]) {
+				out = append(out, s.node)
+				zones[s.zone] = true
+				s.addr = ""
+			}
+		}
+	}
+	return out
+}
--- a/internal/screen/screen.go
+++ b/internal/screen/screen.go
@@ -3,11 +3,8 @@
 package screen
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"seamshunt/internal/mast"
 	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
@@ -81,48 +78,6 @@
 	return &Screen{self: self, born: now, keys: map[string]entry{}, pends: map[uint64]*pending{}, copied: map[units.Node]bool{}}
 }
 
-// Holders gives the three machines that hold a key's claim: rendezvous order over all vanes' addresses that are
-// known, gone or not, from different zones as far as there are any. A machine that is gone stands as zero, so that
-// losing machines never moves a key to others that know nothing of it.
-func Holders(all []mast.Member, key string) []units.Node {
-	type slot struct {
-		addr, zone string
-		node       units.Node
-		rank       uint64
-	}
-	by := map[string]*slot{}
-	for _, m := range all {
-		if m.Role != mast.Vane {
-			continue
-		}
-		s := by[m.Addr]
-		if s == nil {
-			s = &slot{addr: m.Addr, zone: m.Zone, rank: units.Mix(key, m.Addr)}
-			by[m.Addr] = s
-		}
-		if m.State <= mast.Suspect {
-			s.node = m.Node
-		}
-	}
-	l := make([]*slot, 0, len(by))
-	for _, s := range by {
-		l = append(l, s)
-	}
-	slices.SortFunc(l, func(a, b *slot) int { return cmp.Compare(b.rank, a.rank) })
-	var out []units.Node
-	zones := map[string]bool{}
-	for _, fresh := range []bool{true, false} {
-		for _, s := range l {
-			if len(out) < slots && s.addr != "" && (!fresh || !zones[s.zone]) {
-				out = append(out, s.node)
-				zones[s.zone] = true
-				s.addr = ""
-			}
-		}
-	}
-	return out
-}
-
 // Claim asks the holders for a key under a token that is this node's own.
 func (s *Screen) Claim(now units.Time, token uint64, key string, holders []units.Node) (out station.Out) {
 	p := &pending{key: key, holders: holders, got: map[units.Node]bool{}, since: now}
@@ -269,47 +224,3 @@
 		}
 	}
 }
-
-type item struct {
-	Token uint64
-	Age   uint32
-	Burnt uint8
-}
-
-func (s *Screen) pack() []byte {
-	var l [][]byte
-	for _, k := range station.Keys(s.keys) {
-		e := s.keys[k]
-		x := item{Token: e.token}
-		if e.burnt {
-			x.Burnt = 1
-		}
-		l = append(l, station.Pack(x, []byte(k)))
-	}
-	return station.PackList(l)
-}
-
-// take copies a neighbour's memory; a key that is known here already keeps what it has, burnt staying burnt.
-func (s *Screen) take(now units.Time, n station.Note) error {
-	l, err := station.UnpackList(n.Body)
-	for _, t := range l {
-		var x item
-		var k []byte
-		if err == nil {
-			err = station.Unpack(t, &x, &k)
-		}
-		if err != nil {
-			return err
-		}
-		e, ok := s.keys[string(k)]
-		if !ok {
-			e = entry{token: x.Token, at: now}
-		}
-		e.burnt = e.burnt || x.Burnt == 1
-		s.keys[string(k)] = e
-	}
-	if err == nil {
-		s.copied[n.From] = true
-	}
-	return err
-}
--- a/internal/windtunnel/play.go
+++ b/internal/windtunnel/play.go
@@ -91,3 +91,14 @@
 		}
 	}
 }
+
+// state hashes what all hosts hold, for comparing two runs of a seed.
+func (w *World) state() string {
+	s := fmt.Sprintf("%d notes, trace %x, runs %d, refused %d", w.Sent, w.Trace, w.Figures.Runs, w.Figures.Refused)
+	for _, h := range w.coreH {
+		for _, r := range h.Disk.Records() {
+			s += fmt.Sprintf(" %d%s%x", r.Kind, r.Key, units.Mix(string(r.Data)))
+		}
+	}
+	return s
+}
