An audit record in a published format; test and fleet addresses that nothing else can take

Every address now has a loopback IP number of its own, while outgoing wires begin at 127.0.0.1. Ruled out: trying again on another port, since a restarted process must come back at its old address.

--- a/cmd/barometer/calls.go
+++ b/cmd/barometer/calls.go
@@ -58,6 +58,7 @@
 		return err
 	}
 	return []*cobra.Command{
+		verifyCmd(),
 		one("plan FILE", "propose a whole configuration; nothing changes yet", cobra.ExactArgs(1), func(a []string) error {
 			b, err := os.ReadFile(a[0])
 			if err != nil {
--- a/internal/barod/ask.go
+++ b/internal/barod/ask.go
@@ -1,9 +1,14 @@
 package barod
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"seamshunt/internal/barograph"
+	"seamshunt/internal/heliograph"
 	"seamshunt/internal/mast"
 	"seamshunt/internal/synop"
 )
@@ -49,3 +54,19 @@
 	_ = c.web.Shutdown()
 	c.Goodbye()
 }
+
+// change makes an operator's change, and has it in the audit record before it is acknowledged. A record that fails
+// is counted and never turns a change that stands into one that does not.
+func (c *Barometer) change(ctx *fasthttp.RequestCtx, a barograph.Ask) {
+	a.Write = true
+	r := c.Ask(a)
+	if r.Code == synop.OK {
+		sum := sha256.Sum256(a.Data)
+		err := c.audit.Add(heliograph.Leaf{Unix: time.Now().Unix(), Key: a.Key, Number: uint64(r.Num), Plan: a.Plan, SHA256: hex.EncodeToString(sum[:])})
+		if err != nil {
+			c.missed.Add(1)
+			c.Log.WithError(err).Error("an acknowledged change is not in the audit record")
+		}
+	}
+	c.result(ctx, r)
+}
--- a/internal/barod/baro.go
+++ b/internal/barod/baro.go
@@ -17,6 +17,7 @@
 	"seamshunt/internal/barograph"
 	"seamshunt/internal/boot"
 	"seamshunt/internal/bulletin"
+	"seamshunt/internal/heliograph"
 	"seamshunt/internal/isobar"
 	"seamshunt/internal/mast"
 	"seamshunt/internal/station"
@@ -41,6 +42,8 @@
 	web     *fasthttp.Server
 	polled  poll
 	doctor  barograph.Doctor
+	audit   *heliograph.Log
+	missed  atomic.Uint64  // acknowledged changes that the audit record lacks
 	iso     *isobar.Isobar // under baroMu
 }
 
@@ -51,6 +54,9 @@
 		return nil, err
 	}
 	c := &Barometer{Tower: tower.New(b, self, mast.Barometer), waits: map[uint64]chan barograph.Result{}, doctor: barograph.Doctor{Founders: b.Founders}}
+	if c.audit, err = heliograph.Open(b.Data, b.Name); err != nil {
+		return nil, err
+	}
 	c.disk.file = a
 	c.disk.wake = make(chan struct{}, 1)
 	c.baro = barograph.New(self, tower.Random())
--- a/internal/barod/disk_test.go
+++ b/internal/barod/disk_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -14,6 +13,8 @@
 
 	"seamshunt/internal/almanac"
 	"seamshunt/internal/boot"
+	"seamshunt/internal/heliograph"
+	"seamshunt/internal/standin"
 )
 
 const config = `{"services":[{"name":"a","pool":"main","cap":2}],"promises":[{"name":"p","first_ms":100,"deadline_ms":3000}],
@@ -21,12 +22,11 @@
 
 func free(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := standin.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return a
 }
 
 // alone starts a core of one disk.
@@ -191,3 +191,22 @@
 		t.Errorf("read back %q", b)
 	}
 }
+
+// What was acknowledged is in the audit record, which verifies.
+func TestAudit(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	c := alone(t, dir)
+	t.Cleanup(c.Drain)
+	until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
+	if code, b := call(t, c, "PUT", "/v1/config?number=0", config); code != 409 {
+		t.Errorf("a conflict: %d %s", code, b)
+	}
+	key, err := os.ReadFile(filepath.Join(dir, "audit.pub"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := heliograph.Verify(dir, string(bytes.TrimSpace(key)), nil); n != 1 || err != nil {
+		t.Errorf("%d entries, %v", n, err)
+	}
+}
--- a/internal/barod/plan.go
+++ b/internal/barod/plan.go
@@ -159,7 +159,7 @@
 	id := string(v.GetStringBytes("plan"))
 	if x, ok := c.plans.Load(id); ok {
 		p := x.(*plan)
-		c.result(ctx, c.Ask(barograph.Ask{Key: p.key, Write: true, Expect: p.num, Plan: id, Data: p.data}))
+		c.change(ctx, barograph.Ask{Key: p.key, Expect: p.num, Plan: id, Data: p.data})
 		return
 	}
 	node, _, _ := strings.Cut(id, "-")
--- a/internal/barod/web.go
+++ b/internal/barod/web.go
@@ -128,7 +128,7 @@
 		c.fail(ctx, fs...)
 		return
 	}
-	c.result(ctx, c.Ask(barograph.Ask{Key: keyConfig, Write: true, Expect: num, Plan: string(ctx.Request.Header.Peek("Plan-Id")), Data: body}))
+	c.change(ctx, barograph.Ask{Key: keyConfig, Expect: num, Plan: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
 }
 
 // zone evacuates a zone or takes the evacuation back.
@@ -142,7 +142,7 @@
 		c.fail(ctx, f)
 		return
 	}
-	c.result(ctx, c.Ask(barograph.Ask{Key: "zone/" + zone, Write: true, Expect: num, Plan: string(ctx.Request.Header.Peek("Plan-Id")), Data: body}))
+	c.change(ctx, barograph.Ask{Key: "zone/" + zone, Expect: num, Plan: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
 }
 
 func (c *Barometer) checkZone(zone string, body []byte) *synop.Fault {
--- a/internal/fleet/deploy.go
+++ b/internal/fleet/deploy.go
@@ -5,9 +5,10 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
+
+	"seamshunt/internal/standin"
 )
 
 // Machine is one machine of a deployment.
@@ -69,22 +70,14 @@
 	return os.ReadFile(filepath.Join(d.dir, d.Config))
 }
 
-// ports asks the kernel for free addresses.
+// ports gives free addresses.
 func ports(n int) ([]string, error) {
-	var ls []net.Listener
-	var l []string
-	defer func() {
-		for _, x := range ls {
-			x.Close()
-		}
-	}()
-	for range n {
-		x, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, fmt.Errorf("fleet: %w", err)
+	l := make([]string, n)
+	for i := range l {
+		var err error
+		if l[i], err = standin.FreeAddr(); err != nil {
+			return nil, err
 		}
-		ls = append(ls, x)
-		l = append(l, x.Addr().String())
 	}
 	return l, nil
 }
--- a/internal/telegraph/telegraph_test.go
+++ b/internal/telegraph/telegraph_test.go
@@ -11,17 +11,16 @@
 	"github.com/jonboulle/clockwork"
 
 	"seamshunt/internal/crew"
+	"seamshunt/internal/standin"
 	"seamshunt/internal/station"
 )
 
 func pair(t *testing.T, take func(station.Note)) *Telegraph {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := standin.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := ln.Addr().String()
-	ln.Close()
 	c := crew.New(clockwork.NewRealClock(), 1)
 	x, err := Open(1, addr, c, take, nil)
 	if err != nil {
@@ -84,12 +83,10 @@
 
 // Refusal by an address is told, since it proves that the process there has ended.
 func TestRefused(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := standin.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	free := ln.Addr().String()
-	ln.Close()
 	x := pair(t, func(station.Note) {})
 	said := make(chan string, 1)
 	x.refused = func(a string) { said <- a }
--- a/internal/vaned/rig_test.go
+++ b/internal/vaned/rig_test.go
@@ -16,6 +16,7 @@
 	"seamshunt/internal/boot"
 	"seamshunt/internal/bulletin"
 	"seamshunt/internal/forecast"
+	"seamshunt/internal/standin"
 )
 
 const rigConfig = `{"services":[{"name":"advice","pool":"main","cap":2,"warm_ms":0,"first_ms":20,"waitlist":1}],
@@ -24,12 +25,11 @@
 
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := standin.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return a
 }
 
 // hand is one wire that a scripted worker took, with the request read.
