Keepers regain nodes that trust another; draining vanes report what they hold

Cause 1: a vane takes grants only from the node it last reported to. Nodes that start or heal with part of the fleet in view take workers over for a moment; the rightful keeper never learned that the others had turned away, and its grants were refused there for good. An ask now says that its node trusts another, and the keeper collects all reports anew before it lends. Cause 2, by reading: a draining vane was no longer asked by new keepers for the permits it held. It is asked now, and keeps no worker. A trouble 'vane drained and restarted' is played with the others. Ruled out: checking trust by the nodes' own view of the keeper, since views differ just then.

--- a/internal/anemometer/seal_test.go
+++ b/internal/anemometer/seal_test.go
@@ -60,3 +60,16 @@
 		}
 	}
 }
+
+// A piece out of its turn is refused as it comes, not only by the seal: it must never reach the caller.
+func TestSealStopsAtThePiece(t *testing.T) {
+	for _, x := range []string{`{"n":0,"text":"a"}`, `{"n":2,"text":"c"}`, `{"n":-1,"text":"c"}`, `{"n":1}`, `{"text":"b"}`, `{"n":1,"text":7}`} {
+		s := NewSeal("r1")
+		if _, err := s.Line([]byte(`{"n":0,"text":"a"}`)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.Line([]byte(x)); err == nil {
+			t.Errorf("after piece 0, %s is taken", x)
+		}
+	}
+}
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -146,14 +146,22 @@
 
 // begin asks every live vane what it holds; until all have said so, nothing is lent.
 func (g *Gauge) begin(now units.Time, name string, out *station.Out) {
-	k := &keep{lent: map[permit]*loan{}, need: map[units.Node]bool{}, sent: now.Add(-reask), adapted: now}
-	for _, v := range g.vanes {
-		k.need[v.Node] = true
-	}
+	k := &keep{lent: map[permit]*loan{}, adapted: now}
 	for _, t := range g.holds {
 		k.holdTil = max(k.holdTil, t)
 	}
 	g.keeps[name] = k
+	g.recollect(now, name, k, out)
+}
+
+// recollect asks all nodes for their reports, and with them for their trust. A keeper also does so when it meets a
+// node that has last reported to another: while views differed, that one took the worker over, and no grant of
+// this keeper's would be taken there.
+func (g *Gauge) recollect(now units.Time, name string, k *keep, out *station.Out) {
+	k.open, k.need, k.sent = false, map[units.Node]bool{}, now.Add(-reask)
+	for _, v := range g.vanes {
+		k.need[v.Node] = true
+	}
 	g.collect(now, name, k, out)
 }
 
--- a/internal/gauge/note.go
+++ b/internal/gauge/note.go
@@ -36,7 +36,7 @@
 	Busy uint8 = 1 + iota
 	Full
 	Late
-	NotKeeper
+	NotKeeper // in an Ask: the asker has last reported to another node
 	Closed
 	Silent // never on the wire: the asker's own finding
 )
@@ -105,8 +105,9 @@
 
 // Peer is one vane in membership's view.
 type Peer struct {
-	Node units.Node
-	Zone string
+	Node   units.Node
+	Zone   string
+	Leaves bool // it drains: it holds permits and reports them, and keeps no worker
 }
 
 // Keeper gives the vane that keeps a worker: rendezvous order, the worker's zone first.
@@ -116,6 +117,9 @@
 	own := false
 	for _, v := range vanes {
 		near := v.Zone == zone
+		if v.Leaves {
+			continue
+		}
 		if own && !near {
 			continue
 		}
--- a/internal/gauge/step.go
+++ b/internal/gauge/step.go
@@ -68,6 +68,9 @@
 		out.Send(from, Grant, Pack(g.state(now, name, k, Head{Tag: h.Tag}), name))
 		return
 	}
+	if h.Reason == NotKeeper && k.open {
+		g.recollect(now, name, k, out)
+	}
 	left := units.Millis(h.Left).Span()
 	wait := k.gap(max(1, g.Cap(now, name)))
 	for i, a := range k.list {
--- a/internal/gauge/watch.go
+++ b/internal/gauge/watch.go
@@ -7,7 +7,7 @@
 	"seamshunt/internal/units"
 )
 
-// Watch keeps what membership says of the vanes: who may keep workers, who fell silent and since when, and
+// Watch keeps what membership says of the vanes: who is live, who fell silent and since when, and
 // who is known to have ended.
 type Watch struct {
 	lost map[units.Node]units.Time
@@ -36,9 +36,7 @@
 		switch {
 		case m.State <= mast.Suspect:
 			delete(w.lost, m.Node)
-			if m.Flags&mast.Draining == 0 {
-				peers = append(peers, Peer{Node: m.Node, Zone: m.Zone})
-			}
+			peers = append(peers, Peer{Node: m.Node, Zone: m.Zone, Leaves: m.Flags&mast.Draining != 0})
 		case m.State == mast.Left:
 			delete(w.lost, m.Node)
 		default:
--- a/internal/hygrometer/hygrometer.go
+++ b/internal/hygrometer/hygrometer.go
@@ -161,6 +161,9 @@
 	if wait {
 		a.Wait = 1
 	}
+	if k, ok := h.loyal[r.worker]; ok && k != r.keeper {
+		a.Reason = gauge.NotKeeper
+	}
 	r.sent = now
 	r.heard = now
 	out.Send(r.keeper, gauge.Ask, gauge.Pack(a, r.worker))
--- a/internal/vaned/tries_test.go
+++ b/internal/vaned/tries_test.go
@@ -15,6 +15,9 @@
 	a, ha := scripted(t)
 	b, hb := scripted(t)
 	v := rig(t, a, b)
+	for range 50 {
+		v.budgetOf("advice").First(v.Crew.Now()) // the budget would allow it
+	}
 	c := ask(t, v, "/notice")
 	var h hand
 	select {
--- a/internal/windtunnel/play.go
+++ b/internal/windtunnel/play.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"seamshunt/internal/barograph"
+	"seamshunt/internal/gauge"
+	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -64,6 +67,7 @@
 	}
 	w.Faults = append(w.Faults, Linear(w.History)...)
 	w.alike()
+	w.kept()
 }
 
 // alike: once all is healed, every voter's copy of every key is the same.
@@ -102,3 +106,33 @@
 	}
 	return s
 }
+
+// kept: once all is healed and quiet, every node can get a slot of every open worker.
+func (w *World) kept() {
+	if !w.whole() {
+		return
+	}
+	w.rate = 0
+	w.Run(w.Now.Add(25 * time.Second)) // whatever ran has ended, whatever was waited out is over
+	for _, h := range w.edgeH {
+		e := w.edges[h]
+		for _, l := range w.listed {
+			if !e.Ready || l.Leaving || e.Out[l.Zone] || !w.workers[l.ID].up {
+				continue
+			}
+			name := "advice/" + l.ID
+			e.tag++
+			tag, got := e.tag, synop.Code(0)
+			e.verdict[tag] = func(v hygrometer.Verdict) { got = v.Code }
+			w.Inject(h, func(now units.Time) station.Out {
+				return e.desk.Arrive(now, hygrometer.Req{Tag: tag, Policy: "knee", Cands: []string{name}, Tries: 1, Until: now.Add(4 * time.Second),
+					Keeper: func(string) units.Node { return gauge.Keeper(e.peers, name, l.Zone) }})
+			})
+			w.Run(w.Now.Add(500 * time.Millisecond))
+			w.Inject(h, func(now units.Time) station.Out { return e.desk.Done(now, tag, false) })
+			if got != synop.OK {
+				w.fault("%s gets no slot of %s: %d", h.Addr, name, got)
+			}
+		}
+	}
+}
--- a/internal/windtunnel/trouble.go
+++ b/internal/windtunnel/trouble.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
 )
 
 // Trouble is one failure that can be brought about; each heals itself.
@@ -63,6 +66,7 @@
 	{"core machine replaced by an empty one", func(w *World, _ time.Duration) { w.replace(w.Rng.IntN(len(w.coreH))) }},
 	{"everything lost", func(w *World, _ time.Duration) { w.loseAll() }},
 	{"rolling restart", func(w *World, _ time.Duration) { w.roll() }},
+	{"vane drained and restarted", func(w *World, d time.Duration) { w.drain(pick(w, w.edgeH)) }},
 	{"worker leaves", func(w *World, _ time.Duration) { w.leave() }},
 	{"worker lost and replaced", func(w *World, d time.Duration) { w.crash(d) }},
 	{"evacuation and withdrawal", func(w *World, d time.Duration) {
@@ -193,6 +197,30 @@
 	}
 }
 
+// drain warns a vane: it takes nothing new, its streams end, then it leaves and is started again.
+func (w *World) drain(h *Host) {
+	e := w.edges[h]
+	if !w.alive(h) {
+		return
+	}
+	e.Drain = true
+	e.unready()
+	life, end := h.life, w.Now.Add(20*time.Second)
+	var look func()
+	look = func() {
+		if h.life != life {
+			return
+		}
+		if len(e.desk.Flight)+e.desk.Waiting() > 0 && w.Now < end {
+			w.After(50*time.Millisecond, look)
+			return
+		}
+		w.Inject(h, func(units.Time) station.Out { return e.mast.Leave() })
+		w.After(100*time.Millisecond, func() { w.bounce(h, 500*time.Millisecond, true) })
+	}
+	look()
+}
+
 func (w *World) leave() {
 	i := w.Rng.IntN(len(w.listed))
 	if w.listed[i].Leaving {
