--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"os"
 	"slices"
@@ -20,7 +21,7 @@
 }
 
 var verbs = []string{"kill", "stop", "start", "restart", "freeze", "thaw", "evacuate", "readmit", "leave", "drop", "mood",
-	"wipe", "apply", "rate", "killall", "startall", "killzone", "startzone", "join"}
+	"wipe", "apply", "rate", "killall", "startall", "killzone", "startzone", "join", "storm"}
 
 // ParseEvents reads a list like "12:kill:n1,15:start:n1".
 func ParseEvents(s string) ([]Event, error) {
@@ -81,8 +82,9 @@
 		if err != nil {
 			return err
 		}
-		_, err = f.Set("/v1/config", b, 10*time.Second)
-		return err
+		return f.Apply(b)
+	case "storm":
+		return f.storm(e.On)
 	case "rate":
 		r, err := strconv.ParseFloat(e.On, 64)
 		if err != nil {
@@ -104,6 +106,29 @@
 	return nil
 }
 
+// storm has two operators race each other with so many configurations, alike but for their last bytes.
+func (f *Fleet) storm(count string) error {
+	n, err := strconv.Atoi(count)
+	if err != nil {
+		return err
+	}
+	b, err := f.Dep.ConfigBytes()
+	if err != nil {
+		return err
+	}
+	done := make(chan error, 2)
+	for side := range 2 {
+		f.Crew.Go(func() {
+			for i := range n {
+				// A conflict is the race's own outcome; what counts is what was acknowledged.
+				_ = f.Apply(append(slices.Clone(b), strings.Repeat(" ", 1+2*i+side)...))
+			}
+			done <- nil
+		})
+	}
+	return errors.Join(<-done, <-done)
+}
+
 func (f *Fleet) kill(name string) error {
 	if err := f.Signal(name, syscall.SIGKILL); err != nil {
 		return err
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -1,7 +1,6 @@
 package gauge
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -213,47 +212,3 @@
 	}
 	delete(g.keeps, name)
 }
-
-// permits lists what is lent, in order.
-func (k *keep) permits() []permit {
-	l := make([]permit, 0, len(k.lent))
-	for p := range k.lent {
-		l = append(l, p)
-	}
-	slices.SortFunc(l, func(a, b permit) int { return cmp.Or(cmp.Compare(a.node, b.node), cmp.Compare(a.tag, b.tag)) })
-	return l
-}
-
-// audit asks holders about permits that have been out for a while; they return what they don't know.
-func (g *Gauge) audit(now units.Time, out *station.Out) {
-	for _, name := range station.Keys(g.keeps) {
-		k := g.keeps[name]
-		by := map[units.Node][]Held{}
-		for _, p := range k.permits() {
-			if now.Sub(k.lent[p].since) >= audit {
-				by[p.node] = append(by[p.node], Held{Tag: p.tag})
-			}
-		}
-		for _, n := range station.Keys(by) {
-			out.Send(n, Audit, packReport(name, by[n]))
-		}
-	}
-}
-
-// adapt is the optional AIMD, keyed on waiting time only.
-func (g *Gauge) adapt(now units.Time, name string, k *keep) {
-	w := g.workers[name]
-	if !w.Adapt || now.Sub(k.adapted) < adaptGap {
-		return
-	}
-	k.adapted = now
-	if k.cap == 0 {
-		k.cap = float64(w.Cap)
-	}
-	if k.waitN > 0 && k.waitSum/time.Duration(k.waitN) > w.Aim {
-		k.cap = max(float64(w.Floor), k.cap*0.8)
-	} else {
-		k.cap = min(float64(w.Cap), k.cap+1)
-	}
-	k.waitSum, k.waitN = 0, 0
-}
--- a/internal/observer/more.go
+++ b/internal/observer/more.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -14,8 +15,10 @@
 	for _, e := range r.Events {
 		switch e.How {
 		case "config-acknowledged":
-			acked = e.Target
 			n++
+			if acked == "" || number(e.Target) > number(acked) {
+				acked = e.Target
+			}
 		case "config-read":
 			read = e.Target
 		}
@@ -31,6 +34,12 @@
 	return Finding{p, true, fmt.Sprintf("%d acknowledged, the last read back", n)}
 }
 
+func number(mark string) int {
+	head, _, _ := strings.Cut(mark, "/")
+	n, _ := strconv.Atoi(head)
+	return n
+}
+
 // hard are events after which a stream may break: its node or its worker was taken away.
 var hard = map[string]bool{"kill": true, "freeze": true, "thaw": true, "wipe": true, "killall": true, "wrong": true}
 
