--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -158,16 +158,28 @@
 		}
 		fmt.Fprintf(say, "%-7s %s: %s\n", word, x.Promise, x.Seen)
 	}
-	fmt.Fprintf(say, "%-10s %7s %8s %8s %7s %6s %10s %10s\n", "mapping", "sent", "on time", "refused", "broken", "other", "first p50", "first p95")
-	for _, x := range r.Measure(0, 1<<62) {
-		fmt.Fprintf(say, "%-10s %7d %7.1f%% %8d %7d %6d %7.0f ms %7.0f ms\n", x.Mapping, x.Sent, 100*float64(x.OnTime)/float64(max(1, x.Sent)),
-			x.Refused, x.Broken, x.Other, x.First50, x.First9)
+	from, name := int64(0), "all"
+	for _, e := range r.Events {
+		if e.How == "rate" {
+			figures(r, from, e.At, name, say)
+			from, name = e.At, "from rate "+e.Target
+		}
 	}
+	figures(r, from, 1<<62, name, say)
 	hit, cross := r.Hits(zone)
 	fmt.Fprintf(say, "prefix hit rate %.1f%%; runs handed over to another zone %.1f%%\n", 100*hit, 100*cross)
 	return good
 }
 
+// figures prints what was measured over a span of the run.
+func figures(r *observer.Run, from, to int64, name string, say io.Writer) {
+	fmt.Fprintf(say, "%-16s %7s %8s %8s %7s %6s %10s %10s\n", name, "sent", "on time", "refused", "broken", "other", "first p50", "first p95")
+	for _, x := range r.Measure(from, to) {
+		fmt.Fprintf(say, "  %-14s %7d %7.1f%% %8d %7d %6d %7.0f ms %7.0f ms\n", x.Mapping, x.Sent, 100*float64(x.OnTime)/float64(max(1, x.Sent)),
+			x.Refused, x.Broken, x.Other, x.First50, x.First9)
+	}
+}
+
 // Abs makes a folder's path whole.
 func Abs(p string) string {
 	a, err := filepath.Abs(p)
--- a/internal/vaned/steps_test.go
+++ b/internal/vaned/steps_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"seamshunt/internal/bulletin"
@@ -13,7 +14,10 @@
 "promises":[{"name":"p","first_ms":100,"deadline_ms":3000,"smaller":true}],
 "layout":"mapping stepped { when path = \"/stepped\" to big, small step small promise p repeat }\nmapping plain { when path = \"/plain\" to big promise p repeat }"}`
 
-// take gives the vane a change, and waits until it is in force.
+var markers atomic.Uint64
+
+// take gives the vane a change, and waits until it has been looked at: news is applied in its order, so a marker
+// behind it shows that.
 func take(t *testing.T, v *Vane, its ...bulletin.Item) {
 	t.Helper()
 	v.BullMu.Lock()
@@ -21,10 +25,14 @@
 		v.Bull.Take(it)
 	}
 	v.BullMu.Unlock()
-	until(t, "the news is in force", func() bool {
-		v.BullMu.Lock()
-		defer v.BullMu.Unlock()
-		return len(v.Bull.Fresh) == 0
+	marker := fmt.Sprintf("marker%d", markers.Add(1))
+	v.BullMu.Lock()
+	v.Bull.Take(bulletin.Item{Key: "zone/" + marker, Num: 1, Data: []byte(`{"evacuated":true}`)})
+	v.BullMu.Unlock()
+	until(t, "the news is looked at", func() bool {
+		v.tableMu.Lock()
+		defer v.tableMu.Unlock()
+		return v.table.out[marker]
 	})
 }
 
