A woken vane keeps workers again; a cut run's slot waits for its worker to notice

Cause 1, by reading: after a freeze the keeper's books are thrown away, but workers and vanes were only told to it anew when they changed, so it kept nothing any more. TestWokeKeepsAgain failed (never lends) and passes. Cause 2: when a caller hung up, its slot came back at once, while the worker may run on until it sees the broken wire. TestCutRunKeepsItsSlotAWhile: free after 55 ms before, after 300 ms now. A run that went silent keeps its slot till its deadline as before.

--- a/internal/hygrometer/hygrometer.go
+++ b/internal/hygrometer/hygrometer.go
@@ -23,7 +23,8 @@
 	again  = 300 * time.Millisecond // a waiting prompt's ask is repeated
 	lostAt = 900 * time.Millisecond // a waiting prompt's keeper that says nothing for so long is given up
 	grace  = 500 * time.Millisecond
-	waits  = 3 // how many waitlists one prompt may try
+	notice = 300 * time.Millisecond // a worker notices a broken wire within this
+	waits  = 3                      // how many waitlists one prompt may try
 )
 
 type stage uint8
@@ -32,7 +33,7 @@
 	asking stage = iota
 	waiting
 	held
-	ghost // its run may still be going: the slot stays taken till the prompt's time is out
+	ghost // its run may still be going: the slot stays taken till its time is out
 )
 
 type option struct {
@@ -188,9 +189,7 @@
 		return out
 	}
 	if r.stage == held {
-		if h.Flight[r.worker]--; h.Flight[r.worker] <= 0 {
-			delete(h.Flight, r.worker)
-		}
+		h.leave(r)
 	}
 	b := gauge.Head{Tag: tag}
 	if unsure && r.stage == held {
@@ -205,31 +204,27 @@
 	return out
 }
 
-// keeper is whoever this node last reported to, else whom it asked.
-func (h *Hygrometer) keeper(r *Req) units.Node {
-	if k, ok := h.loyal[r.worker]; ok {
-		return k
+// Cut is Done for a run whose wire this node broke off: its slot comes back once the worker had time to notice.
+func (h *Hygrometer) Cut(now units.Time, tag uint64) (out station.Out) {
+	if r := h.reqs[tag]; r != nil && r.stage == held {
+		r.Until = now.Add(notice - grace)
+		h.leave(r)
+		r.stage = ghost
+		return out
 	}
-	return r.keeper
+	return h.Done(now, tag, false)
 }
 
-// Waiting counts the prompts that are not in yet.
-func (h *Hygrometer) Waiting() int {
-	k := 0
-	for _, r := range h.reqs {
-		if r.stage <= waiting {
-			k++
-		}
+func (h *Hygrometer) leave(r *Req) {
+	if h.Flight[r.worker]--; h.Flight[r.worker] <= 0 {
+		delete(h.Flight, r.worker)
 	}
-	return k
 }
 
-// Woke distrusts every permit after a freeze: what ran out is gone, and what waits asks anew (design 6).
-func (h *Hygrometer) Woke(now units.Time) {
-	for _, r := range h.reqs {
-		if r.stage <= waiting {
-			r.sent = now.Add(-lostAt)
-			r.heard = r.sent
-		}
+// keeper is whoever this node last reported to, else whom it asked.
+func (h *Hygrometer) keeper(r *Req) units.Node {
+	if k, ok := h.loyal[r.worker]; ok {
+		return k
 	}
+	return r.keeper
 }
--- a/internal/hygrometer/step.go
+++ b/internal/hygrometer/step.go
@@ -34,6 +34,7 @@
 			}
 		case ghost:
 			if now > r.Until.Add(grace) {
+				h.drop(r, &out)
 				delete(h.reqs, r.Tag)
 			}
 		}
@@ -55,9 +56,15 @@
 	return l
 }
 
-// drop voids an ask, so that a late grant has nobody.
+// drop voids an ask, so that a late grant has nobody, or gives a ghost's slot back.
 func (h *Hygrometer) drop(r *Req, out *station.Out) {
-	out.Send(r.keeper, gauge.Return, gauge.Pack(gauge.Head{Tag: r.Tag}, r.worker))
+	to := r.keeper
+	if r.stage == ghost {
+		to = h.keeper(r)
+	}
+	if to != 0 {
+		out.Send(to, gauge.Return, gauge.Pack(gauge.Head{Tag: r.Tag}, r.worker))
+	}
 }
 
 // refused takes a keeper's no, or its silence, and goes on to the next worker.
@@ -151,3 +158,24 @@
 	}
 	out.Send(from, gauge.Report, gauge.PackReport(name, l))
 }
+
+// Waiting counts the prompts that are not in yet.
+func (h *Hygrometer) Waiting() int {
+	k := 0
+	for _, r := range h.reqs {
+		if r.stage <= waiting {
+			k++
+		}
+	}
+	return k
+}
+
+// Woke distrusts every permit after a freeze: what ran out is gone, and what waits asks anew (design 6).
+func (h *Hygrometer) Woke(now units.Time) {
+	for _, r := range h.reqs {
+		if r.stage <= waiting {
+			r.sent = now.Add(-lostAt)
+			r.heard = r.sent
+		}
+	}
+}
--- a/internal/vaned/stream.go
+++ b/internal/vaned/stream.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"time"
 
 	"seamshunt/internal/anemometer"
@@ -100,7 +101,8 @@
 			if e.Kind == anemometer.Piece || e.Kind == anemometer.Sealed {
 				return &e, nil
 			}
-			s.unsure = true
+			var late net.Error
+			s.unsure = errors.As(e.Err, &late) && late.Timeout() // silence: nobody knows whether it still runs
 			v.stats.count(synop.BrokenStream)
 			v.Log.WithError(e.Err).WithField("worker", s.worker).Warn("a stream broke")
 			return nil, errBroken
@@ -127,7 +129,11 @@
 	if s.whole && len(s.rest) == 0 {
 		s.w.v.stats.count(synop.OK)
 	}
-	s.w.v.done(s.tag, s.unsure)
+	if s.whole || s.unsure {
+		s.w.v.done(s.tag, s.unsure)
+	} else {
+		s.w.v.cut(s.tag)
+	}
 	s.w.v.flight.Add(-1)
 	return nil
 }
--- a/internal/vaned/vane.go
+++ b/internal/vaned/vane.go
@@ -147,9 +147,12 @@
 	v.deskMu.Lock()
 	v.desk.Woke(now)
 	v.deskMu.Unlock()
+	v.tableMu.Lock()
+	v.table.fresh = true // the new keeper is told of all workers and vanes
 	v.gaugeMu.Lock()
 	v.gauge = gauge.New(v.Self)
 	v.gaugeMu.Unlock()
+	v.tableMu.Unlock()
 }
 
 func (v *Vane) gone(now units.Time, l []units.Node) {
--- a/internal/vaned/way.go
+++ b/internal/vaned/way.go
@@ -9,11 +9,9 @@
 
 	"seamshunt/internal/anemometer"
 	"seamshunt/internal/forecast"
-	"seamshunt/internal/gauge"
 	"seamshunt/internal/hygrometer"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
-	"seamshunt/internal/windvane"
 )
 
 // way is one request on its way.
@@ -113,39 +111,6 @@
 	}
 }
 
-// cands asks the placement policy for the workers' order, and finds each one's keeper.
-func (v *Vane) cands(now units.Time, s *forecast.Service, text []byte) ([]string, map[string]units.Node) {
-	q := windvane.Query{Prefix: windvane.Fingerprint(text, s.Prefix), Zone: v.Boot.Zone, Spread: s.Spread}
-	keepers := map[string]units.Node{}
-	v.tableMu.Lock()
-	for _, x := range v.table.pools[s.Pool] {
-		name := s.Name + "/" + x.ID
-		if x.Leaving || v.table.out[x.Zone] || now < v.table.down[name] {
-			continue
-		}
-		q.Spots = append(q.Spots, windvane.Spot{Name: name, Zone: x.Zone})
-		keepers[name] = gauge.Keeper(v.table.peers, name, x.Zone)
-	}
-	v.tableMu.Unlock()
-	v.deskMu.Lock()
-	for i := range q.Spots {
-		if l, ok := v.desk.Loads[q.Spots[i].Name]; ok && now.Sub(l.At) < 2*time.Second {
-			q.Spots[i].Load = float64(l.Lent+l.Wait) / float64(l.Cap)
-		}
-	}
-	v.deskMu.Unlock()
-	return v.wind.Order(s.Place, q), keepers
-}
-
-func (v *Vane) done(tag uint64, unsure bool) {
-	v.deskMu.Lock()
-	delete(v.doors, tag)
-	out := v.desk.Done(v.Crew.Now(), tag, unsure)
-	v.tell(v.Crew.Now())
-	v.deskMu.Unlock()
-	v.Deliver(out)
-}
-
 // address finds a worker that may still be handed something.
 func (v *Vane) address(name string, s *forecast.Service) (addr, zone string, ok bool) {
 	v.tableMu.Lock()
@@ -235,7 +200,7 @@
 }
 
 func (w *way) hungUp(tag uint64) bool {
-	w.v.done(tag, false)
+	w.v.cut(tag)
 	w.v.stats.count(synop.HungUp)
 	w.ctx.SetConnectionClose()
 	w.ctx.SetStatusCode(synop.HungUp.Status())
