--- a/cmd/gale/fleet.go
+++ b/cmd/gale/fleet.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -17,76 +19,134 @@
 	"seamshunt/internal/observer"
 )
 
+// trial is one run of a deployment, as the flags say it.
+type trial struct {
+	dep, dir, events, wrong, allow, place string
+	plan                                  fleet.Plan
+	secs, perSec                          int
+	served                                float64
+}
+
+func (x *trial) flags(c *cobra.Command) {
+	fl := c.Flags()
+	fl.StringVar(&x.dep, "deploy", "deploy/vatuloa.json", "the deployment's file")
+	fl.StringVar(&x.events, "events", "", "what happens: SECONDS:VERB[:NAME[:VALUE]],...")
+	fl.StringVar(&x.wrong, "wrong", "", "workers that answer wrongly: w03=gap,...")
+	fl.IntVar(&x.secs, "seconds", 20, "how long traffic lasts, from the tenth second on")
+	fl.IntVar(&x.perSec, "platform-limit", 5, "questions a second that the platform allows")
+	fl.Float64Var(&x.plan.Rate, "rate", 30, "requests a second")
+	fl.Uint64Var(&x.plan.Seed, "seed", 1, "seed of the requests")
+	fl.IntVar(&x.plan.Topics, "topics", 24, "how many shared prefixes each kind of request has")
+	fl.Float64Var(&x.served, "served", 0.5, "least share of calls to be answered whole and on time")
+}
+
+// check reads what can be wrong before anything starts.
+func (x *trial) check() (d *fleet.Deployment, err error) {
+	if d, err = fleet.Load(x.dep); err != nil {
+		return nil, err
+	}
+	if x.plan.Events, err = fleet.ParseEvents(x.events); err != nil {
+		return nil, err
+	}
+	if x.secs < 1 || x.plan.Rate <= 0 || x.plan.Topics < 2 {
+		return nil, errors.New("--seconds, --rate and --topics are above 0, topics above 1")
+	}
+	x.plan.From, x.plan.Traffic = 10*time.Second, time.Duration(x.secs)*time.Second
+	x.plan.Edit = edit(x.allow, x.place)
+	return d, nil
+}
+
+// run brings the fleet up, carries the plan out, and judges.
+func (x *trial) run(ctx context.Context, say io.Writer) error {
+	d, err := x.check()
+	if err != nil {
+		return err
+	}
+	dir := x.dir
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "gale"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+	}
+	me, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	f, err := fleet.New(d, fleet.Abs(dir), filepath.Dir(me), x.perSec)
+	if err != nil {
+		return err
+	}
+	defer f.Down()
+	for _, w := range strings.Split(x.wrong, ",") {
+		if n, how, ok := strings.Cut(w, "="); ok {
+			f.Wrong[n] = how
+			f.Event("wrong", n)
+		}
+	}
+	if err := f.Run(ctx, x.plan, say); err != nil {
+		return err
+	}
+	var u observer.Rules
+	if u, err = f.Rules(x.plan.Edit); err != nil {
+		return err
+	}
+	u.Served = x.served
+	good, err := f.Report(u, say)
+	if err == nil && !good {
+		err = console.ErrPromise
+	}
+	return err
+}
+
+func interrupted() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
+
 // fleetCmd runs a deployment and judges the run.
 func fleetCmd() *cobra.Command {
-	var dep, dir, events, wrong, allow, place string
-	p := fleet.Plan{From: 10 * time.Second}
-	var secs, perSec int
-	var served float64
+	x := &trial{}
 	c := &cobra.Command{Use: "fleet", Short: "run a whole deployment on this machine, and judge the run", Args: cobra.NoArgs}
 	c.RunE = func(*cobra.Command, []string) error {
-		d, err := fleet.Load(dep)
-		if err != nil {
-			return err
-		}
-		if p.Events, err = fleet.ParseEvents(events); err != nil {
-			return err
-		}
-		if secs < 1 || p.Rate <= 0 || p.Topics < 2 {
-			return fmt.Errorf("--seconds, --rate and --topics are above 0, topics above 1")
-		}
-		p.Traffic = time.Duration(secs) * time.Second
-		p.Edit = edit(allow, place)
-		if dir == "" {
-			if dir, err = os.MkdirTemp("", "gale"); err != nil {
-				return err
-			}
-			defer os.RemoveAll(dir)
-		}
-		me, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		f, err := fleet.New(d, fleet.Abs(dir), filepath.Dir(me), perSec)
-		if err != nil {
-			return err
-		}
-		for _, x := range strings.Split(wrong, ",") {
-			if n, how, ok := strings.Cut(x, "="); ok {
-				f.Wrong[n] = how
-				f.Event("wrong", n)
-			}
-		}
-		defer f.Down()
-		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+		ctx, stop := interrupted()
 		defer stop()
-		if err := f.Run(ctx, p, os.Stdout); err != nil {
-			return err
-		}
-		u, err := f.Rules(p.Edit)
-		if err != nil {
+		return x.run(ctx, os.Stdout)
+	}
+	x.flags(c)
+	c.Flags().StringVar(&x.dir, "dir", "", "where the run's files go and stay; a passing folder unless given")
+	c.Flags().StringVar(&x.allow, "allow", "", "another admission policy than the configuration's")
+	c.Flags().StringVar(&x.place, "place", "", "another placement policy than the configuration's")
+	return c
+}
+
+// compareCmd runs the same requests under several policies, one after the other.
+func compareCmd() *cobra.Command {
+	x := &trial{}
+	var allow, place []string
+	c := &cobra.Command{Use: "compare", Short: "run the same seed under several policies, one after the other", Args: cobra.NoArgs}
+	c.RunE = func(*cobra.Command, []string) error {
+		ctx, stop := interrupted()
+		defer stop()
+		if _, err := x.check(); err != nil {
 			return err
 		}
-		u.Served = served
-		good, err := f.Report(u, os.Stdout)
-		if err == nil && !good {
-			err = console.ErrPromise
+		var bad error
+		for _, a := range allow {
+			for _, p := range place {
+				x.allow, x.place = a, p
+				fmt.Printf("== allow %s, place %s, seed %d\n", a, p, x.plan.Seed)
+				if err := x.run(ctx, os.Stdout); errors.Is(err, console.ErrPromise) {
+					bad = err
+				} else if err != nil {
+					return err
+				}
+			}
 		}
-		return err
+		return bad
 	}
-	fl := c.Flags()
-	fl.StringVar(&dep, "deploy", "deploy/vatuloa.json", "the deployment's file")
-	fl.StringVar(&dir, "dir", "", "where the run's files go and stay; a passing folder unless given")
-	fl.StringVar(&events, "events", "", "what happens: SECONDS:VERB[:NAME[:VALUE]],...")
-	fl.StringVar(&wrong, "wrong", "", "workers that answer wrongly: w03=gap,...")
-	fl.StringVar(&allow, "allow", "", "another admission policy than the configuration's")
-	fl.StringVar(&place, "place", "", "another placement policy than the configuration's")
-	fl.Float64Var(&served, "served", 0.5, "least share of calls to be answered whole and on time")
-	fl.IntVar(&secs, "seconds", 20, "how long traffic lasts, from the tenth second on")
-	fl.IntVar(&perSec, "platform-limit", 5, "questions a second that the platform allows")
-	fl.Float64Var(&p.Rate, "rate", 30, "requests a second")
-	fl.Uint64Var(&p.Seed, "seed", 1, "seed of the requests")
-	fl.IntVar(&p.Topics, "topics", 24, "how many shared prefixes each kind of request has")
+	x.flags(c)
+	c.Flags().StringSliceVar(&allow, "allow", []string{"knee"}, "admission policies")
+	c.Flags().StringSliceVar(&place, "place", []string{"prefix", "least"}, "placement policies")
 	return c
 }
 
