One piece of code for confirming news, keepers' wants and asking once over HTTP

The simulator and the vane each had their own copy of what confirms a start and of what keepers are told; the copy had hidden the woken vane's fault. Both now call the same functions.

--- a/cmd/barometer/calls.go
+++ b/cmd/barometer/calls.go
@@ -9,27 +9,20 @@
 	"time"
 
 	"github.com/spf13/cobra"
-	"github.com/valyala/fasthttp"
+
+	"seamshunt/internal/telegraph"
 )
 
 // call speaks to a running barometer's operators' door.
 func call(at, method, path string, body []byte) ([]byte, string, error) {
-	cl := &fasthttp.HostClient{Addr: at, MaxIdemponentCallAttempts: 1,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + at + path)
-	req.Header.SetMethod(method)
-	req.SetBody(body)
-	if err := cl.DoTimeout(req, resp, 10*time.Second); err != nil {
+	code, b, num, err := telegraph.HTTP(method, at, path, body, nil, 10*time.Second)
+	if err != nil {
 		return nil, "", fmt.Errorf("%s: %w", at, err)
 	}
-	b := append([]byte(nil), resp.Body()...)
-	if resp.StatusCode() != 200 {
+	if code != 200 {
 		return nil, "", errors.New(string(bytes.TrimSpace(b)))
 	}
-	return b, string(resp.Header.Peek("Number")), nil
+	return b, num, nil
 }
 
 func show(b []byte) {
--- a/cmd/gale/drill.go
+++ b/cmd/gale/drill.go
@@ -6,9 +6,7 @@
 	"fmt"
 	"net"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -32,7 +30,7 @@
 		case d.Hold < 7*time.Second:
 			return errors.New("--hold is at least 7s, so that the 5 s can be judged")
 		}
-		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+		ctx, stop := interrupted()
 		defer stop()
 		l, err := d.Run(ctx)
 		if err != nil {
--- a/internal/barod/duty.go
+++ b/internal/barod/duty.go
@@ -2,15 +2,15 @@
 
 import (
 	"bytes"
+	"fmt"
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"seamshunt/internal/almanac"
 	"seamshunt/internal/barograph"
 	"seamshunt/internal/forecast"
 	"seamshunt/internal/synop"
+	"seamshunt/internal/telegraph"
 	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
 )
@@ -41,8 +41,6 @@
 
 // poller asks the platform for one pool's workers while the duty is this node's (design 5).
 func (c *Barometer) poller(pool string) {
-	cl := &fasthttp.HostClient{Addr: c.Boot.Platform, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 4 << 20,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
 	gap := time.Duration(c.Boot.PollMs) * time.Millisecond
 	held := false
 	t := time.NewTicker(gap)
@@ -58,27 +56,23 @@
 		mine := c.duty.Holds(now)
 		c.dutyMu.Unlock()
 		if mine && held {
-			c.ask(cl, pool)
+			c.ask(pool)
 		}
 		held = mine // the first gap of a new holder is left to whatever its forerunner still asked
 	}
 }
 
-func (c *Barometer) ask(cl *fasthttp.HostClient, pool string) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + c.Boot.Platform + "/v1/pools/" + pool + "/workers")
-	err := cl.DoTimeout(req, resp, time.Second)
+func (c *Barometer) ask(pool string) {
+	code, b, _, err := telegraph.HTTP("GET", c.Boot.Platform, "/v1/pools/"+pool+"/workers", nil, nil, time.Second)
 	why := ""
 	var l []forecast.Worker
 	switch {
 	case err != nil:
 		why = err.Error()
-	case resp.StatusCode() != 200:
-		why = "status " + string(resp.Header.StatusMessage())
+	case code != 200:
+		why = fmt.Sprintf("status %d", code)
 	default:
-		if l, err = forecast.ReadWorkers(resp.Body()); err != nil {
+		if l, err = forecast.ReadWorkers(b); err != nil {
 			why = err.Error()
 		} else if len(l) == 0 {
 			why = "an empty list is not believed"
--- a/internal/barod/plan.go
+++ b/internal/barod/plan.go
@@ -12,6 +12,7 @@
 	"seamshunt/internal/forecast"
 	"seamshunt/internal/mast"
 	"seamshunt/internal/synop"
+	"seamshunt/internal/telegraph"
 	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
 )
@@ -174,20 +175,12 @@
 
 // passOn gives an operator's call to the barometer it belongs to, once.
 func (c *Barometer) passOn(ctx *fasthttp.RequestCtx, web string) {
-	cl := &fasthttp.HostClient{Addr: web, MaxIdemponentCallAttempts: 1,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
-	defer cl.CloseIdleConnections()
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	ctx.Request.CopyTo(req)
-	req.SetRequestURI("http://" + web + string(ctx.Path()))
-	req.Header.Set("Passed-On", c.Self.String())
-	if err := cl.DoTimeout(req, resp, patience); err != nil {
+	code, b, _, err := telegraph.HTTP("POST", web, string(ctx.Path()), ctx.PostBody(), map[string]string{"Passed-On": c.Self.String()}, patience)
+	if err != nil {
 		c.fail(ctx, &synop.Fault{Code: synop.Unsure, Text: texts[synop.Unsure]})
 		return
 	}
-	ctx.SetStatusCode(resp.StatusCode())
+	ctx.SetStatusCode(code)
 	ctx.SetContentType("application/json")
-	ctx.SetBody(resp.Body())
+	ctx.SetBody(b)
 }
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -37,14 +37,15 @@
 
 // Bulletin is the step machine of both programs.
 type Bulletin struct {
-	Items  map[string]*Item
-	Sum    uint64
-	Fresh  []Item                              // what changed since the daemon last looked
-	Acks   map[string]map[units.Node]units.Num // who has acknowledged what, on the pushing side
-	asked  map[units.Node]units.Time           // when a neighbour was last asked for its news
-	out    map[string]*pushed                  // news on its way
-	Vouch  map[units.Node]map[string]units.Num // a starting node's confirmations
-	Stored func() map[string]units.Num         // a barometer's numbers on disk; nil on a vane
+	Items      map[string]*Item
+	Sum        uint64
+	Fresh      []Item                              // what changed since the daemon last looked
+	Acks       map[string]map[units.Node]units.Num // who has acknowledged what, on the pushing side
+	asked      map[units.Node]units.Time           // when a neighbour was last asked for its news
+	vouchAsked units.Time
+	out        map[string]*pushed                  // news on its way
+	Vouch      map[units.Node]map[string]units.Num // a starting node's confirmations
+	Stored     func() map[string]units.Num         // a barometer's numbers on disk; nil on a vane
 }
 
 // New gives an empty one.
@@ -212,24 +213,3 @@
 		}
 	}
 }
-
-// Confirmed says whether enough of voters have vouched and nothing they hold is newer than the news here.
-func (b *Bulletin) Confirmed(voters []units.Node, need int) bool {
-	k := 0
-	for _, n := range voters {
-		m, ok := b.Vouch[n]
-		if !ok {
-			continue
-		}
-		k++
-		for key, x := range m {
-			if key == "voters" {
-				continue
-			}
-			if it := b.Items[key]; it == nil || it.Num < x {
-				return false
-			}
-		}
-	}
-	return k >= need
-}
--- /dev/null
+++ b/internal/bulletin/confirm.go
@@ -0,0 +1,61 @@
+package bulletin
+
+import (
+	"time"
+
+	"seamshunt/internal/mast"
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// alone is how long a starting node waits for a barometer before serving neighbours may vouch instead (start).
+const alone = 3 * time.Second
+
+// Confirm says whether a starting or woken node may serve: a majority of the voters have vouched that nothing newer
+// than its news stands or, with the core away, a majority of the serving neighbours have. Until then it asks (design 4).
+func (b *Bulletin) Confirm(now units.Time, all []mast.Member, self units.Node, voters []units.Node, began units.Time) (ok bool, out station.Out) {
+	core, peers := Neighbours(all, self)
+	ok = len(voters) > 0 && b.confirmed(voters)
+	if !ok && len(core) == 0 && now.Sub(began) > alone && len(peers) > 0 {
+		ok = b.confirmed(peers)
+	}
+	if !ok && now.Sub(b.vouchAsked) > 100*time.Millisecond {
+		b.vouchAsked = now
+		for _, n := range append(core, peers...) {
+			out.Send(n, Vouch, nil)
+		}
+	}
+	return ok, out
+}
+
+// Neighbours lists the live barometers, and the live vanes that serve.
+func Neighbours(all []mast.Member, self units.Node) (core, peers []units.Node) {
+	for _, m := range all {
+		switch {
+		case m.State > mast.Suspect || m.Node == self:
+		case m.Role == mast.Barometer:
+			core = append(core, m.Node)
+		case m.Flags&mast.Ready != 0:
+			peers = append(peers, m.Node)
+		}
+	}
+	return core, peers
+}
+
+// confirmed says whether a majority of voters have vouched and nothing they hold is newer than the news here.
+func (b *Bulletin) confirmed(voters []units.Node) bool {
+	k := 0
+	for _, n := range voters {
+		m, ok := b.Vouch[n]
+		if !ok {
+			continue
+		}
+		k++
+		for key, x := range m {
+			if it := b.Items[key]; key != "voters" && (it == nil || it.Num < x) {
+				return false
+			}
+		}
+	}
+	return k > len(voters)/2
+}
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -8,29 +8,9 @@
 	"strconv"
 	"time"
 
-	"github.com/valyala/fasthttp"
+	"seamshunt/internal/telegraph"
 )
 
-// HTTP asks once, without any retry.
-func HTTP(method, addr, path string, body []byte, head map[string]string, limit time.Duration) (int, []byte, string, error) {
-	cl := &fasthttp.HostClient{Addr: addr, MaxIdemponentCallAttempts: 1,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
-	defer cl.CloseIdleConnections()
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + addr + path)
-	req.Header.SetMethod(method)
-	for k, v := range head {
-		req.Header.Set(k, v)
-	}
-	req.SetBody(body)
-	if err := cl.DoTimeout(req, resp, limit); err != nil {
-		return 0, nil, "", err
-	}
-	return resp.StatusCode(), append([]byte(nil), resp.Body()...), string(resp.Header.Peek("Number")), nil
-}
-
 func (f *Fleet) barometers() []string {
 	var l []string
 	for _, w := range f.Webs("barometer") {
@@ -50,7 +30,7 @@
 	for time.Now().Before(end) {
 		for _, at := range f.barometers() {
 			if !have {
-				code, _, n, err := HTTP("GET", at, path, nil, nil, 5*time.Second)
+				code, _, n, err := telegraph.HTTP("GET", at, path, nil, nil, 5*time.Second)
 				if err != nil || code != 200 && code != 404 {
 					last = fmt.Errorf("fleet: read %s: %d %v", path, code, err)
 					continue
@@ -60,7 +40,7 @@
 					num = "0"
 				}
 			}
-			code, b, _, err := HTTP("PUT", at, path+"?number="+num, body, map[string]string{"Plan-Id": plan}, 5*time.Second)
+			code, b, _, err := telegraph.HTTP("PUT", at, path+"?number="+num, body, map[string]string{"Plan-Id": plan}, 5*time.Second)
 			if err != nil {
 				last = err
 				continue
@@ -85,7 +65,7 @@
 	last := ErrNone
 	for time.Now().Before(end) {
 		for _, at := range f.barometers() {
-			code, b, n, err := HTTP("GET", at, path, nil, nil, 5*time.Second)
+			code, b, n, err := telegraph.HTTP("GET", at, path, nil, nil, 5*time.Second)
 			if err == nil && code == 200 {
 				x, err := strconv.ParseUint(n, 10, 64)
 				return b, x, err
@@ -108,7 +88,7 @@
 		if !up {
 			continue
 		}
-		if code, _, _, err := HTTP("GET", web, "/healthz", nil, nil, 300*time.Millisecond); err == nil && code == 200 {
+		if code, _, _, err := telegraph.HTTP("GET", web, "/healthz", nil, nil, 300*time.Millisecond); err == nil && code == 200 {
 			m[p.zone] = append(m[p.zone], web)
 		}
 	}
--- /dev/null
+++ b/internal/forecast/keep.go
@@ -0,0 +1,31 @@
+package forecast
+
+import (
+	"time"
+
+	"seamshunt/internal/gauge"
+	"seamshunt/internal/units"
+)
+
+// Keep works out what keepers must know of every worker: of those that the platform lists, when each began, and
+// which zones are evacuated (design 6).
+func (c *Config) Keep(pools map[string][]Worker, start map[string]units.Time, out map[string]bool) map[string]gauge.Worker {
+	ws := map[string]gauge.Worker{}
+	for _, s := range c.Services {
+		for _, w := range pools[s.Pool] {
+			ws[s.Name+"/"+w.ID] = gauge.Worker{Zone: w.Zone, Cap: s.Cap, Bound: s.Waitlist, Warm: s.Warm, Start: start[w.ID],
+				Closed: w.Leaving || out[w.Zone], Adapt: s.Adapt, Floor: s.Floor, Aim: s.WaitAim, First: s.First}
+		}
+	}
+	return ws
+}
+
+// Longest is the longest time left that any promise allows; with once, that any mapping which may not repeat does.
+func (c *Config) Longest(once bool) (d time.Duration) {
+	for _, m := range c.Mappings {
+		if !once || m.Once {
+			d = max(d, m.Promise.Longest)
+		}
+	}
+	return d
+}
--- a/internal/vaned/claim.go
+++ b/internal/vaned/claim.go
@@ -30,12 +30,7 @@
 func (v *Vane) screenTick(now units.Time) {
 	var longest time.Duration
 	if r := v.rules.Load(); r != nil {
-		longest = time.Second
-		for _, m := range r.Mappings {
-			if m.Once {
-				longest = max(longest, m.Promise.Longest)
-			}
-		}
+		longest = max(time.Second, r.Longest(true))
 	}
 	var peers []units.Node
 	for _, m := range v.Members() {
--- a/internal/vaned/door.go
+++ b/internal/vaned/door.go
@@ -9,18 +9,10 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
-	"seamshunt/internal/bulletin"
-	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
-	"seamshunt/internal/units"
 	"seamshunt/internal/vernier"
 )
 
-func vouchNote(n units.Node) (out station.Out) {
-	out.Send(n, bulletin.Vouch, nil)
-	return out
-}
-
 // serve is the door for callers; what needs no mapping is answered here.
 func (v *Vane) serve(ctx *fasthttp.RequestCtx) {
 	switch path := string(ctx.Path()); path {
--- a/internal/vaned/rules.go
+++ b/internal/vaned/rules.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/valyala/fastjson"
 
@@ -21,14 +20,9 @@
 	num units.Num
 }
 
-type worker struct {
-	forecast.Worker
-	start units.Time
-}
-
 // table is what news and membership say, under tableMu.
 type table struct {
-	pools  map[string][]worker
+	pools  map[string][]forecast.Worker
 	first  map[string]units.Time // when a worker id was first seen, less its age then
 	out    map[string]bool       // zones evacuated
 	down   map[string]units.Time // workers found dead here, until when they are passed over
@@ -39,7 +33,7 @@
 }
 
 func newTable() table {
-	return table{pools: map[string][]worker{}, first: map[string]units.Time{}, out: map[string]bool{}, down: map[string]units.Time{}, watch: gauge.NewWatch()}
+	return table{pools: map[string][]forecast.Worker{}, first: map[string]units.Time{}, out: map[string]bool{}, down: map[string]units.Time{}, watch: gauge.NewWatch()}
 }
 
 // refresh brings news and membership into the tables and from there to the keeper.
@@ -62,35 +56,17 @@
 		return
 	}
 	t.peers, t.fresh = peers, false
-	ws := v.wanted()
-	longest := time.Duration(0)
-	if r := v.rules.Load(); r != nil {
-		for _, p := range r.Promises {
-			longest = max(longest, p.Longest)
-		}
+	r := v.rules.Load()
+	if r == nil {
+		return
 	}
+	ws := r.Keep(t.pools, t.first, t.out)
 	v.gaugeMu.Lock()
 	v.gauge.Workers(ws)
-	v.gauge.View(peers, t.watch.Holds(longest))
+	v.gauge.View(peers, t.watch.Holds(r.Longest(false)))
 	v.gaugeMu.Unlock()
 }
 
-// wanted is what the keeper must know of every worker; tableMu is held.
-func (v *Vane) wanted() map[string]gauge.Worker {
-	ws := map[string]gauge.Worker{}
-	r := v.rules.Load()
-	if r == nil {
-		return ws
-	}
-	for _, s := range r.Services {
-		for _, w := range v.table.pools[s.Pool] {
-			ws[s.Name+"/"+w.ID] = gauge.Worker{Zone: w.Zone, Cap: s.Cap, Bound: s.Waitlist, Warm: s.Warm, Start: w.start,
-				Closed: w.Leaving || v.table.out[w.Zone], Adapt: s.Adapt, Floor: s.Floor, Aim: s.WaitAim, First: s.First}
-		}
-	}
-	return ws
-}
-
 // news applies one change whole.
 func (v *Vane) news(now units.Time, it bulletin.Item) {
 	kind, name, _ := strings.Cut(it.Key, "/")
@@ -113,16 +89,12 @@
 			return
 		}
 		v.tableMu.Lock()
-		var ws []worker
 		for _, w := range l {
-			at, ok := v.table.first[w.ID]
-			if !ok {
-				at = now.Add(-w.Age)
-				v.table.first[w.ID] = at
+			if _, ok := v.table.first[w.ID]; !ok {
+				v.table.first[w.ID] = now.Add(-w.Age)
 			}
-			ws = append(ws, worker{w, at})
 		}
-		v.table.pools[name] = ws
+		v.table.pools[name] = l
 		v.tableMu.Unlock()
 	case "voters":
 		if s, err := barograph.UnpackVoters(it.Data); err == nil {
@@ -136,18 +108,7 @@
 // confirm makes a starting or woken vane ready once nothing newer than its news stands anywhere (design 4).
 func (v *Vane) confirm(now units.Time) {
 	all := v.Members()
-	var core, peers []units.Node
-	for _, m := range all {
-		if m.State > mast.Suspect || m.Node == v.Self {
-			continue
-		}
-		if m.Role == mast.Barometer {
-			core = append(core, m.Node)
-		} else if m.Flags&mast.Ready != 0 {
-			peers = append(peers, m.Node)
-		}
-	}
-	switch {
+	switch core, _ := bulletin.Neighbours(all, v.Self); {
 	case len(core) > 0:
 		v.static.Store(0)
 	case v.static.Load() == 0:
@@ -160,24 +121,14 @@
 	voters := v.table.voters.IDs
 	v.tableMu.Unlock()
 	v.BullMu.Lock()
-	ok := len(voters) > 0 && v.Bull.Confirmed(voters, len(voters)/2+1)
-	if !ok && len(core) == 0 && now.Sub(v.began) > 3*time.Second && len(peers) > 0 {
-		ok = v.Bull.Confirmed(peers, len(peers)/2+1)
-	}
-	ask := !ok && now.Sub(v.asked) > 100*time.Millisecond
+	ok, out := v.Bull.Confirm(now, all, v.Self, voters, v.began)
 	v.BullMu.Unlock()
 	if ok {
 		v.ready.Store(true)
 		v.Flag(mast.Ready, true)
 		v.Log.Info("news confirmed: serving")
-		return
-	}
-	if ask {
-		v.asked = now
-		for _, n := range append(core, peers...) {
-			v.Deliver(vouchNote(n))
-		}
 	}
+	v.Deliver(out)
 }
 
 func (v *Vane) unready() {
--- a/internal/windtunnel/edge.go
+++ b/internal/windtunnel/edge.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"github.com/valyala/fastjson"
 
@@ -39,7 +38,6 @@
 	wind    windvane.Windvane
 	peers   []gauge.Peer
 	began   units.Time
-	asked   units.Time
 	verdict map[uint64]func(hygrometer.Verdict)
 	tag     uint64
 	Drain   bool
@@ -123,21 +121,10 @@
 	}
 	peers, _ := e.watch.See(now, all)
 	e.peers = peers
-	longest := time.Duration(0)
-	ws := map[string]gauge.Worker{}
 	if e.Config != nil {
-		for _, p := range e.Config.Promises {
-			longest = max(longest, p.Longest)
-		}
-		for _, sv := range e.Config.Services {
-			for _, w := range e.Pools[sv.Pool] {
-				ws[sv.Name+"/"+w.ID] = gauge.Worker{Zone: w.Zone, Cap: sv.Cap, Bound: sv.Waitlist, Warm: sv.Warm, Start: e.first[w.ID],
-					Closed: w.Leaving || e.Out[w.Zone], Adapt: sv.Adapt, Floor: sv.Floor, Aim: sv.WaitAim, First: sv.First}
-			}
-		}
+		e.gauge.Workers(e.Config.Keep(e.Pools, e.first, e.Out))
+		e.gauge.View(peers, e.watch.Holds(e.Config.Longest(false)))
 	}
-	e.gauge.Workers(ws)
-	e.gauge.View(peers, e.watch.Holds(longest))
 	var others []units.Node
 	for _, m := range all {
 		if m.Role == mast.Vane && m.State <= mast.Suspect && m.Node != e.Self {
@@ -145,7 +132,7 @@
 		}
 	}
 	if e.Config != nil {
-		out.Join(e.screen.Tick(now, others, 4*time.Second))
+		out.Join(e.screen.Tick(now, others, e.Config.Longest(true)))
 	}
 	out.Join(e.desk.Tick(now))
 	out.Join(e.gauge.Tick(now))
@@ -183,30 +170,10 @@
 	if e.Ready || e.Drain || e.Config == nil {
 		return
 	}
-	var core, peers []units.Node
-	for _, m := range all {
-		if m.State > mast.Suspect || m.Node == e.Self {
-			continue
-		}
-		if m.Role == mast.Barometer {
-			core = append(core, m.Node)
-		} else if m.Flags&mast.Ready != 0 {
-			peers = append(peers, m.Node)
-		}
-	}
-	ok := len(e.voters) > 0 && e.bull.Confirmed(e.voters, len(e.voters)/2+1)
-	if !ok && len(core) == 0 && now.Sub(e.began) > 3*time.Second && len(peers) > 0 {
-		ok = e.bull.Confirmed(peers, len(peers)/2+1)
-	}
+	ok, asks := e.bull.Confirm(now, all, e.Self, e.voters, e.began)
 	if ok {
 		e.Ready = true
 		e.mast.Flag(mast.Ready, true)
-		return
-	}
-	if now.Sub(e.asked) > 100*time.Millisecond {
-		e.asked = now
-		for _, n := range append(core, peers...) {
-			out.Send(n, bulletin.Vouch, nil)
-		}
 	}
+	out.Join(asks)
 }
