--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -166,8 +166,8 @@
 		}
 	}
 	figures(r, from, 1<<62, name, say)
-	hit, cross := r.Hits(zone)
-	fmt.Fprintf(say, "prefix hit rate %.1f%%; runs handed over to another zone %.1f%%\n", 100*hit, 100*cross)
+	hit, cross, bytes := r.Hits(zone)
+	fmt.Fprintf(say, "prefix hit rate %.1f%%; runs handed over to another zone %.1f%%, with %d bytes of prompts\n", 100*hit, 100*cross, bytes)
 	return good
 }
 
--- a/internal/observer/more.go
+++ b/internal/observer/more.go
@@ -176,8 +176,8 @@
 }
 
 // Hits gives the mean share of prompt bytes found in workers' prefix caches, and the share of runs outside
-// the zone of the vane that handed them over.
-func (r *Run) Hits(zone map[string]string) (hit, cross float64) {
+// the zone of the vane that handed them over with their prompts' bytes.
+func (r *Run) Hits(zone map[string]string) (hit, cross float64, bytes int) {
 	vane := map[string]string{}
 	for _, c := range r.Calls {
 		vane[c.Job] = c.Vane
@@ -189,12 +189,13 @@
 		n++
 		if z, ok := zone[vane[s.Job]]; ok && z != s.Zone {
 			away++
+			bytes += s.Bytes
 		}
 	}
 	if n == 0 {
-		return 0, 0
+		return 0, 0, 0
 	}
-	return sum / float64(n), float64(away) / float64(n)
+	return sum / float64(n), float64(away) / float64(n), bytes
 }
 
 // served: a fleet that refuses everybody keeps many promises, and is worth nothing.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -81,7 +81,7 @@
 		ctx.SetBodyString(fmt.Sprintf(`{"id":%q,"ran":false}`, id))
 		return
 	}
-	w.Journal.Write(Entry{Kind: "start", At: Now(), Job: j.Job, Worker: w.Name, Pool: w.Pool, Zone: w.Zone, ID: id, Hit: hit, Flight: n})
+	w.Journal.Write(Entry{Kind: "start", At: Now(), Job: j.Job, Worker: w.Name, Pool: w.Pool, Zone: w.Zone, ID: id, Hit: hit, Flight: n, Bytes: len(j.Prompt)})
 	pieces := j.Pieces
 	if pieces <= 0 {
 		pieces = 10
