--- a/internal/barod/ask.go
+++ b/internal/barod/ask.go
@@ -11,6 +11,7 @@
 	"seamshunt/internal/heliograph"
 	"seamshunt/internal/mast"
 	"seamshunt/internal/synop"
+	"seamshunt/internal/tower"
 )
 
 // Ask carries a wish to a key's owner and waits for its result.
@@ -18,6 +19,9 @@
 	if a.Write && c.noRoom() {
 		return barograph.Result{Code: synop.DiskFull}
 	}
+	if a.Write && a.Plan == "" {
+		a.Plan = tower.Random().String() // so that it may be sent on when its key changes owners
+	}
 	a.Tag = c.tag.Add(1)
 	ch := make(chan barograph.Result, 1)
 	now := c.Crew.Now()
@@ -27,7 +31,7 @@
 	c.drain()
 	c.Deliver(out)
 	c.baroMu.Unlock()
-	t := time.NewTimer(3 * time.Second)
+	t := time.NewTimer(barograph.Patience)
 	defer t.Stop()
 	select {
 	case r := <-ch:
--- a/internal/barod/web.go
+++ b/internal/barod/web.go
@@ -167,4 +167,4 @@
 func place(err error) string { return strings.TrimSpace(err.Error()) }
 
 // patience is how long an operator's call passed on to another node may take.
-const patience = 5 * time.Second
+const patience = barograph.Patience + 2*time.Second
--- a/internal/barograph/barograph.go
+++ b/internal/barograph/barograph.go
@@ -26,6 +26,7 @@
 	cfg     Voters
 	slots   map[string]*Slot
 	owns    map[string]*own
+	wishes  map[uint64]*wish
 	fit     []units.Node // live barometers that may own keys, from membership
 	high    uint64
 	tag     uint64
@@ -38,7 +39,7 @@
 
 // New gives a machine for the disk self; run is a random number of this start.
 func New(self, run units.Node) *Barograph {
-	return &Barograph{self: self, run: run, slots: map[string]*Slot{KeyVoters: {}}, owns: map[string]*own{}}
+	return &Barograph{self: self, run: run, slots: map[string]*Slot{KeyVoters: {}}, owns: map[string]*own{}, wishes: map[uint64]*wish{}}
 }
 
 // Voters gives the set this node knows.
@@ -92,7 +93,9 @@
 	case Call:
 		b.call(now, n, h, k, body, &out)
 	case Done:
-		if h.Tag != 0 {
+		c := synop.Code(h.Code)
+		if h.Tag != 0 && (c != synop.Unsure && c != synop.NoMajority || !b.again(h.Tag)) {
+			delete(b.wishes, h.Tag)
 			b.result(Result{Tag: h.Tag, Code: synop.Code(h.Code), Num: units.Num(h.Num), Data: body})
 		}
 	case Keys:
@@ -130,6 +133,7 @@
 			b.push(now, o, &out)
 		}
 	}
+	b.wishTick(now, &out)
 	b.changeTick(now, &out)
 	return out
 }
@@ -157,22 +161,6 @@
 	return o
 }
 
-// Ask starts a wish here; its Result turns up in Results. It goes to the owner this node believes in.
-func (b *Barograph) Ask(now units.Time, a Ask) (out station.Out) {
-	a.From = b.self
-	to := b.Owner(a.Key)
-	if b.cfg.Ver == 0 || to == 0 {
-		b.result(Result{Tag: a.Tag, Code: synop.NoMajority})
-		return out
-	}
-	h := head{Tag: a.Tag, Num: uint64(a.Expect), Write: 0}
-	if a.Write {
-		h.Write = 1
-	}
-	out.Send(to, Call, b.pack(h, a.Key, station.Pack(planHead{}, []byte(a.Plan), a.Data)))
-	return out
-}
-
 func (b *Barograph) call(now units.Time, n station.Note, h head, key string, body []byte, out *station.Out) {
 	a := Ask{Tag: h.Tag, From: n.From, Key: key, Write: h.Write == 1, Expect: units.Num(h.Num)}
 	var plan []byte
--- a/internal/barograph/look.go
+++ b/internal/barograph/look.go
@@ -9,7 +9,7 @@
 
 // Look is what membership shows of the core, for owners, founders and the doctor.
 type Look struct {
-	Fit    []units.Node // may own keys
+	Fit    []units.Node // may own keys: a suspect may not, since a change of owner costs a round and waiting costs seconds
 	Blanks []units.Node // alive and without a vote
 	Fleet  bool         // somebody has heard of a fleet that stands
 }
@@ -22,7 +22,7 @@
 			l.Fleet = l.Fleet || live && m.Flags&mast.Ready != 0
 			continue
 		}
-		if live && m.Flags&(mast.Draining|mast.Unfit) == 0 {
+		if m.State == mast.Alive && m.Flags&(mast.Draining|mast.Unfit) == 0 {
 			l.Fit = append(l.Fit, m.Node)
 		}
 		if m.Flags&mast.Voter != 0 {
--- a/internal/windtunnel/core.go
+++ b/internal/windtunnel/core.go
@@ -148,7 +148,7 @@
 	}
 }
 
-// Ask brings an operator's wish to this machine; done hears the result, or Unsure after three seconds.
+// Ask brings an operator's wish to this machine; done hears the result, or Unsure once patience is over.
 func (c *Core) Ask(s *Sim, a barograph.Ask, done func(barograph.Result)) {
 	c.tag++
 	a.Tag = c.tag
@@ -159,7 +159,7 @@
 		c.drain(now, &out)
 		return out
 	})
-	s.After(3e9, func() {
+	s.After(barograph.Patience, func() {
 		if f := c.waits[tag]; f != nil {
 			delete(c.waits, tag)
 			r := barograph.Result{Code: synop.NoMajority}
--- a/internal/windtunnel/trouble.go
+++ b/internal/windtunnel/trouble.go
@@ -1,12 +1,8 @@
 package windtunnel
 
 import (
-	"fmt"
 	"slices"
 	"time"
-
-	"seamshunt/internal/station"
-	"seamshunt/internal/units"
 )
 
 // Trouble is one failure that can be brought about; each heals itself.
@@ -66,6 +62,12 @@
 	{"core machine replaced by an empty one", func(w *World, _ time.Duration) { w.replace(w.Rng.IntN(len(w.coreH))) }},
 	{"everything lost", func(w *World, _ time.Duration) { w.loseAll() }},
 	{"rolling restart", func(w *World, _ time.Duration) { w.roll() }},
+	{"seeds moved to other machines", func(w *World, _ time.Duration) {
+		for i := range w.seeds {
+			w.seeds[i] = w.edgeH[i].Addr // what boot files name is read at a start only
+		}
+		w.roll()
+	}},
 	{"vane drained and restarted", func(w *World, d time.Duration) { w.drain(pick(w, w.edgeH)) }},
 	{"worker leaves", func(w *World, _ time.Duration) { w.leave() }},
 	{"worker lost and replaced", func(w *World, d time.Duration) { w.crash(d) }},
@@ -143,105 +145,3 @@
 		return side[a] && !side[b] || !oneWay && side[b] && !side[a]
 	})
 }
-
-// replace loses a core machine with its disk and brings an empty one at a new address.
-func (w *World) replace(i int) {
-	h := w.coreH[i]
-	if h.Proc == nil {
-		return
-	}
-	w.Kill(h)
-	h.Disk.Wipe()
-	w.serial++
-	h.Addr = fmt.Sprintf("core%d.%d", i+1, w.serial)
-	w.After(time.Second, func() {
-		if h.Proc == nil {
-			w.Start(h)
-		}
-	})
-}
-
-func (w *World) loseAll() {
-	all := append(slices.Clone(w.coreH), w.edgeH...)
-	for _, h := range all {
-		if h.Proc != nil {
-			w.Kill(h)
-		}
-	}
-	w.After(time.Second, func() {
-		for _, h := range all {
-			if h.Proc == nil {
-				w.Start(h)
-			}
-		}
-		if w.whole() {
-			w.full = w.Now
-		}
-	})
-}
-
-// whole says whether nothing else is broken just now, so that limits count.
-func (w *World) whole() bool {
-	for _, h := range append(slices.Clone(w.coreH), w.edgeH...) {
-		if !w.alive(h) || h.Disk != nil && (h.Disk.Stalled || h.Disk.Full || h.Disk.Delay > 10*time.Millisecond) {
-			return false
-		}
-	}
-	return w.Loss == 0 && w.mood == "" && !w.Cut(w.coreH[0], w.coreH[1]) && !w.Cut(w.coreH[0], w.edgeH[0]) && !w.Cut(w.coreH[1], w.coreH[0])
-}
-
-// roll restarts every process of the product, one by one.
-func (w *World) roll() {
-	for i, h := range append(slices.Clone(w.edgeH), w.coreH...) {
-		w.After(time.Duration(i)*1500*time.Millisecond, func() { w.bounce(h, 500*time.Millisecond, true) })
-	}
-}
-
-// drain warns a vane: it takes nothing new, its streams end, then it leaves and is started again.
-func (w *World) drain(h *Host) {
-	e := w.edges[h]
-	if !w.alive(h) {
-		return
-	}
-	e.Drain = true
-	e.unready()
-	life, end := h.life, w.Now.Add(20*time.Second)
-	var look func()
-	look = func() {
-		if h.life != life {
-			return
-		}
-		if len(e.desk.Flight)+e.desk.Waiting() > 0 && w.Now < end {
-			w.After(50*time.Millisecond, look)
-			return
-		}
-		w.Inject(h, func(units.Time) station.Out { return e.mast.Leave() })
-		w.After(100*time.Millisecond, func() { w.bounce(h, 500*time.Millisecond, true) })
-	}
-	look()
-}
-
-func (w *World) leave() {
-	i := w.Rng.IntN(len(w.listed))
-	if w.listed[i].Leaving {
-		return
-	}
-	w.listed[i].Leaving = true
-	w.workers[w.listed[i].ID].leaving = w.Now
-	w.addWorker(w.listed[i].Zone, 0)
-}
-
-func (w *World) crash(d time.Duration) {
-	i := w.Rng.IntN(len(w.listed))
-	x := w.workers[w.listed[i].ID]
-	x.up = false
-	w.After(d, func() {
-		for i, y := range w.listed {
-			if y.ID == x.id {
-				w.listed = slices.Delete(w.listed, i, i+1)
-				w.addWorker(x.zone, 0)
-				return
-			}
-		}
-	})
-}
