--- a/internal/screen/screen.go
+++ b/internal/screen/screen.go
@@ -33,6 +33,7 @@
 	giveUp = 450 * time.Millisecond
 	Keep   = 10 * time.Minute // how long a key is remembered
 	slots  = 3
+	settle = 2 * time.Second // till all nodes know of a new machine, and so agree on a key's holders
 )
 
 type head struct {
@@ -137,7 +138,8 @@
 	for _, n := range peers {
 		missing = missing || !s.copied[n]
 	}
-	if len(peers) > 0 && !missing || now.Sub(s.born) > longest {
+	known := now.Sub(s.born) >= settle
+	if known && len(peers) > 0 && !missing || now.Sub(s.born) > max(longest, settle) {
 		s.whole = true
 		return out
 	}
