--- /dev/null
+++ b/internal/barod/stall_test.go
@@ -0,0 +1,73 @@
+package barod
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"seamshunt/internal/almanac"
+)
+
+// A stalled disk blocks neither the wires nor the loops nor the operators' door: the node says that it is unfit,
+// and is itself again once the disk moves.
+func TestStalledDiskBlocksNothing(t *testing.T) {
+	t.Parallel()
+	c := alone(t, t.TempDir())
+	t.Cleanup(c.Drain)
+	until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
+	held := make(chan struct{})
+	c.disk.mu.Lock()
+	c.disk.fault = func() error { <-held; return nil }
+	c.disk.mu.Unlock()
+	if code, b := call(t, c, "PUT", "/v1/config?number=1", config+" "); code != 502 {
+		t.Errorf("a write that the disk never takes: %d %s", code, b)
+	}
+	unfit := func() bool {
+		var x struct {
+			Node    string
+			Members []struct {
+				Node  string
+				Unfit bool
+			}
+		}
+		code, b := call(t, c, "GET", "/status", "")
+		if code != 200 || json.Unmarshal(b, &x) != nil {
+			t.Fatalf("no status: %d %s", code, b)
+		}
+		for _, m := range x.Members {
+			if m.Node == x.Node {
+				return m.Unfit
+			}
+		}
+		return false
+	}
+	until(t, "it says that it is unfit", unfit)
+	c.disk.mu.Lock()
+	c.disk.fault = nil
+	c.disk.mu.Unlock()
+	close(held)
+	until(t, "it is fit again", func() bool { return !unfit() })
+	until(t, "writes go on", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=1", config+" "); return code == 200 || code == 409 })
+}
+
+// After a failed sync the machine is rebuilt from what the file holds: nothing unsynced is believed or answered.
+func TestFailedSyncIsForgotten(t *testing.T) {
+	t.Parallel()
+	c := alone(t, t.TempDir())
+	t.Cleanup(c.Drain)
+	until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
+	c.disk.mu.Lock()
+	c.disk.fault = func() error {
+		c.disk.mu.Lock()
+		c.disk.fault = nil // once
+		c.disk.mu.Unlock()
+		return fmt.Errorf("%w: planted", almanac.ErrSick)
+	}
+	c.disk.mu.Unlock()
+	code, _ := call(t, c, "PUT", "/v1/config?number=1", config+"   ")
+	until(t, "it reads again", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 200 })
+	_, b := call(t, c, "GET", "/v1/config", "")
+	if code == 200 && string(b) != config+"   " || code != 200 && string(b) != config && string(b) != config+"   " {
+		t.Errorf("answered %d, read back %q", code, b)
+	}
+}
--- a/internal/hygrometer/step.go
+++ b/internal/hygrometer/step.go
@@ -77,7 +77,11 @@
 	}
 	if r.stage == asking {
 		if reason == gauge.Busy {
-			r.opts = append(r.opts, option{r.worker, due})
+			o := option{r.worker, due, due}
+			if r.worker != r.Cands[0] {
+				o.cost += r.Move
+			}
+			r.opts = append(r.opts, o)
 		}
 		h.knee(now, r, out)
 		return
