--- a/internal/barod/stall_test.go
+++ b/internal/barod/stall_test.go
@@ -47,7 +47,10 @@
 	c.disk.mu.Unlock()
 	close(held)
 	until(t, "it is fit again", func() bool { return !unfit() })
-	until(t, "writes go on", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=1", config+" "); return code == 200 || code == 409 })
+	until(t, "writes go on", func() bool {
+		code, _ := call(t, c, "PUT", "/v1/config?number=1", config+" ")
+		return code == 200 || code == 409
+	})
 }
 
 // After a failed sync the machine is rebuilt from what the file holds: nothing unsynced is believed or answered.
