--- a/internal/forecast/config.go
+++ b/internal/forecast/config.go
@@ -24,7 +24,6 @@
 	Place      string        // placement policy by name
 	Prefix     int           // bytes of a prompt that name its shared prefix
 	Spread     int           // how many workers a prefix may try
-	Move       time.Duration // what a prompt loses that waits elsewhere than at its prefix's first worker
 	Adapt      bool          // AIMD on waiting time
 	Floor      int           // the least an adapted cap may be
 	WaitAim    time.Duration // the waiting time that AIMD steers by
--- a/internal/forecast/read.go
+++ b/internal/forecast/read.go
@@ -167,7 +167,7 @@
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func (c *Config) readService(v *fastjson.Value, at string, f *faults) {
-	if object(v, at, f, "name", "pool", "cap", "waitlist", "warm_ms", "allow", "place", "prefix_bytes", "spread", "move_ms",
+	if object(v, at, f, "name", "pool", "cap", "waitlist", "warm_ms", "allow", "place", "prefix_bytes", "spread",
 		"adapt", "floor", "wait_aim_ms", "retry_after_ms", "jitter_ms", "first_ms") == nil {
 		return
 	}
@@ -179,7 +179,6 @@
 	s.Place = text(v, at, "place", "prefix", f)
 	s.Prefix = number(v, at, "prefix_bytes", 1024, 16, 1<<20, synop.BadConfig, f)
 	s.Spread = number(v, at, "spread", 4, 1, 1000, synop.BadConfig, f)
-	s.Move = ms(number(v, at, "move_ms", 0, 0, 60000, synop.BadConfig, f))
 	s.Adapt = flag(v, at, "adapt", f)
 	s.Floor = number(v, at, "floor", max(1, s.Cap/2), 1, 10000, synop.BadCap, f)
 	s.WaitAim = ms(number(v, at, "wait_aim_ms", 100, 1, 60000, synop.BadConfig, f))
--- a/internal/hygrometer/hygrometer.go
+++ b/internal/hygrometer/hygrometer.go
@@ -38,8 +38,7 @@
 
 type option struct {
 	name string
-	due  time.Duration // the wait foreseen
-	cost time.Duration // the same, with what running away from the prefix's own worker costs
+	due  time.Duration
 }
 
 // Req is one prompt at the door of one service.
@@ -50,7 +49,6 @@
 	Tries  int      // how many of them may be asked for a free slot
 	Until  units.Time
 	First  time.Duration
-	Move   time.Duration // what it costs to wait elsewhere than at the first candidate
 	Keeper func(worker string) units.Node
 
 	stage  stage
@@ -128,7 +126,7 @@
 func (h *Hygrometer) queue(now units.Time, r *Req, out *station.Out) {
 	best := -1
 	for i, o := range r.opts {
-		if best < 0 || o.cost < r.opts[best].cost {
+		if best < 0 || o.due < r.opts[best].due {
 			best = i
 		}
 	}
--- a/internal/hygrometer/step.go
+++ b/internal/hygrometer/step.go
@@ -77,11 +77,7 @@
 	}
 	if r.stage == asking {
 		if reason == gauge.Busy {
-			o := option{r.worker, due, due}
-			if r.worker != r.Cands[0] {
-				o.cost += r.Move
-			}
-			r.opts = append(r.opts, o)
+			r.opts = append(r.opts, option{r.worker, due})
 		}
 		h.knee(now, r, out)
 		return
--- a/internal/vaned/way.go
+++ b/internal/vaned/way.go
@@ -92,7 +92,7 @@
 	c := make(chan verdict, 1)
 	v.deskMu.Lock()
 	v.doors[tag] = c
-	out := v.desk.Arrive(now, hygrometer.Req{Tag: tag, Policy: s.Allow, Cands: cands, Tries: s.Spread + 4, Until: w.until, First: s.First, Move: s.Move,
+	out := v.desk.Arrive(now, hygrometer.Req{Tag: tag, Policy: s.Allow, Cands: cands, Tries: s.Spread + 4, Until: w.until, First: s.First,
 		Keeper: func(n string) units.Node { return keepers[n] }})
 	v.tell(now)
 	v.deskMu.Unlock()
