--- a/internal/vaned/door_test.go
+++ b/internal/vaned/door_test.go
@@ -154,6 +154,11 @@
 				defer v.gaugeMu.Unlock()
 				return v.gauge.Kept(v.Crew.Now())[0].Lent == 0 && v.flight.Load() == 0
 			})
+			v.stats.mu.Lock()
+			defer v.stats.mu.Unlock()
+			if n := v.stats.codes[synop.HungUp]; n != 1 {
+				t.Errorf("%d hang-ups were noticed; the run ended for another reason", n)
+			}
 		})
 	}
 }
--- a/internal/windtunnel/load.go
+++ b/internal/windtunnel/load.go
@@ -52,6 +52,7 @@
 		return
 	}
 	e := l[w.Rng.IntN(len(l))]
+	w.fresh(e)
 	longest := []time.Duration{6 * time.Second, 4 * time.Second, 20 * time.Second}[w.Rng.IntN(3)]
 	if longest != 4*time.Second {
 		w.admit(e, w.Now.Add(longest), w.Rng.IntN(40), "")
--- a/internal/windtunnel/operators.go
+++ b/internal/windtunnel/operators.go
@@ -133,3 +133,14 @@
 		}
 	}
 }
+
+// fresh: what serves a prompt must not stand on a configuration older than one acknowledged 2 s before, however the
+// process came to serve: started, woken or running.
+func (w *World) fresh(e *Edge) {
+	for _, a := range w.acked {
+		if w.Now.Sub(max(a.at, w.cutAt[e.H])) > 2*time.Second && a.num > e.Num && !w.excused(a.at, w.Now) {
+			w.fault("%s takes a prompt with configuration %d; %d was acknowledged %v ago", e.H.Addr, e.Num, a.num, w.Now.Sub(a.at))
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/windtunnel/repair_test.go
@@ -0,0 +1,35 @@
+package windtunnel
+
+import (
+	"testing"
+	"time"
+
+	"seamshunt/internal/units"
+)
+
+// A voter that missed writes is mended though nobody writes those keys again (design 2).
+func TestRepair(t *testing.T) {
+	for seed := *from; seed < *from+3; seed++ {
+		w := NewWorld(Vatuloa, seed)
+		w.Run(units.Time(5 * time.Second))
+		lost := w.coreH[int(seed)%3]
+		w.Kill(lost)
+		w.Refuse(lost)
+		w.Run(w.Now.Add(2 * time.Second))
+		for i, z := range []string{"v1", "v2", "v3"} {
+			w.After(time.Duration(i)*300*time.Millisecond, func() { w.Evacuate(z, true) })
+		}
+		w.change("config", configText(1), nil)
+		w.Run(w.Now.Add(2 * time.Second))
+		w.Start(lost)
+		behind := len(w.cores[lost].Baro.Stored())
+		w.Run(w.Now.Add(20 * time.Second))
+		w.alike()
+		if now := len(w.cores[lost].Baro.Stored()); behind >= now || now != 6 {
+			t.Errorf("seed %d: %d keys when it came back, %d after repair, 6 there are", seed, behind, now)
+		}
+		if len(w.Faults) > 0 {
+			t.Errorf("seed %d: %v", seed, w.Faults)
+		}
+	}
+}
--- a/internal/windtunnel/world.go
+++ b/internal/windtunnel/world.go
@@ -233,7 +233,7 @@
 		}
 	}
 	for _, h := range all {
-		if !seen[h] {
+		if !seen[h] && !h.Frozen && h.Proc != nil {
 			w.cutAt[h] = w.Now
 		}
 	}
