A keeper with free slots refuses nobody for its old turnover; distributions in virtual time

A prompt for which a slot is free has no wait but for the reports. Ruled out: a shorter memory of the turnover, which would only make it rarer.

--- a/internal/gauge/gauge_test.go
+++ b/internal/gauge/gauge_test.go
@@ -161,6 +161,25 @@
 	}
 }
 
+// A keeper that collects its reports anew has free slots: its old turnover must not refuse who asks just then.
+func TestFreeSlotsAreNoWait(t *testing.T) {
+	b := newBench(Worker{Cap: 1, Bound: 9})
+	for tag := range uint64(3) {
+		b.ask(tag+1, 30*time.Second, true)
+		b.pass(4 * time.Second)
+		b.back(tag + 1)
+	}
+	h := Head{Tag: 9, Left: 2000, Wait: 1, Reason: NotKeeper}
+	b.out(b.Step(b.now, station.Note{From: 2, Kind: Ask, Body: Pack(h, "s/w")}))
+	if k := b.kind[len(b.kind)-1]; k != Waiting {
+		t.Fatalf("refused with reason %d", b.sent[len(b.sent)-1].Reason)
+	}
+	b.out(b.Step(b.now, station.Note{From: 1, Kind: Report, Body: PackReport("s/w", nil)}))
+	if !b.granted(9) {
+		t.Error("not lent once the reports are in")
+	}
+}
+
 // AIMD, keyed on waiting time only: a burst brings the cap down to its floor, long runs without waiting do not
 // touch it, and after the burst it is back at the knee. The source's own failure was a cap that stayed down.
 func TestAdaptRecovers(t *testing.T) {
--- a/internal/gauge/step.go
+++ b/internal/gauge/step.go
@@ -98,6 +98,9 @@
 		return 1
 	})
 	due := wait * time.Duration(at+1)
+	if len(k.lent)+at < c {
+		due = 0 // a slot is free for it: only the reports are waited for
+	}
 	if !k.open {
 		due = max(due, k.holdTil.Sub(now))
 	}
--- a/internal/windtunnel/load.go
+++ b/internal/windtunnel/load.go
@@ -236,6 +236,7 @@
 		}
 	}
 	if w.full > 0 {
+		w.Figures.Backs = append(w.Figures.Backs, w.Now.Sub(w.full))
 		w.Figures.Back = max(w.Figures.Back, w.Now.Sub(w.full))
 		if b := w.Now.Sub(w.full); b > 12*time.Second {
 			w.fault("service came back %v after a full loss", b)
--- a/internal/windtunnel/operators.go
+++ b/internal/windtunnel/operators.go
@@ -116,6 +116,11 @@
 		if e.Num < w.nums[e] {
 			w.fault("%s slid back from configuration %d to %d", h.Addr, w.nums[e], e.Num)
 		}
+		for _, a := range w.acked {
+			if a.num > w.nums[e] && a.num <= e.Num && w.nums[e] > 0 {
+				w.Figures.InForce = append(w.Figures.InForce, max(0, w.Now.Sub(max(a.at, w.cutAt[h]))))
+			}
+		}
 		w.nums[e] = e.Num
 		for i := len(w.acked) - 1; i >= 0; i-- {
 			a := w.acked[i]
--- a/internal/windtunnel/play_test.go
+++ b/internal/windtunnel/play_test.go
@@ -37,10 +37,12 @@
 				f.Runs += w.Figures.Runs
 				f.LeaveMax, f.EvacMax = max(f.LeaveMax, w.Figures.LeaveMax), max(f.EvacMax, w.Figures.EvacMax)
 				f.ConfigMax, f.Back = max(f.ConfigMax, w.Figures.ConfigMax), max(f.Back, w.Figures.Back)
+				f.InForce = append(f.InForce, w.Figures.InForce...)
+				f.Backs = append(f.Backs, w.Figures.Backs...)
 				f.MostAtOnce = max(f.MostAtOnce, w.Figures.MostAtOnce)
 			}
-			t.Logf("%d seeds: %d runs, at most %d at once; leaving %v, evacuated %v, configuration %v, back %v",
-				*seeds, f.Runs, f.MostAtOnce, f.LeaveMax, f.EvacMax, f.ConfigMax, f.Back)
+			t.Logf("%d seeds: %d runs, at most %d at once; last run after leaving %v, after evacuation %v; median / 99th / most: configuration in force %s, back after a full loss %s",
+				*seeds, f.Runs, f.MostAtOnce, f.LeaveMax, f.EvacMax, Spread(f.InForce), Spread(f.Backs))
 		})
 	}
 }
