--- a/internal/windtunnel/play.go
+++ b/internal/windtunnel/play.go
@@ -142,3 +142,13 @@
 		}
 	}
 }
+
+// Spread gives the median, the 99th of a hundred, and the most.
+func Spread(l []time.Duration) string {
+	if len(l) == 0 {
+		return "none"
+	}
+	slices.Sort(l)
+	at := func(q float64) time.Duration { return l[min(len(l)-1, int(q*float64(len(l))))].Round(time.Millisecond) }
+	return fmt.Sprintf("%v / %v / %v of %d", at(0.5), at(0.99), at(1), len(l))
+}
--- a/internal/windtunnel/world.go
+++ b/internal/windtunnel/world.go
@@ -81,16 +81,6 @@
 	Backs                   []time.Duration // from the start after a full loss till the first run
 }
 
-// Spread gives the median, the 99th of a hundred, and the most.
-func Spread(l []time.Duration) string {
-	if len(l) == 0 {
-		return "none"
-	}
-	slices.Sort(l)
-	at := func(q float64) time.Duration { return l[min(len(l)-1, int(q*float64(len(l))))].Round(time.Millisecond) }
-	return fmt.Sprintf("%v / %v / %v of %d", at(0.5), at(0.99), at(1), len(l))
-}
-
 // NewWorld builds a deployment; nothing has found anything yet.
 func NewWorld(p Place, seed uint64) *World {
 	w := &World{Sim: New(seed), Place: p, cores: map[*Host]*Core{}, edges: map[*Host]*Edge{}, workers: map[string]*work{},
