Leaving marks need no majority and no disk; started-again workers warm anew

Cause: workers/<pool> was a key of the control state, so with every disk full or the core cut two against two a mark reached nobody, though platform, barometer and vane could reach each other. And a worker started again in its place between two polls was not noticed: lists were compared without ages.

Change: sightings per asker, ordered by what the asker had heard of before asking; votes carry shares of the platform's rate; a holder that can't reach the platform yields; news is relayed by number to three others.

Ruled out: order by clock or by the duty's term (missing in just these cuts); marks that only grow.

--- a/internal/ballot/ballot.go
+++ b/internal/ballot/ballot.go
@@ -3,6 +3,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"seamshunt/internal/station"
@@ -19,10 +20,11 @@
 // Spans (start values). A term is counted from before the asking by the holder and from after it by the
 // voters, so that clocks need only run at like rates.
 const (
-	Term  = 1200 * time.Millisecond
-	renew = 300 * time.Millisecond
-	slack = 100 * time.Millisecond
-	count = 300 * time.Millisecond // a round not won by then is lost, and its votes are given back
+	Term     = 1200 * time.Millisecond
+	renew    = 300 * time.Millisecond
+	slack    = 100 * time.Millisecond
+	yieldFor = 2 * time.Second        // how long one that can't do the duty's work leaves it to others
+	count    = 300 * time.Millisecond // a round not won by then is lost, and its votes are given back
 )
 
 type head struct {
@@ -48,12 +50,13 @@
 	until  units.Time // till then the duty is ours
 	next   units.Time
 	rng    *rand.Rand
-	Ours   int // rounds won, for status
+	Ours   int                       // rounds won, for status
+	lent   map[units.Node]units.Time // till when each voter leaves its share of the duty's work to us
 }
 
 // New gives a node that has voted for nobody; it abstains for a term, since it may have voted before it started.
 func New(self units.Node, duty string, voters func() []units.Node, now units.Time, rng *rand.Rand) *Ballot {
-	return &Ballot{self: self, Duty: duty, Voters: voters, born: now, rng: rng, next: now.Add(Term)}
+	return &Ballot{self: self, Duty: duty, Voters: voters, born: now, rng: rng, next: now.Add(Term), lent: map[units.Node]units.Time{}}
 }
 
 // Holds says whether the duty is ours now.
@@ -75,6 +78,7 @@
 	}
 	b.round++
 	b.got = nil
+	clear(b.lent)
 	b.next = now.Add(time.Duration(b.rng.Int64N(int64(renew))))
 }
 
@@ -127,6 +131,7 @@
 			return out
 		}
 		b.got[n.From] = true
+		b.lent[n.From] = b.sent.Add(Term - slack)
 		k, vs := 0, b.Voters()
 		for _, v := range vs {
 			if b.got[v] {
@@ -152,3 +157,28 @@
 
 // Drop gives the duty up.
 func (b *Ballot) Drop() { b.until = 0 }
+
+// Yield gives the duty up for a while, since this node can't do it now; its votes go back at once.
+func (b *Ballot) Yield(now units.Time) (out station.Out) {
+	b.until = 0
+	b.lost(now, &out)
+	b.next = now.Add(yieldFor)
+	return out
+}
+
+// Share is this node's part of a rate that all voters share: its own, unless it backs somebody else, and those of all
+// whose votes it has, who leave theirs unused as long as their votes stand. So the parts never add up to more than
+// one, however the voters are cut off from each other (design 5).
+func (b *Ballot) Share(now units.Time) float64 {
+	vs := b.Voters()
+	if !slices.Contains(vs, b.self) || now < b.born.Add(Term) || now < b.grant.until && b.grant.to != b.self {
+		return 0
+	}
+	k := 1
+	for _, v := range vs {
+		if v != b.self && now < b.lent[v] {
+			k++
+		}
+	}
+	return float64(k) / float64(len(vs))
+}
--- a/internal/barod/baro.go
+++ b/internal/barod/baro.go
@@ -20,6 +20,7 @@
 	"seamshunt/internal/heliograph"
 	"seamshunt/internal/isobar"
 	"seamshunt/internal/mast"
+	"seamshunt/internal/nephoscope"
 	"seamshunt/internal/station"
 	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
@@ -41,6 +42,8 @@
 	leaving atomic.Bool
 	web     *fasthttp.Server
 	polled  poll
+	skyMu   sync.Mutex // last in the lock order but for the disk queue
+	sky     *nephoscope.Nephoscope
 	doctor  barograph.Doctor
 	audit   *heliograph.Log
 	missed  atomic.Uint64  // acknowledged changes that the audit record lacks
@@ -53,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Barometer{Tower: tower.New(b, self, mast.Barometer), waits: map[uint64]chan barograph.Result{}, doctor: barograph.Doctor{Founders: b.Founders}}
+	c := &Barometer{Tower: tower.New(b, self, mast.Barometer), waits: map[uint64]chan barograph.Result{}, doctor: barograph.Doctor{Founders: b.Founders}, sky: nephoscope.New()}
 	if c.audit, err = heliograph.Open(b.Data, b.Name); err != nil {
 		return nil, err
 	}
@@ -206,8 +209,10 @@
 	c.Flag(mast.Draining, c.leaving.Load())
 	look := barograph.LookAt(all)
 	c.BullMu.Lock()
-	told := c.Bull.Items[barograph.KeyVoters]
+	told, fresh := c.Bull.Items[barograph.KeyVoters], c.Bull.Fresh
+	c.Bull.Fresh = nil
 	c.BullMu.Unlock()
+	c.look(now, fresh)
 	c.baroMu.Lock()
 	if told != nil {
 		c.Deliver(c.baro.Learn(told.Data))
--- a/internal/barod/duty.go
+++ b/internal/barod/duty.go
@@ -1,15 +1,17 @@
 package barod
 
 import (
-	"bytes"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
 	"seamshunt/internal/almanac"
 	"seamshunt/internal/barograph"
+	"seamshunt/internal/bulletin"
 	"seamshunt/internal/forecast"
-	"seamshunt/internal/synop"
+	"seamshunt/internal/nephoscope"
+	"seamshunt/internal/station"
 	"seamshunt/internal/telegraph"
 	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
@@ -39,11 +41,11 @@
 	last string
 }
 
-// poller asks the platform for one pool's workers while the duty is this node's (design 5).
+// poller asks the platform for one pool's workers, at this node's share of the fleet's rate (design 5).
 func (c *Barometer) poller(pool string) {
 	gap := time.Duration(c.Boot.PollMs) * time.Millisecond
-	held := false
-	t := time.NewTicker(gap)
+	turn := nephoscope.Turn{}
+	t := time.NewTicker(gap / 10)
 	defer t.Stop()
 	for {
 		select {
@@ -53,22 +55,26 @@
 		}
 		now := c.Crew.Now()
 		c.dutyMu.Lock()
-		mine := c.duty.Holds(now)
+		share := c.duty.Share(now)
 		c.dutyMu.Unlock()
-		if mine && held {
+		if !c.leaving.Load() && turn.Due(now, share, gap) {
 			c.ask(pool)
 		}
-		held = mine // the first gap of a new holder is left to whatever its forerunner still asked
 	}
 }
 
 func (c *Barometer) ask(pool string) {
+	now := c.Crew.Now()
+	c.skyMu.Lock()
+	a := c.sky.Ask(now, pool, c.Self, time.Now().UnixMilli())
+	c.skyMu.Unlock()
 	code, b, _, err := telegraph.HTTP("GET", c.Boot.Platform, "/v1/pools/"+pool+"/workers", nil, nil, time.Second)
 	why := ""
 	var l []forecast.Worker
 	switch {
 	case err != nil:
 		why = err.Error()
+		c.yield()
 	case code != 200:
 		why = fmt.Sprintf("status %d", code)
 	default:
@@ -90,35 +96,36 @@
 		c.Log.WithField("why", why).Warn("the platform gave no list")
 		return
 	}
-	c.record("workers/"+pool, l)
+	c.skyMu.Lock()
+	data, news := c.sky.Heard(a, l)
+	c.skyMu.Unlock()
+	if news {
+		c.spread(c.Crew.Now(), []barograph.News{{Key: nephoscope.Key(pool, c.Self), Num: a.Num, Data: data}})
+	}
 }
 
-// record writes a list that differs from the one in force.
-func (c *Barometer) record(key string, l []forecast.Worker) {
-	num := units.Num(0)
-	c.BullMu.Lock()
-	it := c.Bull.Items[key]
-	c.BullMu.Unlock()
-	if it != nil {
-		num = it.Num
-		if old, err := forecast.ReadWorkers(it.Data); err == nil && same(old, l) {
-			return
-		}
-	}
-	r := c.Ask(barograph.Ask{Key: key, Write: true, Expect: num, Data: forecast.PackWorkers(l)})
-	if r.Code != synop.OK {
-		c.Log.WithField("code", r.Code).Warn("the worker list could not be kept")
+// yield leaves the duty to others when this node can't reach the platform at all.
+func (c *Barometer) yield() {
+	now := c.Crew.Now()
+	c.dutyMu.Lock()
+	var out station.Out
+	if c.duty.Holds(now) {
+		out = c.duty.Yield(now)
 	}
+	c.dutyMu.Unlock()
+	c.Deliver(out)
 }
 
-// same compares lists but for ages.
-func same(a, b []forecast.Worker) bool {
-	strip := func(l []forecast.Worker) []byte {
-		c := append([]forecast.Worker(nil), l...)
-		for i := range c {
-			c[i].Age = 0
+// look takes the news that is about workers.
+func (c *Barometer) look(now units.Time, fresh []bulletin.Item) {
+	c.skyMu.Lock()
+	defer c.skyMu.Unlock()
+	for _, it := range fresh {
+		if !strings.HasPrefix(it.Key, nephoscope.Prefix) {
+			continue
+		}
+		if _, err := c.sky.Take(now, it.Key, it.Num, it.Data); err != nil {
+			c.Log.WithError(err).Error("a worker list can't be read here")
 		}
-		return forecast.PackWorkers(c)
 	}
-	return bytes.Equal(strip(a), strip(b))
 }
--- a/internal/barod/plan.go
+++ b/internal/barod/plan.go
@@ -105,13 +105,9 @@
 }
 
 func (c *Barometer) listed(pool string) []forecast.Worker {
-	c.BullMu.Lock()
-	defer c.BullMu.Unlock()
-	if it := c.Bull.Items["workers/"+pool]; it != nil {
-		l, _ := forecast.ReadWorkers(it.Data)
-		return l
-	}
-	return nil
+	c.skyMu.Lock()
+	defer c.skyMu.Unlock()
+	return c.sky.List(pool)
 }
 
 func (c *Barometer) compareZone(zone string, old, body []byte) (d forecast.Plan) {
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -2,6 +2,7 @@
 package bulletin
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,7 +19,10 @@
 	Vouched
 )
 
-const again = 300 * time.Millisecond
+const (
+	again  = 300 * time.Millisecond
+	relays = 3
+)
 
 type newsHead struct{ Num uint64 }
 
@@ -43,14 +47,16 @@
 	Acks       map[string]map[units.Node]units.Num // who has acknowledged what, on the pushing side
 	asked      map[units.Node]units.Time           // when a neighbour was last asked for its news
 	vouchAsked units.Time
+	me         string                              // salt for drawing whom to relay to
 	out        map[string]*pushed                  // news on its way
 	Vouch      map[units.Node]map[string]units.Num // a starting node's confirmations
 	Stored     func() map[string]units.Num         // a barometer's numbers on disk; nil on a vane
+	told       bool                                // something new came from a neighbour since the last tick
 }
 
 // New gives an empty one.
-func New() *Bulletin {
-	return &Bulletin{Items: map[string]*Item{}, Acks: map[string]map[units.Node]units.Num{}, asked: map[units.Node]units.Time{},
+func New(self units.Node) *Bulletin {
+	return &Bulletin{me: self.String(), Items: map[string]*Item{}, Acks: map[string]map[units.Node]units.Num{}, asked: map[units.Node]units.Time{},
 		out: map[string]*pushed{}, Vouch: map[units.Node]map[string]units.Num{}}
 }
 
@@ -105,9 +111,27 @@
 			delete(b.out, key)
 		}
 	}
+	b.relay(live, &out)
 	return out
 }
 
+// relay tells a few others by number what came newly, so that they ask for what they lack: news goes round cuts that
+// part its pusher from some. The few are drawn by hash, so that every node draws others.
+func (b *Bulletin) relay(live []units.Node, out *station.Out) {
+	if !b.told {
+		return
+	}
+	b.told = false
+	l := slices.Clone(live)
+	salt := units.Hex(b.Sum) + units.Hex(uint64(len(l)))
+	slices.SortFunc(l, func(x, y units.Node) int {
+		return cmp.Compare(units.Mix(salt, b.me, x.String()), units.Mix(salt, b.me, y.String()))
+	})
+	for _, n := range l[:min(relays, len(l))] {
+		out.Send(n, Pull, b.packNums(b.nums()))
+	}
+}
+
 // Behind is told that a neighbour's digest differs: the two exchange what each lacks.
 func (b *Bulletin) Behind(now units.Time, from units.Node) (out station.Out) {
 	if t, ok := b.asked[from]; ok && now.Sub(t) < again {
@@ -156,7 +180,7 @@
 	switch n.Kind {
 	case Push:
 		if err = station.Unpack(n.Body, &h, &key, &data); err == nil {
-			b.Take(Item{Key: string(key), Num: units.Num(h.Num), Data: data})
+			b.told = b.Take(Item{Key: string(key), Num: units.Num(h.Num), Data: data}) || b.told
 			out.Send(n.From, Ackn, station.Pack(h, key))
 		}
 	case Ackn:
--- a/internal/forecast/workers.go
+++ b/internal/forecast/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -14,6 +15,7 @@
 	Zone    string
 	Leaving bool
 	Age     time.Duration // how long it ran when listed; short ones are still warming
+	Life    uint64        // grows whenever it is seen to have started again; none of the platform's
 }
 
 // ReadWorkers reads the platform's list of a pool.
@@ -30,7 +32,7 @@
 	seen := map[string]bool{}
 	for i, w := range x.GetArray() {
 		y := Worker{ID: string(w.GetStringBytes("id")), Addr: string(w.GetStringBytes("addr")), Zone: string(w.GetStringBytes("zone")),
-			Leaving: w.GetBool("leaving"), Age: time.Duration(w.GetInt64("age_ms")) * time.Millisecond}
+			Leaving: w.GetBool("leaving"), Age: time.Duration(w.GetInt64("age_ms")) * time.Millisecond, Life: w.GetUint64("life")}
 		if y.ID == "" || y.Addr == "" || seen[y.ID] {
 			return nil, fmt.Errorf("forecast: worker list: entry %d lacks its id or address, or stands twice", i)
 		}
@@ -40,9 +42,11 @@
 	return l, nil
 }
 
-// PackWorkers writes a list as news.
-func PackWorkers(l []Worker) []byte {
-	var a fastjson.Arena
+// PackWorkers writes a list as the platform does.
+func PackWorkers(l []Worker) []byte { return WorkersValue(&fastjson.Arena{}, l).MarshalTo(nil) }
+
+// WorkersValue lays a list out.
+func WorkersValue(a *fastjson.Arena, l []Worker) *fastjson.Value {
 	arr := a.NewArray()
 	for i, w := range l {
 		o := a.NewObject()
@@ -53,9 +57,12 @@
 			o.Set("leaving", a.NewTrue())
 		}
 		o.Set("age_ms", a.NewNumberInt(int(w.Age.Milliseconds())))
+		if w.Life > 0 {
+			o.Set("life", a.NewNumberString(strconv.FormatUint(w.Life, 10)))
+		}
 		arr.SetArrayItem(i, o)
 	}
 	o := a.NewObject()
 	o.Set("workers", arr)
-	return o.MarshalTo(nil)
+	return o
 }
--- /dev/null
+++ b/internal/nephoscope/nephoscope.go
@@ -0,0 +1,181 @@
+// Package nephoscope holds what the platform was seen to list: one sighting per pool and asker, no disk, no
+// majority (design 5).
+package nephoscope
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// Prefix begins the keys of sightings in the news: workers/POOL/ASKER.
+const Prefix = "workers/"
+
+// slack is how much younger a worker must look than it should before it counts as started again.
+const slack = 1500 * time.Millisecond
+
+// sighting is one answer of the platform. Knew says which sightings its asker had heard of before it asked: only
+// those does it replace, since only then is it certain to be the later one.
+type sighting struct {
+	num  units.Num
+	list []forecast.Worker
+	knew map[string]units.Num
+}
+
+// Nephoscope merges the sightings.
+type Nephoscope struct {
+	pools map[string]map[string]*sighting
+	start map[string]units.Time // when each worker began, on this process's clock
+	life  map[string]uint64
+}
+
+// New has seen nothing.
+func New() *Nephoscope {
+	return &Nephoscope{pools: map[string]map[string]*sighting{}, start: map[string]units.Time{}, life: map[string]uint64{}}
+}
+
+// Key names an asker's sightings of a pool in the news.
+func Key(pool string, asker units.Node) string { return Prefix + pool + "/" + asker.String() }
+
+// Take takes a sighting from the news, and gives the pool that it is of.
+func (n *Nephoscope) Take(now units.Time, key string, num units.Num, data []byte) (string, error) {
+	pool, asker, _ := strings.Cut(strings.TrimPrefix(key, Prefix), "/")
+	l, err := forecast.ReadWorkers(data)
+	if err != nil {
+		return pool, err
+	}
+	s := &sighting{num: num, list: l, knew: map[string]units.Num{}}
+	if o := fastjson.MustParseBytes(data).GetObject("knew"); o != nil {
+		o.Visit(func(k []byte, v *fastjson.Value) {
+			x, _ := v.Uint64()
+			s.knew[string(k)] = units.Num(x)
+		})
+	}
+	by := n.pools[pool]
+	if by == nil {
+		by = map[string]*sighting{}
+		n.pools[pool] = by
+	}
+	if old := by[asker]; old != nil && old.num >= num {
+		return pool, nil
+	}
+	by[asker] = s
+	for _, w := range n.List(pool) {
+		if _, ok := n.start[w.ID]; !ok || w.Life > n.life[w.ID] {
+			n.start[w.ID], n.life[w.ID] = now.Add(-w.Age), w.Life
+		}
+	}
+	return pool, nil
+}
+
+// List merges what stands: sightings that no later one replaced. Where two can't be ordered, a worker that either
+// marks as leaving is leaving, and one that either lists is listed.
+func (n *Nephoscope) List(pool string) []forecast.Worker {
+	by, got := n.pools[pool], map[string]forecast.Worker{}
+	for _, a := range station.Keys(by) {
+		s, old := by[a], false
+		for b, t := range by {
+			old = old || b != a && t.knew[a] >= s.num && !(s.knew[b] >= t.num)
+		}
+		if old {
+			continue
+		}
+		for _, w := range s.list {
+			x, ok := got[w.ID]
+			if ok {
+				leaving := x.Leaving || w.Leaving
+				if x.Life >= w.Life {
+					w = x
+				}
+				w.Leaving = leaving
+			}
+			got[w.ID] = w
+		}
+	}
+	l := make([]forecast.Worker, 0, len(got))
+	for _, id := range station.Keys(got) {
+		l = append(l, got[id])
+	}
+	return l
+}
+
+// Start says when each worker began, as far as is known.
+func (n *Nephoscope) Start() map[string]units.Time { return n.start }
+
+// Ask is one question to the platform: its number, and what its asker had heard of before.
+type Ask struct {
+	Pool  string
+	Num   units.Num
+	Began units.Time
+	knew  map[string]units.Num
+}
+
+// Ask begins a question. Wall is the asker's calendar in milliseconds; a number also goes past every one that the
+// asker is known to have given, so a wrong calendar costs nothing.
+func (n *Nephoscope) Ask(now units.Time, pool string, self units.Node, wall int64) Ask {
+	a := Ask{Pool: pool, Num: units.Num(max(1, wall)), Began: now, knew: map[string]units.Num{}}
+	for k, s := range n.pools[pool] {
+		a.knew[k] = s.num
+		if k == self.String() {
+			a.Num = max(a.Num, s.num+1)
+		}
+	}
+	return a
+}
+
+// Heard takes the platform's answer and gives the news that it makes; nothing when it says what is known already.
+func (n *Nephoscope) Heard(a Ask, l []forecast.Worker) ([]byte, bool) {
+	l = slices.Clone(l)
+	slices.SortFunc(l, func(x, y forecast.Worker) int { return cmp.Compare(x.ID, y.ID) })
+	known := map[string]forecast.Worker{}
+	for _, w := range n.List(a.Pool) {
+		known[w.ID] = w
+	}
+	fresh := len(known) != len(l)
+	for i := range l {
+		w := &l[i]
+		k, ok := known[w.ID]
+		again := !ok || k.Addr != w.Addr || a.Began.Add(-w.Age).Sub(n.start[w.ID]) > slack
+		if w.Life = k.Life; again {
+			w.Life = uint64(a.Num) // started, or started again: it warms anew
+		}
+		fresh = fresh || again || k.Zone != w.Zone || k.Leaving != w.Leaving
+	}
+	if !fresh {
+		return nil, false
+	}
+	var r fastjson.Arena
+	v, knew := forecast.WorkersValue(&r, l), r.NewObject()
+	for _, k := range station.Keys(a.knew) {
+		knew.Set(k, r.NewNumberString(fmt.Sprint(uint64(a.knew[k]))))
+	}
+	v.Set("knew", knew)
+	return v.MarshalTo(nil), true
+}
+
+// Turn paces one node's questions: a node may ask for its share of the fleet's rate, and shares never add up to
+// more than the whole (design 5).
+type Turn struct {
+	credit time.Duration
+	last   units.Time
+}
+
+// Due says whether a question may go out now; gap is the fleet's least gap between two.
+func (t *Turn) Due(now units.Time, share float64, gap time.Duration) bool {
+	since := min(now.Sub(t.last), gap)
+	t.last = now
+	t.credit = min(gap, t.credit+time.Duration(share*float64(since)))
+	if share == 0 || t.credit < gap {
+		return false
+	}
+	t.credit = 0
+	return true
+}
--- a/internal/tower/tower.go
+++ b/internal/tower/tower.go
@@ -58,7 +58,7 @@
 // New builds the tables; Start brings them to life.
 func New(b *boot.Boot, self units.Node, role mast.Role) *Tower {
 	t := &Tower{Boot: b, Self: self, Crew: crew.New(clockwork.NewRealClock(), 4), Book: logbook.New(512, os.Stderr),
-		Bull: bulletin.New(), Steps: map[station.Kind]func(units.Time, station.Note){}}
+		Bull: bulletin.New(self), Steps: map[station.Kind]func(units.Time, station.Note){}}
 	t.Log = &log.Logger{Handler: t.Book, Level: log.DebugLevel}
 	me := mast.Member{Node: self, Inc: uint64(time.Now().UnixMilli()), Role: role, Addr: b.Addr, Web: b.Web, Zone: b.Zone}
 	t.Mast = mast.New(me, b.Seeds, mrand.New(mrand.NewPCG(uint64(Random()), 0)))
--- a/internal/vaned/rules.go
+++ b/internal/vaned/rules.go
@@ -11,6 +11,7 @@
 	"seamshunt/internal/forecast"
 	"seamshunt/internal/gauge"
 	"seamshunt/internal/mast"
+	"seamshunt/internal/nephoscope"
 	"seamshunt/internal/units"
 )
 
@@ -23,9 +24,9 @@
 // table is what news and membership say, under tableMu.
 type table struct {
 	pools  map[string][]forecast.Worker
-	first  map[string]units.Time // when a worker id was first seen, less its age then
-	out    map[string]bool       // zones evacuated
-	down   map[string]units.Time // workers found dead here, until when they are passed over
+	sky    *nephoscope.Nephoscope // what the platform was seen to list
+	out    map[string]bool        // zones evacuated
+	down   map[string]units.Time  // workers found dead here, until when they are passed over
 	watch  *gauge.Watch
 	peers  []gauge.Peer
 	voters barograph.Voters
@@ -33,7 +34,7 @@
 }
 
 func newTable() table {
-	return table{pools: map[string][]forecast.Worker{}, first: map[string]units.Time{}, out: map[string]bool{}, down: map[string]units.Time{}, watch: gauge.NewWatch()}
+	return table{pools: map[string][]forecast.Worker{}, sky: nephoscope.New(), out: map[string]bool{}, down: map[string]units.Time{}, watch: gauge.NewWatch()}
 }
 
 // refresh brings news and membership into the tables and from there to the keeper.
@@ -60,7 +61,7 @@
 	if r == nil {
 		return
 	}
-	ws := r.Keep(t.pools, t.first, t.out)
+	ws := r.Keep(t.pools, t.sky.Start(), t.out)
 	v.gaugeMu.Lock()
 	v.gauge.Workers(ws)
 	v.gauge.View(peers, t.watch.Holds(r.Longest(false)))
@@ -83,19 +84,13 @@
 		v.table.out[name] = fastjson.GetBool(it.Data, "evacuated")
 		v.tableMu.Unlock()
 	case "workers":
-		l, err := forecast.ReadWorkers(it.Data)
-		if err != nil {
-			v.Log.WithError(err).Error("a worker list that control took can't be read here")
-			return
-		}
 		v.tableMu.Lock()
-		for _, w := range l {
-			if _, ok := v.table.first[w.ID]; !ok {
-				v.table.first[w.ID] = now.Add(-w.Age)
-			}
-		}
-		v.table.pools[name] = l
+		pool, err := v.table.sky.Take(now, it.Key, it.Num, it.Data)
+		v.table.pools[pool] = v.table.sky.List(pool)
 		v.tableMu.Unlock()
+		if err != nil {
+			v.Log.WithError(err).Error("a worker list can't be read here")
+		}
 	case "voters":
 		if s, err := barograph.UnpackVoters(it.Data); err == nil {
 			v.tableMu.Lock()
--- a/internal/windtunnel/core.go
+++ b/internal/windtunnel/core.go
@@ -3,12 +3,14 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 
 	"seamshunt/internal/ballot"
 	"seamshunt/internal/barograph"
 	"seamshunt/internal/bulletin"
 	"seamshunt/internal/isobar"
 	"seamshunt/internal/mast"
+	"seamshunt/internal/nephoscope"
 	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
@@ -22,7 +24,7 @@
 
 func (s *Sim) common(h *Host, self units.Node, role mast.Role, seeds []string) common {
 	me := mast.Member{Node: self, Inc: uint64(s.Now) + 1, Role: role, Addr: h.Addr, Zone: h.Zone}
-	return common{mast.New(me, seeds, rand.New(rand.NewPCG(s.Rng.Uint64(), 3))), bulletin.New()}
+	return common{mast.New(me, seeds, rand.New(rand.NewPCG(s.Rng.Uint64(), 3))), bulletin.New(self)}
 }
 
 func (c *common) beat(now units.Time, self units.Node) ([]mast.Member, station.Out) {
@@ -53,6 +55,9 @@
 	Duty  *ballot.Ballot
 	doc   barograph.Doctor
 	Iso   *isobar.Isobar
+	sky   *nephoscope.Nephoscope
+	turn  nephoscope.Turn
+	poll  func(*Core, units.Time) // asks the world's platform
 	waits map[uint64]func(barograph.Result)
 	tag   uint64
 	Drain bool
@@ -65,7 +70,7 @@
 			h.Disk.ID = units.Node(s.Rng.Uint64() | 1)
 		}
 		self := h.Disk.ID
-		c := &Core{common: s.common(h, self, mast.Barometer, seeds), H: h, doc: barograph.Doctor{Founders: founders}, waits: map[uint64]func(barograph.Result){}}
+		c := &Core{common: s.common(h, self, mast.Barometer, seeds), H: h, doc: barograph.Doctor{Founders: founders}, sky: nephoscope.New(), poll: s.Poll, waits: map[uint64]func(barograph.Result){}}
 		c.Proc = &Proc{Self: self, Step: c.step, Tick: c.tick, Refused: func(now units.Time, a string) {
 			for _, n := range c.mast.Refused(now, a) {
 				c.Duty.Gone(now, n)
@@ -124,6 +129,15 @@
 	c.drain(now, &out)
 	out.Join(c.Duty.Tick(now, voter && !c.Drain))
 	out.Join(c.Iso.Tick(now, c.Baro.Voters().IDs, c.Baro.Slots()))
+	for _, it := range c.bull.Fresh {
+		if strings.HasPrefix(it.Key, nephoscope.Prefix) {
+			_, _ = c.sky.Take(now, it.Key, it.Num, it.Data)
+		}
+	}
+	c.bull.Fresh = nil
+	if c.poll != nil && !c.Drain && c.turn.Due(now, c.Duty.Share(now), pollGap) {
+		c.poll(c, now)
+	}
 	return out
 }
 
@@ -138,14 +152,18 @@
 	fresh := c.Baro.Fresh
 	c.Baro.Fresh = nil
 	for _, x := range fresh {
-		var to []units.Node
-		for _, m := range c.mast.All() {
-			if m.State <= mast.Suspect && m.Node != c.Self {
-				to = append(to, m.Node)
-			}
+		c.spread(now, bulletin.Item{Key: x.Key, Num: x.Num, Data: slices.Clone(x.Data)}, out)
+	}
+}
+
+func (c *Core) spread(now units.Time, it bulletin.Item, out *station.Out) {
+	var to []units.Node
+	for _, m := range c.mast.All() {
+		if m.State <= mast.Suspect && m.Node != c.Self {
+			to = append(to, m.Node)
 		}
-		out.Join(c.bull.Spread(now, bulletin.Item{Key: x.Key, Num: x.Num, Data: slices.Clone(x.Data)}, to))
 	}
+	out.Join(c.bull.Spread(now, it, to))
 }
 
 // Ask brings an operator's wish to this machine; done hears the result, or Unsure once patience is over.
--- a/internal/windtunnel/edge.go
+++ b/internal/windtunnel/edge.go
@@ -11,6 +11,7 @@
 	"seamshunt/internal/gauge"
 	"seamshunt/internal/hygrometer"
 	"seamshunt/internal/mast"
+	"seamshunt/internal/nephoscope"
 	"seamshunt/internal/screen"
 	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
@@ -28,7 +29,7 @@
 	Ready   bool
 	Pools   map[string][]forecast.Worker
 	Out     map[string]bool
-	first   map[string]units.Time
+	sky     *nephoscope.Nephoscope
 	voters  []units.Node
 	desk    *hygrometer.Hygrometer
 	gauge   *gauge.Gauge
@@ -48,7 +49,7 @@
 	return s.Add(addr, zone, nil, func(h *Host) *Proc {
 		self := units.Node(s.Rng.Uint64() | 1)
 		e := &Edge{common: s.common(h, self, mast.Vane, seeds), H: h, Pools: map[string][]forecast.Worker{}, Out: map[string]bool{},
-			first: map[string]units.Time{}, desk: hygrometer.New(self), gauge: gauge.New(self), watch: gauge.NewWatch(), screen: screen.New(self, s.Now), claims: map[uint64]func(synop.Code){}, began: s.Now,
+			sky: nephoscope.New(), desk: hygrometer.New(self), gauge: gauge.New(self), watch: gauge.NewWatch(), screen: screen.New(self, s.Now), claims: map[uint64]func(synop.Code){}, began: s.Now,
 			verdict: map[uint64]func(hygrometer.Verdict){}, tag: s.Rng.Uint64() >> 8}
 		e.Proc = &Proc{Self: self, Step: e.step, Tick: e.tick, Woke: func(now units.Time) {
 			e.unready()
@@ -122,7 +123,7 @@
 	peers, _ := e.watch.See(now, all)
 	e.peers = peers
 	if e.Config != nil {
-		e.gauge.Workers(e.Config.Keep(e.Pools, e.first, e.Out))
+		e.gauge.Workers(e.Config.Keep(e.Pools, e.sky.Start(), e.Out))
 		e.gauge.View(peers, e.watch.Holds(e.Config.Longest(false)))
 	}
 	var others []units.Node
@@ -151,13 +152,8 @@
 	case "zone":
 		e.Out[name] = fastjson.GetBool(it.Data, "evacuated")
 	case "workers":
-		if l, err := forecast.ReadWorkers(it.Data); err == nil {
-			for _, w := range l {
-				if _, ok := e.first[w.ID]; !ok {
-					e.first[w.ID] = now.Add(-w.Age)
-				}
-			}
-			e.Pools[name] = l
+		if pool, err := e.sky.Take(now, it.Key, it.Num, it.Data); err == nil {
+			e.Pools[pool] = e.sky.List(pool)
 		}
 	case barograph.KeyVoters:
 		if v, err := barograph.UnpackVoters(it.Data); err == nil {
--- a/internal/windtunnel/load.go
+++ b/internal/windtunnel/load.go
@@ -20,12 +20,15 @@
 	up      bool
 	start   units.Time
 	leaving units.Time
+	late    time.Duration // the last run begun after the mark
+	seen    units.Time    // till then not everybody can know that it was started again in its place
 	runs    map[*run]bool
 }
 
 type run struct {
-	job  int
 	edge *Edge
+	tag  uint64
+	life int
 	end  units.Time
 }
 
@@ -55,7 +58,7 @@
 	w.fresh(e)
 	longest := []time.Duration{6 * time.Second, 4 * time.Second, 20 * time.Second}[w.Rng.IntN(3)]
 	if longest != 4*time.Second {
-		w.admit(e, w.Now.Add(longest), w.Rng.IntN(40), "")
+		w.admit(e, w.Now.Add(longest), w.topic(), "")
 		return
 	}
 	w.serial++
@@ -72,6 +75,14 @@
 	}
 }
 
+// topic draws a prompt's prefix.
+func (w *World) topic() int {
+	if w.hot > 0 && w.Rng.Float64() < w.hot {
+		return 0
+	}
+	return w.Rng.IntN(40)
+}
+
 // notice may not repeat: its key is claimed first.
 func (w *World) notice(e *Edge, key string) {
 	e.tag++
@@ -81,7 +92,7 @@
 	e.claims[token] = func(c synop.Code) {
 		switch {
 		case c == synop.OK && w.Now < until:
-			w.admit(e, until, w.Rng.IntN(40), key)
+			w.admit(e, until, w.topic(), key)
 		case c == synop.OK || c == synop.Burned:
 			w.notRun(e, key)
 		}
@@ -165,7 +176,7 @@
 // begin is a run that really starts; everything is judged here.
 func (w *World) begin(e *Edge, tag uint64, until units.Time, x *work) {
 	dur := 300*time.Millisecond + time.Duration(w.Rng.Int64N(int64(1800*time.Millisecond)))
-	r := &run{edge: e, end: min(w.Now.Add(dur), until)}
+	r := &run{edge: e, tag: tag, life: e.H.life, end: min(w.Now.Add(dur), until)}
 	x.runs[r] = true
 	w.Figures.Runs++
 	if e.H.Zone != x.zone {
@@ -204,45 +215,3 @@
 	e.tell()
 	w.out(e.H, out)
 }
-
-// judgeStart: cap, warm-up, leaving and evacuated, at the worker's own door.
-func (w *World) judgeStart(e *Edge, x *work) {
-	n := len(x.runs)
-	w.Figures.MostAtOnce = max(w.Figures.MostAtOnce, n)
-	if n > workerCap {
-		w.fault("worker %s carries %d, cap %d", x.id, n, workerCap)
-	}
-	if up := w.Now.Sub(x.start); up < warm {
-		if most := max(1, int(int64(workerCap)*int64(up)/int64(warm))); n > most+1 {
-			w.fault("worker %s, %v old, carries %d", x.id, up, n)
-		}
-	}
-	if x.leaving > 0 {
-		late := w.Now.Sub(max(x.leaving, w.cutAt[e.H]))
-		if !w.excused(x.leaving, w.Now) {
-			w.Figures.LeaveMax = max(w.Figures.LeaveMax, late)
-			if late > 3*time.Second {
-				w.fault("worker %s got a run %v after it was marked as leaving, from %s", x.id, late, e.H.Addr)
-			}
-		}
-	}
-	if at, out := w.evac[x.zone]; out && at > 0 {
-		late := w.Now.Sub(max(at, w.cutAt[e.H]))
-		if !w.excused(at, w.Now) {
-			w.Figures.EvacMax = max(w.Figures.EvacMax, late)
-			if late > 5*time.Second {
-				w.fault("zone %s got a run %v after its evacuation, from %s", x.zone, late, e.H.Addr)
-			}
-		}
-	}
-	if w.full > 0 {
-		w.Figures.Backs = append(w.Figures.Backs, w.Now.Sub(w.full))
-		w.Figures.Back = max(w.Figures.Back, w.Now.Sub(w.full))
-		if b := w.Now.Sub(w.full); b > 12*time.Second {
-			w.fault("service came back %v after a full loss", b)
-		}
-		w.full = 0
-	}
-}
-
-const warm = 5 * time.Second
--- a/internal/windtunnel/mishap.go
+++ b/internal/windtunnel/mishap.go
@@ -41,7 +41,8 @@
 	})
 }
 
-func (w *World) loseAll() {
+// loseAll ends everything at once and starts it again, but for one machine that comes later.
+func (w *World) loseAll(late *Host, by time.Duration) {
 	all := append(slices.Clone(w.coreH), w.edgeH...)
 	for _, h := range all {
 		if h.Proc != nil {
@@ -50,16 +51,33 @@
 	}
 	w.After(time.Second, func() {
 		for _, h := range all {
-			if h.Proc == nil {
+			if h.Proc == nil && h != late {
 				w.Start(h)
 			}
 		}
-		if w.whole() {
+		if late != nil {
+			w.After(by, func() {
+				if late.Proc == nil {
+					w.Start(late)
+				}
+			})
+		}
+		if w.restable(late) {
 			w.full = w.Now
 		}
 	})
 }
 
+// restable says whether nothing that the limit of 12 s does not bear is broken just now.
+func (w *World) restable(late *Host) bool {
+	for _, h := range append(slices.Clone(w.coreH), w.edgeH...) {
+		if h != late && !w.alive(h) || h.Disk != nil && (h.Disk.Stalled || h.Disk.Full) {
+			return false
+		}
+	}
+	return w.Loss == 0 && w.mood == "" && len(w.cuts) == 0 && len(w.shut) == 0
+}
+
 // whole says whether nothing else is broken just now, so that limits count.
 func (w *World) whole() bool {
 	for _, h := range append(slices.Clone(w.coreH), w.edgeH...) {
@@ -67,7 +85,7 @@
 			return false
 		}
 	}
-	return w.Loss == 0 && w.mood == "" && !w.Cut(w.coreH[0], w.coreH[1]) && !w.Cut(w.coreH[0], w.edgeH[0]) && !w.Cut(w.coreH[1], w.coreH[0])
+	return w.Loss == 0 && w.mood == "" && len(w.shut) == 0 && !w.Cut(w.coreH[0], w.coreH[1]) && !w.Cut(w.coreH[0], w.edgeH[0]) && !w.Cut(w.coreH[1], w.coreH[0])
 }
 
 // roll restarts every process of the product, one by one.
--- a/internal/windtunnel/operators.go
+++ b/internal/windtunnel/operators.go
@@ -96,10 +96,13 @@
 
 // Evacuate sets or withdraws a zone's evacuation; the promise counts from the acknowledgement.
 func (w *World) Evacuate(zone string, on bool) {
+	if w.evac[zone] > 0 {
+		w.Figures.Evacs = append(w.Figures.Evacs, w.lateZ[zone])
+	}
 	w.evac[zone] = 0
 	w.change("zone/"+zone, fmt.Sprintf(`{"evacuated":%v}`, on), func(o *Op) {
 		if o.Code == synop.OK && on {
-			w.evac[zone] = w.Now
+			w.evac[zone], w.lateZ[zone] = w.Now, 0
 		} else if !on {
 			delete(w.evac, zone)
 		}
@@ -126,9 +129,6 @@
 			a := w.acked[i]
 			late := w.Now.Sub(max(a.at, w.cutAt[h]))
 			if a.num <= e.Num || late <= 2*time.Second {
-				if a.num > e.Num {
-					w.Figures.ConfigMax = max(w.Figures.ConfigMax, late)
-				}
 				continue
 			}
 			if !w.excused(a.at, w.Now) {
--- a/internal/windtunnel/play.go
+++ b/internal/windtunnel/play.go
@@ -65,6 +65,11 @@
 	case len(w.acked) == 0:
 		w.fault("no configuration was ever acknowledged")
 	}
+	for _, id := range station.Keys(w.workers) {
+		if x := w.workers[id]; x.leaving > 0 {
+			w.Figures.Leaves = append(w.Figures.Leaves, x.late)
+		}
+	}
 	if w.Figures.Runs == 0 {
 		w.fault("no prompt ever ran")
 	}
--- a/internal/windtunnel/sim.go
+++ b/internal/windtunnel/sim.go
@@ -63,6 +63,7 @@
 	Loss  float64
 	cuts  []*func(from, to *Host) bool
 	Sent  int
+	Poll  func(*Core, units.Time) // the world's platform, for cores that may ask it
 	Trace uint64
 	queue events
 	seq   uint64
--- a/internal/windtunnel/trouble.go
+++ b/internal/windtunnel/trouble.go
@@ -60,7 +60,7 @@
 		}
 	}},
 	{"core machine replaced by an empty one", func(w *World, _ time.Duration) { w.replace(w.Rng.IntN(len(w.coreH))) }},
-	{"everything lost", func(w *World, _ time.Duration) { w.loseAll() }},
+	{"everything lost", func(w *World, _ time.Duration) { w.loseAll(nil, 0) }},
 	{"rolling restart", func(w *World, _ time.Duration) { w.roll() }},
 	{"seeds moved to other machines", func(w *World, _ time.Duration) {
 		for i := range w.seeds {
@@ -77,9 +77,44 @@
 		w.After(max(d, 8*time.Second), func() { w.Evacuate(z, false) })
 	}},
 	{"storm of configurations", func(w *World, _ time.Duration) { w.Operators(w.Now.Add(3*time.Second), 60*time.Millisecond) }},
-	{"platform fails", func(w *World, d time.Duration) {
-		w.mood = "refuse"
-		w.After(d, func() { w.mood = "" })
+	{"platform fails", func(w *World, d time.Duration) { w.platform("refuse", d) }},
+	{"platform answers empty", func(w *World, d time.Duration) { w.platform("empty", d) }},
+	{"platform can't be reached", func(w *World, d time.Duration) { w.platform("gone", d) }},
+	{"platform is slow", func(w *World, d time.Duration) { w.platform("slow", d) }},
+	{"platform answers from before", func(w *World, d time.Duration) { w.platform("old", d) }},
+	{"platform out of its asker's reach", (*World).shutHolder},
+	{"worker marked in a cut core", func(w *World, d time.Duration) {
+		w.cutCore(d+4*time.Second, false)
+		w.After(2*time.Second, w.leave)
+	}},
+	{"worker marked while every disk is full", func(w *World, d time.Duration) {
+		w.fill(d + 4*time.Second)
+		w.After(time.Second, w.leave)
+	}},
+	{"worker started again in place", func(w *World, _ time.Duration) { w.reboot() }},
+	{"worker that left joins again", func(w *World, d time.Duration) { w.rejoin(d) }},
+	{"release", func(w *World, _ time.Duration) { w.release() }},
+	{"one prefix draws most of the traffic", func(w *World, d time.Duration) {
+		w.hot, w.rate = 0.8, w.rate*2
+		w.After(d, func() { w.hot, w.rate = 0, w.rate/2 })
+	}},
+	{"core machine lost while another's disk is full", func(w *World, d time.Duration) {
+		if i := w.Rng.IntN(len(w.coreH)); w.Fills {
+			h := w.coreH[(i+1)%len(w.coreH)]
+			h.Disk.Full = true
+			w.After(d, func() { h.Disk.Full = false })
+			w.bounce(w.coreH[i], d, false)
+		}
+	}},
+	{"everything lost, one core machine for longer", func(w *World, _ time.Duration) { w.loseAll(pick(w, w.coreH), 15*time.Second) }},
+	{"everything lost, one disk slow", func(w *World, d time.Duration) {
+		w.slow(pick(w, w.coreH), 150*time.Millisecond, d+10*time.Second)
+		w.loseAll(nil, 0)
+	}},
+	{"killed in the middle of a roll-out", func(w *World, d time.Duration) {
+		w.roll()
+		w.After(2*time.Second, func() { w.bounce(pick(w, w.edgeH), d, true) })
+		w.After(4*time.Second, func() { w.bounce(pick(w, w.coreH), d, false) })
 	}},
 	{"crowd", func(w *World, d time.Duration) {
 		w.rate *= 5
