Every disk full: evacuations and configurations are taken from a reserve

Change: the file claims room ahead of itself, so a write never needs room that is not its own; on a full disk claims leave the rest to operators' changes; then a rewrite throws away what is old; then 515.

Ruled out: a spare file given up at the first refusal (others take the room before the write does).

--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -48,6 +48,10 @@
 	sick  bool
 	Long  int64 // the file is rewritten when longer than this and than four times what lives
 	spare int64
+	end   int64 // till where the disk's room is ours, written or not
+	low   bool  // the disk gives no more room: this file lives from what it has
+	// Room claims room for a file's bytes from off on; tests stand in for it.
+	Room func(f *os.File, off, n int64) error
 }
 
 func id(r station.Record) string { return string(rune(r.Kind)) + r.Key }
@@ -61,7 +65,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("almanac: %w", err)
 	}
-	a := &Almanac{dir: dir, f: f, live: map[string]station.Record{}, Long: 4 << 20, spare: spare}
+	a := &Almanac{dir: dir, f: f, live: map[string]station.Record{}, Long: 4 << 20, spare: spare, Room: allocate}
 	if err := a.load(); err != nil {
 		f.Close()
 		return nil, err
@@ -70,6 +74,10 @@
 		f.Close()
 		return nil, err
 	}
+	if err := a.claim(a.size); err != nil && !errors.Is(err, ErrFull) {
+		f.Close()
+		return nil, err
+	}
 	return a, syncDir(dir)
 }
 
@@ -158,11 +166,19 @@
 		return ErrSick
 	}
 	if len(rs) == 0 {
+		if a.low {
+			_ = a.claim(a.size) // is there room again?
+		}
 		return nil
 	}
-	var b []byte
-	for i, r := range rs {
-		b = append(b, lay(r, a.seq+uint32(i))...)
+	b := a.lay(rs)
+	err := a.claim(a.size + int64(len(b)))
+	if errors.Is(err, ErrFull) && a.size > 2*a.lives() && a.rewrite() == nil {
+		b = a.lay(rs)
+		err = a.claim(a.size + int64(len(b)))
+	}
+	if err != nil {
+		return err
 	}
 	if _, err := a.f.WriteAt(b, a.size); err != nil {
 		if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EFBIG) || errors.Is(err, syscall.EDQUOT) {
@@ -195,6 +211,13 @@
 	a.live[id(r)] = r
 }
 
+func (a *Almanac) lay(rs []station.Record) (b []byte) {
+	for i, r := range rs {
+		b = append(b, lay(r, a.seq+uint32(i))...)
+	}
+	return b
+}
+
 // Close closes the file.
 func (a *Almanac) Close() error { return a.f.Close() }
 
--- a/internal/almanac/almanac_test.go
+++ b/internal/almanac/almanac_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"seamshunt/internal/station"
@@ -155,3 +156,67 @@
 		t.Error("a refused write lives")
 	}
 }
+
+// With the disk full from one moment on, the reserve bears so many changes as docs/design.md says; each that was
+// taken is read back from the disk; then a rewrite makes room of what is old, and with room again all is as before.
+func TestReserveOfAFullDisk(t *testing.T) {
+	const spare = 64 << 10
+	dir := t.TempDir()
+	a, err := Open(dir, spare)
+	if err != nil {
+		t.Fatal(err)
+	}
+	full := false
+	a.Room = func(f *os.File, off, n int64) error {
+		if full {
+			return syscall.ENOSPC
+		}
+		return allocate(f, off, n)
+	}
+	big := func(k string, n int) station.Record {
+		return station.Record{Kind: 3, Key: k, Data: append(fmt.Appendf(nil, "%d ", n), make([]byte, 2000)...)}
+	}
+	if err := a.Append([]station.Record{big("a", 0)}); err != nil || a.Low() {
+		t.Fatal(err, a.Low())
+	}
+	full = true
+	taken := 0
+	for i := 1; i <= 200; i++ {
+		if err := a.Append([]station.Record{big("a", i)}); err != nil {
+			if !errors.Is(err, ErrFull) || a.sick {
+				t.Fatal(err)
+			}
+			break
+		}
+		taken = i
+	}
+	if !a.Low() {
+		t.Error("a full disk is not seen")
+	}
+	if least := spare / 2100; taken < least {
+		t.Errorf("%d changes of 2 kB from a reserve of %d bytes, %d promised", taken, spare, least)
+	}
+	a.Close() // as a lost power would: nothing more is written
+	a, err = Open(dir, spare)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := fmt.Sprintf("%d ", taken); value(a, "a")[:len(want)] != want {
+		t.Errorf("read back %.8q, %s was taken last", value(a, "a"), want)
+	}
+	a.Room = func(*os.File, int64, int64) error { return syscall.ENOSPC }
+	a.end, a.low = a.size, true
+	if err := a.Append([]station.Record{big("b", 1)}); !errors.Is(err, ErrFull) {
+		t.Errorf("with the reserve used up: %v", err)
+	}
+	if a.size > 3000 {
+		t.Errorf("what is old was not thrown away: %d bytes", a.size)
+	}
+	a.Room = allocate
+	if err := a.Append(nil); err != nil || a.Low() {
+		t.Errorf("with room again: %v, low %v", err, a.Low())
+	}
+	if err := a.Append([]station.Record{big("b", 2)}); err != nil || value(a, "b")[:2] != "2 " {
+		t.Errorf("with room again: %v", err)
+	}
+}
--- a/internal/almanac/rewrite.go
+++ b/internal/almanac/rewrite.go
@@ -14,16 +14,20 @@
 
 // trim rewrites the file when it got long; the room kept in reserve makes that possible on a full disk.
 func (a *Almanac) trim() error {
-	var live int64
-	for _, r := range a.live {
-		live += int64(headLen + len(r.Key) + len(r.Data))
-	}
-	if a.size < a.Long || a.size < 4*live {
+	if a.size < a.Long || a.size < 4*a.lives() {
 		return nil
 	}
 	return a.rewrite()
 }
 
+// lives counts the bytes that a rewrite would keep.
+func (a *Almanac) lives() (n int64) {
+	for _, r := range a.live {
+		n += int64(headLen + len(r.Key) + len(r.Data))
+	}
+	return n
+}
+
 func (a *Almanac) rewrite() error {
 	_ = os.Remove(filepath.Join(a.dir, reserve))
 	tmp := filepath.Join(a.dir, name+".new")
@@ -56,10 +60,56 @@
 		return fmt.Errorf("%w: rename: %w", ErrSick, err)
 	}
 	a.f.Close()
-	a.f, a.size, a.seq = f, int64(len(b)), uint32(len(rs))
-	return a.keepReserve()
+	a.f, a.size, a.seq, a.end = f, int64(len(b)), uint32(len(rs)), int64(len(b))
+	if err := a.keepReserve(); err != nil {
+		return err
+	}
+	if err := a.claim(a.size); err != nil && !errors.Is(err, ErrFull) {
+		return err
+	}
+	return nil
 }
 
+// allocate claims room behind a file's end without making it longer.
+func allocate(f *os.File, off, n int64) error {
+	const keepSize = 1
+	err := syscall.Fallocate(int(f.Fd()), keepSize, off, n)
+	if errors.Is(err, syscall.EOPNOTSUPP) {
+		return nil // this file system can't: a write that finds no room says so itself
+	}
+	return err
+}
+
+// claim has room of its own up to need, and twice the reserve behind it while the disk gives any. What was claimed
+// before stays for the changes that come while the disk is full (design 3).
+func (a *Almanac) claim(need int64) error {
+	if a.spare == 0 || !a.low && a.end >= need+a.spare {
+		return nil
+	}
+	for k := int64(8); k >= 0; k-- {
+		to := need + a.spare*k/4 // from twice the reserve down to nothing behind need
+		if to <= a.end {
+			break
+		}
+		err := a.Room(a.f, a.end, to-a.end)
+		if err == nil {
+			a.end = to
+			break
+		}
+		if !errors.Is(err, syscall.ENOSPC) && !errors.Is(err, syscall.EDQUOT) && !errors.Is(err, syscall.EFBIG) {
+			a.sick = true
+			return fmt.Errorf("%w: %w", ErrSick, err)
+		}
+	}
+	if a.low = a.end < need+a.spare; a.end < need {
+		return fmt.Errorf("%w: the reserve is used up", ErrFull)
+	}
+	return nil
+}
+
+// Low says whether the disk gives no more room, so that only what must be written should be.
+func (a *Almanac) Low() bool { return a.low }
+
 // keepReserve holds room on the disk for one rewrite.
 func (a *Almanac) keepReserve() error {
 	if a.spare == 0 {
@@ -70,9 +120,7 @@
 		return nil
 	}
 	defer f.Close()
-	if err := syscall.Fallocate(int(f.Fd()), 0, 0, a.spare); errors.Is(err, syscall.ENOSPC) {
-		return nil // full now: writes say so themselves; the next rewrite tries again
-	}
+	_ = a.Room(f, 0, a.spare) // without it, the next rewrite tries again
 	return nil
 }
 
--- a/internal/barod/disk.go
+++ b/internal/barod/disk.go
@@ -22,7 +22,8 @@
 	wake  chan struct{}
 	since units.Time // when the write under way began; zero when idle
 	sick  bool
-	full  bool
+	full  bool // a write found no room, not even in the reserve
+	low   bool // the disk gives no more room: the reserve is for operators' changes
 	tried units.Time
 	slow  time.Duration
 	fault func() error // planted by tests in place of the file's own
@@ -70,6 +71,7 @@
 			err = d.file.Append(rs)
 		}
 		d.mu.Lock()
+		d.low = d.file.Low()
 		d.slow = c.Crew.Now().Sub(d.since)
 		d.since = 0
 		d.sick = d.sick || err != nil && !errors.Is(err, almanac.ErrFull)
@@ -115,21 +117,23 @@
 	return d.sick || d.full || d.since > 0 && now.Sub(d.since) > stallAt || d.slow > stallAt
 }
 
-// tryRoom says whether the disk is full; while it is, a small record is tried once a second, since no other write
-// may come that would find room again.
-func (c *Barometer) tryRoom(now units.Time) bool {
+// tryRoom says whether the disk gives no more room, and whether its reserve is used up too. While it is so, room is
+// asked for once a second: by a small record where the reserve is used up, since nothing else may come.
+func (c *Barometer) tryRoom(now units.Time) (low, full bool) {
 	d := &c.disk
 	d.mu.Lock()
-	full := d.full
-	try := full && now.Sub(d.tried) > time.Second
+	low, full = d.low || d.full, d.full
+	try := low && now.Sub(d.tried) > time.Second
 	if try {
 		d.tried = now
 	}
 	d.mu.Unlock()
-	if try {
+	if try && full {
 		c.later(station.Out{Writes: []station.Record{self(c.Self)}})
+	} else if try {
+		c.later(station.Out{})
 	}
-	return full
+	return low, full
 }
 
 // noRoom says whether so many voters' disks are full that no write can find a majority.
--- /dev/null
+++ b/internal/barod/reserve_test.go
@@ -0,0 +1,68 @@
+package barod
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+)
+
+// With the disk full, an evacuation and configurations of usual size are still taken, from the reserve, and are read
+// back after a start from that disk; once the reserve is used up the answer is 515, and with room again writes go on.
+func TestChangesOnAFullDisk(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	var full atomic.Bool
+	fill := func(c *Barometer) {
+		room := c.disk.file.Room
+		c.disk.file.Room = func(f *os.File, off, n int64) error {
+			if full.Load() {
+				return syscall.ENOSPC
+			}
+			return room(f, off, n)
+		}
+	}
+	c := alone(t, dir, fill)
+	until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
+	full.Store(true)
+	text := func(n int) string { return config + strings.Repeat(" ", 2000+n) }
+	if code, b := call(t, c, "PUT", "/v1/zones/z?number=0", `{"evacuated":true}`); code != 200 {
+		t.Fatalf("an evacuation on a full disk: %d %s", code, b)
+	}
+	put := func(n int) int {
+		code, b := call(t, c, "PUT", fmt.Sprintf("/v1/config?number=%d", n), text(n))
+		if code != 200 && code != 502 && !bytes.Contains(b, []byte(`"code":515`)) {
+			t.Fatalf("change %d: %d %s", n, code, b)
+		}
+		return code
+	}
+	for n := 1; n <= 20; n++ {
+		if code := put(n); code != 200 {
+			t.Fatalf("change %d of 2 kB: %d", n, code)
+		}
+	}
+	c.Drain()
+	c = alone(t, dir, fill)
+	t.Cleanup(func() { c.Drain() })
+	until(t, "it is read back", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 200 })
+	if _, b := call(t, c, "GET", "/v1/config", ""); string(b) != text(20) {
+		t.Errorf("read back %d bytes, %d sent", len(b), len(text(20)))
+	}
+	// Nothing is left of the reserve, not even for a rewrite: a configuration larger than what is old.
+	large := config + strings.Repeat(" ", 400<<10)
+	if code, b := call(t, c, "PUT", "/v1/config?number=21", large); code != 502 {
+		t.Errorf("larger than the reserve: %d %s", code, b)
+	}
+	until(t, "it says so", func() bool {
+		code, b := call(t, c, "PUT", "/v1/config?number=21", large)
+		return code == 503 && bytes.Contains(b, []byte(`"code":515`))
+	})
+	full.Store(false)
+	until(t, "writes go on", func() bool {
+		code, _ := call(t, c, "PUT", "/v1/config?number=21", text(21))
+		return code == 200 || code == 409
+	})
+}
--- a/internal/barod/status.go
+++ b/internal/barod/status.go
@@ -71,6 +71,7 @@
 	d := a.NewObject()
 	d.Set("sick", jsonBool(&a, c.disk.sick))
 	d.Set("full", jsonBool(&a, c.disk.full))
+	d.Set("on_reserve", jsonBool(&a, c.disk.low))
 	d.Set("last_sync_ms", a.NewNumberInt(int(c.disk.slow/time.Millisecond)))
 	c.disk.mu.Unlock()
 	o.Set("disk", d)
--- a/internal/windtunnel/disk.go
+++ b/internal/windtunnel/disk.go
@@ -12,7 +12,8 @@
 	ID      units.Node // zero while blank
 	Delay   time.Duration
 	Stalled bool
-	Full    bool
+	Full    bool // lives from the reserve
+	used    int  // records written to the reserve
 	live    map[string]station.Record
 	wait    []station.Out
 	busy    bool
@@ -43,9 +44,15 @@
 	d.ID, d.live, d.Stalled, d.Full = 0, map[string]station.Record{}, false, false
 }
 
+// reserve is how many records the reserve bears here.
+const reserve = 300
+
+// out says whether the disk is full and its reserve used up.
+func (d *Disk) out() bool { return d.Full && d.used > reserve }
+
 // Unfit is what the daemon's own disk watch would say.
 func (d *Disk) Unfit(now units.Time) bool {
-	return d.Full || d.busy && now.Sub(d.since) > 500*time.Millisecond
+	return d.out() || d.busy && now.Sub(d.since) > 500*time.Millisecond
 }
 
 func (d *Disk) queue(s *Sim, h *Host, o station.Out) {
@@ -72,7 +79,10 @@
 		}
 		var notes []station.Note
 		for _, o := range batch {
-			if d.Full && len(o.Writes) > 0 {
+			if d.used += len(o.Writes); !d.Full {
+				d.used = 0
+			}
+			if d.out() && len(o.Writes) > 0 {
 				// Nothing behind a refused write may be said either.
 				d.wait = nil
 				h.Proc.Reload()
