Real cuts between real processes, in builds with the tag cuts only

Cause: cuts were played in the simulator alone; with real processes only kills and freezes.

Change: wires and dials go through package shield. With -tags cuts a file per process names what gets lost on its way out, and gale fleet has cut, heal, lossy (a process, a zone, the core in two, control, one way, the platform), bounce and release. Events are checked against the deployment before anything starts.

Ruled out: system tools (netem, firewalls, namespaces), which not every machine allows.

--- a/cmd/gale/fleet.go
+++ b/cmd/gale/fleet.go
@@ -48,6 +48,9 @@
 	if x.plan.Events, err = fleet.ParseEvents(x.events); err != nil {
 		return nil, err
 	}
+	if err = d.Check(x.plan.Events); err != nil {
+		return nil, err
+	}
 	if x.secs < 1 || x.plan.Rate <= 0 || x.plan.Topics < 2 {
 		return nil, errors.New("--seconds, --rate and --topics are above 0, topics above 1")
 	}
--- a/internal/anemometer/try.go
+++ b/internal/anemometer/try.go
@@ -14,6 +14,8 @@
 
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
+
+	"seamshunt/internal/shield"
 )
 
 // Kind of an event of one try.
@@ -46,7 +48,7 @@
 	Events chan Event
 	quit   chan struct{}
 	once   sync.Once
-	c      atomic.Pointer[net.TCPConn]
+	c      atomic.Pointer[net.Conn]
 }
 
 // NewTry prepares a try.
@@ -58,7 +60,7 @@
 func (t *Try) Cancel() {
 	t.once.Do(func() { close(t.quit) })
 	if c := t.c.Load(); c != nil {
-		c.Close()
+		(*c).Close()
 	}
 }
 
@@ -98,12 +100,12 @@
 
 func (t *Try) run() Event {
 	due := time.Now().Add(t.Left)
-	nc, err := net.DialTimeout("tcp", t.Addr, min(t.Left, 500*time.Millisecond))
+	nc, err := shield.Dial(t.Addr, min(t.Left, 500*time.Millisecond))
 	if err != nil {
 		return Event{Kind: NotSent, Err: err, Down: true}
 	}
 	defer nc.Close()
-	t.c.Store(nc.(*net.TCPConn))
+	t.c.Store(&nc)
 	if t.gone() {
 		return Event{Kind: NotSent, Err: errors.New("anemometer: given up before sending")}
 	}
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -21,7 +21,7 @@
 }
 
 var verbs = []string{"kill", "stop", "start", "restart", "freeze", "thaw", "evacuate", "readmit", "leave", "drop", "mood",
-	"wipe", "apply", "rate", "killall", "startall", "killzone", "startzone", "join", "storm"}
+	"wipe", "apply", "rate", "killall", "startall", "killzone", "startzone", "join", "storm", "cut", "heal", "lossy", "bounce", "release"}
 
 // ParseEvents reads a list like "12:kill:n1,15:start:n1".
 func ParseEvents(s string) ([]Event, error) {
@@ -47,7 +47,9 @@
 
 // Do carries one event out and notes it in the journal.
 func (f *Fleet) Do(e Event, t *Traffic) error {
-	f.Event(e.Verb, e.On)
+	if e.Verb != "cut" && e.Verb != "heal" { // these note themselves, by the name that was cut off
+		f.Event(e.Verb, e.On)
+	}
 	switch e.Verb {
 	case "kill":
 		return f.kill(e.On)
@@ -91,6 +93,12 @@
 			return err
 		}
 		t.Rate(r)
+	case "cut", "lossy", "heal":
+		return f.part(e)
+	case "bounce":
+		return f.bounce(e.On)
+	case "release":
+		return f.release()
 	case "killall", "startall", "killzone", "startzone":
 		return f.all(e.Verb, e.On)
 	case "join":
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,7 @@
 
 	"seamshunt/internal/crew"
 	"seamshunt/internal/forecast"
+	"seamshunt/internal/shield"
 	"seamshunt/internal/standin"
 )
 
@@ -44,6 +45,8 @@
 	order    []string
 	ln       net.Listener
 	seeds    []string
+	parted   []parting
+	cutOn    []string
 }
 
 // New lays a fleet out in dir: boot files, data folders, journals. Nothing runs yet.
@@ -169,6 +172,7 @@
 	defer out.Close()
 	c := exec.Command(filepath.Join(f.Bin, bin), args...)
 	c.Stdout, c.Stderr = out, out
+	c.Env = append(os.Environ(), shield.Env+"="+f.cutFile(name))
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("fleet: %w", err)
--- a/internal/observer/more.go
+++ b/internal/observer/more.go
@@ -41,12 +41,13 @@
 }
 
 // hard are events after which a stream may break: its node or its worker was taken away.
-var hard = map[string]bool{"kill": true, "freeze": true, "thaw": true, "wipe": true, "killall": true, "wrong": true}
+var hard = map[string]bool{"kill": true, "freeze": true, "thaw": true, "wipe": true, "killall": true, "wrong": true, "bounce": true}
 
 // cuts: a stream that began may break only where its worker or its vane was taken away by force.
 func (r *Run) cuts() Finding {
 	var bad []string
 	broken := 0
+	parted := r.spans("cut", "heal")
 	for _, c := range r.Calls {
 		if c.Status != 200 || c.Whole {
 			continue
@@ -59,6 +60,11 @@
 				excuse = true
 			}
 		}
+		for _, l := range parted {
+			for _, x := range l {
+				excuse = excuse || c.End >= x[0] && c.At <= x[1]
+			}
+		}
 		late := (c.End-c.At)/1000 >= int64(c.LeftMs)-50
 		if !excuse && !late {
 			bad = append(bad, fmt.Sprintf("%s on %s by %s broke after %s", c.Job, c.Worker, c.Vane, ms(c.End-c.At)))
--- /dev/null
+++ b/internal/shield/open.go
@@ -0,0 +1,22 @@
+//go:build !cuts
+
+package shield
+
+import (
+	"net"
+	"time"
+)
+
+// Cuts says whether this build can be cut off; shipped programs can't.
+const Cuts = false
+
+// Lost says whether a note to an address is lost on its way.
+func Lost(string) bool { return false }
+
+// Dial opens a wire.
+func Dial(addr string, limit time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", addr, limit)
+}
+
+// Bare is the wire itself, for an event loop that wants its descriptor.
+func Bare(c net.Conn) net.Conn { return c }
--- a/internal/telegraph/telegraph.go
+++ b/internal/telegraph/telegraph.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,6 +14,7 @@
 	"github.com/panjf2000/gnet/v2/pkg/logging"
 
 	"seamshunt/internal/crew"
+	"seamshunt/internal/shield"
 	"seamshunt/internal/station"
 	"seamshunt/internal/units"
 )
@@ -160,7 +160,7 @@
 	if addr == "" {
 		addr = t.addrs[n.To]
 	}
-	if addr == "" {
+	if addr == "" || shield.Lost(addr) {
 		t.mu.Unlock()
 		return
 	}
@@ -191,10 +191,10 @@
 }
 
 func (t *Telegraph) dial(addr string, w *wire) {
-	nc, err := net.DialTimeout("tcp", addr, time.Second)
+	nc, err := shield.Dial(addr, time.Second)
 	var c gnet.Conn
 	if err == nil {
-		c, err = t.cli.Enroll(nc)
+		c, err = t.cli.Enroll(shield.Bare(nc))
 	}
 	t.mu.Lock()
 	w.dial = false
