Promises count: tallies, plans that warn, worth, dark workers left, drills that give back

Cause: first_ms of a promise was only stored; a burst shed all three kinds alike; a worker that took prompts and said nothing cost each its whole time; a drill whose evacuation had an unknown outcome left it standing.

--- a/cmd/barometer/calls.go
+++ b/cmd/barometer/calls.go
@@ -76,6 +76,9 @@
 			}
 			return err
 		}),
+		one("promises", "say how each promise is kept, over all vanes", cobra.NoArgs, func([]string) error {
+			return ask("GET", "/v1/promises", nil)
+		}),
 		one("status", "say how this barometer sees the fleet", cobra.NoArgs, func([]string) error {
 			return ask("GET", "/status", nil)
 		}),
--- a/cmd/gale/fleet.go
+++ b/cmd/gale/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -25,6 +26,7 @@
 	plan                                  fleet.Plan
 	secs, perSec                          int
 	served                                float64
+	wrongs                                map[string]string
 }
 
 func (x *trial) flags(c *cobra.Command) {
@@ -51,6 +53,9 @@
 	if err = d.Check(x.plan.Events); err != nil {
 		return nil, err
 	}
+	if x.wrongs, err = readWrong(d, x.wrong); err != nil {
+		return nil, err
+	}
 	if x.secs < 1 || x.plan.Rate <= 0 || x.plan.Topics < 2 {
 		return nil, errors.New("--seconds, --rate and --topics are above 0, topics above 1")
 	}
@@ -59,6 +64,22 @@
 	return d, nil
 }
 
+// readWrong reads which workers shall answer wrongly, and how.
+func readWrong(d *fleet.Deployment, s string) (map[string]string, error) {
+	m := map[string]string{}
+	for _, w := range strings.Split(s, ",") {
+		if w == "" {
+			continue
+		}
+		n, how, _ := strings.Cut(w, "=")
+		if how == "" || !slices.Contains(wrongs, how) || d.Check([]fleet.Event{{Verb: "kill", On: n}}) != nil {
+			return nil, fmt.Errorf("--wrong %q: a worker's name and one of %q are wanted", w, wrongs[1:])
+		}
+		m[n] = how
+	}
+	return m, nil
+}
+
 // run brings the fleet up, carries the plan out, and judges.
 func (x *trial) run(ctx context.Context, say io.Writer) error {
 	d, err := x.check()
@@ -81,11 +102,9 @@
 		return err
 	}
 	defer f.Down()
-	for _, w := range strings.Split(x.wrong, ",") {
-		if n, how, ok := strings.Cut(w, "="); ok {
-			f.Wrong[n] = how
-			f.Event("wrong", n)
-		}
+	for n, how := range x.wrongs {
+		f.Wrong[n] = how
+		f.Event("wrong", n)
 	}
 	if err := f.Run(ctx, x.plan, say); err != nil {
 		return err
--- a/cmd/gale/worker.go
+++ b/cmd/gale/worker.go
@@ -10,7 +10,7 @@
 	"seamshunt/internal/standin"
 )
 
-var wrongs = []string{"", "id", "gap", "double", "cut", "text", "seal", "more", "endless"}
+var wrongs = []string{"", "id", "gap", "double", "cut", "text", "seal", "more", "endless", "dark", "mute"}
 
 // workerCmd is one stand-in back end.
 func workerCmd() *cobra.Command {
@@ -38,7 +38,7 @@
 	f.StringVar(&w.Name, "name", "w", "its id")
 	f.StringVar(&w.Pool, "pool", "main", "its pool")
 	f.StringVar(&w.Zone, "zone", "", "its zone")
-	f.StringVar(&w.Wrong, "wrong", "", "answer wrongly: id gap double cut text seal more endless")
+	f.StringVar(&w.Wrong, "wrong", "", "answer wrongly: id gap double cut text seal more endless dark mute")
 	f.IntVar(&w.Model.Knee, "knee", w.Model.Knee, "prompts it carries well")
 	f.IntVar(&w.Model.Blocks, "blocks", w.Model.Blocks, "its prefix cache, in blocks of 256 bytes")
 	f.IntVar(&w.Model.BatchMost, "batch", w.Model.BatchMost, "prompts beyond which it refuses, sealed")
--- a/internal/barod/plan.go
+++ b/internal/barod/plan.go
@@ -58,6 +58,8 @@
 			old, _ = forecast.Read(r.Data)
 		}
 		d = forecast.Compare(old, next, c.known)
+		m, _, _ := c.seen()
+		d.Foresee(old, next, c.known, m)
 	} else {
 		d = c.compareZone(strings.TrimPrefix(p.key, "zone/"), r.Data, body)
 	}
@@ -82,7 +84,7 @@
 	for _, x := range []struct {
 		name string
 		l    []string
-	}{{"changes", d.Changes}, {"ceilings", d.Ceilings}, {"warnings", d.Warnings}} {
+	}{{"changes", d.Changes}, {"ceilings", d.Ceilings}, {"promises", d.Promises}, {"warnings", d.Warnings}} {
 		l := a.NewArray()
 		for i, s := range x.l {
 			l.SetArrayItem(i, a.NewString(s))
@@ -127,6 +129,17 @@
 			}
 		}
 	}
+	if cfg := c.config(); is && cfg != nil {
+		m, _, _ := c.seen()
+		d.Foresee(cfg, cfg, func(pool string) (n int) {
+			for _, w := range c.listed(pool) {
+				if !w.Leaving && w.Zone != zone && !c.evacuated(w.Zone) {
+					n++
+				}
+			}
+			return n
+		}, m)
+	}
 	verb := "is taken back into service"
 	if is {
 		verb = "gets nothing new"
@@ -139,6 +152,18 @@
 	return d
 }
 
+// config is the configuration that this node last heard of.
+func (c *Barometer) config() *forecast.Config {
+	c.BullMu.Lock()
+	it := c.Bull.Items[keyConfig]
+	c.BullMu.Unlock()
+	if it == nil {
+		return nil
+	}
+	x, _ := forecast.Read(it.Data)
+	return x
+}
+
 func (c *Barometer) evacuated(zone string) bool {
 	c.BullMu.Lock()
 	defer c.BullMu.Unlock()
--- /dev/null
+++ b/internal/barod/promises.go
@@ -0,0 +1,99 @@
+package barod
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
+
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/mast"
+	"seamshunt/internal/station"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/telegraph"
+)
+
+// seen asks every live vane how it kept its promises, all at once; it gives the sums and how many answered.
+func (c *Barometer) seen() (m map[string]forecast.Seen, asked, answered int) {
+	type answer map[string]forecast.Seen
+	var webs []string
+	for _, x := range c.Members() {
+		if x.Role == mast.Vane && x.State <= mast.Suspect {
+			webs = append(webs, x.Web)
+		}
+	}
+	ch := make(chan answer, len(webs))
+	for _, w := range webs {
+		c.Crew.Go(func() {
+			code, b, _, err := telegraph.HTTP("GET", w, "/status", nil, nil, time.Second)
+			if err != nil || code != 200 {
+				ch <- nil
+				return
+			}
+			ch <- readSeen(b)
+		})
+	}
+	m = map[string]forecast.Seen{}
+	for range webs {
+		a := <-ch
+		if a == nil {
+			continue
+		}
+		answered++
+		for k, s := range a {
+			x := m[k]
+			x.Add(s)
+			m[k] = x
+		}
+	}
+	return m, len(webs), answered
+}
+
+func readSeen(b []byte) map[string]forecast.Seen {
+	v, err := fastjson.ParseBytes(b)
+	if err != nil {
+		return nil
+	}
+	m := map[string]forecast.Seen{}
+	o := v.GetObject("promises")
+	if o == nil {
+		return m
+	}
+	span := func(x *fastjson.Value, name string) time.Duration {
+		return time.Duration(x.GetInt64(name)) * time.Millisecond
+	}
+	o.Visit(func(k []byte, x *fastjson.Value) {
+		m[string(k)] = forecast.Seen{Promise: string(x.GetStringBytes("promise")), Service: string(x.GetStringBytes("service")),
+			Asked: x.GetInt("asked"), Kept: x.GetInt("first_kept"), Missed: x.GetInt("first_missed"), OnTime: x.GetInt("on_time"),
+			Refused: x.GetInt("refused"), Again: x.GetInt("again"), Ended: x.GetInt("ended"), PerSecond: x.GetFloat64("per_second"),
+			Waited: span(x, "refused_after_ms"), Held: span(x, "held_ms"), First95: span(x, "first_ms_95th")}
+	})
+	return m
+}
+
+// promises tells operators how each promise is kept over the whole fleet.
+func (c *Barometer) promises(ctx *fasthttp.RequestCtx) {
+	m, asked, answered := c.seen()
+	var a fastjson.Arena
+	o, l := a.NewObject(), a.NewObject()
+	o.Set("code", a.NewNumberInt(int(synop.OK)))
+	o.Set("vanes", a.NewNumberInt(asked))
+	o.Set("vanes_answered", a.NewNumberInt(answered))
+	for _, k := range station.Keys(m) {
+		s := m[k]
+		x := a.NewObject()
+		x.Set("promise", a.NewString(s.Promise))
+		x.Set("asked", a.NewNumberInt(s.Asked))
+		x.Set("per_second", a.NewNumberFloat64(s.PerSecond))
+		x.Set("first_words_kept_percent", a.NewNumberFloat64(forecast.Share(s.Kept, s.Kept+s.Missed)))
+		x.Set("first_ms_95th", a.NewNumberInt(int(s.First95.Milliseconds())))
+		x.Set("on_time_percent", a.NewNumberFloat64(forecast.Share(s.OnTime, s.Asked)))
+		x.Set("refused", a.NewNumberInt(s.Refused))
+		x.Set("refused_after_ms", a.NewNumberInt(int(s.Waited.Milliseconds())))
+		x.Set("further_tries_percent", a.NewNumberFloat64(100*float64(s.Again)/float64(max(1, s.Asked))))
+		l.Set(k, x)
+	}
+	o.Set("mappings", l)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(o.MarshalTo(nil), '\n'))
+}
--- a/internal/barod/web.go
+++ b/internal/barod/web.go
@@ -32,6 +32,8 @@
 		c.read(ctx, keyConfig)
 	case path == "/v1/config" && m == "PUT":
 		c.apply(ctx)
+	case path == "/v1/promises" && m == "GET":
+		c.promises(ctx)
 	case path == "/v1/plan" && m == "POST":
 		c.propose(ctx)
 	case path == "/v1/confirm" && m == "POST":
--- a/internal/fleet/drill.go
+++ b/internal/fleet/drill.go
@@ -148,6 +148,11 @@
 func (d *Drill) take(out bool) error {
 	if d.How == "evacuate" {
 		f := &Fleet{procs: map[string]*proc{"core": {kind: "barometer", web: d.At}}}
+		for _, m := range d.members {
+			if m.Role == "barometer" {
+				f.procs[m.Node] = &proc{kind: "barometer", web: m.Web}
+			}
+		}
 		_, err := f.Set("/v1/zones/"+d.Zone, fmt.Appendf(nil, `{"evacuated":%v}`, out), 10*time.Second)
 		return err
 	}
@@ -159,6 +164,21 @@
 	return err
 }
 
+// giveBack gives the zone back, by any barometer that it knows; if none takes it, it says loudly what stands.
+func (d *Drill) giveBack() error {
+	err := d.take(false)
+	if err == nil {
+		fmt.Fprintf(d.Say, "zone %s is given back\n", d.Zone)
+		return nil
+	}
+	stands, how := "EVACUATED", "barometer readmit --at ADDRESS "+d.Zone+", and confirm the plan"
+	if d.How == "kill" {
+		stands, how = "DOWN", "start its processes"
+	}
+	fmt.Fprintf(d.Say, "zone %s MAY STILL BE %s: %s\n", d.Zone, stands, how)
+	return fmt.Errorf("drill: zone %s could not be given back: %w", d.Zone, err)
+}
+
 // Run does the drill. The findings say what was seen; the error, why there was none.
 func (d *Drill) Run(ctx context.Context) (l []observer.Finding, err error) {
 	if err := d.ready(); err != nil {
@@ -169,16 +189,16 @@
 		return nil, err
 	}
 	began := standin.Now()
-	if err := d.take(true); err != nil {
-		return nil, err
-	}
-	d.note("evacuate")
 	back := false
 	defer func() {
 		if !back {
-			err = errors.Join(err, d.take(false))
+			err = errors.Join(err, d.giveBack())
 		}
 	}()
+	if err := d.take(true); err != nil {
+		return nil, err // it may stand all the same
+	}
+	d.note("evacuate")
 	out := time.Now()
 	fmt.Fprintf(d.Say, "zone %s is out\n", d.Zone)
 	at5, sent, good := -1, 0, 0
@@ -195,10 +215,12 @@
 	after := d.handed()
 	back = true
 	d.note("readmit")
-	if err := d.take(false); err != nil {
+	if err := d.giveBack(); err != nil {
 		return nil, err
 	}
-	fmt.Fprintf(d.Say, "zone %s is given back\n", d.Zone)
+	if ctx.Err() != nil {
+		return nil, errors.New("drill: interrupted; the zone was given back, and nothing was judged")
+	}
 	if d.How == "evacuate" {
 		l = append(l, observer.Finding{Promise: "the zone gets nothing new after 5 s", Good: at5 >= 0 && after == at5,
 			Seen: fmt.Sprintf("%d hand-overs into it between 5 s and the end", after-at5)})
--- a/internal/forecast/config.go
+++ b/internal/forecast/config.go
@@ -38,6 +38,7 @@
 	First   time.Duration
 	Longest time.Duration
 	Smaller bool
+	Worth   int // who goes first when not all can: the more the better; 1 unless stated
 }
 
 // Mapping is one route of the layout.
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"seamshunt/internal/synop"
 	"seamshunt/internal/vernier"
@@ -88,6 +89,8 @@
 		{"pool twice", swap(`"side"`, `"main"`), synop.Duplicate, "$.services[1].pool"},
 		{"unknown policy", swap(`"cap": 4`, `"cap": 4, "allow": "all"`), synop.BadConfig, "$.services[0].allow"},
 		{"late promise", swap(`"first_ms": 100`, `"first_ms": 9000`), synop.BadConfig, "$.promises[0].first_ms"},
+		{"worth below 0", swap(`"first_ms": 100`, `"first_ms": 100, "worth": -1`), synop.BadConfig, "$.promises[0].worth"},
+		{"worth no number", swap(`"first_ms": 100`, `"first_ms": 100, "worth": "much"`), synop.BadConfig, "$.promises[0].worth"},
 		{"no layout", `{"services":[],"promises":[]}`, synop.BadConfig, "$.layout"},
 		{"unknown service", swap("to big, small step", "to big, tiny step"), synop.NoService, "layout line 3 column 10"},
 		{"unknown promise", swap("promise q repeat }\",\n \"mapping c", "promise z repeat }\",\n \"mapping c"), synop.BadRule, "layout line 4 column 46"},
@@ -167,3 +170,24 @@
 		t.Errorf("nothing changes, and yet %v", p.Changes)
 	}
 }
+
+// A plan says what was measured of each promise, and warns of one that is not kept or that the slots can't carry.
+func TestForesee(t *testing.T) {
+	c, fs := Read([]byte(good))
+	if len(fs) > 0 {
+		t.Fatal(fs)
+	}
+	seen := map[string]Seen{}
+	for range 2 { // two nodes
+		x := seen["a"]
+		x.Add(Seen{Promise: "p", Service: "big", Asked: 50, Kept: 45, Missed: 5, OnTime: 48, Ended: 50, PerSecond: 20, Held: time.Second, First95: 150 * time.Millisecond})
+		seen["a"] = x
+	}
+	for workers, want := range map[int]int{10: 1, 9: 2} { // 40 slots are just enough
+		var p Plan
+		p.Foresee(c, c, func(string) int { return workers }, seen)
+		if len(p.Promises) != 1 || !strings.Contains(p.Promises[0], "90.0% of first words kept, 95 of 100 within 150ms, 96.0% on time") || len(p.Warnings) != want {
+			t.Errorf("%d workers: %q", workers, p)
+		}
+	}
+}
--- a/internal/forecast/plan.go
+++ b/internal/forecast/plan.go
@@ -9,6 +9,7 @@
 type Plan struct {
 	Changes  []string
 	Ceilings []string
+	Promises []string // what was measured of each, against what is promised
 	Warnings []string
 }
 
@@ -47,7 +48,7 @@
 	for _, n := range sorted(next.Promises) {
 		o := old.Promises[n]
 		if x := next.Promises[n]; o == nil || *o != *x {
-			p.Changes = append(p.Changes, fmt.Sprintf("promise %s: first words in %v, longest wait %v, smaller model %v", n, x.First, x.Longest, x.Smaller))
+			p.Changes = append(p.Changes, fmt.Sprintf("promise %s: first words in %v, longest wait %v, smaller model %v, worth %d", n, x.First, x.Longest, x.Smaller, x.Worth))
 		}
 	}
 	return p
--- a/internal/forecast/read.go
+++ b/internal/forecast/read.go
@@ -206,13 +206,14 @@
 }
 
 func (c *Config) readPromise(v *fastjson.Value, at string, f *faults) {
-	if object(v, at, f, "name", "first_ms", "deadline_ms", "smaller") == nil {
+	if object(v, at, f, "name", "first_ms", "deadline_ms", "smaller", "worth") == nil {
 		return
 	}
 	p := &Promise{Name: text(v, at, "name", "", f)}
 	p.First = ms(number(v, at, "first_ms", 0, 1, 600000, synop.BadConfig, f))
 	p.Longest = ms(number(v, at, "deadline_ms", 0, 1, 600000, synop.BadConfig, f))
 	p.Smaller = flag(v, at, "smaller", f)
+	p.Worth = number(v, at, "worth", 1, 0, 1000, synop.BadConfig, f)
 	if p.First > p.Longest {
 		f.add(synop.BadConfig, at+".first_ms", "first words are promised later than the longest wait")
 	}
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -27,6 +27,7 @@
 type ask struct {
 	permit
 	until units.Time // its deadline
+	worth uint16
 	since units.Time
 }
 
--- a/internal/gauge/gauge_test.go
+++ b/internal/gauge/gauge_test.go
@@ -13,9 +13,10 @@
 // bench is one keeper of one worker, opened, with notes put in by hand.
 type bench struct {
 	*Gauge
-	now  units.Time
-	sent []Head
-	kind []station.Kind
+	now   units.Time
+	sent  []Head
+	kind  []station.Kind
+	worth uint16
 }
 
 func newBench(w Worker) *bench {
@@ -40,7 +41,7 @@
 }
 
 func (b *bench) ask(tag uint64, left time.Duration, wait bool) station.Kind {
-	h := Head{Tag: tag, Left: uint32(units.ToMillis(left))}
+	h := Head{Tag: tag, Left: uint32(units.ToMillis(left)), Worth: b.worth}
 	if wait {
 		h.Wait = 1
 	}
--- a/internal/gauge/note.go
+++ b/internal/gauge/note.go
@@ -28,6 +28,7 @@
 	Cap    uint16
 	Wait   uint8 // Ask: may wait; Return: the run may still be going; Waiting, No: list's length, capped
 	Reason uint8
+	Worth  uint16 // Ask: of the prompt's promise
 	Turn   uint16 // milliseconds from one slot's return to the next, as measured
 }
 
--- a/internal/gauge/step.go
+++ b/internal/gauge/step.go
@@ -94,12 +94,8 @@
 		g.lend(now, name, k, ask{permit: p, until: now.Add(left), since: now}, out)
 		return
 	}
-	at, _ := slices.BinarySearchFunc(k.list, now.Add(left), func(a ask, t units.Time) int {
-		if a.until <= t {
-			return -1
-		}
-		return 1
-	})
+	me := ask{permit: p, until: now.Add(left), worth: h.Worth, since: now}
+	at, yield := g.place(now, name, k, me)
 	due := wait * time.Duration(at+1)
 	if len(k.lent)+at < c {
 		due = 0 // a slot is free for it: only the reports are waited for
@@ -109,7 +105,7 @@
 	}
 	r.Left = uint32(units.ToMillis(due))
 	switch {
-	case len(k.list) >= g.workers[name].Bound:
+	case len(k.list)-len(yield) >= g.workers[name].Bound:
 		r.Reason = Full
 	case due+g.workers[name].First > left:
 		r.Reason = Late
@@ -120,7 +116,11 @@
 		out.Send(from, No, Pack(g.state(now, name, k, r), name))
 		return
 	}
-	k.list = slices.Insert(k.list, at, ask{permit: p, until: now.Add(left), since: now})
+	for _, a := range yield {
+		k.list = slices.DeleteFunc(k.list, func(b ask) bool { return a.permit == b.permit })
+		out.Send(a.node, No, Pack(g.state(now, name, k, Head{Tag: a.tag, Reason: Full}), name))
+	}
+	k.list = slices.Insert(k.list, at, me)
 	out.Send(from, Waiting, Pack(g.state(now, name, k, r), name))
 }
 
@@ -145,16 +145,28 @@
 		g.lend(now, name, k, a, out)
 	}
 	gap, left := k.gap(max(1, c)), k.list[:0:0]
+	shed := func(a ask, reason uint8, due time.Duration) {
+		out.Send(a.node, No, Pack(g.state(now, name, k, Head{Tag: a.tag, Reason: reason, Left: uint32(units.ToMillis(due))}), name))
+	}
 	for _, a := range k.list {
-		due := gap * time.Duration(len(left)+1)
-		switch {
-		case c == 0:
-			out.Send(a.node, No, Pack(g.state(now, name, k, Head{Tag: a.tag, Reason: Closed}), name))
-		case a.until < now.Add(w.First) || len(left) > 0 && a.until < now.Add(due+w.First):
-			out.Send(a.node, No, Pack(g.state(now, name, k, Head{Tag: a.tag, Reason: Late, Left: uint32(units.ToMillis(due))}), name))
-		default:
-			left = append(left, a)
+		late := func() bool { return len(left) > 0 && a.until < now.Add(gap*time.Duration(len(left)+1)+w.First) }
+		if c == 0 {
+			shed(a, Closed, 0)
+			continue
+		}
+		for late() {
+			i := least(left, a.worth, len(left))
+			if i < 0 {
+				break
+			}
+			shed(left[i], Late, gap*time.Duration(len(left)+1))
+			left = slices.Delete(left, i, i+1)
+		}
+		if a.until < now.Add(w.First) || late() {
+			shed(a, Late, gap*time.Duration(len(left)+1))
+			continue
 		}
+		left = append(left, a)
 	}
 	k.list = left
 }
--- a/internal/hygrometer/hygrometer.go
+++ b/internal/hygrometer/hygrometer.go
@@ -49,6 +49,7 @@
 	Tries  int      // how many of them may be asked for a free slot
 	Until  units.Time
 	First  time.Duration
+	Worth  uint16 // of its promise
 	Keeper func(worker string) units.Node
 
 	stage  stage
@@ -158,7 +159,7 @@
 }
 
 func (h *Hygrometer) ask(now units.Time, r *Req, wait bool, out *station.Out) {
-	a := gauge.Head{Tag: r.Tag, Left: uint32(units.ToMillis(r.Until.Sub(now)))}
+	a := gauge.Head{Tag: r.Tag, Left: uint32(units.ToMillis(r.Until.Sub(now))), Worth: r.Worth}
 	if wait {
 		a.Wait = 1
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -128,8 +128,17 @@
 	return true
 }
 
+// dark says nothing and notices nothing till the time is out, as a worker does whose machine hangs.
+func (w *Worker) dark(due time.Time) string {
+	time.Sleep(time.Until(due))
+	return "dark"
+}
+
 func (w *Worker) run(b *bufio.Writer, conn net.Conn, id string, j job, pieces int, miss time.Duration, due time.Time) string {
 	sum, bytes := sha256.New(), 0
+	if w.Wrong == "dark" {
+		return w.dark(due)
+	}
 	if !w.pause(conn, miss, due) {
 		conn.Close()
 		return "cut"
@@ -142,6 +151,8 @@
 		text := fmt.Sprintf("%s:%d %s", j.Job, i, strings.Repeat("word ", 4))
 		n := i
 		switch {
+		case w.Wrong == "mute" && i == 2:
+			return w.dark(due)
 		case w.Wrong == "gap" && i >= 2:
 			n++
 		case w.Wrong == "double" && i == 2:
--- /dev/null
+++ b/internal/vaned/dark.go
@@ -0,0 +1,94 @@
+package vaned
+
+import (
+	"errors"
+	"time"
+
+	"seamshunt/internal/anemometer"
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/units"
+)
+
+// errDark says that a worker took a prompt and has said nothing for longer than the service ever takes.
+var errDark = errors.New("vane: no first words in more than twice the usual time")
+
+// again takes a further try from the budget, unless it was taken already.
+func (w *way) again(service string, now units.Time) bool {
+	if w.paid {
+		w.paid = false
+		return true
+	}
+	if !w.v.budgetOf(service).Again(now) {
+		return false
+	}
+	w.v.tallies.count(w.m, func(t *tally) { t.again++ })
+	return true
+}
+
+// first waits for the first thing that a try has to tell. A worker that is later than the service's habit is passed
+// over; what may repeat then leaves it, if the budget and the time left allow another (design 8).
+func (w *way) first(t *anemometer.Try, s *forecast.Service, name string) (anemometer.Event, bool) {
+	v := w.v
+	habit, known := v.habitOf(s.Name).Late()
+	noted := !known
+	tick := time.NewTicker(peekAt)
+	defer tick.Stop()
+	for {
+		select {
+		case e := <-t.Events:
+			return e, false
+		case <-tick.C:
+		}
+		if anemometer.HungUp(w.ctx.Conn()) {
+			return anemometer.Event{}, true
+		}
+		now := v.Crew.Now()
+		if now > w.until {
+			t.Cancel()
+			return anemometer.Event{Kind: anemometer.Unknown, Err: errors.New("vane: out of time")}, false
+		}
+		if !known || now.Sub(w.handed) < habit {
+			continue
+		}
+		if !noted {
+			noted = true
+			v.passOver(name)
+		}
+		if !w.m.Once && w.until.Sub(now) > 2*s.First && !w.paid && w.again(s.Name, now) {
+			w.paid = true
+			t.Cancel()
+			return anemometer.Event{Kind: anemometer.Unknown, Err: errDark}, false
+		}
+	}
+}
+
+// bad is a worker that this node passes over, for longer each time until it answers again.
+type bad struct {
+	until units.Time
+	span  time.Duration
+}
+
+const (
+	overLeast = time.Second
+	overMost  = 16 * time.Second
+)
+
+func (v *Vane) passOver(name string) {
+	v.tableMu.Lock()
+	defer v.tableMu.Unlock()
+	now := v.Crew.Now()
+	b := v.table.down[name]
+	if now < b.until {
+		return
+	}
+	b.span = min(max(2*b.span, overLeast), overMost)
+	b.until = now.Add(b.span)
+	v.table.down[name] = b
+}
+
+// well forgets what was held against a worker that answers.
+func (v *Vane) well(name string) {
+	v.tableMu.Lock()
+	delete(v.table.down, name)
+	v.tableMu.Unlock()
+}
--- /dev/null
+++ b/internal/vaned/dark_test.go
@@ -0,0 +1,92 @@
+package vaned
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// A worker that takes a prompt and says nothing is left for another once first words are later than the service's
+// habit allows, if the prompt may repeat and the budget has a try; what may not repeat is never handed over again.
+func TestDarkWorker(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/chat", "/notice"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			a, ha := scripted(t)
+			b, hb := scripted(t)
+			v := rig(t, a, b)
+			for range 40 {
+				v.habitOf("advice").Add(10 * time.Millisecond)
+				v.budgetOf("advice").First(v.Crew.Now())
+			}
+			c := ask(t, v, path)
+			other := hb
+			select {
+			case <-ha:
+			case <-hb:
+				other = ha
+			}
+			if path == "/chat" {
+				h := <-other
+				h.whole(2)
+				if status, body := c.reply(t); status != 200 || !strings.Contains(body, `"seal"`) {
+					t.Errorf("%d %s", status, body)
+				}
+			} else if status, body := c.reply(t); status != 502 || !strings.Contains(body, `"code":401`) || len(ha)+len(hb) > 0 {
+				t.Errorf("%d %s, handed over %d times more", status, body, len(ha)+len(hb))
+			}
+			v.tableMu.Lock()
+			down := len(v.table.down)
+			v.tableMu.Unlock()
+			if down != 1 {
+				t.Errorf("%d workers are passed over", down)
+			}
+		})
+	}
+}
+
+// With no try left in the budget, or no habit known, a late worker is waited for: it may still answer.
+func TestLateWorkerIsWaitedFor(t *testing.T) {
+	t.Parallel()
+	a, ha := scripted(t)
+	b, hb := scripted(t)
+	v := rig(t, a, b)
+	for range 40 {
+		v.habitOf("advice").Add(10 * time.Millisecond) // and nothing in the budget
+	}
+	c := ask(t, v, "/chat")
+	var h hand
+	select {
+	case h = <-ha:
+	case h = <-hb:
+	}
+	until(t, "it is late", func() bool {
+		v.tableMu.Lock()
+		defer v.tableMu.Unlock()
+		return len(v.table.down) == 1
+	})
+	h.whole(2)
+	if status, body := c.reply(t); status != 200 || !strings.Contains(body, `"seal"`) || len(ha)+len(hb) > 0 {
+		t.Errorf("%d %s", status, body)
+	}
+	until(t, "it is well again", func() bool {
+		v.tableMu.Lock()
+		defer v.tableMu.Unlock()
+		return len(v.table.down) == 0
+	})
+	_, body, err := fasthttp.Get(nil, "http://"+v.Boot.Web+"/status")
+	var x struct {
+		Promises map[string]struct {
+			Asked  int `json:"asked"`
+			Missed int `json:"first_missed"`
+			OnTime int `json:"on_time"`
+		}
+	}
+	if err != nil || json.Unmarshal(body, &x) != nil || x.Promises["chat"].Asked != 1 || x.Promises["chat"].Missed != 1 || x.Promises["chat"].OnTime != 1 {
+		t.Errorf("the promise's tally: %v %+v", err, x)
+	}
+}
--- a/internal/vaned/desk.go
+++ b/internal/vaned/desk.go
@@ -16,7 +16,7 @@
 	v.tableMu.Lock()
 	for _, x := range v.table.pools[s.Pool] {
 		name := s.Name + "/" + x.ID
-		if x.Leaving || v.table.out[x.Zone] || now < v.table.down[name] {
+		if x.Leaving || v.table.out[x.Zone] || now < v.table.down[name].until {
 			continue
 		}
 		q.Spots = append(q.Spots, windvane.Spot{Name: name, Zone: x.Zone})
--- a/internal/vaned/door.go
+++ b/internal/vaned/door.go
@@ -86,6 +86,7 @@
 		return
 	}
 	w.m = w.rules.Mappings[do[0].Mapping]
+	v.tallies.count(w.m, func(t *tally) { t.ask(w.begun) })
 	vernier.Run(do, vernier.Hands{Limit: w.limit, Claim: w.claim, Try: w.try, Refuse: w.refuse})
 }
 
--- a/internal/vaned/rules.go
+++ b/internal/vaned/rules.go
@@ -26,7 +26,7 @@
 	pools  map[string][]forecast.Worker
 	sky    *nephoscope.Nephoscope // what the platform was seen to list
 	out    map[string]bool        // zones evacuated
-	down   map[string]units.Time  // workers found dead here, until when they are passed over
+	down   map[string]bad         // workers found dead or dark here
 	watch  *gauge.Watch
 	peers  []gauge.Peer
 	voters barograph.Voters
@@ -34,7 +34,7 @@
 }
 
 func newTable() table {
-	return table{pools: map[string][]forecast.Worker{}, sky: nephoscope.New(), out: map[string]bool{}, down: map[string]units.Time{}, watch: gauge.NewWatch()}
+	return table{pools: map[string][]forecast.Worker{}, sky: nephoscope.New(), out: map[string]bool{}, down: map[string]bad{}, watch: gauge.NewWatch()}
 }
 
 // refresh brings news and membership into the tables and from there to the keeper.
--- a/internal/vaned/status.go
+++ b/internal/vaned/status.go
@@ -13,12 +13,10 @@
 	"seamshunt/internal/synop"
 )
 
-// stats counts results and times to first words.
+// stats counts results and hand-overs.
 type stats struct {
 	mu    sync.Mutex
 	codes map[synop.Code]uint64
-	firsN map[string]uint64
-	firsT map[string]time.Duration
 	hands map[string]uint64 // hand-overs by the worker's zone
 	cross uint64            // bytes of prompts handed over to another zone
 }
@@ -44,16 +42,6 @@
 	}
 }
 
-func (s *stats) first(mapping string, d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.firsN == nil {
-		s.firsN, s.firsT = map[string]uint64{}, map[string]time.Duration{}
-	}
-	s.firsN[mapping]++
-	s.firsT[mapping] += d
-}
-
 func (v *Vane) health(ctx *fasthttp.RequestCtx) {
 	v.tableMu.Lock()
 	out := v.table.out[v.Boot.Zone]
@@ -114,6 +102,7 @@
 	}
 	v.stats.mu.Unlock()
 	o.Set("handed_over", handed)
+	o.Set("promises", v.tallies.value(&a, now))
 	members := a.NewArray()
 	for i, m := range v.Members() {
 		members.SetArrayItem(i, Member(&a, m))
@@ -159,10 +148,7 @@
 	for _, c := range codes {
 		fmt.Fprintf(ctx, "seamshunt_results_total{code=\"%d\"} %d\n", c, s.codes[c])
 	}
-	for m, n := range s.firsN {
-		fmt.Fprintf(ctx, "seamshunt_first_words_seconds_sum{mapping=%q} %g\n", m, s.firsT[m].Seconds())
-		fmt.Fprintf(ctx, "seamshunt_first_words_seconds_count{mapping=%q} %d\n", m, n)
-	}
+	v.tallies.metrics(ctx)
 	fmt.Fprintf(ctx, "seamshunt_cross_zone_prompt_bytes_total %d\n", s.cross)
 	fmt.Fprintf(ctx, "seamshunt_wire_bytes_total %d\n", v.Tel.Out.Load())
 	fmt.Fprintf(ctx, "seamshunt_in_flight %d\n", v.flight.Load())
--- a/internal/vaned/stream.go
+++ b/internal/vaned/stream.go
@@ -27,6 +27,10 @@
 		return
 	}
 	w.burn()
+	w.v.tallies.count(w.m, func(t *tally) {
+		t.refused++
+		t.waited += w.v.Crew.Now().Sub(w.begun)
+	})
 	s := w.rules.Services[w.m.To[0]]
 	w.v.refuse(w.ctx, c, reasons[c], true, back(s.RetryAfter, s.Jitter, w.due))
 }
@@ -44,7 +48,7 @@
 func (w *way) stream(tag uint64, t *anemometer.Try, first anemometer.Event, worker string) {
 	w.streaming = true
 	s := &stream{w: w, tag: tag, t: t, worker: worker, e: &first}
-	w.v.stats.first(w.m.Name, w.v.Crew.Now().Sub(w.begun))
+	w.v.tallies.count(w.m, func(t *tally) { t.firstWords(w.v.Crew.Now().Sub(w.begun)) })
 	w.ctx.SetStatusCode(200)
 	w.ctx.SetContentType("application/x-ndjson")
 	w.ctx.Response.Header.Set("Request-Id", t.ID)
@@ -126,6 +130,14 @@
 	}
 	s.closed = true
 	s.t.Cancel()
+	now := s.w.v.Crew.Now()
+	s.w.v.tallies.count(s.w.m, func(t *tally) {
+		t.ended++
+		t.held += now.Sub(s.w.handed)
+		if s.whole && len(s.rest) == 0 && now <= s.w.until {
+			t.whole++
+		}
+	})
 	if s.whole && len(s.rest) == 0 {
 		s.w.v.stats.count(synop.OK)
 	}
--- a/internal/vaned/vane.go
+++ b/internal/vaned/vane.go
@@ -48,6 +48,8 @@
 	claims   map[uint64]chan synop.Code
 	wind     windvane.Windvane
 	budget   sync.Map // service to *anemometer.Budget
+	habits   sync.Map // service to *anemometer.Habit
+	tallies  tallies
 	tag      atomic.Uint64
 	ready    atomic.Bool
 	leaving  atomic.Bool
@@ -169,6 +171,11 @@
 	v.tableMu.Unlock()
 }
 
+func (v *Vane) habitOf(service string) *anemometer.Habit {
+	h, _ := v.habits.LoadOrStore(service, &anemometer.Habit{})
+	return h.(*anemometer.Habit)
+}
+
 func (v *Vane) budgetOf(service string) *anemometer.Budget {
 	b, _ := v.budget.LoadOrStore(service, &anemometer.Budget{})
 	return b.(*anemometer.Budget)
--- a/internal/vaned/way.go
+++ b/internal/vaned/way.go
@@ -26,7 +26,9 @@
 	key       string
 	body      []byte
 	text      []byte
-	sent      int // hand-overs whose bytes may have left
+	handed    units.Time
+	sent      int  // hand-overs whose bytes may have left
+	paid      bool // the next try was taken from the budget already
 	sure      bool
 	why       synop.Code
 	claimed   string // the key whose claim was granted, with its mapping
@@ -58,7 +60,7 @@
 			w.why = synop.OutOfTime
 			return w.sent > 0 && w.end()
 		}
-		if w.sent > 0 && !v.budgetOf(service).Again(now) {
+		if w.sent > 0 && !w.again(service, now) {
 			w.why = synop.Budget
 			return w.end()
 		}
@@ -92,7 +94,7 @@
 	c := make(chan verdict, 1)
 	v.deskMu.Lock()
 	v.doors[tag] = c
-	out := v.desk.Arrive(now, hygrometer.Req{Tag: tag, Policy: s.Allow, Cands: cands, Tries: s.Spread + 4, Until: w.until, First: s.First,
+	out := v.desk.Arrive(now, hygrometer.Req{Tag: tag, Policy: s.Allow, Cands: cands, Tries: s.Spread + 4, Until: w.until, First: s.First, Worth: uint16(w.m.Promise.Worth),
 		Keeper: func(n string) units.Node { return keepers[n] }})
 	v.tell(now)
 	v.deskMu.Unlock()
@@ -140,7 +142,8 @@
 	if w.sent == 0 {
 		v.budgetOf(s.Name).First(now)
 	}
-	e, hung := w.first(t)
+	w.handed = now
+	e, hung := w.first(t, s, name)
 	if hung {
 		t.Cancel()
 		w.sent++
@@ -148,6 +151,8 @@
 	}
 	switch e.Kind {
 	case anemometer.Piece, anemometer.Sealed:
+		v.habitOf(s.Name).Add(v.Crew.Now().Sub(now))
+		v.well(name)
 		w.stream(tag, t, e, name)
 		return true
 	case anemometer.NotSent:
@@ -173,32 +178,6 @@
 	return w.m.Once && w.end()
 }
 
-// first waits for the first thing that a try has to tell.
-func (w *way) first(t *anemometer.Try) (anemometer.Event, bool) {
-	tick := time.NewTicker(peekAt)
-	defer tick.Stop()
-	for {
-		select {
-		case e := <-t.Events:
-			return e, false
-		case <-tick.C:
-			if anemometer.HungUp(w.ctx.Conn()) {
-				return anemometer.Event{}, true
-			}
-			if w.v.Crew.Now() > w.until {
-				t.Cancel()
-				return anemometer.Event{Kind: anemometer.Unknown, Err: fmt.Errorf("vane: out of time")}, false
-			}
-		}
-	}
-}
-
-func (v *Vane) passOver(name string) {
-	v.tableMu.Lock()
-	v.table.down[name] = v.Crew.Now().Add(time.Second)
-	v.tableMu.Unlock()
-}
-
 func (w *way) hungUp(tag uint64) bool {
 	w.v.cut(tag)
 	w.v.stats.count(synop.HungUp)
