A first start says what it waits for; a majority that founds is weighed and left

Cause: with one core machine missing at the first start, nothing said why changes are refused.

TestFoundingSaysWhatItWaitsFor: the state is named, and a late blank disk ends the wait.

--- a/internal/barod/reserve_test.go
+++ b/internal/barod/reserve_test.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
+
+	"seamshunt/internal/mast"
 )
 
 // With the disk full, an evacuation and configurations of usual size are still taken, from the reserve, and are read
@@ -66,3 +69,35 @@
 		return code == 200 || code == 409
 	})
 }
+
+// A first start that lacks a machine says so, and goes on as soon as a blank disk stands anywhere.
+func TestFoundingSaysWhatItWaitsFor(t *testing.T) {
+	t.Parallel()
+	var seed string
+	start := func(dir string) *Barometer {
+		return alone(t, dir, func(c *Barometer) {
+			c.Boot.Founders, c.doctor.Founders = 2, 2
+			if seed == "" {
+				seed = c.Boot.Addr
+			}
+		})
+	}
+	c := start(t.TempDir())
+	t.Cleanup(c.Drain)
+	says := func(want string) func() bool {
+		return func() bool {
+			_, b := call(t, c, "GET", "/status", "")
+			return bytes.Contains(b, []byte(want))
+		}
+	}
+	until(t, "it says that one is missing", says("founding: 1 of 2 blank disks seen"))
+	if code, b := call(t, c, "PUT", "/v1/config?number=0", config); code != 503 || !bytes.Contains(b, []byte(`"code":514`)) {
+		t.Errorf("a change before the founding: %d %s", code, b)
+	}
+	late := alone(t, t.TempDir(), func(x *Barometer) {
+		x.Boot.Founders, x.doctor.Founders = 2, 2
+		x.Mast = mast.New(mast.Member{Node: x.Self, Inc: 1, Role: mast.Barometer, Addr: x.Boot.Addr, Web: x.Boot.Web, Zone: "z"}, []string{seed}, rand.New(rand.NewPCG(1, 2)))
+	})
+	t.Cleanup(late.Drain)
+	until(t, "both are voters", says(`"state":"voter"`))
+}
--- a/internal/barod/status.go
+++ b/internal/barod/status.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
+	"seamshunt/internal/barograph"
 	"seamshunt/internal/mast"
 	"seamshunt/internal/vaned"
 )
@@ -34,10 +35,11 @@
 		keys.Set(k, x)
 	}
 	c.baroMu.Unlock()
+	members := c.Members()
+	o.Set("state", a.NewString(c.state(v, members)))
 	o.Set("voters_version", a.NewNumberInt(int(v.Ver)))
 	o.Set("voters", vs)
 	o.Set("keys", keys)
-	members := c.Members()
 	news := a.NewObject()
 	c.BullMu.Lock()
 	for k, it := range c.Bull.Items {
@@ -84,6 +86,20 @@
 	ctx.SetBody(append(o.MarshalTo(nil), '\n'))
 }
 
+// state names what this node's disk is to the fleet, in words for operators.
+func (c *Barometer) state(v barograph.Voters, members []mast.Member) string {
+	look := barograph.LookAt(members)
+	switch {
+	case v.Has(c.Self):
+		return "voter"
+	case v.Ver > 0 || look.Fleet:
+		return "learner: it joins once a voter has been gone for 5 s, or one is missing"
+	case len(look.Blanks) > c.Boot.Founders:
+		return fmt.Sprintf("founding: %d blank disks seen, %d wanted: end those that are too many", len(look.Blanks), c.Boot.Founders)
+	}
+	return fmt.Sprintf("founding: %d of %d blank disks seen; a blank one at any address will do", len(look.Blanks), c.Boot.Founders)
+}
+
 func jsonBool(a *fastjson.Arena, b bool) *fastjson.Value {
 	if b {
 		return a.NewTrue()
