--- a/internal/barod/ask.go
+++ b/internal/barod/ask.go
@@ -54,7 +54,7 @@
 	c.duty.Drop()
 	c.dutyMu.Unlock()
 	c.Flag(mast.Draining, true)
-	time.Sleep(500 * time.Millisecond) // the others take the keys over under higher epochs
+	c.Crew.Sleep(500 * time.Millisecond) // the others take the keys over under higher epochs
 	_ = c.web.Shutdown()
 	c.Goodbye()
 }
--- a/internal/barod/disk_test.go
+++ b/internal/barod/disk_test.go
@@ -14,25 +14,16 @@
 	"seamshunt/internal/almanac"
 	"seamshunt/internal/boot"
 	"seamshunt/internal/heliograph"
-	"seamshunt/internal/standin"
+	"seamshunt/internal/weatherglass"
 )
 
 const config = `{"services":[{"name":"a","pool":"main","cap":2}],"promises":[{"name":"p","first_ms":100,"deadline_ms":3000}],
 "layout":"mapping m { when path = \"/m\" to a promise p once }"}`
 
-func free(t *testing.T) string {
-	t.Helper()
-	a, err := standin.FreeAddr()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return a
-}
-
 // alone starts a core of one disk; edit may change it before it runs.
 func alone(t *testing.T, dir string, edit ...func(*Barometer)) *Barometer {
 	t.Helper()
-	b := &boot.Boot{Name: "c", Zone: "z", Addr: free(t), Web: free(t), Data: dir, Founders: 1, Platform: free(t), Pools: []string{"main"}, PollMs: 500, Reserve: 64 << 10}
+	b := &boot.Boot{Name: "c", Zone: "z", Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), Data: dir, Founders: 1, Platform: weatherglass.Addr(t), Pools: []string{"main"}, PollMs: 500, Reserve: 64 << 10}
 	b.Seeds = []string{b.Addr}
 	c, err := New(b)
 	if err != nil {
@@ -59,20 +50,6 @@
 	return resp.StatusCode(), bytes.Clone(resp.Body())
 }
 
-func until(t *testing.T, what string, f func() bool) {
-	t.Helper()
-	end := time.After(20 * time.Second)
-	tick := time.NewTicker(20 * time.Millisecond)
-	defer tick.Stop()
-	for !f() {
-		select {
-		case <-tick.C:
-		case <-end:
-			t.Fatalf("never: %s", what)
-		}
-	}
-}
-
 func number(b []byte) int {
 	var x struct{ Number int }
 	_ = json.Unmarshal(b, &x)
@@ -84,7 +61,7 @@
 	t.Parallel()
 	dir := t.TempDir()
 	c := alone(t, dir)
-	until(t, "it founds itself", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 404 })
+	weatherglass.Until(t, "it founds itself", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 404 })
 	if code, b := call(t, c, "PUT", "/v1/config?number=0", `{"services":[]}`); code != 400 || !bytes.Contains(b, []byte(`"code":501`)) {
 		t.Errorf("a bad one: %d %s", code, b)
 	}
@@ -124,7 +101,7 @@
 	c.Drain()
 	c = alone(t, dir)
 	t.Cleanup(c.Drain)
-	until(t, "it is read back", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 200 })
+	weatherglass.Until(t, "it is read back", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 200 })
 	if _, b := call(t, c, "GET", "/v1/config", ""); string(b) != config {
 		t.Errorf("read back %q", b)
 	}
@@ -175,21 +152,21 @@
 	t.Parallel()
 	c := alone(t, t.TempDir())
 	t.Cleanup(c.Drain)
-	until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
+	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
 	c.disk.mu.Lock()
 	c.disk.fault = func() error { return fmt.Errorf("%w: planted", almanac.ErrFull) }
 	c.disk.mu.Unlock()
 	if code, b := call(t, c, "PUT", "/v1/config?number=1", config+" "); code != 502 {
 		t.Errorf("the write that finds it full has an unknown outcome: %d %s", code, b)
 	}
-	until(t, "it says so", func() bool {
+	weatherglass.Until(t, "it says so", func() bool {
 		code, b := call(t, c, "PUT", "/v1/config?number=1", config+" ")
 		return code == 503 && bytes.Contains(b, []byte(`"code":515`))
 	})
 	c.disk.mu.Lock()
 	c.disk.fault = nil
 	c.disk.mu.Unlock()
-	until(t, "writes go on", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=1", config+"  "); return code == 200 })
+	weatherglass.Until(t, "writes go on", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=1", config+"  "); return code == 200 })
 	if _, b := call(t, c, "GET", "/v1/config", ""); string(b) != config+"  " {
 		t.Errorf("read back %q", b)
 	}
@@ -201,7 +178,7 @@
 	dir := t.TempDir()
 	c := alone(t, dir)
 	t.Cleanup(c.Drain)
-	until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
+	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
 	if code, b := call(t, c, "PUT", "/v1/config?number=0", config); code != 409 {
 		t.Errorf("a conflict: %d %s", code, b)
 	}
--- a/internal/barod/stall_test.go
+++ b/internal/barod/stall_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"seamshunt/internal/almanac"
+	"seamshunt/internal/weatherglass"
 )
 
 // A stalled disk blocks neither the wires nor the loops nor the operators' door: the node says that it is unfit,
@@ -14,7 +15,7 @@
 	t.Parallel()
 	c := alone(t, t.TempDir())
 	t.Cleanup(c.Drain)
-	until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
+	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
 	held := make(chan struct{})
 	c.disk.mu.Lock()
 	c.disk.fault = func() error { <-held; return nil }
@@ -41,13 +42,13 @@
 		}
 		return false
 	}
-	until(t, "it says that it is unfit", unfit)
+	weatherglass.Until(t, "it says that it is unfit", unfit)
 	c.disk.mu.Lock()
 	c.disk.fault = nil
 	c.disk.mu.Unlock()
 	close(held)
-	until(t, "it is fit again", func() bool { return !unfit() })
-	until(t, "writes go on", func() bool {
+	weatherglass.Until(t, "it is fit again", func() bool { return !unfit() })
+	weatherglass.Until(t, "writes go on", func() bool {
 		code, _ := call(t, c, "PUT", "/v1/config?number=1", config+" ")
 		return code == 200 || code == 409
 	})
@@ -58,7 +59,7 @@
 	t.Parallel()
 	c := alone(t, t.TempDir())
 	t.Cleanup(c.Drain)
-	until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
+	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
 	c.disk.mu.Lock()
 	c.disk.fault = func() error {
 		c.disk.mu.Lock()
@@ -68,7 +69,7 @@
 	}
 	c.disk.mu.Unlock()
 	code, _ := call(t, c, "PUT", "/v1/config?number=1", config+"   ")
-	until(t, "it reads again", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 200 })
+	weatherglass.Until(t, "it reads again", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 200 })
 	_, b := call(t, c, "GET", "/v1/config", "")
 	if code == 200 && string(b) != config+"   " || code != 200 && string(b) != config && string(b) != config+"   " {
 		t.Errorf("answered %d, read back %q", code, b)
--- a/internal/bulletin/confirm.go
+++ b/internal/bulletin/confirm.go
@@ -59,3 +59,20 @@
 	}
 	return k > len(voters)/2
 }
+
+// Beat pushes on what is on its way, and asks neighbours whose digest differs for what is lacking (design 4).
+func (b *Bulletin) Beat(now units.Time, all []mast.Member, self units.Node) station.Out {
+	var live []units.Node
+	for _, m := range all {
+		if m.State <= mast.Suspect && m.Node != self {
+			live = append(live, m.Node)
+		}
+	}
+	out := b.Tick(now, live)
+	for _, m := range all {
+		if m.State == mast.Alive && m.Node != self && m.News != 0 && m.News != b.Sum {
+			out.Join(b.Behind(now, m.Node))
+		}
+	}
+	return out
+}
--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -41,6 +41,9 @@
 // Now reads the process's monotonic clock.
 func (c *Crew) Now() units.Time { return units.Time(c.clock.Since(c.zero)) }
 
+// Sleep waits on the process's clock.
+func (c *Crew) Sleep(d time.Duration) { c.clock.Sleep(d) }
+
 // Stopped is closed when the crew is to go home.
 func (c *Crew) Stopped() <-chan struct{} { return c.stop }
 
--- a/internal/tower/tower.go
+++ b/internal/tower/tower.go
@@ -91,20 +91,11 @@
 	out := t.Mast.Tick(now)
 	all := t.Mast.All()
 	t.MastMu.Unlock()
-	live := make([]units.Node, 0, len(all))
 	for _, m := range all {
 		t.Tel.Learn(m.Node, m.Addr)
-		if m.State <= mast.Suspect && m.Node != t.Self {
-			live = append(live, m.Node)
-		}
 	}
 	t.BullMu.Lock()
-	out.Join(t.Bull.Tick(now, live))
-	for _, m := range all {
-		if m.State == mast.Alive && m.Node != t.Self && m.News != 0 && m.News != sum {
-			out.Join(t.Bull.Behind(now, m.Node))
-		}
-	}
+	out.Join(t.Bull.Beat(now, all, t.Self))
 	t.BullMu.Unlock()
 	t.Deliver(out)
 }
@@ -188,7 +179,7 @@
 	out := t.Mast.Leave()
 	t.MastMu.Unlock()
 	t.Deliver(out)
-	time.Sleep(100 * time.Millisecond) // lets the goodbye leave the machine
+	t.Crew.Sleep(100 * time.Millisecond) // lets the goodbye leave the machine
 	t.Tel.Close()
 	t.Crew.Stop(2 * time.Second)
 }
--- a/internal/vaned/dark_test.go
+++ b/internal/vaned/dark_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"seamshunt/internal/weatherglass"
 )
 
 // A worker that takes a prompt and says nothing is left for another once first words are later than the service's
@@ -64,7 +66,7 @@
 	case h = <-ha:
 	case h = <-hb:
 	}
-	until(t, "it is late", func() bool {
+	weatherglass.Until(t, "it is late", func() bool {
 		v.tableMu.Lock()
 		defer v.tableMu.Unlock()
 		return len(v.table.down) == 1
@@ -73,7 +75,7 @@
 	if status, body := c.reply(t); status != 200 || !strings.Contains(body, `"seal"`) || len(ha)+len(hb) > 0 {
 		t.Errorf("%d %s", status, body)
 	}
-	until(t, "it is well again", func() bool {
+	weatherglass.Until(t, "it is well again", func() bool {
 		v.tableMu.Lock()
 		defer v.tableMu.Unlock()
 		return len(v.table.down) == 0
--- a/internal/vaned/door_test.go
+++ b/internal/vaned/door_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"seamshunt/internal/synop"
+	"seamshunt/internal/weatherglass"
 )
 
 // Every bad prompt gets its code, and is said not to run.
@@ -149,7 +150,7 @@
 			}
 			c.Close()
 			gone(t, h)
-			until(t, "the slot is free", func() bool {
+			weatherglass.Until(t, "the slot is free", func() bool {
 				v.gaugeMu.Lock()
 				defer v.gaugeMu.Unlock()
 				return v.gauge.Kept(v.Crew.Now())[0].Lent == 0 && v.flight.Load() == 0
@@ -179,12 +180,12 @@
 		return v.gauge.Kept(v.Crew.Now())[0].Waiting
 	}
 	c := ask(t, v, "/chat")
-	until(t, "the third waits", func() bool { return waiting() == 1 })
+	weatherglass.Until(t, "the third waits", func() bool { return waiting() == 1 })
 	if status, body := ask(t, v, "/chat").reply(t); status != 503 || !strings.Contains(body, `"code":301`) || !strings.Contains(body, `"retry_after_ms"`) {
 		t.Errorf("the fourth finds the waitlist full: %d %s", status, body)
 	}
 	c.Close()
-	until(t, "the third has left", func() bool { return waiting() == 0 })
+	weatherglass.Until(t, "the third has left", func() bool { return waiting() == 0 })
 	if len(hands) > 0 {
 		t.Error("more than the cap reached the worker")
 	}
--- a/internal/vaned/rig_test.go
+++ b/internal/vaned/rig_test.go
@@ -16,22 +16,13 @@
 	"seamshunt/internal/boot"
 	"seamshunt/internal/bulletin"
 	"seamshunt/internal/forecast"
-	"seamshunt/internal/standin"
+	"seamshunt/internal/weatherglass"
 )
 
 const rigConfig = `{"services":[{"name":"advice","pool":"main","cap":2,"warm_ms":0,"first_ms":20,"waitlist":1}],
 "promises":[{"name":"p","first_ms":100,"deadline_ms":3000}],
 "layout":"mapping notice { when path = \"/notice\" to advice promise p once }\nmapping chat { when path = \"/chat\" to advice promise p repeat }"}`
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	a, err := standin.FreeAddr()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return a
-}
-
 // hand is one wire that a scripted worker took, with the request read.
 type hand struct {
 	net.Conn
@@ -93,7 +84,7 @@
 // rig is one vane alone, its news put in by hand; it keeps all workers itself.
 func rig(t *testing.T, workers ...string) *Vane {
 	t.Helper()
-	b := &boot.Boot{Name: "n1", Zone: "z1", Addr: freeAddr(t), Web: freeAddr(t), DrainMs: 1000}
+	b := &boot.Boot{Name: "n1", Zone: "z1", Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), DrainMs: 1000}
 	b.Seeds = []string{b.Addr}
 	v := New(b)
 	if err := v.Start(); err != nil {
@@ -109,7 +100,7 @@
 	v.Bull.Take(bulletin.Item{Key: "workers/main", Num: 1, Data: forecast.PackWorkers(l)})
 	v.BullMu.Unlock()
 	v.ready.Store(true)
-	until(t, "the vane keeps its workers", func() bool {
+	weatherglass.Until(t, "the vane keeps its workers", func() bool {
 		v.gaugeMu.Lock()
 		defer v.gaugeMu.Unlock()
 		k := v.gauge.Kept(v.Crew.Now())
@@ -120,7 +111,7 @@
 		}
 		return len(k) == len(workers)
 	})
-	until(t, "the vane takes part in claims", func() bool {
+	weatherglass.Until(t, "the vane takes part in claims", func() bool {
 		v.screenMu.Lock()
 		defer v.screenMu.Unlock()
 		return v.screen.Whole()
@@ -128,21 +119,6 @@
 	return v
 }
 
-// until looks again and again, each time after the vane's next beat.
-func until(t *testing.T, what string, f func() bool) {
-	t.Helper()
-	end := time.After(20 * time.Second)
-	tick := time.NewTicker(5 * time.Millisecond)
-	defer tick.Stop()
-	for !f() {
-		select {
-		case <-tick.C:
-		case <-end:
-			t.Fatalf("never: %s", what)
-		}
-	}
-}
-
 // caller is one caller's wire.
 type caller struct {
 	net.Conn
--- a/internal/vaned/steps_test.go
+++ b/internal/vaned/steps_test.go
@@ -8,6 +8,7 @@
 
 	"seamshunt/internal/bulletin"
 	"seamshunt/internal/forecast"
+	"seamshunt/internal/weatherglass"
 )
 
 const stepConfig = `{"services":[{"name":"big","pool":"main","cap":1,"warm_ms":0,"first_ms":20,"waitlist":1},{"name":"small","pool":"side","cap":1,"warm_ms":0,"first_ms":20,"waitlist":1}],
@@ -29,7 +30,7 @@
 	v.BullMu.Lock()
 	v.Bull.Take(bulletin.Item{Key: "zone/" + marker, Num: 1, Data: []byte(`{"evacuated":true}`)})
 	v.BullMu.Unlock()
-	until(t, "the news is looked at", func() bool {
+	weatherglass.Until(t, "the news is looked at", func() bool {
 		v.tableMu.Lock()
 		defer v.tableMu.Unlock()
 		return v.table.out[marker]
@@ -45,7 +46,7 @@
 	v := rig(t, a)
 	take(t, v, bulletin.Item{Key: "config", Num: 2, Data: []byte(stepConfig)},
 		bulletin.Item{Key: "workers/side", Num: 1, Data: forecast.PackWorkers([]forecast.Worker{{ID: "s1", Addr: b, Zone: "z1", Age: 1 << 40}})})
-	until(t, "both workers are kept", func() bool {
+	weatherglass.Until(t, "both workers are kept", func() bool {
 		v.gaugeMu.Lock()
 		defer v.gaugeMu.Unlock()
 		k := v.gauge.Kept(v.Crew.Now())
@@ -56,7 +57,7 @@
 	defer first.Close()
 	waits := ask(t, v, "/stepped") // waits for big: its list has room
 	defer waits.Close()
-	until(t, "one waits", func() bool {
+	weatherglass.Until(t, "one waits", func() bool {
 		v.gaugeMu.Lock()
 		defer v.gaugeMu.Unlock()
 		return v.gauge.Kept(v.Crew.Now())[0].Waiting == 1
--- a/internal/vaned/vane.go
+++ b/internal/vaned/vane.go
@@ -187,7 +187,7 @@
 	v.Flag(mast.Draining, true)
 	v.Flag(mast.Ready, false)
 	end := v.Crew.Now().Add(time.Duration(v.Boot.DrainMs) * time.Millisecond)
-	for quietSince := v.Crew.Now(); v.Crew.Now() < end; time.Sleep(20 * time.Millisecond) {
+	for quietSince := v.Crew.Now(); v.Crew.Now() < end; v.Crew.Sleep(20 * time.Millisecond) {
 		if v.flight.Load() > 0 {
 			quietSince = v.Crew.Now()
 		}
--- a/internal/vaned/woke_test.go
+++ b/internal/vaned/woke_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+
+	"seamshunt/internal/weatherglass"
 )
 
 // lent gives the permits out and whether the one worker's slots are lent at all.
@@ -27,7 +29,7 @@
 	if v.ready.Load() {
 		t.Error("a woken vane takes prompts before its news is confirmed")
 	}
-	until(t, "it lends again", func() bool { n, open := lent(v); return open && n == 1 })
+	weatherglass.Until(t, "it lends again", func() bool { n, open := lent(v); return open && n == 1 })
 }
 
 // The slot of a run that was cut short is free only after its worker had time to notice the broken wire.
@@ -40,7 +42,7 @@
 	began := v.Crew.Now()
 	c.Close()
 	gone(t, h)
-	until(t, "the slot is free", func() bool { n, _ := lent(v); return n == 0 })
+	weatherglass.Until(t, "the slot is free", func() bool { n, _ := lent(v); return n == 0 })
 	if d := v.Crew.Now().Sub(began); d < 250_000_000 {
 		t.Errorf("the slot was free after %v, when the worker may still have been running", d)
 	}
--- /dev/null
+++ b/internal/weatherglass/weatherglass.go
@@ -0,0 +1,34 @@
+// Package weatherglass is what tests of the daemons share: waiting for a thing to come true, and free addresses.
+package weatherglass
+
+import (
+	"testing"
+	"time"
+
+	"seamshunt/internal/standin"
+)
+
+// Until looks again and again until f holds.
+func Until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	end := time.After(20 * time.Second)
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for !f() {
+		select {
+		case <-tick.C:
+		case <-end:
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// Addr gives an address that nothing else takes.
+func Addr(t *testing.T) string {
+	t.Helper()
+	a, err := standin.FreeAddr()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
--- a/internal/windtunnel/core.go
+++ b/internal/windtunnel/core.go
@@ -32,18 +32,7 @@
 	c.mast.News = c.bull.Sum
 	out := c.mast.Tick(now)
 	all := c.mast.All()
-	var live []units.Node
-	for _, m := range all {
-		if m.State <= mast.Suspect && m.Node != self {
-			live = append(live, m.Node)
-		}
-	}
-	out.Join(c.bull.Tick(now, live))
-	for _, m := range all {
-		if m.State == mast.Alive && m.Node != self && m.News != 0 && m.News != c.bull.Sum {
-			out.Join(c.bull.Behind(now, m.Node))
-		}
-	}
+	out.Join(c.bull.Beat(now, all, self))
 	return all, out
 }
 
