Membership tells changes and a digest, not its whole table; latecomers are asked

Cause: the whole table on each probe and answer was 22.7 of the 24.5 kB/s that cross zones in a quiet Council, and grew with the square: 1585 kB/s at 100 nodes. A stale digest of news was also asked after again and again.

Ruled out: fewer probes (later detection), a compressed table (still grows with the square).

--- a/internal/bulletin/confirm.go
+++ b/internal/bulletin/confirm.go
@@ -11,6 +11,9 @@
 // alone is how long a starting node waits for a barometer before serving neighbours may vouch instead (start).
 const alone = 3 * time.Second
 
+// freshFor is how long a digest heard from a neighbour counts: it may have moved on since (start).
+const freshFor = 2 * time.Second
+
 // Confirm says whether a starting or woken node may serve: a majority of the voters have vouched that nothing newer
 // than its news stands or, with the core away, a majority of the serving neighbours have. Until then it asks (design 4).
 func (b *Bulletin) Confirm(now units.Time, all []mast.Member, self units.Node, voters []units.Node, began units.Time) (ok bool, out station.Out) {
@@ -70,7 +73,7 @@
 	}
 	out := b.Tick(now, live)
 	for _, m := range all {
-		if m.State == mast.Alive && m.Node != self && m.News != 0 && m.News != b.Sum {
+		if m.State == mast.Alive && m.Node != self && m.News != 0 && m.News != b.Sum && now.Sub(m.Heard) < freshFor {
 			out.Join(b.Behind(now, m.Node))
 		}
 	}
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -42,6 +42,7 @@
 	lent    map[permit]*loan
 	list    []ask // by deadline
 	need    map[units.Node]bool
+	late    map[units.Node]bool // vanes that came into view with the book open: they are asked too
 	sent    units.Time
 	silent  map[units.Node]units.Time // until when a silent node may still hold what it was lent before
 	turn    time.Duration
@@ -80,6 +81,13 @@
 // View takes membership's view: the live vanes, and till when others' runs may still be going.
 func (g *Gauge) View(vanes []Peer, holds map[units.Node]units.Time) {
 	g.moved = g.moved || !slices.Equal(g.vanes, vanes)
+	for _, v := range vanes {
+		if !slices.ContainsFunc(g.vanes, func(o Peer) bool { return o.Node == v.Node }) {
+			for _, k := range g.keeps {
+				k.late[v.Node] = true
+			}
+		}
+	}
 	g.vanes, g.holds = vanes, holds
 }
 
@@ -144,6 +152,7 @@
 			g.collect(now, name, k, &out)
 			continue
 		}
+		g.latecomers(now, name, k, &out)
 		g.adapt(now, name, k)
 		g.serve(now, name, k, &out)
 	}
@@ -162,7 +171,7 @@
 
 // begin asks every live vane what it holds; until all have said so, nothing is lent.
 func (g *Gauge) begin(now units.Time, name string, out *station.Out) {
-	k := &keep{lent: map[permit]*loan{}, adapted: now, silent: maps.Clone(g.holds)}
+	k := &keep{lent: map[permit]*loan{}, adapted: now, silent: maps.Clone(g.holds), late: map[units.Node]bool{}}
 	g.keeps[name] = k
 	g.recollect(now, name, k, out)
 }
@@ -227,14 +236,6 @@
 	}
 }
 
-// holdTil is when the last silent node's runs are over.
-func (k *keep) holdTil() (t units.Time) {
-	for _, x := range k.silent {
-		t = max(t, x)
-	}
-	return t
-}
-
 // cede lets those that wait ask elsewhere.
 func (g *Gauge) cede(name string, k *keep, out *station.Out) {
 	for _, a := range k.list {
--- /dev/null
+++ b/internal/gauge/late_test.go
@@ -0,0 +1,32 @@
+package gauge
+
+import (
+	"testing"
+	"time"
+
+	"seamshunt/internal/station"
+)
+
+// A keeper that opened its book while it knew few others asks whoever comes into view later, and counts what that one
+// holds: nothing more is lent than the cap bears.
+func TestLatecomersAreAsked(t *testing.T) {
+	b := newBench(Worker{Cap: 2, Bound: 2, First: 50 * ms})
+	b.View([]Peer{{Node: 1}, {Node: 7}}, nil)
+	b.now = b.now.Add(time.Second)
+	asked := false
+	for _, n := range b.Tick(b.now).Notes {
+		asked = asked || n.To == 7 && n.Kind == ReportAsk
+	}
+	if !asked {
+		t.Fatal("the latecomer is not asked")
+	}
+	held := []Held{{Tag: 71, Left: 5000}, {Tag: 72, Left: 5000}}
+	b.out(b.Step(b.now, station.Note{From: 7, Kind: Report, Body: PackReport("s/w", held)}))
+	if k := b.ask(1, 10*time.Second, false); k != No || b.Kept(b.now)[0].Lent != 2 {
+		t.Errorf("lent %d, and one more: %v", b.Kept(b.now)[0].Lent, k == Grant)
+	}
+	b.out(b.Step(b.now, station.Note{From: 7, Kind: Report, Body: PackReport("s/w", []Held{{Tag: 73, Left: 5000}})}))
+	if b.Kept(b.now)[0].Lent != 2 {
+		t.Error("a report that nobody asked for changes the book")
+	}
+}
--- a/internal/gauge/step.go
+++ b/internal/gauge/step.go
@@ -13,11 +13,16 @@
 	if n.Kind == Report {
 		name, held, err := UnpackReport(n.Body)
 		out.Fail(err)
-		if k := g.keeps[name]; err == nil && k != nil && !k.open {
+		if k := g.keeps[name]; err == nil && k != nil && (!k.open || k.late[n.From]) {
 			for _, h := range held {
-				k.lent[permit{n.From, h.Tag}] = &loan{until: now.Add(units.Millis(h.Left).Span() + grace), since: now}
+				if p := (permit{n.From, h.Tag}); k.lent[p] == nil {
+					k.lent[p] = &loan{until: now.Add(units.Millis(h.Left).Span() + grace), since: now}
+				}
 			}
 			delete(k.need, n.From)
+			if delete(k.late, n.From); k.open {
+				return out
+			}
 			g.collect(now, name, k, &out)
 		}
 		return out
--- a/internal/gauge/upkeep.go
+++ b/internal/gauge/upkeep.go
@@ -52,3 +52,28 @@
 	}
 	k.waitSum, k.waitN = 0, 0
 }
+
+// latecomers asks vanes that came into view after the book was opened what they hold. A newcomer holds nothing; but
+// this node may be the newcomer, and have opened its book while it knew few of the others.
+func (g *Gauge) latecomers(now units.Time, name string, k *keep, out *station.Out) {
+	if len(k.late) == 0 || now.Sub(k.sent) < reask {
+		return
+	}
+	k.sent = now
+	live := g.live(now)
+	for _, n := range station.Keys(k.late) {
+		if !slices.Contains(live, n) {
+			delete(k.late, n)
+			continue
+		}
+		out.Send(n, ReportAsk, Pack(Head{}, name))
+	}
+}
+
+// holdTil is when the last silent node's runs are over.
+func (k *keep) holdTil() (t units.Time) {
+	for _, x := range k.silent {
+		t = max(t, x)
+	}
+	return t
+}
--- a/internal/mast/mast.go
+++ b/internal/mast/mast.go
@@ -2,6 +2,7 @@
 package mast
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -49,17 +50,19 @@
 	Addr  string
 	Web   string
 	Zone  string
-	News  uint64 // digest of its news, as last told by itself
+	News  uint64     // digest of its news, as last told by itself
+	Heard units.Time // when it told so
 	since units.Time
 }
 
 // Rates of the probing (start values).
 const (
-	round   = 400 * time.Millisecond
-	askAt   = 150 * time.Millisecond
-	doubt   = 1500 * time.Millisecond
-	forget  = 10 * time.Minute
-	introAt = time.Second
+	round    = 400 * time.Millisecond
+	askAt    = 150 * time.Millisecond
+	doubt    = 1500 * time.Millisecond
+	forget   = 10 * time.Minute
+	introAt  = time.Second
+	wholeGap = time.Second
 )
 
 type relay struct {
@@ -70,24 +73,26 @@
 
 // Mast is the step machine.
 type Mast struct {
-	Self  units.Node
-	News  uint64
-	all   map[units.Node]*Member
-	seeds []string
-	rng   *rand.Rand
-	ring  []units.Node
-	seq   uint64
-	open  units.Node
-	seqOf uint64
-	at    units.Time
-	asked bool
-	relay map[uint64]relay
-	intro units.Time
+	Self    units.Node
+	News    uint64
+	all     map[units.Node]*Member
+	seeds   []string
+	rng     *rand.Rand
+	ring    []units.Node
+	seq     uint64
+	open    units.Node
+	seqOf   uint64
+	at      units.Time
+	asked   bool
+	relay   map[uint64]relay
+	fresh   map[units.Node]int // how often each change is still to be told
+	wholeAt units.Time         // when a whole table was last sent for a digest's sake
+	intro   units.Time
 }
 
 // New starts with oneself and the seeds.
 func New(self Member, seeds []string, rng *rand.Rand) *Mast {
-	m := &Mast{Self: self.Node, all: map[units.Node]*Member{}, seeds: seeds, rng: rng, relay: map[uint64]relay{}}
+	m := &Mast{Self: self.Node, all: map[units.Node]*Member{}, seeds: seeds, rng: rng, relay: map[uint64]relay{}, fresh: map[units.Node]int{}}
 	m.all[self.Node] = &self
 	m.at = -units.Time(round)
 	m.intro = -units.Time(introAt)
@@ -123,7 +128,7 @@
 	for _, x := range m.all {
 		l = append(l, *x)
 	}
-	slices.SortFunc(l, func(a, b Member) int { return cmp(a.Node, b.Node) })
+	slices.SortFunc(l, func(a, b Member) int { return cmp.Compare(a.Node, b.Node) })
 	return l
 }
 
@@ -133,22 +138,12 @@
 	return slices.DeleteFunc(l, func(x Member) bool { return x.Role != r || x.State > Suspect })
 }
 
-func cmp(a, b units.Node) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
-
 // Tick moves the probing on.
 func (m *Mast) Tick(now units.Time) (out station.Out) {
 	if m.open != 0 && !m.asked && now.Sub(m.at) >= askAt {
 		m.asked = true
 		for _, x := range m.pick(3, m.open) {
-			out.Send(x, Second, m.pack(m.seqOf, m.open))
+			out.Send(x, Second, m.pack(m.seqOf, m.open, false))
 		}
 	}
 	for _, x := range m.all {
@@ -172,7 +167,7 @@
 		if n := m.turn(); n != 0 {
 			m.seq++
 			m.open, m.seqOf, m.at, m.asked = n, m.seq, now, false
-			out.Send(n, Probe, m.pack(m.seq, 0))
+			out.Send(n, Probe, m.pack(m.seq, 0, false))
 		}
 	}
 	if now.Sub(m.intro) >= introAt {
@@ -203,7 +198,7 @@
 	}
 	for _, a := range to {
 		if !here[a] {
-			out.Notes = append(out.Notes, station.Note{Addr: a, Kind: Probe, Body: m.pack(0, 0)})
+			out.Notes = append(out.Notes, station.Note{Addr: a, Kind: Probe, Body: m.pack(0, 0, true)})
 		}
 	}
 }
@@ -243,4 +238,5 @@
 
 func (m *Mast) set(x *Member, s State, now units.Time) {
 	x.State, x.since = s, now
+	m.tell(x.Node)
 }
--- a/internal/mast/note.go
+++ b/internal/mast/note.go
@@ -1,6 +1,8 @@
 package mast
 
 import (
+	"math/bits"
+
 	"seamshunt/internal/station"
 	"seamshunt/internal/units"
 )
@@ -17,6 +19,7 @@
 	Seq    uint64
 	News   uint64
 	Target uint64
+	Sum    uint64
 }
 
 type memberHead struct {
@@ -27,13 +30,42 @@
 	Role  uint8
 }
 
-func (m *Mast) pack(seq uint64, target units.Node) []byte {
-	items := make([][]byte, 0, len(m.all))
+// pack lays out what the neighbour should hear: this node itself and what changed lately, or the whole table.
+func (m *Mast) pack(seq uint64, target units.Node, whole bool) []byte {
+	var items [][]byte
 	for _, x := range m.All() {
+		if !whole && x.Node != m.Self && m.fresh[x.Node] == 0 {
+			continue
+		}
+		if m.fresh[x.Node]--; m.fresh[x.Node] <= 0 {
+			delete(m.fresh, x.Node)
+		}
 		h := memberHead{Node: uint64(x.Node), Inc: x.Inc, Flags: x.Flags, State: uint8(x.State), Role: uint8(x.Role)}
 		items = append(items, station.Pack(h, []byte(x.Addr), []byte(x.Web), []byte(x.Zone)))
 	}
-	return station.Pack(probeHead{Seq: seq, News: m.News, Target: uint64(target)}, station.PackList(items))
+	return station.Pack(probeHead{Seq: seq, News: m.News, Target: uint64(target), Sum: m.sum()}, station.PackList(items))
+}
+
+// sum is a digest of the live members. Those that are gone are left out: each node forgets them at its own time.
+func (m *Mast) sum() (s uint64) {
+	for n, x := range m.all {
+		if x.State <= Suspect {
+			s += units.Mix(n.String(), units.Hex(x.Inc))
+		}
+	}
+	return s
+}
+
+// tell has a change ride on so many notes that all hear of it, as a rule; the digests find the exceptions.
+func (m *Mast) tell(n units.Node) { m.fresh[n] = 3 * bits.Len(uint(len(m.all))) }
+
+// differs says whether the whole table is due, since the neighbour's digest is another: at most once in wholeAt.
+func (m *Mast) differs(now units.Time, sum uint64) bool {
+	if sum == m.sum() || now.Sub(m.wholeAt) < wholeGap {
+		return false
+	}
+	m.wholeAt = now
+	return true
 }
 
 func unpack(b []byte) (probeHead, []Member, error) {
--- a/internal/mast/step.go
+++ b/internal/mast/step.go
@@ -12,21 +12,25 @@
 		out.Fail(err)
 		return out
 	}
+	known := m.all[n.From] != nil
 	for i := range list {
 		m.merge(now, &list[i])
 	}
 	if x := m.all[n.From]; x != nil {
-		x.News = h.News
+		x.News, x.Heard = h.News, now
 	}
 	switch n.Kind {
 	case Probe:
-		out.Send(n.From, Ack, m.pack(h.Seq, 0))
+		out.Send(n.From, Ack, m.pack(h.Seq, 0, !known || h.Seq == 0 || m.differs(now, h.Sum))) // a newcomer must hear of all at once
 	case Ack:
 		m.acked(now, n.From, h.Seq, &out)
+		if m.differs(now, h.Sum) {
+			out.Send(n.From, Probe, m.pack(0, 0, true))
+		}
 	case Second:
 		m.seq++
 		m.relay[m.seq] = relay{to: n.From, seq: h.Seq, at: now}
-		out.Send(units.Node(h.Target), Probe, m.pack(m.seq, 0))
+		out.Send(units.Node(h.Target), Probe, m.pack(m.seq, 0, false))
 	case SecondAck:
 		if h.Seq == m.seqOf && units.Node(h.Target) == m.open {
 			m.hold(now, m.open)
@@ -39,7 +43,7 @@
 func (m *Mast) acked(now units.Time, from units.Node, seq uint64, out *station.Out) {
 	if r, ok := m.relay[seq]; ok {
 		delete(m.relay, seq)
-		out.Send(r.to, SecondAck, m.pack(r.seq, from))
+		out.Send(r.to, SecondAck, m.pack(r.seq, from, false))
 	}
 	if seq != 0 && seq == m.seqOf && from == m.open {
 		m.open = 0
@@ -60,20 +64,24 @@
 		s := m.all[m.Self]
 		if y.Inc > s.Inc || y.Inc == s.Inc && y.State > s.State {
 			s.Inc = y.Inc + 1
+			m.tell(m.Self)
 		}
 		return
 	}
 	x := m.all[y.Node]
 	if x == nil {
 		c := *y
-		c.since, c.News = now, 0
+		c.since, c.News, c.Heard = now, 0, 0
 		m.all[y.Node] = &c
+		m.tell(y.Node)
 		return
 	}
 	if y.Inc > x.Inc || y.Inc == x.Inc && y.State > x.State {
-		news, old, since := x.News, x.State, x.since
+		was := *x
 		*x = *y
-		x.News, x.since = news, since
+		x.News, x.Heard, x.since = was.News, was.Heard, was.since
+		old := was.State
+		m.tell(y.Node)
 		if x.State != old {
 			x.since = now
 		}
@@ -102,7 +110,7 @@
 	s.Inc++
 	s.State = Left
 	for _, n := range m.others(0) {
-		out.Send(n, Probe, m.pack(0, 0))
+		out.Send(n, Probe, m.pack(0, 0, false))
 	}
 	return out
 }
--- a/internal/windtunnel/net.go
+++ b/internal/windtunnel/net.go
@@ -60,6 +60,9 @@
 	f.Write(n.Body)
 	s.Trace = s.Trace*1099511628211 + f.Sum64() + uint64(n.Kind) + uint64(s.Now)
 	to := s.find(n)
+	if to != nil && to.Zone != h.Zone {
+		s.Between[n.Kind&^15] += 24 + len(n.Body)
+	}
 	if to == nil || to != h && (h.Dark || to.Dark || s.Cut(h, to) || s.Loss > 0 && s.Rng.Float64() < s.Loss) {
 		return
 	}
--- /dev/null
+++ b/internal/windtunnel/notes_test.go
@@ -0,0 +1,58 @@
+package windtunnel
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// What the system's own notes cost between zones, quiet and under load, at three sizes; a node's part must not grow
+// with the fleet (design 5).
+func TestNotesBetweenZones(t *testing.T) {
+	quiet := map[int]float64{}
+	sizes := []int{11, 50}
+	if *seeds > 2 { // off the CI path
+		sizes = append(sizes, 100)
+	}
+	for _, size := range sizes {
+		p := Council
+		for len(p.Cores)+len(p.Edges) < size {
+			p.Edges = append(p.Edges, p.Cores[len(p.Edges)%4])
+			p.Work = append(p.Work, p.Cores[len(p.Work)%4])
+		}
+		w := NewWorld(p, 1)
+		w.At(units.Time(3*time.Second), func() { w.change("config", configText(0), nil) })
+		w.Run(units.Time(15 * time.Second))
+		line := ""
+		for _, rate := range []float64{0, 40} {
+			w.rate = rate
+			if rate > 0 {
+				w.Load()
+			}
+			clear(w.Between)
+			w.Run(w.Now.Add(20 * time.Second))
+			all := 0
+			for _, k := range station.Keys(w.Between) {
+				all += w.Between[k]
+			}
+			line += fmt.Sprintf("; %v prompts a second: %.2f kB/s, of it membership %.2f, news %.2f, control %.2f, permits %.2f, claims %.2f", rate, float64(all)/20e3,
+				float64(w.Between[station.Mast])/20e3, float64(w.Between[station.Bulletin])/20e3, float64(w.Between[station.Barograph]+w.Between[station.Ballot]+w.Between[station.Isobar])/20e3,
+				float64(w.Between[station.Gauge])/20e3, float64(w.Between[station.Claim])/20e3)
+			if rate == 0 {
+				quiet[size] = float64(w.Between[station.Mast]) / float64(size)
+			}
+		}
+		t.Logf("%d nodes%s", size, line)
+		if len(w.Faults) > 0 {
+			t.Errorf("%d nodes: %v", size, w.Faults[:min(3, len(w.Faults))])
+		}
+	}
+	for size, x := range quiet {
+		if x > 2*quiet[11] {
+			t.Errorf("a node of %d sends %.0f bytes of membership in 20 s, one of 11 sends %.0f", size, x, quiet[11])
+		}
+	}
+}
--- a/internal/windtunnel/sim.go
+++ b/internal/windtunnel/sim.go
@@ -63,17 +63,19 @@
 	Loss  float64
 	cuts  []*func(from, to *Host) bool
 	Sent  int
-	Poll  func(*Core, units.Time) // the world's platform, for cores that may ask it
-	Trace uint64
-	queue events
-	seq   uint64
+	// Between counts the bytes of notes between zones, by range of kinds.
+	Between map[station.Kind]int
+	Poll    func(*Core, units.Time) // the world's platform, for cores that may ask it
+	Trace   uint64
+	queue   events
+	seq     uint64
 }
 
 const tickGap = 25 * time.Millisecond
 
 // New gives an empty world for a seed.
 func New(seed uint64) *Sim {
-	return &Sim{Rng: rand.New(rand.NewPCG(seed, 11))}
+	return &Sim{Between: map[station.Kind]int{}, Rng: rand.New(rand.NewPCG(seed, 11))}
 }
 
 // Cut says whether nothing gets from one machine to the other.
