--- a/internal/barod/baro.go
+++ b/internal/barod/baro.go
@@ -81,7 +81,14 @@
 		c.Deliver(c.iso.Step(n, c.baro.Slots(), c.baro.Mend))
 		c.baroMu.Unlock()
 	}
-	c.Woke = func(units.Time) { c.dutyMu.Lock(); c.duty.Drop(); c.dutyMu.Unlock() }
+	c.Woke = func(now units.Time) {
+		c.dutyMu.Lock()
+		c.duty.Drop()
+		c.dutyMu.Unlock()
+		c.baroMu.Lock()
+		c.baro.Woke(now)
+		c.baroMu.Unlock()
+	}
 	c.Refused = func(now units.Time, l []units.Node) {
 		c.dutyMu.Lock()
 		for _, n := range l {
@@ -212,7 +219,6 @@
 func (c *Barometer) beat(now units.Time) {
 	all := c.Members()
 	unfit := c.disk.unfit(now)
-	c.Flag(mast.Unfit, unfit)
 	low, full := c.tryRoom(now)
 	c.Flag(mast.Full, full)
 	c.Flag(mast.Draining, c.leaving.Load())
@@ -223,6 +229,7 @@
 	c.BullMu.Unlock()
 	c.look(now, fresh)
 	c.baroMu.Lock()
+	unfit = unfit || !c.baro.Reaches(now)
 	if told != nil {
 		c.Deliver(c.baro.Learn(told.Data))
 	}
@@ -240,6 +247,7 @@
 	c.Deliver(out)
 	c.baroMu.Unlock()
 	c.Flag(mast.Voter, voter)
+	c.Flag(mast.Unfit, unfit)
 	c.spread(now, news)
 	c.dutyMu.Lock()
 	d := c.duty.Tick(now, voter && !c.leaving.Load())
--- a/internal/barograph/barograph.go
+++ b/internal/barograph/barograph.go
@@ -39,11 +39,12 @@
 	Fresh   []News
 	Results []Result
 	change  *change
+	reach   reach
 }
 
 // New gives a machine for the disk self; run is a random number of this start.
 func New(self, run units.Node) *Barograph {
-	return &Barograph{self: self, run: run, slots: map[string]*Slot{KeyVoters: {}}, owns: map[string]*own{}, wishes: map[uint64]*wish{}}
+	return &Barograph{self: self, run: run, slots: map[string]*Slot{KeyVoters: {}}, owns: map[string]*own{}, wishes: map[uint64]*wish{}, reach: reach{heard: map[units.Node]units.Time{}}}
 }
 
 // Voters gives the set this node knows.
@@ -73,6 +74,10 @@
 
 // Step takes one note.
 func (b *Barograph) Step(now units.Time, n station.Note) (out station.Out) {
+	if n.Kind == Here || n.Kind == HereToo {
+		b.reachStep(now, n, &out)
+		return out
+	}
 	var h head
 	var cfg, key, body []byte
 	if err := station.Unpack(n.Body, &h, &cfg, &key, &body); err != nil {
@@ -120,6 +125,7 @@
 		b.foundTick(now, &out)
 		return out
 	}
+	b.reachTick(now, &out)
 	for key := range b.slots {
 		if b.owns[key] == nil && b.Owner(key) == b.self {
 			b.own(key)
--- a/internal/barograph/note.go
+++ b/internal/barograph/note.go
@@ -23,6 +23,8 @@
 	Founded
 	Keys
 	KeysAre
+	Here
+	HereToo
 )
 
 type head struct {
--- /dev/null
+++ b/internal/barograph/reach.go
@@ -0,0 +1,61 @@
+package barograph
+
+import (
+	"time"
+
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// Spans of reaching (start values).
+const (
+	reachGap = time.Second
+	reachFor = 2500 * time.Millisecond
+)
+
+// reach is whether this voter hears a majority of the others answer. Membership can't tell: a node that is cut off from
+// the rest of the core alone is still seen by way of others, and would own keys that it can do nothing with (design 2).
+type reach struct {
+	born  units.Time
+	sent  units.Time
+	heard map[units.Node]units.Time
+}
+
+// reachStep takes a call or an answer between voters; they bear nothing.
+func (b *Barograph) reachStep(now units.Time, n station.Note, out *station.Out) {
+	if n.Kind == Here {
+		out.Send(n.From, HereToo, nil)
+		return
+	}
+	b.reach.heard[n.From] = now
+}
+
+func (b *Barograph) reachTick(now units.Time, out *station.Out) {
+	if b.reach.born == 0 {
+		b.reach.born = max(now, 1)
+	}
+	if now.Sub(b.reach.sent) < reachGap || !b.cfg.Has(b.self) {
+		return
+	}
+	b.reach.sent = now
+	for _, n := range b.cfg.IDs {
+		if n != b.self {
+			out.Send(n, Here, nil)
+		}
+	}
+}
+
+// Reaches says whether a majority of the voters, with this one, answered lately. Who has just started is believed.
+func (b *Barograph) Reaches(now units.Time) bool {
+	if !b.cfg.Has(b.self) || now.Sub(b.reach.born) < reachFor {
+		return true
+	}
+	got := map[units.Node]bool{b.self: true}
+	for n, t := range b.reach.heard {
+		got[n] = now.Sub(t) < reachFor
+	}
+	return b.cfg.Most(got)
+}
+
+// Woke forgets who answered before a freeze, and believes again for a while.
+func (b *Barograph) Woke(now units.Time) { b.reach.born, b.reach.sent = max(now, 1), 0 }
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -21,7 +21,7 @@
  "mapping c { when path = \"/a\" to big promise q repeat }"]}`
 
 func TestExamplesAreGood(t *testing.T) {
-	for _, p := range []string{"vatuloa", "council"} {
+	for _, p := range []string{"vatuloa", "council", "vatuloa-worth"} {
 		b, err := os.ReadFile("../../deploy/" + p + "-config.json")
 		if err != nil {
 			t.Fatal(err)
--- a/internal/mast/mast.go
+++ b/internal/mast/mast.go
@@ -2,7 +2,6 @@
 package mast
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -76,6 +75,7 @@
 	Self    units.Node
 	News    uint64
 	all     map[units.Node]*Member
+	order   []units.Node // of all, sorted; made anew when it changes
 	seeds   []string
 	rng     *rand.Rand
 	ring    []units.Node
@@ -124,11 +124,13 @@
 
 // All lists every member that isn't forgotten, in order of id.
 func (m *Mast) All() []Member {
-	var l []Member
-	for _, x := range m.all {
-		l = append(l, *x)
+	if m.order == nil {
+		m.order = station.Keys(m.all)
+	}
+	l := make([]Member, 0, len(m.order))
+	for _, n := range m.order {
+		l = append(l, *m.all[n])
 	}
-	slices.SortFunc(l, func(a, b Member) int { return cmp.Compare(a.Node, b.Node) })
 	return l
 }
 
@@ -152,6 +154,7 @@
 		}
 		if x.State >= Dead && now.Sub(x.since) > forget {
 			delete(m.all, x.Node)
+			m.order = nil
 		}
 	}
 	for s, r := range m.relay {
--- a/internal/mast/step.go
+++ b/internal/mast/step.go
@@ -73,6 +73,7 @@
 		c := *y
 		c.since, c.News, c.Heard = now, 0, 0
 		m.all[y.Node] = &c
+		m.order = nil
 		m.tell(y.Node)
 		return
 	}
--- a/internal/vaned/dark_test.go
+++ b/internal/vaned/dark_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"seamshunt/internal/mast"
 	"seamshunt/internal/weatherglass"
 )
 
@@ -92,3 +94,28 @@
 		t.Errorf("the promise's tally: %v %+v", err, x)
 	}
 }
+
+// A vane that has lost sight of everybody else says so to the platform; one that never knew anybody is no such case.
+func TestAloneIsUnready(t *testing.T) {
+	t.Parallel()
+	a, _ := scripted(t)
+	v := rig(t, a)
+	ready := func() bool {
+		code, _, err := fasthttp.Get(nil, "http://"+v.Boot.Web+"/healthz")
+		return err == nil && code == 200
+	}
+	if !ready() {
+		t.Fatal("a fleet of one is ready")
+	}
+	other := mast.New(mast.Member{Node: 9, Inc: 1, Role: mast.Barometer, Addr: weatherglass.Addr(t), Zone: "z2"}, []string{v.Boot.Addr}, rand.New(rand.NewPCG(1, 1)))
+	v.MastMu.Lock()
+	for _, n := range other.Tick(0).Notes {
+		n.From = 9
+		v.Mast.Step(v.Crew.Now(), n)
+	}
+	v.MastMu.Unlock()
+	if !ready() {
+		t.Error("it sees another")
+	}
+	weatherglass.Until(t, "it is alone", func() bool { return !ready() })
+}
--- a/internal/vaned/status.go
+++ b/internal/vaned/status.go
@@ -46,7 +46,7 @@
 	v.tableMu.Lock()
 	out := v.table.out[v.Boot.Zone]
 	v.tableMu.Unlock()
-	if !v.ready.Load() || v.leaving.Load() || out {
+	if !v.ready.Load() || v.leaving.Load() || out || v.alone() {
 		ctx.SetStatusCode(503)
 		ctx.SetBodyString("not ready\n")
 		return
@@ -54,6 +54,22 @@
 	ctx.SetBodyString("ready\n")
 }
 
+// alone says whether this node has lost sight of everybody else: the platform should hand callers to others, which can
+// still claim what may not repeat. A zone that is cut off as a whole stays ready, since its callers may have no other.
+func (v *Vane) alone() bool {
+	gone := false
+	for _, m := range v.Members() {
+		if m.Node == v.Self || m.State == mast.Left {
+			continue
+		}
+		if m.State <= mast.Suspect {
+			return false
+		}
+		gone = true
+	}
+	return gone
+}
+
 // status tells operators all there is to know of this node.
 func (v *Vane) status(ctx *fasthttp.RequestCtx) {
 	now := v.Crew.Now()
--- a/internal/windtunnel/core.go
+++ b/internal/windtunnel/core.go
@@ -67,7 +67,10 @@
 				c.Duty.Gone(now, n)
 			}
 		},
-			Woke: func(units.Time) { c.Duty.Drop() }}
+			Woke: func(now units.Time) {
+				c.Duty.Drop()
+				c.Baro.Woke(now)
+			}}
 		c.Reload = func() {
 			c.Baro = barograph.New(self, units.Node(s.Rng.Uint64()))
 			if err := c.Baro.Load(h.Disk.Records()); err != nil {
@@ -105,7 +108,7 @@
 }
 
 func (c *Core) tick(now units.Time) station.Out {
-	c.mast.Flag(mast.Unfit, c.H.Disk.Unfit(now))
+	c.mast.Flag(mast.Unfit, c.H.Disk.Unfit(now) || !c.Baro.Reaches(now))
 	c.mast.Flag(mast.Draining, c.Drain)
 	all, out := c.beat(now, c.Self)
 	look := barograph.LookAt(all)
--- a/internal/windtunnel/full_test.go
+++ b/internal/windtunnel/full_test.go
@@ -47,3 +47,34 @@
 		w.Run(w.Now.Add(8 * time.Second))
 	}
 }
+
+// One core machine is cut off from the others alone, so that everybody still sees it by way of the vanes: whichever it
+// is, changes and reads go on at the others.
+func TestCutOffFromTheCoreAlone(t *testing.T) {
+	for _, p := range []Place{Vatuloa, Council} {
+		for i := range p.Cores {
+			w := NewWorld(p, *from)
+			w.Run(units.Time(5 * time.Second))
+			w.change("config", configText(0), nil)
+			w.Run(w.Now.Add(time.Second))
+			lone := w.coreH[i]
+			w.cut(time.Hour, func(a, b *Host) bool { return (a == lone) != (b == lone) && a.Disk != nil && b.Disk != nil })
+			w.Run(w.Now.Add(6 * time.Second))
+			for _, key := range []string{"config", "zone/t1", "zone/v1"} {
+				for j, h := range w.coreH {
+					if j == i {
+						continue
+					}
+					var r, wr barograph.Result
+					w.cores[h].Ask(w.Sim, barograph.Ask{Key: key}, func(x barograph.Result) { r = x })
+					w.Run(w.Now.Add(time.Second))
+					w.cores[h].Ask(w.Sim, barograph.Ask{Key: key, Write: true, Expect: r.Num, Plan: h.Addr + key, Data: []byte(configText(j))}, func(x barograph.Result) { wr = x })
+					w.Run(w.Now.Add(time.Second))
+					if r.Code != synop.OK || wr.Code != synop.OK {
+						t.Errorf("%s without %s: %s read at %s: %d, written: %d", p.Name, lone.Addr, key, h.Addr, r.Code, wr.Code)
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/windtunnel/load.go
+++ b/internal/windtunnel/load.go
@@ -15,6 +15,7 @@
 
 // work is a simulated worker; it counts what really runs.
 type work struct {
+	dark    bool // takes prompts, says nothing, notices nothing
 	id      string
 	zone    string
 	up      bool
@@ -183,6 +184,9 @@
 // begin is a run that really starts; everything is judged here.
 func (w *World) begin(e *Edge, tag uint64, until units.Time, x *work) {
 	dur := 300*time.Millisecond + time.Duration(w.Rng.Int64N(int64(1800*time.Millisecond)))
+	if x.dark {
+		dur = time.Hour
+	}
 	r := &run{edge: e, tag: tag, life: e.H.life, end: min(w.Now.Add(dur), until)}
 	x.runs[r] = true
 	w.Figures.Runs++
--- a/internal/windtunnel/operators.go
+++ b/internal/windtunnel/operators.go
@@ -52,8 +52,9 @@
 }
 
 // Call is one operator's call; its outcome goes into the history.
-func (w *World) Call(a barograph.Ask, done func(*Op)) {
-	c := w.anyCore()
+func (w *World) Call(a barograph.Ask, done func(*Op)) { w.callAt(w.anyCore(), a, done) }
+
+func (w *World) callAt(c *Core, a barograph.Ask, done func(*Op)) {
 	if c == nil {
 		return
 	}
--- a/internal/windtunnel/play.go
+++ b/internal/windtunnel/play.go
@@ -45,12 +45,19 @@
 	if w.full > 0 {
 		w.fault("service never came back after a full loss")
 	}
-	if w.Rng.IntN(3) == 0 {
-		w.Kill(pick(w, w.coreH)) // a closing fault: power lost on one core machine
+	if w.Rng.IntN(2) == 0 {
+		w.close()
 	}
 	var last *Op
-	w.Call(barograph.Ask{Key: "config"}, func(o *Op) { last = o })
-	w.Run(w.Now.Add(6 * time.Second))
+	for _, h := range w.coreH { // as an operator would, by one machine after the other
+		if !w.alive(h) {
+			continue
+		}
+		w.callAt(w.cores[h], barograph.Ask{Key: "config"}, func(o *Op) { last = o })
+		if w.Run(w.Now.Add(6 * time.Second)); last != nil && last.Code == synop.OK {
+			break
+		}
+	}
 	newest := ackedConfig{}
 	for _, a := range w.acked {
 		if a.num > newest.num {
@@ -78,6 +85,37 @@
 	w.kept()
 }
 
+// close ends a day with two faults at once, of which no more than one takes a core machine or a disk.
+func (w *World) close() {
+	core, edge := pick(w, w.coreH), pick(w, w.edgeH)
+	type fault struct {
+		name string
+		do   func()
+	}
+	mild := []fault{
+		{"vane killed", func() { w.Kill(edge) }},
+		{"vane frozen", func() { w.Freeze(edge) }},
+		{"vane cut off", func() { edge.Dark = true }},
+		{"platform gone", func() { w.mood = "gone" }},
+		{"crowd", func() { w.rate *= 3 }},
+		{"every disk full", func() { w.fill(time.Minute) }},
+	}
+	hard := []fault{
+		{"core machine killed", func() { w.Kill(core) }},
+		{"core machine frozen", func() { w.Freeze(core) }},
+		{"core machine cut off", func() { core.Dark = true }},
+		{"disk stalled", func() { core.Disk.Stalled = true }},
+		{"disk slow", func() { core.Disk.Delay = 300 * time.Millisecond }},
+		{"core machine cut off from the core", func() {
+			w.cut(time.Minute, func(a, b *Host) bool { return (a == core) != (b == core) && a.Disk != nil && b.Disk != nil })
+		}},
+	}
+	for _, f := range []fault{pick(w, mild), pick(w, hard)} {
+		w.Plan = append(w.Plan, "at the end "+f.name)
+		f.do()
+	}
+}
+
 // alike: once all is healed, every voter's copy of every key is the same.
 func (w *World) alike() {
 	if !w.whole() {
--- a/internal/windtunnel/trouble.go
+++ b/internal/windtunnel/trouble.go
@@ -93,6 +93,11 @@
 	}},
 	{"worker started again in place", func(w *World, _ time.Duration) { w.reboot() }},
 	{"worker that left joins again", func(w *World, d time.Duration) { w.rejoin(d) }},
+	{"worker goes dark", func(w *World, d time.Duration) {
+		x := w.workers[pick(w, w.listed).ID]
+		x.dark = true // it takes prompts, says nothing, and notices nothing
+		w.After(d, func() { x.dark = false })
+	}},
 	{"release", func(w *World, _ time.Duration) { w.release() }},
 	{"one prefix draws most of the traffic", func(w *World, d time.Duration) {
 		w.hot, w.rate = 0.8, w.rate*2
