--- a/internal/vaned/rig_test.go
+++ b/internal/vaned/rig_test.go
@@ -82,7 +82,7 @@
 }
 
 // rig is one vane alone, its news put in by hand; it keeps all workers itself.
-func rig(t *testing.T, workers ...string) *Vane {
+func rig(t testing.TB, workers ...string) *Vane {
 	t.Helper()
 	b := &boot.Boot{Name: "n1", Zone: "z1", Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), DrainMs: 1000}
 	b.Seeds = []string{b.Addr}
--- a/internal/weatherglass/weatherglass.go
+++ b/internal/weatherglass/weatherglass.go
@@ -9,7 +9,7 @@
 )
 
 // Until looks again and again until f holds.
-func Until(t *testing.T, what string, f func() bool) {
+func Until(t testing.TB, what string, f func() bool) {
 	t.Helper()
 	end := time.After(20 * time.Second)
 	tick := time.NewTicker(5 * time.Millisecond)
@@ -24,7 +24,7 @@
 }
 
 // Addr gives an address that nothing else takes.
-func Addr(t *testing.T) string {
+func Addr(t testing.TB) string {
 	t.Helper()
 	a, err := standin.FreeAddr()
 	if err != nil {
