A vane that gave a part of its claims is asked for all at most once a second

Cause: after a full loss nine vanes asked each other for whole memories every 150 ms until they were whole: by the sizes of ten minutes at 13 keys a second, over 100 MB/s for two seconds. Ruled out: answers without the part (a claim that only two vanes know may be in it).

--- a/internal/barod/status.go
+++ b/internal/barod/status.go
@@ -112,6 +112,7 @@
 	now := c.Crew.Now()
 	ctx.SetContentType("text/plain; version=0.0.4")
 	c.baroMu.Lock()
+	fmt.Fprintf(ctx, "seamshunt_claims_kept %d\n", c.roll.Len())
 	fmt.Fprintf(ctx, "seamshunt_voters %d\nseamshunt_voters_version %d\n", len(c.baro.Voters().IDs), c.baro.Voters().Ver)
 	c.baroMu.Unlock()
 	c.polled.mu.Lock()
--- a/internal/screen/copy.go
+++ b/internal/screen/copy.go
@@ -1,6 +1,8 @@
 package screen
 
 import (
+	"time"
+
 	"seamshunt/internal/station"
 	"seamshunt/internal/units"
 )
@@ -95,8 +97,12 @@
 	}
 	if now.Sub(s.asked) >= again {
 		s.asked = now
+		late := now.Sub(s.askedParts) >= time.Second // who gave a part is asked for all of it more seldom: a memory may be long
+		if late {
+			s.askedParts = now
+		}
 		for _, n := range append(append([]units.Node(nil), peers...), s.core.IDs...) {
-			if !s.heard[n].whole {
+			if h, ok := s.heard[n]; !ok || late && !h.whole {
 				out.Send(n, CopyAsk, station.Pack(head{}))
 			}
 		}
--- a/internal/screen/screen.go
+++ b/internal/screen/screen.go
@@ -75,18 +75,19 @@
 
 // Screen is the step machine: holder of others' claims and claimant of its own callers'.
 type Screen struct {
-	self    units.Node
-	born    units.Time
-	keys    map[string]entry
-	pends   map[uint64]*pending
-	late    map[uint64]*pending // granted by the vanes alone; the disks are told as soon as they can be
-	core    barograph.Voters
-	away    units.Time // till then the disks are not waited for
-	heard   map[units.Node]heard
-	whole   bool
-	asked   units.Time
-	swept   units.Time
-	Results []Result
+	self       units.Node
+	born       units.Time
+	keys       map[string]entry
+	pends      map[uint64]*pending
+	late       map[uint64]*pending // granted by the vanes alone; the disks are told as soon as they can be
+	core       barograph.Voters
+	away       units.Time // till then the disks are not waited for
+	heard      map[units.Node]heard
+	whole      bool
+	asked      units.Time
+	askedParts units.Time
+	swept      units.Time
+	Results    []Result
 }
 
 // New gives a node that remembers nothing and so abstains.
