--- a/internal/barod/duty.go
+++ b/internal/barod/duty.go
@@ -126,6 +126,7 @@
 			continue
 		}
 		if _, err := c.sky.Take(now, it.Key, it.Num, it.Data); err != nil {
+			c.Errors.Add(1)
 			c.Log.WithError(err).Error("a worker list can't be read here")
 		}
 	}
--- a/internal/barod/status.go
+++ b/internal/barod/status.go
@@ -122,5 +122,5 @@
 	if c.disk.unfit(now) {
 		n = 1
 	}
-	fmt.Fprintf(ctx, "seamshunt_disk_unfit %d\nseamshunt_bad_frames_total %d\nseamshunt_dropped_notes_total %d\nseamshunt_audit_missed_total %d\n", n, c.Tel.Bad.Load(), c.Dropped.Load(), c.missed.Load())
+	fmt.Fprintf(ctx, "seamshunt_disk_unfit %d\nseamshunt_bad_frames_total %d\nseamshunt_bad_notes_total %d\nseamshunt_dropped_notes_total %d\nseamshunt_audit_missed_total %d\n", n, c.Tel.Bad.Load(), c.Errors.Load(), c.Dropped.Load(), c.missed.Load())
 }
--- a/internal/vaned/rules.go
+++ b/internal/vaned/rules.go
@@ -89,6 +89,7 @@
 		v.table.pools[pool] = v.table.sky.List(pool)
 		v.tableMu.Unlock()
 		if err != nil {
+			v.Errors.Add(1)
 			v.Log.WithError(err).Error("a worker list can't be read here")
 		}
 	case "voters":
--- a/internal/vaned/status.go
+++ b/internal/vaned/status.go
@@ -168,7 +168,7 @@
 	fmt.Fprintf(ctx, "seamshunt_cross_zone_prompt_bytes_total %d\n", s.cross)
 	fmt.Fprintf(ctx, "seamshunt_wire_bytes_total %d\n", v.Tel.Out.Load())
 	fmt.Fprintf(ctx, "seamshunt_in_flight %d\n", v.flight.Load())
-	fmt.Fprintf(ctx, "seamshunt_bad_frames_total %d\n", v.Tel.Bad.Load())
+	fmt.Fprintf(ctx, "seamshunt_bad_frames_total %d\nseamshunt_bad_notes_total %d\n", v.Tel.Bad.Load(), v.Errors.Load())
 	fmt.Fprintf(ctx, "seamshunt_dropped_notes_total %d\n", v.Dropped.Load())
 	age := 0.0
 	if t := v.static.Load(); t > 0 {
--- a/internal/vaned/steps_test.go
+++ b/internal/vaned/steps_test.go
@@ -6,8 +6,13 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/valyala/fasthttp"
+
 	"seamshunt/internal/bulletin"
 	"seamshunt/internal/forecast"
+	"seamshunt/internal/gauge"
+	"seamshunt/internal/screen"
+	"seamshunt/internal/station"
 	"seamshunt/internal/weatherglass"
 )
 
@@ -124,3 +129,23 @@
 		t.Errorf("number %d in force", n)
 	}
 }
+
+// A worker list that can't be read, and a note of permits or claims that can't, change nothing and are counted.
+func TestBadNotesAreCounted(t *testing.T) {
+	t.Parallel()
+	a, _ := scripted(t)
+	v := rig(t, a)
+	take(t, v, bulletin.Item{Key: "workers/main/ff", Num: 9, Data: []byte(`{"workers":[{"id":""}]}`)})
+	for _, k := range []station.Kind{gauge.Ask, gauge.Report, gauge.Grant, screen.Claim, screen.Copy} {
+		v.Steps[k&^15](v.Crew.Now(), station.Note{From: 77, Kind: k, Body: []byte{1}})
+	}
+	v.gaugeMu.Lock()
+	kept := v.gauge.Kept(v.Crew.Now())
+	v.gaugeMu.Unlock()
+	if len(kept) != 1 || kept[0].Lent != 0 {
+		t.Errorf("kept %+v", kept)
+	}
+	if _, b, err := fasthttp.Get(nil, "http://"+v.Boot.Web+"/metrics"); err != nil || !strings.Contains(string(b), "seamshunt_bad_notes_total 6\n") {
+		t.Errorf("%v %s", err, b)
+	}
+}
--- a/internal/windtunnel/orders_test.go
+++ b/internal/windtunnel/orders_test.go
@@ -190,3 +190,27 @@
 		t.Errorf("%d orders, at most %d in flight", n, most)
 	}
 }
+
+// A core machine that reaches only one vane: what that one hears goes on to the others, who ask for it by number.
+func TestNewsGoesRoundACut(t *testing.T) {
+	b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
+	m := map[units.Node]*bulletin.Bulletin{}
+	for n := units.Node(1); n <= 6; n++ {
+		x := bulletin.New(n)
+		m[n] = x
+		b.step[n] = func(k station.Note) station.Out { return x.Step(b.now, k) }
+	}
+	b.put(1, m[1].Spread(0, bulletin.Item{Key: "workers/main/1", Num: 7, Data: []byte("x")}, []units.Node{2}))
+	for range 3 { // beats
+		b.run(func(int) int { return 0 }, func() {})
+		b.now = b.now.Add(400 * time.Millisecond)
+		for n := units.Node(2); n <= 6; n++ {
+			b.put(n, m[n].Tick(b.now, []units.Node{2, 3, 4, 5, 6}))
+		}
+	}
+	for n, x := range m {
+		if it := x.Items["workers/main/1"]; it == nil || it.Num != 7 {
+			t.Errorf("%d has not heard of it", n)
+		}
+	}
+}
