--- /dev/null
+++ b/internal/ballot/ballot_test.go
@@ -0,0 +1,77 @@
+package ballot
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// Four voters, cut and joined again at random, notes late or lost: the shares of all never add up to more than one,
+// with all together the holder has the whole, and every voter that is cut off from the rest comes to its own part.
+func TestSharesNeverExceedTheWhole(t *testing.T) {
+	ids := []units.Node{1, 2, 3, 4}
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		m := map[units.Node]*Ballot{}
+		for _, n := range ids {
+			m[n] = New(n, "d", func() []units.Node { return ids }, 0, rand.New(rand.NewPCG(seed, uint64(n))))
+		}
+		side := map[units.Node]int{}
+		type late struct {
+			at units.Time
+			n  station.Note
+		}
+		var way []late
+		now := units.Time(0)
+		send := func(from units.Node, o station.Out) {
+			for _, n := range o.Notes {
+				if n.From = from; side[from] == side[n.To] && rng.IntN(50) > 0 {
+					way = append(way, late{now.Add(time.Duration(rng.Int64N(int64(20 * time.Millisecond)))), n})
+				}
+			}
+		}
+		whole, alone := false, false
+		for step := range 3000 {
+			now = now.Add(10 * time.Millisecond)
+			if step%300 == 299 {
+				for _, n := range ids {
+					side[n] = rng.IntN(2) * (step / 300 % 2) // every other span all are together
+				}
+			}
+			left := way[:0:0]
+			due := way
+			way = nil
+			for _, l := range due {
+				if l.at > now {
+					left = append(left, l)
+				} else {
+					send(l.n.To, m[l.n.To].Step(now, l.n))
+				}
+			}
+			way = append(way, left...)
+			sum, holders := 0.0, 0
+			for _, n := range ids {
+				send(n, m[n].Tick(now, true))
+				if rng.IntN(2000) == 0 && m[n].Holds(now) {
+					send(n, m[n].Yield(now))
+				}
+				x := m[n].Share(now)
+				if sum += x; m[n].Holds(now) {
+					holders++
+					whole = whole || x == 1
+				} else {
+					alone = alone || x > 0
+				}
+			}
+			if sum > 1.0001 || holders > 1 {
+				t.Fatalf("seed %d at %v: shares add up to %.2f, %d holders", seed, time.Duration(now), sum, holders)
+			}
+		}
+		if !whole || !alone {
+			t.Errorf("seed %d: a holder had the whole: %v, one without the duty its part: %v", seed, whole, alone)
+		}
+	}
+}
--- /dev/null
+++ b/internal/screen/roll_test.go
@@ -0,0 +1,64 @@
+package screen_test
+
+import (
+	"testing"
+	"time"
+
+	"seamshunt/internal/barograph"
+	"seamshunt/internal/screen"
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// A blank voter grants nothing before it has copied the others; an older set of voters, a full disk and a note
+// that can't be read change nothing.
+func TestRollAbstains(t *testing.T) {
+	v := barograph.Voters{Ver: 2, IDs: []units.Node{1, 2, 3}}
+	old := screen.LoadRoll(2, 0, []station.Record{{Kind: screen.RecWhole, Data: []byte{1}}})
+	claim := func(r *screen.Roll, key string, token, ver uint64) int {
+		s := screen.New(9, 0)
+		s.Core(barograph.Voters{Ver: units.Num(ver), IDs: []units.Node{7}})
+		s.Tick(units.Time(time.Minute), nil, time.Second)
+		out := s.Claim(0, token, key, []units.Node{9})
+		wrote := 0
+		for _, n := range out.Notes {
+			if n.To == 7 {
+				n.From = 9
+				wrote += len(r.Step(0, n, v.Ver).Writes)
+			}
+		}
+		return wrote
+	}
+	if claim(old, "a", 5, 2) != 1 || claim(old, "b", 5, 1) != 0 {
+		t.Error("a whole voter takes claims of its own set of voters, and none of an older")
+	}
+	old.Low = true
+	if claim(old, "c", 5, 2) != 0 {
+		t.Error("a full disk takes no claim")
+	}
+	blank := screen.LoadRoll(3, 0, nil)
+	if claim(blank, "d", 5, 2) != 0 || blank.Whole() {
+		t.Error("a blank voter grants")
+	}
+	if o := blank.Step(0, station.Note{From: 2, Kind: screen.Copy, Body: []byte{1, 2, 3}}, 2); len(o.Errs) != 1 || blank.Len() != 0 {
+		t.Error("a copy that can't be read is not counted as a fault")
+	}
+	for _, from := range []*screen.Roll{old, screen.LoadRoll(1, 0, []station.Record{{Kind: screen.RecWhole, Data: []byte{1}}})} {
+		if blank.Tick(units.Time(time.Second), v); blank.Whole() {
+			t.Fatal("whole with too few copies")
+		}
+		for _, n := range from.Step(0, station.Note{From: 3, Kind: screen.CopyAsk, Body: station.Pack(struct {
+			Token, Ver uint64
+			State      uint8
+		}{Ver: 2})}, 2).After {
+			n.From = units.Node(2)
+			if from != old {
+				n.From = 1
+			}
+			blank.Step(0, n, 2)
+		}
+	}
+	if blank.Tick(units.Time(time.Second), v); !blank.Whole() || blank.Len() != 1 {
+		t.Errorf("after two whole copies: whole %v, %d claims", blank.Whole(), blank.Len())
+	}
+}
