--- a/internal/windtunnel/mishap.go
+++ b/internal/windtunnel/mishap.go
@@ -102,7 +102,7 @@
 			return false
 		}
 	}
-	return w.Loss == 0 && w.mood == "" && len(w.shut) == 0 && !w.Cut(w.coreH[0], w.coreH[1]) && !w.Cut(w.coreH[0], w.edgeH[0]) && !w.Cut(w.coreH[1], w.coreH[0])
+	return w.Loss == 0 && w.mood == "" && len(w.shut) == 0 && len(w.cuts) == 0
 }
 
 // roll restarts every process of the product, one by one.
