--- a/internal/windtunnel/judge.go
+++ b/internal/windtunnel/judge.go
@@ -54,6 +54,7 @@
 	Leaves              []time.Duration // last run begun on each marked worker, after its mark
 	Evacs               []time.Duration // last run begun in each evacuated zone, after the acknowledgement
 	InForce             []time.Duration // from an acknowledgement till each serving vane that had a path had it
+	Gaps                []time.Duration // how long a listed worker had no keeper that lent
 	Backs               []time.Duration // from the start after a full loss till the first run
 }
 
@@ -62,5 +63,28 @@
 	f.Claims, f.Weak, f.NoClaims = f.Claims+o.Claims, f.Weak+o.Weak, f.NoClaims+o.NoClaims
 	f.MostAtOnce = max(f.MostAtOnce, o.MostAtOnce)
 	f.Leaves, f.Evacs = slices.Concat(f.Leaves, o.Leaves), slices.Concat(f.Evacs, o.Evacs)
+	f.Gaps = slices.Concat(f.Gaps, o.Gaps)
 	f.InForce, f.Backs = slices.Concat(f.InForce, o.InForce), slices.Concat(f.Backs, o.Backs)
 }
+
+// watchKeepers measures the keepers' gaps: from the last look at which a worker had one that lent to the next.
+func (w *World) watchKeepers() {
+	open := map[string]bool{}
+	for _, h := range w.edgeH {
+		if !w.alive(h) {
+			continue
+		}
+		for _, k := range w.edges[h].gauge.Kept(w.Now) {
+			open[k.Worker] = open[k.Worker] || k.Open
+		}
+	}
+	for _, l := range w.listed {
+		name := "advice/" + l.ID
+		if last, ok := w.keptAt[name]; open[name] && ok && w.Now.Sub(last) > 100*time.Millisecond {
+			w.Figures.Gaps = append(w.Figures.Gaps, w.Now.Sub(last))
+		}
+		if open[name] {
+			w.keptAt[name] = w.Now
+		}
+	}
+}
--- a/internal/windtunnel/play_test.go
+++ b/internal/windtunnel/play_test.go
@@ -35,8 +35,8 @@
 		var f Figures
 		var mu sync.Mutex
 		t.Cleanup(func() {
-			t.Logf("%s, %d seeds: %d runs, at most %d at once; median / 99th / most: last run after leaving %s, after evacuation %s, configuration in force %s, back after a full loss %s; of %d claims %d without the disks, %d refused",
-				p.Name, *seeds, f.Runs, f.MostAtOnce, Spread(f.Leaves), Spread(f.Evacs), Spread(f.InForce), Spread(f.Backs), f.Claims, f.Weak, f.NoClaims)
+			t.Logf("%s, %d seeds: %d runs, at most %d at once; median / 99th / most: last run after leaving %s, after evacuation %s, configuration in force %s, back after a full loss %s, without a keeper %s; of %d claims %d without the disks, %d refused",
+				p.Name, *seeds, f.Runs, f.MostAtOnce, Spread(f.Leaves), Spread(f.Evacs), Spread(f.InForce), Spread(f.Backs), Spread(f.Gaps), f.Claims, f.Weak, f.NoClaims)
 		})
 		for s := *from; s < *from+uint64(*seeds); s++ {
 			t.Run(fmt.Sprint(p.Name, s), func(t *testing.T) {
--- a/internal/windtunnel/world.go
+++ b/internal/windtunnel/world.go
@@ -56,6 +56,7 @@
 	down    []window // spans without a majority of healthy disks
 	evac    map[string]units.Time
 	rate    float64
+	keptAt  map[string]units.Time    // when each worker last had a keeper that lent
 	lateZ   map[string]time.Duration // by evacuated zone, the last run begun after the acknowledgement
 	hot     float64                  // share of the prompts that have one and the same prefix
 	full    units.Time               // when all was started again after a full loss, until service is back
@@ -78,7 +79,7 @@
 // NewWorld builds a deployment; nothing has found anything yet.
 func NewWorld(p Place, seed uint64) *World {
 	w := &World{Sim: New(seed), Place: p, cores: map[*Host]*Core{}, edges: map[*Host]*Edge{}, workers: map[string]*work{},
-		born: map[string]units.Time{}, evac: map[string]units.Time{}, lateZ: map[string]time.Duration{}, rate: 40, nums: map[*Edge]units.Num{}, shut: map[*Host]bool{}, markAt: map[*Host]units.Time{}, cutAt: map[*Host]units.Time{}, ran: map[string]int{}, never: map[string]bool{}, weak: map[string]units.Time{}}
+		born: map[string]units.Time{}, evac: map[string]units.Time{}, lateZ: map[string]time.Duration{}, keptAt: map[string]units.Time{}, rate: 40, nums: map[*Edge]units.Num{}, shut: map[*Host]bool{}, markAt: map[*Host]units.Time{}, cutAt: map[*Host]units.Time{}, ran: map[string]int{}, never: map[string]bool{}, weak: map[string]units.Time{}}
 	for i := range p.Cores {
 		w.seeds = append(w.seeds, fmt.Sprintf("core%d", i+1))
 	}
@@ -167,4 +168,5 @@
 	}
 	w.watchPaths()
 	w.watchConfig()
+	w.watchKeepers()
 }
