Workers whose answers break are passed over, for longer each time

Cause: with eight of eighteen workers answering wrongly 40% of all answers broke, again and again at the same workers: a broken stream was noted and not held against its worker.

When all are passed over they are used all the same. Ruled out: never again after one broken answer (a worker that was restarted must come back).

--- a/internal/vaned/desk.go
+++ b/internal/vaned/desk.go
@@ -13,16 +13,24 @@
 func (v *Vane) cands(now units.Time, s *forecast.Service, text []byte) ([]string, map[string]units.Node) {
 	q := windvane.Query{Prefix: windvane.Fingerprint(text, s.Prefix), Zone: v.Boot.Zone, Spread: s.Spread}
 	keepers := map[string]units.Node{}
+	var over []windvane.Spot // passed over, but better than none
 	v.tableMu.Lock()
 	for _, x := range v.table.pools[s.Pool] {
 		name := s.Name + "/" + x.ID
-		if x.Leaving || v.table.out[x.Zone] || now < v.table.down[name].until {
+		if x.Leaving || v.table.out[x.Zone] {
 			continue
 		}
-		q.Spots = append(q.Spots, windvane.Spot{Name: name, Zone: x.Zone})
 		keepers[name] = gauge.Keeper(v.table.peers, name, x.Zone)
+		if spot := (windvane.Spot{Name: name, Zone: x.Zone}); now < v.table.down[name].until {
+			over = append(over, spot)
+		} else {
+			q.Spots = append(q.Spots, spot)
+		}
 	}
 	v.tableMu.Unlock()
+	if len(q.Spots) == 0 {
+		q.Spots = over
+	}
 	v.deskMu.Lock()
 	for i := range q.Spots {
 		if l, ok := v.desk.Loads[q.Spots[i].Name]; ok && now.Sub(l.At) < 2*time.Second {
--- a/internal/vaned/stream.go
+++ b/internal/vaned/stream.go
@@ -108,6 +108,7 @@
 			var late net.Error
 			s.unsure = errors.As(e.Err, &late) && late.Timeout() // silence: nobody knows whether it still runs
 			v.stats.count(synop.BrokenStream)
+			v.passOver(s.worker)
 			v.Log.WithError(e.Err).WithField("worker", s.worker).Warn("a stream broke")
 			return nil, errBroken
 		case <-tick.C:
@@ -140,6 +141,7 @@
 	})
 	if s.whole && len(s.rest) == 0 {
 		s.w.v.stats.count(synop.OK)
+		s.w.v.well(s.worker)
 	}
 	if s.whole || s.unsure {
 		s.w.v.done(s.tag, s.unsure)
--- a/internal/vaned/way.go
+++ b/internal/vaned/way.go
@@ -152,7 +152,6 @@
 	switch e.Kind {
 	case anemometer.Piece, anemometer.Sealed:
 		v.habitOf(s.Name).Add(v.Crew.Now().Sub(now))
-		v.well(name)
 		w.stream(tag, t, e, name)
 		return true
 	case anemometer.NotSent:
