--- a/internal/windtunnel/load.go
+++ b/internal/windtunnel/load.go
@@ -95,7 +95,9 @@
 			w.Figures.NoClaims++
 		}
 		if c == synop.OK && !kept {
-			w.weak[key] = w.Now
+			if _, ok := w.weak[key]; !ok { // the first copy's claim is the one that may be forgotten
+				w.weak[key] = w.Now
+			}
 			w.Figures.Weak++
 		}
 		switch {
