--- a/internal/windtunnel/full_test.go
+++ b/internal/windtunnel/full_test.go
@@ -1,10 +1,13 @@
 package windtunnel
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"seamshunt/internal/barograph"
+	"seamshunt/internal/forecast"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -78,3 +81,30 @@
 		}
 	}
 }
+
+// A storm of configurations of a thousand mappings each, with a core machine killed in it: each that is acknowledged is
+// in force in time on every vane, none slides back, and the last is read back.
+func TestStormOfLargeConfigurations(t *testing.T) {
+	w := NewWorld(Council, *from)
+	large := func(n int) string {
+		var b strings.Builder
+		for i := range 1000 {
+			fmt.Fprintf(&b, `\nmapping m%d { when path = \"/x/%d\" to advice promise p20 repeat }`, i, i)
+		}
+		return strings.Replace(configText(n), `promise p20 repeat }"`, `promise p20 repeat }`+b.String()+`"`, 1)
+	}
+	if c, faults := forecast.Read([]byte(large(1))); len(faults) > 0 || len(c.Mappings) != 1003 {
+		t.Fatal(faults)
+	}
+	w.At(units.Time(3*time.Second), func() { w.change("config", configText(0), nil) })
+	w.At(units.Time(8*time.Second), w.Load)
+	for i := range 30 {
+		w.At(units.Time(10*time.Second)+units.Time(i)*units.Time(100*time.Millisecond), func() { w.change("config", large(i), nil) })
+	}
+	w.At(units.Time(11*time.Second), func() { w.bounce(w.coreH[1], 2*time.Second, true) })
+	w.Run(units.Time(25 * time.Second))
+	w.end()
+	if len(w.acked) < 10 || len(w.Faults) > 0 {
+		t.Errorf("%d acknowledged, %v", len(w.acked), w.Faults[:min(3, len(w.Faults))])
+	}
+}
