Claims count majorities by the voters' own rule; one way to join a worker

From a last reading of the change, behaviour as it was. screen wrote barograph's Voters.Most again, and ended a claim that stands without the disks in two places; fleet's release repeated what the join event does; two comments named the wrong span and the wrong order of a release.

--- a/internal/fleet/cut.go
+++ b/internal/fleet/cut.go
@@ -193,8 +193,8 @@
 	return f.Start(name)
 }
 
-// release replaces all workers one by one in their places: marked, left alone for four seconds, started anew under
-// another name.
+// release replaces all workers, one a second: a new one joins under another name, and the old one is marked, and
+// dropped from the list once no stream can be left on it.
 func (f *Fleet) release() error {
 	var l []string
 	f.mu.Lock()
@@ -220,14 +220,7 @@
 	if err != nil {
 		return err
 	}
-	as, err := ports(1)
-	if err != nil {
-		return err
-	}
-	f.mu.Lock()
-	f.addWorker(name+"b", p.zone, as[0], 0)
-	f.mu.Unlock()
-	if err := f.Start(name + "b"); err != nil {
+	if err := f.join(name+"b", p.zone); err != nil {
 		return err
 	}
 	f.Event("leave", name)
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -102,18 +102,23 @@
 	case "killall", "startall", "killzone", "startzone":
 		return f.all(e.Verb, e.On)
 	case "join":
-		as, err := ports(1)
-		if err != nil {
-			return err
-		}
-		f.mu.Lock()
-		f.addWorker(e.On, e.Arg, as[0], 0)
-		f.mu.Unlock()
-		return f.Start(e.On)
+		return f.join(e.On, e.Arg)
 	}
 	return nil
 }
 
+// join starts one more worker, cold.
+func (f *Fleet) join(name, zone string) error {
+	as, err := ports(1)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.addWorker(name, zone, as[0], 0)
+	f.mu.Unlock()
+	return f.Start(name)
+}
+
 // storm has two operators race each other with so many configurations, alike but for their last bytes.
 func (f *Fleet) storm(count string) error {
 	n, err := strconv.Atoi(count)
--- a/internal/mast/note.go
+++ b/internal/mast/note.go
@@ -59,7 +59,7 @@
 // tell has a change ride on so many notes that all hear of it, as a rule; the digests find the exceptions.
 func (m *Mast) tell(n units.Node) { m.fresh[n] = 3 * bits.Len(uint(len(m.all))) }
 
-// differs says whether the whole table is due, since the neighbour's digest is another: at most once in wholeAt.
+// differs says whether the whole table is due, since the neighbour's digest is another: at most once in wholeGap.
 func (m *Mast) differs(now units.Time, sum uint64) bool {
 	if sum == m.sum() || now.Sub(m.wholeAt) < wholeGap {
 		return false
--- a/internal/screen/claimant.go
+++ b/internal/screen/claimant.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"seamshunt/internal/barograph"
 	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
@@ -30,17 +31,6 @@
 	}
 }
 
-// most counts grants: a majority of those asked.
-func most(l []units.Node, got map[units.Node]bool) bool {
-	k := 0
-	for _, n := range l {
-		if got[n] {
-			k++
-		}
-	}
-	return k > len(l)/2
-}
-
 // Burn makes a key useless for ever: the holder of its claim says that it did not run. Only a node whose claim
 // was granted may burn; to others the key's prompt may be running elsewhere.
 func (s *Screen) Burn(key string, holders []units.Node) (out station.Out) {
@@ -62,18 +52,20 @@
 	if p.held == 0 {
 		return
 	}
+	kept := p.core.Most(p.got)
+	waits := now >= s.away && len(p.core.IDs) > 0
 	switch {
-	case most(p.core.IDs, p.got):
+	case kept:
 		s.away = 0
-		s.end(token, synop.OK, true)
-	case now < s.away || len(p.core.IDs) == 0:
-		s.late[token] = p
-		s.end(token, synop.OK, false)
-	case now.Sub(p.held) >= coreWait:
+	case waits && now.Sub(p.held) < coreWait:
+		return
+	case waits:
 		s.away = now.Add(awayFor)
+	}
+	if !kept {
 		s.late[token] = p
-		s.end(token, synop.OK, false)
 	}
+	s.end(token, synop.OK, kept)
 }
 
 // tell lets the disks know of claims that were granted without them.
@@ -81,7 +73,7 @@
 	for _, token := range station.Keys(s.late) {
 		p := s.late[token]
 		switch {
-		case now.Sub(p.since) > Keep || most(p.core.IDs, p.got):
+		case now.Sub(p.since) > Keep || p.core.Most(p.got):
 			delete(s.late, token)
 		case now.Sub(p.sent) >= time.Second:
 			if p.core.Ver != s.core.Ver {
@@ -97,7 +89,7 @@
 		if h.State == granted {
 			p.got[from] = true
 		}
-		if most(p.core.IDs, p.got) {
+		if p.core.Most(p.got) {
 			s.away = 0
 		}
 		return
@@ -113,7 +105,7 @@
 		s.end(h.Token, synop.Burned, false)
 	case granted:
 		p.got[from] = true
-		if p.held == 0 && most(p.holders, p.got) {
+		if p.held == 0 && (barograph.Voters{IDs: p.holders}).Most(p.got) {
 			p.held = max(now, 1)
 		}
 		s.settled(now, h.Token, p)
