--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/valyala/fastjson"
 
@@ -27,6 +28,34 @@
 	PollMs   int      // barometer: least gap between two questions to the platform
 	DrainMs  int      // how long streams may last after a warning
 	Reserve  int      // barometer: bytes kept free on the disk for a rewrite
+	Ready    string   // vane: an address of its own for the question whether it is ready; on Web if empty
+	First    bool     // the system's very first start, with empty disks
+	Counts   bool     // barometer: its disk counts among those that vote
+	Grow     bool     // barometer: founded by the seeds, voters grow to every disk that counts
+	Zones    []string // all zones there are; empty when nobody said
+	Memory   int      // MB that the process may use; 0 when nobody said
+	Files    int      // descriptors that it may use; 0 when nobody said
+	Bounds   Bounds
+}
+
+// Bounds are what an operator's world allows, in its own time.
+type Bounds struct {
+	RetryRatio  float64 // further tries against first ones, over RetryWindow and all nodes
+	RetryWindow time.Duration
+	RetrySlack  int
+	WarmExcess  float64 // a cold worker's rate may be exceeded by this factor
+	WarmSlack   int     // and by so many requests, in any one second
+	Apply       time.Duration
+	Grace       time.Duration // from the warning to the kill
+	Contact     time.Duration
+	CatchUp     time.Duration // a lost disk counts as lost for so long after its return
+	Drain       time.Duration // a leaving worker gets nothing new after it
+}
+
+// Usual are the bounds when nobody said others.
+func Usual() Bounds {
+	return Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, WarmExcess: 1, Apply: 2 * time.Second, Grace: 20 * time.Second,
+		Contact: 3 * time.Second, CatchUp: 5 * time.Second, Drain: 3 * time.Second}
 }
 
 // Faults lists everything wrong with a boot file.
@@ -99,7 +128,7 @@
 		}
 		return n
 	}
-	c := &Boot{Name: text("name", true), Zone: text("zone", true), Addr: text("addr", true), Web: text("web", true), Seeds: list("seeds")}
+	c := &Boot{Bounds: Usual(), Name: text("name", true), Zone: text("zone", true), Addr: text("addr", true), Web: text("web", true), Seeds: list("seeds")}
 	addr := func(at, s string) {
 		if h, _, err := net.SplitHostPort(s); s != "" && (err != nil || net.ParseIP(h) == nil) {
 			bad(at, "an IP number with a port is wanted, not "+s)
--- /dev/null
+++ b/internal/codebook/codebook.go
@@ -0,0 +1,67 @@
+// Package codebook is what an adapter gives the product: the names, formats and calls of one outside world
+// (design 11). It holds no decision; whoever reads a book decides.
+package codebook
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"seamshunt/internal/boot"
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/synop"
+)
+
+// Names are the headers of requests and answers.
+type Names struct {
+	Try     string // the id of one try of a client; it goes to the worker and comes back
+	Left    string // how many milliseconds the client still waits
+	Expect  string // to the worker: its id; any other worker turns the request away
+	Worker  string // from the worker: its id
+	NotRun  string // from the worker: the request did not run and never will
+	Urgency string // to the worker: from 0, the most urgent, to 9
+	After   string // the id of the last whole event that the client has
+	Load    string // from the worker: running, waiting, slots
+	Counts  string // tokens of the prompt, and the most that are put out
+	Parts   string // the prompt's parts in order
+	Model   string
+}
+
+// Part is one part of a prompt, with its tokens.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Prompt is what the headers tell of a prompt's size.
+type Prompt struct {
+	Model string
+	In    int
+	Out   int
+	Parts []Part
+}
+
+// Control is what the control plane does for operators. Version is the configuration's own.
+type Control struct {
+	Read   func() (data []byte, version uint64, code synop.Code)
+	Put    func(builds uint64, data []byte) (synop.Code, []*synop.Fault)
+	Change func(builds uint64, change []byte) (synop.Code, []*synop.Fault)
+	Zone   func(zone string, out bool) synop.Code
+}
+
+// Book is one outside world.
+type Book struct {
+	Names Names
+	// Ready is the path of the question whether a node is ready.
+	Ready string
+	// Prompt reads what a request's headers tell of its prompt; false when they tell nothing.
+	Prompt func(h *fasthttp.RequestHeader) (Prompt, bool)
+	// Config takes an operator's bytes to a compiled configuration, or to all its faults.
+	Config func(data []byte) (*forecast.Config, []*synop.Fault)
+	// Change applies changes by item to a configuration's bytes and gives the whole.
+	Change func(old, change []byte) ([]byte, []*synop.Fault)
+	// Workers asks for all workers of all services; get asks the platform for one path, once.
+	Workers func(get func(path string) (status int, body []byte, err error)) ([]forecast.Worker, error)
+	// Control serves operators' calls.
+	Control func(c Control) fasthttp.RequestHandler
+	// Boot reads the settings file again; nil when there is none to read.
+	Boot func() (*boot.Boot, error)
+}
--- a/internal/forecast/config.go
+++ b/internal/forecast/config.go
@@ -30,6 +30,26 @@
 	RetryAfter time.Duration // least time a refused caller is told to stay away
 	Jitter     time.Duration // spread on top of it
 	First      time.Duration // expected time to first words before any was measured
+	Memory     int           // tokens that one worker's memory holds; 0 when it is no engine (design 12)
+	Share      float64       // of that memory may be lent out: the knee's other side
+	Reads      float64       // prompt tokens that one worker reads in a millisecond
+	WarmRate   float64       // requests a second that a cold worker bears; 0 when any
+	Conns      int           // connections that one worker accepts from all nodes together; 0 when any
+	Strict     bool          // a new keeper waits out what silent nodes may hold
+}
+
+// Target is one service that a mapping may lead to, with its share of the requests.
+type Target struct {
+	Service string
+	Share   int
+}
+
+// Limits bound what a client may send, and how long it may take. Zero is the product's own bound.
+type Limits struct {
+	Head     int
+	Body     int
+	HeadTime time.Duration
+	Idle     time.Duration
 }
 
 // Promise is what an operator promises for one kind of request.
@@ -49,6 +69,13 @@
 	Step    string   // the service of a step down, if any
 	Once    bool
 	Match   []vernier.Match
+	Split   []Target      // when more than one: who gets which share of the requests
+	Tries   int           // workers that one request may be sent to; 0 is the product's own bound
+	Rank    int           // 0 is the highest
+	Stream  bool          // a series of events
+	Resume  bool          // a broken stream may go on at another worker behind the last whole event
+	Pause   time.Duration // the longest pause between events of an answer in time
+	Single  bool          // each request's id belongs to one try alone: nothing is claimed before it is handed over
 	line    int
 	col     int
 }
@@ -59,6 +86,8 @@
 	Promises map[string]*Promise
 	Mappings []*Mapping
 	Program  *vernier.Program
+	Version  uint64 // the document's own, if it bears one
+	Limits   Limits
 }
 
 // faults are collected and looked at once.
--- a/internal/forecast/workers.go
+++ b/internal/forecast/workers.go
@@ -15,6 +15,9 @@
 	Zone    string
 	Leaving bool
 	Age     time.Duration // how long it ran when listed; short ones are still warming
+	Service string        // the service that it serves, where one list holds several
+	Slots   int           // requests that it works on at once, if the list says so
+	Cold    time.Duration // how much longer it stays cold, as listed
 	Life    uint64        // grows whenever it is seen to have started again; none of the platform's
 }
 
