--- a/internal/forecast/compile.go
+++ b/internal/forecast/compile.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sort"
 	"strings"
+	"time"
 
 	"seamshunt/internal/synop"
 	"seamshunt/internal/vernier"
@@ -26,10 +27,14 @@
 		routes[sig] = m.Name
 		w := vernier.Way{Match: m.Match}
 		w.Do = append(w.Do, vernier.Instr{Op: vernier.OpLimit, Arg: int(m.Promise.Longest.Milliseconds()), Mapping: i})
-		if m.Once {
+		if m.Once && !m.Single {
 			w.Do = append(w.Do, vernier.Instr{Op: vernier.OpClaim, Mapping: i})
 		}
-		w.Do = append(w.Do, vernier.Instr{Op: vernier.OpTry, Text: m.To[0], Mapping: i})
+		if len(m.Split) > 1 {
+			w.Do = append(w.Do, vernier.Instr{Op: vernier.OpShare, Mapping: i})
+		} else {
+			w.Do = append(w.Do, vernier.Instr{Op: vernier.OpTry, Text: m.To[0], Mapping: i})
+		}
 		if m.Step != "" {
 			w.Do = append(w.Do, vernier.Instr{Op: vernier.OpTry, Text: m.Step, Mapping: i})
 		}
@@ -39,6 +44,54 @@
 	c.Program = vernier.Build(ways)
 }
 
+// Compile builds the program of a configuration that an adapter put together, and names what stands twice or leads
+// nowhere.
+func (c *Config) Compile() []*synop.Fault {
+	var f faults
+	for _, m := range c.Mappings {
+		for _, t := range m.To {
+			if c.Services[t] == nil {
+				f.add(synop.NoService, "mapping "+m.Name, "unknown service "+t)
+			}
+		}
+		if len(m.To) == 0 || m.Promise == nil {
+			f.add(synop.BadRule, "mapping "+m.Name, "it leads to no service, or has no promise")
+		}
+	}
+	if len(f.list) == 0 {
+		c.compile(&f)
+	}
+	return f.list
+}
+
+// Defaults fills what a service leaves open with the product's own values.
+func Defaults(s *Service) {
+	set(&s.Warm, 0)
+	set(&s.RetryAfter, 250*time.Millisecond)
+	set(&s.Jitter, 500*time.Millisecond)
+	set(&s.First, 40*time.Millisecond)
+	set(&s.WaitAim, 100*time.Millisecond)
+	set(&s.Spread, 1)
+	set(&s.Prefix, 1024)
+	set(&s.Allow, "knee")
+	set(&s.Place, "prefix")
+	if s.Memory > 0 {
+		set(&s.Share, 0.85)
+		set(&s.Reads, 100)
+	}
+	if s.Cap > 0 {
+		set(&s.Waitlist, 2*s.Cap)
+		set(&s.Floor, max(1, s.Cap/2))
+	}
+}
+
+func set[T comparable](x *T, def T) {
+	var zero T
+	if *x == zero {
+		*x = def
+	}
+}
+
 func signature(ms []vernier.Match) string {
 	var l []string
 	for _, m := range ms {
--- a/internal/vernier/vernier.go
+++ b/internal/vernier/vernier.go
@@ -11,8 +11,10 @@
 	OpPath Op = 1 + iota
 	OpUnder
 	OpHeader
+	OpHost
 	OpLimit
 	OpClaim
+	OpShare
 	OpTry
 	OpRefuse
 )
@@ -38,17 +40,25 @@
 	Do    []Instr
 }
 
-// Program is all ways, with an index over exact paths.
+// Program is all ways, with an index over exact paths and one over hosts and prefixes.
 type Program struct {
 	ways  []Way
-	exact map[string][]int // path to ways, in order
-	loose []int            // ways without an exact path
+	exact map[string][]int          // path to ways, in order
+	loose []int                     // ways without an exact path
+	hosts map[string]map[string]int // host, then a prefix that ends with a slash, to the way: the longest one wins
 }
 
 // Build indexes the ways.
 func Build(ways []Way) *Program {
-	p := &Program{ways: ways, exact: map[string][]int{}}
+	p := &Program{ways: ways, exact: map[string][]int{}, hosts: map[string]map[string]int{}}
 	for i, w := range ways {
+		if host, under, ok := w.place(); ok {
+			if p.hosts[host] == nil {
+				p.hosts[host] = map[string]int{}
+			}
+			p.hosts[host][under] = i
+			continue
+		}
 		at := ""
 		for _, m := range w.Match {
 			if m.Op == OpPath {
@@ -64,14 +74,45 @@
 	return p
 }
 
+// place says whether a way is one of a host and a prefix and nothing else.
+func (w *Way) place() (host, under string, ok bool) {
+	if len(w.Match) != 2 {
+		return "", "", false
+	}
+	for _, m := range w.Match {
+		switch m.Op {
+		case OpHost:
+			host = m.Text
+		case OpUnder:
+			under = strings.TrimSuffix(m.Text, "/") + "/"
+		}
+	}
+	return host, under, host != "" && under != ""
+}
+
+// longest finds the way of a host whose prefix begins the path and is longest.
+func (p *Program) longest(host, path string) (int, bool) {
+	by := p.hosts[host]
+	for i := len(path); by != nil && i > 0; i = strings.LastIndexByte(path[:i-1], '/') + 1 {
+		if w, ok := by[path[:i]]; ok && path[i-1] == '/' {
+			return w, true
+		}
+	}
+	return 0, false
+}
+
 // Ask is what the rules can look at.
 type Ask struct {
+	Host   string
 	Path   string
 	Header func(string) string
 }
 
 // Find gives the first way, in the configuration's order, whose conditions all hold.
 func (p *Program) Find(a Ask) ([]Instr, bool) {
+	if i, ok := p.longest(a.Host, a.Path); ok {
+		return p.ways[i].Do, true
+	}
 	best := -1
 	for _, i := range p.exact[a.Path] {
 		if p.ways[i].holds(a) {
@@ -100,6 +141,8 @@
 		switch m.Op {
 		case OpPath:
 			ok = a.Path == m.Text
+		case OpHost:
+			ok = a.Host == m.Text
 		case OpUnder:
 			ok = a.Path == m.Text || strings.HasPrefix(a.Path, strings.TrimSuffix(m.Text, "/")+"/")
 		case OpHeader:
@@ -116,6 +159,7 @@
 type Hands struct {
 	Limit  func(ms int) bool
 	Claim  func() bool
+	Share  func() bool // draws the service among those that share the mapping, and tries it
 	Try    func(service string) bool
 	Refuse func()
 }
@@ -129,6 +173,8 @@
 			end = h.Limit(in.Arg)
 		case OpClaim:
 			end = h.Claim()
+		case OpShare:
+			end = h.Share()
 		case OpTry:
 			end = h.Try(in.Text)
 		case OpRefuse:
