--- /dev/null
+++ b/internal/anemometer/exchange.go
@@ -0,0 +1,244 @@
+package anemometer
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"seamshunt/internal/codebook"
+)
+
+// What ends an exchange before its answer.
+var (
+	ErrGone   = errors.New("anemometer: the caller is gone")
+	ErrSilent = errors.New("anemometer: no answer began in time")
+)
+
+const (
+	bufSize     = 4096
+	headMost    = 1 << 16
+	surplusMost = 3
+	interimMost = 8
+	smallMost   = 4096 // of a refusal's body
+	drainFor    = 50 * time.Millisecond
+)
+
+// Order is one request to one worker.
+type Order struct {
+	Worker, Addr string
+	ID           string            // the value of Names.Try
+	Req          *fasthttp.Request // complete; only its length is set here, and the path is that of its header
+	Due          time.Time         // the latest end
+	Fresh        bool              // not over a connection idle for longer than FreshFor: it may not be sent twice
+	Most         int               // connections that this node may have open to this worker; 0 for any
+	Gone         func() bool       // looked at every 50 ms until the head has come; true breaks off
+	Quiet        time.Duration     // how long a head may take once the request is written; 0 for any
+}
+
+// Exchange is one request and its answer. Kind is Piece when a head came and Read gives the body; else NotSent,
+// NotRun, Moved or Unknown. A refusal's body, if small, is in Resp.
+type Exchange struct {
+	Kind   Kind
+	Err    error
+	Down   bool // nobody listens there
+	Reused bool
+	Resp   *fasthttp.Response // the head; valid until End
+
+	p      *Pool
+	o      Order
+	c      *conn
+	r      *bufio.Reader
+	body   body
+	length int
+	keep   bool // the worker allows that the connection is used again
+	mu     sync.Mutex
+	cut    bool
+	done   bool
+}
+
+// Do sends one request and awaits the head of its answer. End must follow.
+func (p *Pool) Do(o *Order) *Exchange {
+	x := &Exchange{p: p, o: *o, Resp: fasthttp.AcquireResponse()}
+	defer func() { x.o.Req, x.o.Gone = nil, nil }()
+	for again := false; ; again = true {
+		var err error
+		if x.c, x.Reused, err = p.take(o, again); err != nil {
+			x.Down = errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+			return x.fail(NotSent, err)
+		}
+		x.c.begin(o)
+		if err = x.send(); err == nil {
+			break
+		}
+		sent := x.c.sent > 0
+		if retry := !sent && x.Reused && !again && x.c.check(time.Now()) == nil; !retry {
+			if sent {
+				return x.fail(Unknown, err)
+			}
+			return x.fail(NotSent, err)
+		}
+		x.shut()
+	}
+	x.c.hush()
+	x.r = readers.Get().(*bufio.Reader)
+	x.r.Reset(x.c)
+	if err := x.await(p.n); err != nil {
+		if x.c.err != nil {
+			err = x.c.err // what fasthttp makes of it says less
+		}
+		return x.fail(Unknown, err)
+	}
+	x.c.watch(false)
+	if x.Kind != Piece {
+		x.drain()
+	}
+	return x
+}
+
+// fail ends an exchange without an answer.
+func (x *Exchange) fail(k Kind, err error) *Exchange {
+	x.Kind, x.Err = k, err
+	x.shut()
+	return x
+}
+
+// shut closes the connection, if there is one, and gives the buffer back.
+func (x *Exchange) shut() {
+	if x.r != nil && x.r.Size() == bufSize {
+		x.r.Reset(nil)
+		readers.Put(x.r)
+	}
+	x.r = nil
+	if x.c != nil {
+		x.p.drop(x.c)
+		x.c = nil
+	}
+}
+
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufSize) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufSize) }}
+)
+
+// send writes header and body by themselves: Request.Write would make path and host anew from a parsed URI.
+func (x *Exchange) send() error {
+	h, b := &x.o.Req.Header, x.o.Req.Body()
+	h.SetNoDefaultContentType(true)
+	if len(b) > 0 || !h.IsGet() && !h.IsHead() || h.ContentLength() > 0 || len(h.Peek(fasthttp.HeaderTransferEncoding)) > 0 {
+		h.SetContentLength(len(b))
+	}
+	w := writers.Get().(*bufio.Writer)
+	w.Reset(x.c)
+	err := h.Write(w)
+	if err == nil {
+		_, err = w.Write(b)
+	}
+	if err == nil {
+		err = w.Flush()
+	}
+	w.Reset(nil)
+	writers.Put(w)
+	return err
+}
+
+// await reads heads until one is this request's.
+func (x *Exchange) await(n codebook.Names) error {
+	surplus, interim := 0, 0
+	for {
+		if err := x.head(); err != nil {
+			return err
+		}
+		h := &x.Resp.Header
+		s := h.StatusCode()
+		if s < 200 {
+			if interim++; interim > interimMost || s == fasthttp.StatusSwitchingProtocols {
+				return fmt.Errorf("anemometer: an interim answer %d too many", s)
+			}
+			continue
+		}
+		ids := h.PeekAll(n.Try)
+		if len(ids) > 1 {
+			return fmt.Errorf("anemometer: an answer of %d ids", len(ids))
+		}
+		x.body = body{left: h.ContentLength()}
+		if s == fasthttp.StatusNoContent || s == fasthttp.StatusNotModified {
+			x.body.left = 0
+		}
+		if len(ids) == 1 && string(ids[0]) != x.o.ID {
+			if surplus++; surplus > surplusMost {
+				return fmt.Errorf("anemometer: %d surplus answers, the last for %q", surplus, ids[0])
+			}
+			if _, err := io.Copy(io.Discard, x.rest()); err != nil {
+				return err
+			}
+			if h.ConnectionClose() {
+				return fmt.Errorf("anemometer: closed behind an answer for %q", ids[0])
+			}
+			continue
+		}
+		return x.judge(n, s, len(ids) == 1)
+	}
+}
+
+// judge says what an answer means that is no other request's. A success without the id is never passed on.
+func (x *Exchange) judge(n codebook.Names, s int, named bool) error {
+	h := &x.Resp.Header
+	head := x.o.Req.Header.IsHead()
+	if head {
+		x.body.left = 0
+	}
+	x.length = x.body.left
+	x.keep = !h.ConnectionClose() && !head // a surplus answer to HEAD could not be measured
+	switch {
+	case s == fasthttp.StatusMisdirectedRequest:
+		x.Kind, x.keep = Moved, false
+		x.Err = errors.New("anemometer: another worker is there now")
+	case (s == 400 || s == 429 || s == 503) && len(h.Peek(n.NotRun)) > 0:
+		x.Kind = NotRun
+		x.Err = fmt.Errorf("anemometer: worker refused with %d", s)
+	case !named:
+		return fmt.Errorf("anemometer: an answer %d without an id", s)
+	case x.body.left < -1:
+		return fmt.Errorf("anemometer: an answer %d whose end can't be known", s)
+	}
+	return nil
+}
+
+// head reads one head; what can't become one is known at its first bytes.
+func (x *Exchange) head() error {
+	const mark = "HTTP/1."
+	for i := range len(mark) {
+		b, err := x.r.Peek(i + 1)
+		if err != nil {
+			return err
+		}
+		if b[i] != mark[i] {
+			return fmt.Errorf("anemometer: bytes that are no answer: %q", b)
+		}
+	}
+	var small *fasthttp.ErrSmallBuffer
+	err := x.Resp.Header.Read(x.r)
+	if errors.As(err, &small) {
+		x.r = bufio.NewReaderSize(x.r, headMost)
+		err = x.Resp.Header.Read(x.r)
+	}
+	return err
+}
+
+// drain takes a refusal's body, so that the connection can be used again; it waits for little.
+func (x *Exchange) drain() {
+	if x.length < -1 || x.length > smallMost {
+		return
+	}
+	_ = x.c.SetReadDeadline(earlier(x.c.due, time.Now().Add(drainFor)))
+	b, err := io.ReadAll(io.LimitReader(x.rest(), smallMost+1))
+	if err == nil && x.body.ended() {
+		x.Resp.SetBody(b)
+	}
+}
--- /dev/null
+++ b/internal/anemometer/pool.go
@@ -0,0 +1,237 @@
+package anemometer
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"seamshunt/internal/codebook"
+	"seamshunt/internal/shield"
+)
+
+// FreshFor is how long a connection may have been idle for what may not be sent twice.
+const FreshFor = 300 * time.Millisecond
+
+const (
+	dialMost  = 500 * time.Millisecond
+	ackMost   = 3 * time.Second // what was sent is acknowledged within it, or the machine is dark
+	idleFor   = 4 * time.Second // without a Keep-Alive in the answer
+	idleLeast = 500 * time.Millisecond
+)
+
+// ErrNoConn says that this node has as many connections to the worker as it may.
+var ErrNoConn = errors.New("anemometer: no connection to this worker is free")
+
+// Pool holds idle connections to workers, each belonging to one worker id: another worker may come to listen at the
+// same address (design 8 and 11). Idle ones hold no buffers.
+type Pool struct {
+	n     codebook.Names
+	dials atomic.Uint64
+	mu    sync.Mutex
+	hosts map[string]*host
+}
+
+// host is one worker: idle connections, the newest last, and how many are open in all.
+type host struct {
+	addr string
+	open int
+	era  int // a connection of an older one is closed when it comes back
+	idle []*conn
+}
+
+// NewPool makes an empty one.
+func NewPool(n codebook.Names) *Pool { return &Pool{n: n, hosts: map[string]*host{}} }
+
+// Idle gives how many connections to a worker wait for use.
+func (p *Pool) Idle(worker string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[worker]; h != nil {
+		return len(h.idle)
+	}
+	return 0
+}
+
+// Dials gives the connections made so far.
+func (p *Pool) Dials() uint64 { return p.dials.Load() }
+
+// Drop closes the idle connections of a worker that is gone; those in use close after their answer.
+func (p *Pool) Drop(worker string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[worker]; h != nil {
+		h.empty()
+		p.tidy(worker, h)
+	}
+}
+
+// Sweep closes the idle connections that are past their time.
+func (p *Pool) Sweep() {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for worker, h := range p.hosts {
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if now.Before(c.until) {
+				kept = append(kept, c)
+			} else {
+				h.close(c)
+			}
+		}
+		clear(h.idle[len(kept):])
+		h.idle = kept
+		p.tidy(worker, h)
+	}
+}
+
+func (p *Pool) tidy(worker string, h *host) {
+	if h.open == 0 {
+		delete(p.hosts, worker)
+	}
+}
+
+func (h *host) close(c *conn) {
+	c.Close()
+	h.open--
+}
+
+func (h *host) empty() {
+	for _, c := range h.idle {
+		h.close(c)
+	}
+	h.idle = nil
+	h.era++
+}
+
+// pop takes the newest idle connection, if it may be used. Callers hold the lock.
+func (h *host) pop(o *Order, now time.Time) *conn {
+	for len(h.idle) > 0 {
+		i := len(h.idle) - 1
+		c := h.idle[i]
+		if o.Fresh && now.Sub(c.at) > FreshFor {
+			return nil
+		}
+		h.idle[i], h.idle = nil, h.idle[:i]
+		if now.Before(c.until) && c.last != o.ID { // a surplus answer would bear the same id
+			return c
+		}
+		h.close(c)
+	}
+	return nil
+}
+
+// take gives a connection to the order's worker: an idle one that is well or, with fresh, a new one.
+func (p *Pool) take(o *Order, fresh bool) (c *conn, reused bool, err error) {
+	now := time.Now()
+	for {
+		p.mu.Lock()
+		h := p.hosts[o.Worker]
+		if h == nil {
+			h = &host{addr: o.Addr}
+			p.hosts[o.Worker] = h
+		}
+		if h.addr != o.Addr {
+			h.empty()
+			h.addr = o.Addr
+		}
+		if !fresh {
+			if c = h.pop(o, now); c != nil {
+				p.mu.Unlock()
+				if !stirred(c.Conn) {
+					return c, true, nil
+				}
+				p.drop(c)
+				continue
+			}
+		}
+		if o.Most > 0 && h.open >= o.Most {
+			if len(h.idle) == 0 {
+				p.mu.Unlock()
+				return nil, false, ErrNoConn
+			}
+			h.close(h.idle[0])
+			h.idle = append(h.idle[:0], h.idle[1:]...)
+		}
+		h.open++
+		era := h.era
+		p.mu.Unlock()
+		if c, err = p.dial(o); err != nil {
+			p.mu.Lock()
+			h.open--
+			p.tidy(o.Worker, h)
+			p.mu.Unlock()
+			return nil, false, err
+		}
+		c.host, c.worker, c.era = h, o.Worker, era
+		return c, false, nil
+	}
+}
+
+// dial makes a connection. Go sets TCP_NODELAY itself.
+func (p *Pool) dial(o *Order) (*conn, error) {
+	left := time.Until(o.Due)
+	if left <= 0 {
+		return nil, fmt.Errorf("anemometer: no time left to dial %s", o.Addr)
+	}
+	nc, err := shield.Dial(o.Addr, min(dialMost, left))
+	if err != nil {
+		return nil, err
+	}
+	p.dials.Add(1)
+	if s, ok := nc.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) {
+				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackMost/time.Millisecond))
+			})
+		}
+	}
+	return &conn{Conn: nc, at: time.Now()}, nil
+}
+
+const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of Linux, which package syscall lacks
+
+// put takes a connection back that may be used again until a time.
+func (p *Pool) put(c *conn, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := c.host; c.era == h.era && time.Now().Before(until) {
+		c.until = until
+		h.idle = append(h.idle, c)
+		return
+	}
+	c.host.close(c)
+	p.tidy(c.worker, c.host)
+}
+
+// drop closes a connection that is not to be used again.
+func (p *Pool) drop(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.host.close(c)
+	p.tidy(c.worker, c.host)
+}
+
+// stirred looks, without waiting or taking anything, whether an idle connection was closed by the other side or holds
+// bytes that nobody asked for.
+func stirred(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) { // Read would look at a deadline that is long past
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+	})
+	return !quiet || err != nil
+}
--- a/internal/anemometer/try.go
+++ b/internal/anemometer/try.go
@@ -29,6 +29,7 @@
 	NotRun       // the worker sealed a refusal: it did not run and never will
 	Unknown      // it may have run
 	Broken       // pieces came, and then the answer broke
+	Moved        // another worker is there now: it did not run (design 11)
 )
 
 // Event is one thing that happened to a try.
