Founding from seeds, voters that grow, operators' calls and worker lists by a book

Cause: a process may be told neither how many others there are nor where, only three seeds, so founding by a count can't be used, and an adapter needs the control state's operations. Seeds that count found the first set; a disk of the first start bears the seeds, so that a kill before the founding does no harm. Voters grow to every disk that counts; one whose address has another identity is replaced at once. Ruled out: proposers that take turns where no seed counts (two views without a common disk would found two sets); an age in place of how long a worker stays cold.

--- a/cmd/barometer/main.go
+++ b/cmd/barometer/main.go
@@ -10,7 +10,7 @@
 func main() {
 	root := console.Root("barometer", "the control plane: state on disk, operators, the platform, news")
 	root.AddCommand(
-		console.Run("barometer", func(b *boot.Boot) (console.Daemon, error) { return barod.New(b) },
+		console.Run("barometer", func(b *boot.Boot) (console.Daemon, error) { return barod.New(b, nil) },
 			func(d console.Daemon) { d.(*barod.Barometer).Book.Dump() }),
 		console.Check("barometer"))
 	root.AddCommand(calls()...)
--- a/internal/barod/ask.go
+++ b/internal/barod/ask.go
@@ -62,6 +62,11 @@
 // change makes an operator's change, and has it in the audit record before it is acknowledged. A record that fails
 // is counted and never turns a change that stands into one that does not.
 func (c *Barometer) change(ctx *fasthttp.RequestCtx, a barograph.Ask) {
+	c.result(ctx, c.record(a))
+}
+
+// record is the same for whoever answers otherwise.
+func (c *Barometer) record(a barograph.Ask) barograph.Result {
 	a.Write = true
 	r := c.Ask(a)
 	if r.Code == synop.OK {
@@ -72,5 +77,5 @@
 			c.Log.WithError(err).Error("an acknowledged change is not in the audit record")
 		}
 	}
-	c.result(ctx, r)
+	return r
 }
--- a/internal/barod/baro.go
+++ b/internal/barod/baro.go
@@ -15,6 +15,7 @@
 	"seamshunt/internal/barograph"
 	"seamshunt/internal/boot"
 	"seamshunt/internal/bulletin"
+	"seamshunt/internal/codebook"
 	"seamshunt/internal/heliograph"
 	"seamshunt/internal/isobar"
 	"seamshunt/internal/mast"
@@ -45,18 +46,25 @@
 	skyMu   sync.Mutex // last in the lock order but for the disk queue
 	sky     *nephoscope.Nephoscope
 	doctor  barograph.Doctor
+	seeds   barograph.Seeds // where voters are founded from seeds and grow
+	grower  barograph.Grower
+	born    []string // the seeds that the disk bears
 	audit   *heliograph.Log
 	missed  atomic.Uint64  // acknowledged changes that the audit record lacks
 	iso     *isobar.Isobar // under baroMu
+	code    *codebook.Book // the outside world's names and formats; nil for the product's own
+	door    fasthttp.RequestHandler
+	taken   versions
+	kept    kept // the wire to the platform
 }
 
-// New opens the disk, and with it learns who it is.
-func New(b *boot.Boot) (*Barometer, error) {
+// New opens the disk, and with it learns who it is. The book, if any, is the outside world that it speaks with.
+func New(b *boot.Boot, book *codebook.Book) (*Barometer, error) {
 	a, self, blank, err := openDisk(b)
 	if err != nil {
 		return nil, err
 	}
-	c := &Barometer{Tower: tower.New(b, self, mast.Barometer), waits: map[uint64]chan barograph.Result{}, doctor: barograph.Doctor{Founders: b.Founders}, sky: nephoscope.New()}
+	c := &Barometer{Tower: tower.New(b, self, mast.Barometer), waits: map[uint64]chan barograph.Result{}, doctor: barograph.Doctor{Founders: b.Founders}, sky: nephoscope.New(), code: book}
 	if c.audit, err = heliograph.Open(b.Data, b.Name); err != nil {
 		return nil, err
 	}
@@ -66,6 +74,12 @@
 	if err := c.baro.Load(a.Live()); err != nil {
 		return nil, fmt.Errorf("barometer: %w", err)
 	}
+	c.seeds, c.born = founding(b, a.Live()), born(a.Live())
+	c.Flag(mast.Counts, b.Counts || !b.Grow)
+	c.Flag(mast.First, b.Grow && c.seeds.First)
+	if book != nil && book.Control != nil {
+		c.door = book.Control(c.Control())
+	}
 	c.roll = screen.LoadRoll(self, c.Crew.Now(), a.Live())
 	if blank {
 		c.Log.Warn("a blank disk: this node has no vote yet")
@@ -205,10 +219,7 @@
 		c.Deliver(c.baro.Learn(told.Data))
 	}
 	c.baro.View(look.Fit)
-	c.baro.Blank(c.Boot.Founders, look)
-	if ids := c.doctor.Next(now, c.baro.Voters(), look); ids != nil {
-		c.baro.Want(now, ids)
-	}
+	c.voting(now, look)
 	out := c.baro.Tick(now)
 	c.roll.Low = low
 	out.Join(c.roll.Tick(now, c.baro.Voters()))
--- /dev/null
+++ b/internal/barod/control.go
@@ -0,0 +1,203 @@
+package barod
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"seamshunt/internal/barograph"
+	"seamshunt/internal/codebook"
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// Control is what an adapter's door does (design 13).
+func (c *Barometer) Control() codebook.Control {
+	return codebook.Control{Read: c.newest, Put: c.put, Change: c.alter, Zone: c.evacuate}
+}
+
+// compile reads a configuration in the format of the outside world.
+func (c *Barometer) compile(data []byte) (*forecast.Config, []*synop.Fault) {
+	if c.code != nil {
+		return c.code.Config(data)
+	}
+	return forecast.Read(data)
+}
+
+// versions remembers what the newest number that was looked at holds, so that it is compiled once.
+type versions struct {
+	mu   sync.Mutex
+	num  units.Num
+	ver  uint64
+	warm map[string]time.Duration // by service
+}
+
+// versionOf gives a stored configuration's own version, and how long each service's workers stay cold.
+func (c *Barometer) versionOf(num units.Num, data []byte) (uint64, map[string]time.Duration) {
+	if num == 0 {
+		return 0, nil
+	}
+	t := &c.taken
+	t.mu.Lock()
+	ver, warm, known := t.ver, t.warm, t.num == num
+	t.mu.Unlock()
+	if known {
+		return ver, warm
+	}
+	x, _ := c.compile(data)
+	if x == nil {
+		return 0, nil
+	}
+	return t.note(num, x)
+}
+
+func (t *versions) note(num units.Num, x *forecast.Config) (uint64, map[string]time.Duration) {
+	warm := make(map[string]time.Duration, len(x.Services))
+	for n, s := range x.Services {
+		warm[n] = s.Warm
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if num > t.num {
+		t.num, t.ver, t.warm = num, x.Version, warm
+	}
+	return x.Version, warm
+}
+
+// heard is the configuration that this node last had news of: it was chosen, but a newer one may stand.
+func (c *Barometer) heard() (units.Num, []byte) {
+	c.BullMu.Lock()
+	defer c.BullMu.Unlock()
+	if it := c.Bull.Items[keyConfig]; it != nil {
+		return it.Num, it.Data
+	}
+	return 0, nil
+}
+
+// newest is the configuration in force, confirmed with a majority.
+func (c *Barometer) newest() ([]byte, uint64, synop.Code) {
+	r := c.Ask(barograph.Ask{Key: keyConfig})
+	if r.Code != synop.OK {
+		return nil, 0, r.Code
+	}
+	if r.Num == 0 {
+		return nil, 0, synop.NotFound
+	}
+	ver, _ := c.versionOf(r.Num, r.Data)
+	return r.Data, ver, synop.OK
+}
+
+// base finds the configuration that a change builds on. What this node has heard will do when it is that one or newer:
+// versions only rise, and the owner checks the number when it writes. Else the newest is asked for.
+func (c *Barometer) base(builds uint64) (num units.Num, data []byte, ver uint64, code synop.Code) {
+	num, data = c.heard()
+	ver, _ = c.versionOf(num, data)
+	if builds == 0 || num > 0 && ver >= builds {
+		return num, data, ver, synop.OK
+	}
+	r := c.Ask(barograph.Ask{Key: keyConfig})
+	if r.Code != synop.OK {
+		return 0, nil, 0, r.Code
+	}
+	ver, _ = c.versionOf(r.Num, r.Data)
+	return r.Num, r.Data, ver, synop.OK
+}
+
+// put takes a whole configuration.
+func (c *Barometer) put(builds uint64, data []byte) (synop.Code, []*synop.Fault) {
+	next, fs := c.compile(data)
+	if len(fs) > 0 {
+		return fs[0].Code, fs
+	}
+	return c.write(planID("put", builds, data), builds, func([]byte) ([]byte, *forecast.Config, []*synop.Fault) { return data, next, nil })
+}
+
+// alter takes a change by item; what is stored is the whole.
+func (c *Barometer) alter(builds uint64, change []byte) (synop.Code, []*synop.Fault) {
+	return c.write(planID("change", builds, change), builds, func(old []byte) ([]byte, *forecast.Config, []*synop.Fault) {
+		data, fs := c.code.Change(old, change)
+		if len(fs) > 0 {
+			return nil, nil, fs
+		}
+		next, fs := c.compile(data)
+		return data, next, fs
+	})
+}
+
+// planID names a change by what it says, so that it is known when it comes again, to whichever node.
+func planID(kind string, builds uint64, data []byte) string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%s %d %s", kind, builds, data))
+	return hex.EncodeToString(sum[:16])
+}
+
+// never is a number that no register reaches: a write that builds on it only finds out whether its plan was taken.
+const never = barograph.Any - 1
+
+// write makes a change under the version that it builds on. One that lost its race, or is refused, never comes into force:
+// it is written under the number whose version was looked at, or not at all.
+func (c *Barometer) write(plan string, builds uint64, whole func(old []byte) ([]byte, *forecast.Config, []*synop.Fault)) (synop.Code, []*synop.Fault) {
+	num, old, ver, code := c.base(builds)
+	if code != synop.OK {
+		return code, nil
+	}
+	if ver != builds {
+		r := c.Ask(barograph.Ask{Key: keyConfig, Write: true, Expect: never, Plan: plan})
+		return r.Code, nil
+	}
+	data, next, fs := whole(old)
+	if len(fs) > 0 {
+		return fs[0].Code, fs
+	}
+	if next.Version <= ver {
+		if num > 0 && bytes.Equal(data, old) {
+			return synop.OK, nil
+		}
+		return synop.BadConfig, []*synop.Fault{{Code: synop.BadConfig, Text: fmt.Sprintf("version %d is not above %d, which is in force", next.Version, ver)}}
+	}
+	r := c.record(barograph.Ask{Key: keyConfig, Expect: num, Plan: plan, Data: data})
+	if r.Code == synop.OK && r.Num == num+1 {
+		c.taken.note(r.Num, next)
+	}
+	return r.Code, nil
+}
+
+// evacuate sets a zone's state whatever it was. Each try builds on a number all the same, so that one which is late on
+// its way undoes nothing that came after it.
+func (c *Barometer) evacuate(zone string, out bool) synop.Code {
+	if !c.knows(zone) {
+		return synop.BadZone
+	}
+	key := "zone/" + zone
+	c.BullMu.Lock()
+	var num units.Num
+	if it := c.Bull.Items[key]; it != nil {
+		num = it.Num
+	}
+	c.BullMu.Unlock()
+	for range 8 {
+		r := c.record(barograph.Ask{Key: key, Expect: num, Data: fmt.Appendf(nil, `{"evacuated":%v}`, out)})
+		if r.Code != synop.Conflict {
+			return r.Code
+		}
+		num = r.Num
+	}
+	return synop.Unsure
+}
+
+// knows says whether there is such a zone, as the boot file names them or, where it names none, as members are in.
+func (c *Barometer) knows(zone string) bool {
+	if len(c.Boot.Zones) > 0 {
+		return slices.Contains(c.Boot.Zones, zone)
+	}
+	for _, m := range c.Members() {
+		if m.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/barod/disk.go
+++ b/internal/barod/disk.go
@@ -129,7 +129,7 @@
 	}
 	d.mu.Unlock()
 	if try && full {
-		c.later(station.Out{Writes: []station.Record{self(c.Self)}})
+		c.later(station.Out{Writes: []station.Record{self(c.Self, c.born)}})
 	} else if try {
 		c.later(station.Out{})
 	}
--- a/internal/barod/disk_test.go
+++ b/internal/barod/disk_test.go
@@ -25,7 +25,7 @@
 	t.Helper()
 	b := &boot.Boot{Name: "c", Zone: "z", Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), Data: dir, Founders: 1, Platform: weatherglass.Addr(t), Pools: []string{"main"}, PollMs: 500, Reserve: 64 << 10}
 	b.Seeds = []string{b.Addr}
-	c, err := New(b)
+	c, err := New(b, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/barod/duty.go
+++ b/internal/barod/duty.go
@@ -9,11 +9,9 @@
 	"seamshunt/internal/almanac"
 	"seamshunt/internal/barograph"
 	"seamshunt/internal/bulletin"
-	"seamshunt/internal/forecast"
 	"seamshunt/internal/nephoscope"
 	"seamshunt/internal/screen"
 	"seamshunt/internal/station"
-	"seamshunt/internal/telegraph"
 	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
 )
@@ -42,11 +40,12 @@
 	last string
 }
 
-// poller asks the platform for one pool's workers, at this node's share of the fleet's rate (design 5).
+// poller asks the platform for one pool's workers, at this node's share of the fleet's rate (design 5). It wakes when
+// the next question can be due, and once a gap at the least, since its share may have changed.
 func (c *Barometer) poller(pool string) {
 	gap := time.Duration(c.Boot.PollMs) * time.Millisecond
 	turn := nephoscope.Turn{}
-	t := time.NewTicker(gap / 10)
+	t := time.NewTimer(gap)
 	defer t.Stop()
 	for {
 		select {
@@ -61,6 +60,7 @@
 		if !c.leaving.Load() && turn.Due(now, share, gap) {
 			c.ask(pool)
 		}
+		t.Reset(turn.Next(c.Crew.Now(), share, gap))
 	}
 }
 
@@ -68,33 +68,22 @@
 	now := c.Crew.Now()
 	c.skyMu.Lock()
 	a := c.sky.Ask(now, pool, c.Self, time.Now().UnixMilli())
+	known := len(c.sky.List(pool))
 	c.skyMu.Unlock()
-	code, b, _, err := telegraph.HTTP("GET", c.Boot.Platform, "/v1/pools/"+pool+"/workers", nil, nil, time.Second)
-	why := ""
-	var l []forecast.Worker
-	switch {
-	case err != nil:
-		why = err.Error()
-		c.yield()
-	case code != 200:
-		why = fmt.Sprintf("status %d", code)
-	default:
-		if l, err = forecast.ReadWorkers(b); err != nil {
-			why = err.Error()
-		} else if len(l) == 0 {
-			why = "an empty list is not believed"
-		}
+	l, err := c.list(pool)
+	if err == nil && len(l) == 0 && known > 0 {
+		err = fmt.Errorf("an empty list is not believed")
 	}
 	c.polled.mu.Lock()
-	c.polled.at, c.polled.last = c.Crew.Now(), why
-	if why == "" {
+	if c.polled.at, c.polled.last = c.Crew.Now(), ""; err == nil {
 		c.polled.ok++
 	} else {
 		c.polled.bad++
+		c.polled.last = err.Error()
 	}
 	c.polled.mu.Unlock()
-	if why != "" {
-		c.Log.WithField("why", why).Warn("the platform gave no list")
+	if err != nil {
+		c.Log.WithError(err).Warn("the platform gave no list")
 		return
 	}
 	c.skyMu.Lock()
--- a/internal/barod/open.go
+++ b/internal/barod/open.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"seamshunt/internal/almanac"
+	"seamshunt/internal/barograph"
 	"seamshunt/internal/boot"
 	"seamshunt/internal/station"
 	"seamshunt/internal/tower"
@@ -13,7 +14,8 @@
 // openDisk reads the almanac; a blank or damaged one begins a new identity, which has no vote (design 2, 3).
 func openDisk(b *boot.Boot) (*almanac.Almanac, units.Node, bool, error) {
 	a, err := almanac.Open(b.Data, int64(b.Reserve))
-	if errors.Is(err, almanac.ErrDamaged) {
+	damaged := errors.Is(err, almanac.ErrDamaged)
+	if damaged {
 		if err = almanac.SetAside(b.Data); err == nil {
 			a, err = almanac.Open(b.Data, int64(b.Reserve))
 		}
@@ -22,17 +24,54 @@
 		return nil, 0, false, err
 	}
 	for _, r := range a.Live() {
-		var h struct{ ID uint64 }
-		if r.Kind == recSelf && station.Unpack(r.Data, &h) == nil {
+		var h idHead
+		if r.Kind == recSelf && (station.Unpack(r.Data, &h, new([]byte)) == nil || station.Unpack(r.Data, &h) == nil) {
 			return a, units.Node(h.ID), false, nil
 		}
 	}
 	id := tower.Random()
-	err = a.Append([]station.Record{self(id)})
+	var seeds []string
+	if b.Grow && b.First && b.Counts && !damaged {
+		seeds = b.Seeds
+	}
+	err = a.Append([]station.Record{self(id, seeds)})
 	return a, id, true, err
 }
 
-// self is the record of a disk's identity.
-func self(id units.Node) station.Record {
-	return station.Record{Kind: recSelf, Data: station.Pack(struct{ ID uint64 }{uint64(id)})}
+type idHead struct{ ID uint64 }
+
+// self is the record of a disk's identity. One that was blank at the system's very first start bears the seeds of that
+// start, so that a process which is killed before the founding still takes part in it (design 13).
+func self(id units.Node, seeds []string) station.Record {
+	l := make([][]byte, len(seeds))
+	for i, s := range seeds {
+		l[i] = []byte(s)
+	}
+	return station.Record{Kind: recSelf, Data: station.Pack(idHead{uint64(id)}, station.PackList(l))}
+}
+
+// born gives the seeds of the very first start, if this disk was there.
+func born(rs []station.Record) (seeds []string) {
+	for _, r := range rs {
+		var h idHead
+		var list []byte
+		if r.Kind != recSelf || station.Unpack(r.Data, &h, &list) != nil {
+			continue
+		}
+		l, _ := station.UnpackList(list)
+		for _, s := range l {
+			seeds = append(seeds, string(s))
+		}
+	}
+	return seeds
+}
+
+// founding says how this node takes part in a founding from seeds. Without a disk that counts only this very process
+// can be of the first start.
+func founding(b *boot.Boot, rs []station.Record) barograph.Seeds {
+	s := barograph.Seeds{Addr: b.Addr, Addrs: born(rs), First: len(born(rs)) > 0}
+	if !b.Counts {
+		s.Addrs, s.First = b.Seeds, b.First
+	}
+	return s
 }
--- a/internal/barod/plan.go
+++ b/internal/barod/plan.go
@@ -40,7 +40,7 @@
 		p.key = "zone/" + zone
 	} else {
 		var fs []*synop.Fault
-		if next, fs = forecast.Read(body); len(fs) > 0 {
+		if next, fs = c.compile(body); len(fs) > 0 {
 			c.fail(ctx, fs...)
 			return
 		}
@@ -55,7 +55,7 @@
 	if next != nil {
 		var old *forecast.Config
 		if r.Num > 0 {
-			old, _ = forecast.Read(r.Data)
+			old, _ = c.compile(r.Data)
 		}
 		d = forecast.Compare(old, next, c.known)
 		m, _, _ := c.seen()
@@ -160,7 +160,7 @@
 	if it == nil {
 		return nil
 	}
-	x, _ := forecast.Read(it.Data)
+	x, _ := c.compile(it.Data)
 	return x
 }
 
--- a/internal/barod/status.go
+++ b/internal/barod/status.go
@@ -92,6 +92,8 @@
 	switch {
 	case v.Has(c.Self):
 		return "voter"
+	case c.Boot.Grow:
+		return c.grows(v, look)
 	case v.Ver > 0 || look.Fleet:
 		return "learner: it joins once a voter has been gone for 5 s, or one is missing"
 	case len(look.Blanks) > c.Boot.Founders:
@@ -100,6 +102,27 @@
 	return fmt.Sprintf("founding: %d of %d blank disks seen; a blank one at any address will do", len(look.Blanks), c.Boot.Founders)
 }
 
+// grows is the same where voters are founded from seeds (design 13).
+func (c *Barometer) grows(v barograph.Voters, look barograph.Look) string {
+	switch {
+	case !c.Boot.Counts:
+		return "its disk does not count: it never votes"
+	case v.Ver > 0 || look.Fleet:
+		return "learner: it joins the voters"
+	case !c.seeds.First:
+		return "blank, and not of the first start: it waits to hear of the fleet"
+	}
+	seen := 0
+	for _, a := range c.seeds.Addrs {
+		for _, m := range look.Cores {
+			if m.Addr == a {
+				seen++
+			}
+		}
+	}
+	return fmt.Sprintf("founding: %d of %d seeds seen", seen, len(c.seeds.Addrs))
+}
+
 func jsonBool(a *fastjson.Arena, b bool) *fastjson.Value {
 	if b {
 		return a.NewTrue()
--- a/internal/barod/web.go
+++ b/internal/barod/web.go
@@ -10,7 +10,6 @@
 	"github.com/valyala/fastjson"
 
 	"seamshunt/internal/barograph"
-	"seamshunt/internal/forecast"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -42,6 +41,8 @@
 		c.read(ctx, "zone/"+zone)
 	case isZone && m == "PUT":
 		c.zone(ctx, zone)
+	case c.door != nil && !strings.HasPrefix(path, "/v1/"):
+		c.door(ctx)
 	default:
 		c.fail(ctx, &synop.Fault{Code: synop.NotFound, Text: m + " " + path + " means nothing here"})
 	}
@@ -126,7 +127,7 @@
 		return
 	}
 	body := append([]byte(nil), ctx.PostBody()...)
-	if _, fs := forecast.Read(body); len(fs) > 0 {
+	if _, fs := c.compile(body); len(fs) > 0 {
 		c.fail(ctx, fs...)
 		return
 	}
@@ -148,11 +149,7 @@
 }
 
 func (c *Barometer) checkZone(zone string, body []byte) *synop.Fault {
-	known := false
-	for _, m := range c.Members() {
-		known = known || m.Zone == zone
-	}
-	if !known {
+	if !c.knows(zone) {
 		return &synop.Fault{Code: synop.BadZone, Text: "no member is in zone " + zone}
 	}
 	v, err := fastjson.ParseBytes(body)
--- a/internal/barograph/change.go
+++ b/internal/barograph/change.go
@@ -27,15 +27,22 @@
 
 // Want asks the owner of the voters' key for a next set that differs by one disk. Only the owner minds.
 func (b *Barograph) Want(now units.Time, ids []units.Node) {
-	if b.cfg.Ver == 0 || b.Owner(KeyVoters) != b.self || b.change != nil {
+	if diff(b.cfg.IDs, ids) == 1 {
+		b.WantSet(now, Voters{Size: b.cfg.Size, IDs: ids})
+	}
+}
+
+// WantSet asks for a next set that differs by one disk, or by the size that it is to have.
+func (b *Barograph) WantSet(now units.Time, v Voters) {
+	if b.cfg.Ver == 0 || b.Owner(KeyVoters) != b.self || b.change != nil || len(v.IDs) == 0 {
 		return
 	}
-	if diff(b.cfg.IDs, ids) != 1 || len(ids) == 0 {
+	if k := diff(b.cfg.IDs, v.IDs); k > 1 || k == 0 && v.Size == b.cfg.Size {
 		return
 	}
-	l := slices.Clone(ids)
+	l := slices.Clone(v.IDs)
 	slices.Sort(l)
-	b.change = &change{want: Voters{Ver: b.cfg.Ver + 1, IDs: l}, since: now, seen: map[units.Node]bool{},
+	b.change = &change{want: Voters{Ver: b.cfg.Ver + 1, Size: v.Size, IDs: l}, since: now, seen: map[units.Node]bool{},
 		keys: map[string]uint64{}, done: map[uint64]bool{}, asked: now.Add(-time.Second)}
 }
 
--- a/internal/barograph/found.go
+++ b/internal/barograph/found.go
@@ -11,8 +11,8 @@
 
 // founding is the one time that blank disks write the first set of voters (design 2).
 type founding struct {
-	want int
 	set  Voters
+	lead bool // it is this node that asks for the votes
 	got  map[units.Node]bool
 	sent units.Time
 }
@@ -27,7 +27,6 @@
 		b.found = &founding{}
 	}
 	f := b.found
-	f.want = want
 	ids := slices.Clone(l.Blanks)
 	slices.Sort(ids)
 	if l.Fleet || len(ids) != want || !slices.Contains(ids, b.self) {
@@ -37,11 +36,32 @@
 	if !slices.Equal(ids, f.set.IDs) {
 		f.set, f.got = Voters{Ver: 1, IDs: ids}, map[units.Node]bool{}
 	}
+	f.lead = ids[0] == b.self
+}
+
+// Propose tells the machine which set this node sees to found, none while it sees none, and whether it is this node that
+// asks for the votes. A disk that has voted stays with its vote, whatever is seen (design 13).
+func (b *Barograph) Propose(ids []units.Node, lead bool) {
+	if b.cfg.Ver > 0 {
+		return
+	}
+	if b.found == nil {
+		b.found = &founding{}
+	}
+	f, set := b.found, Voters{}
+	if v, err := UnpackVoters(b.vote); b.vote != nil && err == nil {
+		set, lead = v, v.IDs[0] == b.self
+	} else if len(ids) > 0 {
+		set = Voters{Ver: 1, Size: len(ids), IDs: ids}
+	}
+	if f.lead = lead; !slices.Equal(set.IDs, f.set.IDs) {
+		f.set, f.got = set, map[units.Node]bool{}
+	}
 }
 
 func (b *Barograph) foundTick(now units.Time, out *station.Out) {
 	f := b.found
-	if f == nil || f.set.Ver == 0 || f.set.IDs[0] != b.self || now.Sub(f.sent) < 300*time.Millisecond {
+	if f == nil || f.set.Ver == 0 || !f.lead || now.Sub(f.sent) < 300*time.Millisecond {
 		return
 	}
 	f.sent = now
@@ -54,7 +74,7 @@
 
 // foundVote: a blank disk votes for one set in its life, the one it sees itself.
 func (b *Barograph) foundVote(n station.Note, body []byte, out *station.Out) {
-	if b.cfg.Ver > 0 || b.found == nil || !bytes.Equal(b.found.set.Pack(), body) {
+	if b.cfg.Ver > 0 || b.found == nil || !b.found.set.Has(b.self) || !bytes.Equal(b.found.set.Pack(), body) {
 		return
 	}
 	if b.vote != nil && !bytes.Equal(b.vote, body) {
--- a/internal/barograph/look.go
+++ b/internal/barograph/look.go
@@ -9,20 +9,29 @@
 
 // Look is what membership shows of the core, for owners, founders and the doctor.
 type Look struct {
-	Fit    []units.Node // may own keys: a suspect may not, since a change of owner costs a round and waiting costs seconds
-	Blanks []units.Node // alive and without a vote
-	Fleet  bool         // somebody has heard of a fleet that stands
+	Fit    []units.Node        // may own keys: a suspect may not, since a change of owner costs a round and waiting costs seconds
+	Blanks []units.Node        // alive and without a vote
+	Fleet  bool                // somebody has heard of a fleet that stands
+	Cores  []mast.Member       // the live barometers
+	Lost   map[units.Node]bool // barometers at whose address another one lives now: their disks were lost
+	gone   []mast.Member       // the same
 }
 
 // LookAt reads membership.
 func LookAt(all []mast.Member) (l Look) {
+	l.Lost = replaced(all)
 	for _, m := range all {
-		live := m.State <= mast.Suspect
+		live := m.State <= mast.Suspect && !l.Lost[m.Node]
 		if m.Role != mast.Barometer {
 			l.Fleet = l.Fleet || live && m.Flags&mast.Ready != 0
 			continue
 		}
-		if m.State == mast.Alive && m.Flags&(mast.Draining|mast.Unfit) == 0 {
+		if live {
+			l.Cores = append(l.Cores, m)
+		} else if l.Lost[m.Node] {
+			l.gone = append(l.gone, m)
+		}
+		if usable(m) && live {
 			l.Fit = append(l.Fit, m.Node)
 		}
 		if m.Flags&mast.Voter != 0 {
@@ -34,6 +43,29 @@
 	return l
 }
 
+func usable(m mast.Member) bool {
+	return m.State == mast.Alive && m.Flags&(mast.Draining|mast.Unfit) == 0
+}
+
+// replaced finds the barometers whose address a later one has: one address bears one process, and the later one began
+// with the higher incarnation.
+func replaced(all []mast.Member) map[units.Node]bool {
+	at := map[string]mast.Member{}
+	for _, m := range all {
+		if o, ok := at[m.Addr]; m.Role == mast.Barometer && m.State == mast.Alive && (!ok || o.Inc < m.Inc) {
+			at[m.Addr] = m
+		}
+	}
+	lost := map[units.Node]bool{}
+	for _, m := range all {
+		n, ok := at[m.Addr]
+		if ok && m.Role == mast.Barometer && n.Node != m.Node && (m.State > mast.Suspect || m.Inc < n.Inc) {
+			lost[m.Node] = true
+		}
+	}
+	return lost
+}
+
 // lostVoter is how long a voter must be gone before a learner takes its place (start).
 const lostVoter = 5 * time.Second
 
--- a/internal/barograph/note.go
+++ b/internal/barograph/note.go
@@ -43,11 +43,15 @@
 
 // Voters is the set of disks that vote, with its version.
 type Voters struct {
-	Ver units.Num
-	IDs []units.Node
+	Ver  units.Num
+	Size int // how many it is to hold, where voters grow: what it has above that stands in for one that is gone (design 13)
+	IDs  []units.Node
 }
 
-type verHead struct{ Ver uint64 }
+type (
+	verHead  struct{ Ver uint64 }
+	sizeHead struct{ Ver, Size uint64 }
+)
 
 // Pack lays the set out.
 func (v Voters) Pack() []byte {
@@ -55,18 +59,18 @@
 	for i, n := range v.IDs {
 		items[i] = station.Pack(verHead{uint64(n)})
 	}
-	return station.Pack(verHead{uint64(v.Ver)}, station.PackList(items))
+	return station.Pack(sizeHead{uint64(v.Ver), uint64(v.Size)}, station.PackList(items))
 }
 
 // UnpackVoters is the inverse.
 func UnpackVoters(b []byte) (Voters, error) {
-	var h verHead
+	var h sizeHead
 	var list []byte
 	if err := station.Unpack(b, &h, &list); err != nil {
 		return Voters{}, err
 	}
 	items, err := station.UnpackList(list)
-	v := Voters{Ver: units.Num(h.Ver)}
+	v := Voters{Ver: units.Num(h.Ver), Size: int(h.Size)}
 	for _, t := range items {
 		var x verHead
 		if err == nil {
--- a/internal/barograph/reach.go
+++ b/internal/barograph/reach.go
@@ -31,10 +31,14 @@
 }
 
 func (b *Barograph) reachTick(now units.Time, out *station.Out) {
+	if !b.cfg.Has(b.self) {
+		b.reach.born = 0 // who comes to vote later has heard nobody yet
+		return
+	}
 	if b.reach.born == 0 {
 		b.reach.born = max(now, 1)
 	}
-	if now.Sub(b.reach.sent) < reachGap || !b.cfg.Has(b.self) {
+	if now.Sub(b.reach.sent) < reachGap {
 		return
 	}
 	b.reach.sent = now
@@ -47,7 +51,7 @@
 
 // Reaches says whether a majority of the voters, with this one, answered lately. Who has just started is believed.
 func (b *Barograph) Reaches(now units.Time) bool {
-	if !b.cfg.Has(b.self) || now.Sub(b.reach.born) < reachFor {
+	if !b.cfg.Has(b.self) || b.reach.born == 0 || now.Sub(b.reach.born) < reachFor {
 		return true
 	}
 	got := map[units.Node]bool{b.self: true}
--- /dev/null
+++ b/internal/barograph/seeds.go
@@ -0,0 +1,65 @@
+package barograph
+
+import (
+	"slices"
+	"time"
+
+	"seamshunt/internal/mast"
+	"seamshunt/internal/units"
+)
+
+// steady is how long a view must stand before it is proposed where no seed counts (start).
+const steady = 1500 * time.Millisecond
+
+// Seeds is the founding by those who know only seeds: which set is founded, and who asks for the votes (design 13).
+type Seeds struct {
+	Addr  string   // this node's own
+	Addrs []string // those of the very first start
+	First bool     // this node takes part: by its boot file, or by what its disk bears
+	view  []units.Node
+	since units.Time
+}
+
+// Set gives the set that this node sees, nothing while it sees none, and whether this node is to propose it.
+func (s *Seeds) Set(now units.Time, l Look) (ids []units.Node, lead bool) {
+	if !s.First || l.Fleet || len(s.Addrs) == 0 {
+		return nil, false
+	}
+	for _, a := range s.Addrs {
+		i := slices.IndexFunc(l.Cores, func(m mast.Member) bool { return m.Addr == a && m.State == mast.Alive })
+		if i < 0 {
+			return nil, false
+		}
+		if m := l.Cores[i]; m.Flags&mast.Counts != 0 {
+			if m.Flags&mast.First == 0 {
+				return nil, false
+			}
+			ids = append(ids, m.Node)
+		}
+	}
+	if len(ids) > 0 {
+		slices.Sort(ids)
+		ids = slices.Compact(ids)
+		return ids, ids[0] == l.at(s.Addr)
+	}
+	for _, m := range l.Cores {
+		if m.State == mast.Alive && m.Flags&mast.Counts != 0 && m.Flags&mast.First != 0 {
+			ids = append(ids, m.Node)
+		}
+	}
+	slices.Sort(ids)
+	if !slices.Equal(ids, s.view) {
+		s.view, s.since = ids, now
+	}
+	return ids, s.Addr == slices.Min(s.Addrs) && now.Sub(s.since) >= steady
+}
+
+// at gives the barometer that lives at an address.
+func (l Look) at(addr string) units.Node {
+	for _, m := range l.Cores {
+		if m.Addr == addr {
+			return m.Node
+		}
+	}
+	return 0
+}
--- a/internal/forecast/workers.go
+++ b/internal/forecast/workers.go
@@ -35,7 +35,8 @@
 	seen := map[string]bool{}
 	for i, w := range x.GetArray() {
 		y := Worker{ID: string(w.GetStringBytes("id")), Addr: string(w.GetStringBytes("addr")), Zone: string(w.GetStringBytes("zone")),
-			Leaving: w.GetBool("leaving"), Age: time.Duration(w.GetInt64("age_ms")) * time.Millisecond, Life: w.GetUint64("life")}
+			Leaving: w.GetBool("leaving"), Age: time.Duration(w.GetInt64("age_ms")) * time.Millisecond, Life: w.GetUint64("life"),
+			Service: string(w.GetStringBytes("service")), Slots: w.GetInt("slots"), Cold: time.Duration(w.GetInt64("cold_ms")) * time.Millisecond}
 		if y.ID == "" || y.Addr == "" || seen[y.ID] {
 			return nil, fmt.Errorf("forecast: worker list: entry %d lacks its id or address, or stands twice", i)
 		}
@@ -60,6 +61,15 @@
 			o.Set("leaving", a.NewTrue())
 		}
 		o.Set("age_ms", a.NewNumberInt(int(w.Age.Milliseconds())))
+		if w.Service != "" {
+			o.Set("service", a.NewString(w.Service))
+		}
+		if w.Slots > 0 {
+			o.Set("slots", a.NewNumberInt(w.Slots))
+		}
+		if w.Cold > 0 {
+			o.Set("cold_ms", a.NewNumberInt(int(w.Cold.Milliseconds())))
+		}
 		if w.Life > 0 {
 			o.Set("life", a.NewNumberString(strconv.FormatUint(w.Life, 10)))
 		}
--- a/internal/mast/mast.go
+++ b/internal/mast/mast.go
@@ -37,6 +37,8 @@
 	Ready           // a vane that serves
 	Voter           // a barometer that believes it votes
 	Full            // its disk has no room
+	Counts          // a barometer whose disk may vote (design 13)
+	First           // a barometer of the system's very first start, by its boot file or by its disk
 )
 
 // Member is one process.
@@ -99,6 +101,9 @@
 	return m
 }
 
+// Seeds names other processes to talk to from now on.
+func (m *Mast) Seeds(l []string) { m.seeds = slices.Clone(l) }
+
 // Flag sets or clears what this node says of itself.
 func (m *Mast) Flag(f uint16, on bool) {
 	s := m.all[m.Self]
--- a/internal/nephoscope/nephoscope.go
+++ b/internal/nephoscope/nephoscope.go
@@ -19,6 +19,9 @@
 // Prefix begins the keys of sightings in the news: workers/POOL/ASKER.
 const Prefix = "workers/"
 
+// coldSlack is how much longer a worker must look to stay cold than it should before it counts as cold anew (start).
+const coldSlack = 500 * time.Millisecond
+
 // slack is how much younger a worker must look than it should before it counts as started again.
 const slack = 1500 * time.Millisecond
 
@@ -35,11 +38,12 @@
 	pools map[string]map[string]*sighting
 	start map[string]units.Time // when each worker began, on this process's clock
 	life  map[string]uint64
+	cold  map[string]units.Time // till when each worker is cold, where the list says how much longer it is
 }
 
 // New has seen nothing.
 func New() *Nephoscope {
-	return &Nephoscope{pools: map[string]map[string]*sighting{}, start: map[string]units.Time{}, life: map[string]uint64{}}
+	return &Nephoscope{pools: map[string]map[string]*sighting{}, start: map[string]units.Time{}, life: map[string]uint64{}, cold: map[string]units.Time{}}
 }
 
 // Key names an asker's sightings of a pool in the news.
@@ -70,7 +74,7 @@
 	by[asker] = s
 	for _, w := range n.List(pool) {
 		if _, ok := n.start[w.ID]; !ok || w.Life > n.life[w.ID] {
-			n.start[w.ID], n.life[w.ID] = now.Add(-w.Age), w.Life
+			n.start[w.ID], n.life[w.ID], n.cold[w.ID] = now.Add(-w.Age), w.Life, now.Add(w.Cold)
 		}
 	}
 	return pool, nil
@@ -143,11 +147,11 @@
 	for i := range l {
 		w := &l[i]
 		k, ok := known[w.ID]
-		again := !ok || k.Addr != w.Addr || a.Began.Add(-w.Age).Sub(n.start[w.ID]) > slack
+		again := !ok || k.Addr != w.Addr || k.Service != w.Service || n.younger(a.Began, w)
 		if w.Life = k.Life; again {
 			w.Life = uint64(a.Num) // started, or started again: it warms anew
 		}
-		fresh = fresh || again || k.Zone != w.Zone || k.Leaving != w.Leaving
+		fresh = fresh || again || k.Zone != w.Zone || k.Leaving != w.Leaving || k.Slots != w.Slots
 	}
 	if !fresh {
 		return nil, false
@@ -161,6 +165,15 @@
 	return v.MarshalTo(nil), true
 }
 
+// younger says whether a worker that is known looks as if it had been started again, or had turned cold again. Lists that
+// name a worker's service tell how much longer it is cold, others how old it is (design 13).
+func (n *Nephoscope) younger(now units.Time, w *forecast.Worker) bool {
+	if w.Service != "" {
+		return w.Cold > 0 && now.Add(w.Cold).Sub(n.cold[w.ID]) > coldSlack
+	}
+	return now.Add(-w.Age).Sub(n.start[w.ID]) > slack
+}
+
 // Turn paces one node's questions: a node may ask for its share of the fleet's rate, and shares never add up to
 // more than the whole (design 5).
 type Turn struct {
@@ -179,3 +192,12 @@
 	t.credit = 0
 	return true
 }
+
+// Next says how long nothing can be due if the share stays as it is. Time is credited a gap at a time at the most.
+func (t *Turn) Next(now units.Time, share float64, gap time.Duration) time.Duration {
+	need := gap
+	if share > 0 {
+		need = min(gap, time.Duration(float64(gap-t.credit)/share))
+	}
+	return max(time.Millisecond, need-now.Sub(t.last)+time.Millisecond)
+}
