--- a/cmd/barometer/main.go
+++ b/cmd/barometer/main.go
@@ -2,17 +2,26 @@
 package main
 
 import (
+	"os"
+
 	"seamshunt/internal/barod"
 	"seamshunt/internal/boot"
 	"seamshunt/internal/console"
+	"seamshunt/platform"
 )
 
 func main() {
-	root := console.Root("barometer", "the control plane: state on disk, operators, the platform, news")
+	const name = "barometer"
+	dump := func(d console.Daemon) { d.(*barod.Barometer).Book.Dump() }
+	root := console.Root(name, "the control plane: state on disk, operators, the platform, news")
 	root.AddCommand(
-		console.Run("barometer", func(b *boot.Boot) (console.Daemon, error) { return barod.New(b, nil) },
-			func(d console.Daemon) { d.(*barod.Barometer).Book.Dump() }),
-		console.Check("barometer"))
+		console.Run(name, func(b *boot.Boot) (console.Daemon, error) { return barod.New(b, nil) }, dump),
+		console.Serve(func() (*boot.Boot, error) { return platform.Boot(os.Getenv(platform.SettingsEnv), name) },
+			func(b *boot.Boot) (console.Daemon, error) {
+				return barod.New(b, platform.New(os.Getenv(platform.SettingsEnv), name))
+			},
+			func(d console.Daemon, b *boot.Boot) { d.(*barod.Barometer).Again(b) }, dump),
+		console.Check(name))
 	root.AddCommand(calls()...)
 	console.Main(root)
 }
--- a/cmd/vane/main.go
+++ b/cmd/vane/main.go
@@ -2,16 +2,25 @@
 package main
 
 import (
+	"os"
+
 	"seamshunt/internal/boot"
 	"seamshunt/internal/console"
 	"seamshunt/internal/vaned"
+	"seamshunt/platform"
 )
 
 func main() {
-	root := console.Root("vane", "the data plane: takes prompts, admits, places and streams")
+	const name = "vane"
+	dump := func(d console.Daemon) { d.(*vaned.Vane).Book.Dump() }
+	root := console.Root(name, "the data plane: takes prompts, admits, places and streams")
 	root.AddCommand(
-		console.Run("vane", func(b *boot.Boot) (console.Daemon, error) { return vaned.New(b), nil },
-			func(d console.Daemon) { d.(*vaned.Vane).Book.Dump() }),
-		console.Check("vane"))
+		console.Run(name, func(b *boot.Boot) (console.Daemon, error) { return vaned.New(b, nil), nil }, dump),
+		console.Serve(func() (*boot.Boot, error) { return platform.Boot(os.Getenv(platform.SettingsEnv), name) },
+			func(b *boot.Boot) (console.Daemon, error) {
+				return vaned.New(b, platform.New(os.Getenv(platform.SettingsEnv), name)), nil
+			},
+			func(d console.Daemon, b *boot.Boot) { d.(*vaned.Vane).Again(b) }, dump),
+		console.Check(name))
 	console.Main(root)
 }
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -48,6 +50,30 @@
 	Drain()
 }
 
+// Serve adds the command that runs a program where an adapter says what its place is (design 11).
+func Serve(read func() (*boot.Boot, error), make func(*boot.Boot) (Daemon, error), again func(Daemon, *boot.Boot), dump func(Daemon)) *cobra.Command {
+	return &cobra.Command{Use: "serve", Short: "run on the users' platform until a warning (SIGTERM)", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			b, err := read()
+			if err != nil {
+				return err
+			}
+			settle(b)
+			d, err := make(b)
+			if err != nil {
+				return err
+			}
+			return live(d, read, again, dump)
+		}}
+}
+
+// settle keeps the process inside what it may use: the collector works harder near the memory's end.
+func settle(b *boot.Boot) {
+	if b.Memory > 0 {
+		debug.SetMemoryLimit(int64(b.Memory) << 20 * 7 / 10)
+	}
+}
+
 // Run adds the command that runs a program from its boot file.
 func Run(name string, make func(*boot.Boot) (Daemon, error), dump func(Daemon)) *cobra.Command {
 	var path string
@@ -61,26 +87,44 @@
 			if err != nil {
 				return err
 			}
-			warn := newSignals(syscall.SIGTERM, syscall.SIGINT)
-			book := newSignals(syscall.SIGUSR1)
-			if err := d.Start(); err != nil {
-				return err
-			}
-			for {
-				select {
-				case <-warn:
-					d.Drain()
-					return nil
-				case <-book:
-					dump(d)
-				}
-			}
+			return live(d, nil, nil, dump)
 		}}
 	c.Flags().StringVar(&path, "boot", "", "the boot file")
 	_ = c.MarkFlagRequired("boot")
 	return c
 }
 
+// live runs a daemon to its end. Its place is read again at a hang-up signal, and now and then without one.
+func live(d Daemon, read func() (*boot.Boot, error), again func(Daemon, *boot.Boot), dump func(Daemon)) error {
+	warn, book, hup := newSignals(syscall.SIGTERM, syscall.SIGINT), newSignals(syscall.SIGUSR1), newSignals(syscall.SIGHUP)
+	if err := d.Start(); err != nil {
+		return err
+	}
+	look := time.NewTicker(rereadGap)
+	defer look.Stop()
+	for {
+		select {
+		case <-warn:
+			d.Drain()
+			return nil
+		case <-book:
+			dump(d)
+			continue
+		case <-hup:
+		case <-look.C:
+		}
+		if read == nil {
+			continue
+		}
+		if b, err := read(); err == nil { // a file that can't be read changes nothing
+			again(d, b)
+		}
+	}
+}
+
+// rereadGap is how often a place is read again without being told.
+const rereadGap = 2 * time.Second
+
 func newSignals(s ...os.Signal) chan os.Signal {
 	c := make(chan os.Signal, 4)
 	signal.Notify(c, s...)
--- a/internal/forecast/compile.go
+++ b/internal/forecast/compile.go
@@ -74,7 +74,11 @@
 	set(&s.Spread, 1)
 	set(&s.Prefix, 1024)
 	set(&s.Allow, "knee")
-	set(&s.Place, "prefix")
+	if s.Memory > 0 {
+		set(&s.Place, "home")
+	}
+	set(&s.Place, "least")
+	s.Lax = true
 	if s.Memory > 0 {
 		set(&s.Share, 0.85)
 		set(&s.Reads, 100)
--- a/internal/forecast/config.go
+++ b/internal/forecast/config.go
@@ -35,7 +35,7 @@
 	Reads      float64       // prompt tokens that one worker reads in a millisecond
 	WarmRate   float64       // requests a second that a cold worker bears; 0 when any
 	Conns      int           // connections that one worker accepts from all nodes together; 0 when any
-	Strict     bool          // a new keeper waits out what silent nodes may hold
+	Lax        bool          // a new keeper lends without waiting out what silent nodes may hold
 }
 
 // Target is one service that a mapping may lead to, with its share of the requests.
--- a/internal/forecast/keep.go
+++ b/internal/forecast/keep.go
@@ -13,8 +13,22 @@
 	ws := map[string]gauge.Worker{}
 	for _, s := range c.Services {
 		for _, w := range pools[s.Pool] {
-			ws[s.Name+"/"+w.ID] = gauge.Worker{Zone: w.Zone, Cap: s.Cap, Bound: s.Waitlist, Warm: s.Warm, Start: start[w.ID],
-				Closed: w.Leaving || out[w.Zone], Adapt: s.Adapt, Floor: s.Floor, Aim: s.WaitAim, First: s.First}
+			if w.Service != "" && w.Service != s.Name {
+				continue
+			}
+			k := gauge.Worker{Zone: w.Zone, Cap: s.Cap, Bound: s.Waitlist, Warm: s.Warm, Start: start[w.ID],
+				Closed: w.Leaving || out[w.Zone], Adapt: s.Adapt, Floor: s.Floor, Aim: s.WaitAim, First: s.First,
+				Memory: int(s.Share * float64(s.Memory)), Reads: s.Reads, WarmRate: s.WarmRate, Lax: s.Lax}
+			if k.Cap == 0 {
+				k.Cap = max(1, w.Slots)
+			}
+			if k.Bound == 0 {
+				k.Bound = 2 * k.Cap
+			}
+			if s.WarmRate > 0 {
+				k.ColdTil = start[w.ID].Add(s.Warm)
+			}
+			ws[s.Name+"/"+w.ID] = k
 		}
 	}
 	return ws
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -28,12 +28,15 @@
 	permit
 	until units.Time // its deadline
 	worth uint16
+	read  uint32
+	mem   uint32
 	since units.Time
 }
 
 type loan struct {
 	until units.Time
 	since units.Time
+	mem   uint32
 }
 
 // keep is one worker in this node's keeping.
@@ -52,6 +55,8 @@
 	waitSum time.Duration
 	waitN   int
 	adapted units.Time
+	begun   units.Time
+	engine
 }
 
 // Gauge is the keeper's step machine.
@@ -64,11 +69,14 @@
 	strange map[units.Node]units.Time // vanes that took a worker over before membership showed them here
 	moved   bool                      // the workers or the vanes are not those that the keepers were worked out for
 	audited units.Time
+	excess  float64
+	slack   int
+	part    float64
 }
 
 // New begins a node that keeps nothing.
 func New(self units.Node) *Gauge {
-	return &Gauge{self: self, workers: map[string]Worker{}, keeps: map[string]*keep{}, holds: map[units.Node]units.Time{}, strange: map[units.Node]units.Time{}}
+	return &Gauge{self: self, workers: map[string]Worker{}, keeps: map[string]*keep{}, holds: map[units.Node]units.Time{}, strange: map[units.Node]units.Time{}, excess: 1, part: 1}
 }
 
 // Workers sets what there is to keep.
@@ -103,22 +111,6 @@
 	}
 }
 
-// Cap gives how many permits a worker may have out now.
-func (g *Gauge) Cap(now units.Time, name string) int {
-	w, ok := g.workers[name]
-	if !ok || w.Closed {
-		return 0
-	}
-	c := w.Cap
-	if k := g.keeps[name]; w.Adapt && k != nil && k.cap > 0 {
-		c = min(c, int(k.cap))
-	}
-	if up := now.Sub(w.Start); w.Warm > 0 && up < w.Warm {
-		c = min(c, max(1, int(int64(w.Cap)*int64(up)/int64(w.Warm))))
-	}
-	return c
-}
-
 // Tick takes over what fell to this node, gives up what did not, and ends what ran out.
 func (g *Gauge) Tick(now units.Time) (out station.Out) {
 	names := station.Keys(g.workers)
@@ -145,7 +137,7 @@
 		}
 		for p, l := range k.lent {
 			if now >= l.until {
-				delete(k.lent, p)
+				k.drop(p)
 			}
 		}
 		if !k.open {
@@ -171,7 +163,7 @@
 
 // begin asks every live vane what it holds; until all have said so, nothing is lent.
 func (g *Gauge) begin(now units.Time, name string, out *station.Out) {
-	k := &keep{lent: map[permit]*loan{}, adapted: now, silent: maps.Clone(g.holds), late: map[units.Node]bool{}}
+	k := &keep{lent: map[permit]*loan{}, adapted: now, begun: now, silent: maps.Clone(g.holds), late: map[units.Node]bool{}}
 	g.keeps[name] = k
 	g.recollect(now, name, k, out)
 }
@@ -180,7 +172,7 @@
 // node that has last reported to another: while views differed, that one took the worker over, and no grant of
 // this keeper's would be taken there.
 func (g *Gauge) recollect(now units.Time, name string, k *keep, out *station.Out) {
-	k.open, k.need, k.sent = false, map[units.Node]bool{}, now.Add(-reask)
+	k.open, k.need, k.sent, k.begun = false, map[units.Node]bool{}, now.Add(-reask), now
 	for _, n := range g.live(now) {
 		k.need[n] = true
 	}
@@ -221,8 +213,9 @@
 			k.sent = now.Add(-reask)
 		}
 	}
-	if len(k.need) == 0 {
-		if now >= k.holdTil() {
+	lax := g.workers[name].Lax && (len(k.need) == 0 || now.Sub(k.begun) >= laxFor)
+	if len(k.need) == 0 || lax {
+		if lax || now >= k.holdTil() {
 			k.open = true
 			g.serve(now, name, k, out)
 		}
--- a/internal/gauge/gauge_test.go
+++ b/internal/gauge/gauge_test.go
@@ -24,7 +24,7 @@
 	b.Workers(map[string]Worker{"s/w": w})
 	b.View([]Peer{{Node: 1}}, nil)
 	b.out(b.Tick(b.now))
-	b.out(b.Step(b.now, station.Note{From: 1, Kind: Report, Body: PackReport("s/w", nil)}))
+	b.out(b.Step(b.now, station.Note{From: 1, Kind: Report, Body: PackReport("s/w", nil, 0)}))
 	return b
 }
 
@@ -175,7 +175,7 @@
 	if k := b.kind[len(b.kind)-1]; k != Waiting {
 		t.Fatalf("refused with reason %d", b.sent[len(b.sent)-1].Reason)
 	}
-	b.out(b.Step(b.now, station.Note{From: 1, Kind: Report, Body: PackReport("s/w", nil)}))
+	b.out(b.Step(b.now, station.Note{From: 1, Kind: Report, Body: PackReport("s/w", nil, 0)}))
 	if !b.granted(9) {
 		t.Error("not lent once the reports are in")
 	}
@@ -233,12 +233,12 @@
 	g.Tick(now)
 	b := &bench{Gauge: g, now: now}
 	b.ask(1, 20*time.Second, true)
-	b.out(g.Step(now, station.Note{From: 1, Kind: Report, Body: PackReport("s/w", nil)}))
+	b.out(g.Step(now, station.Note{From: 1, Kind: Report, Body: PackReport("s/w", nil, 0)}))
 	b.pass(5 * time.Second)
 	if b.granted(1) {
 		t.Fatal("lent before node 2 reported")
 	}
-	b.out(g.Step(b.now, station.Note{From: 2, Kind: Report, Body: PackReport("s/w", []Held{{Tag: 7, Left: 2000}})}))
+	b.out(g.Step(b.now, station.Note{From: 2, Kind: Report, Body: PackReport("s/w", []Held{{Tag: 7, Left: 2000}}, 0)}))
 	if !b.granted(1) {
 		t.Error("not lent after all have reported and the silent one's runs are over")
 	}
--- a/internal/gauge/late_test.go
+++ b/internal/gauge/late_test.go
@@ -21,11 +21,11 @@
 		t.Fatal("the latecomer is not asked")
 	}
 	held := []Held{{Tag: 71, Left: 5000}, {Tag: 72, Left: 5000}}
-	b.out(b.Step(b.now, station.Note{From: 7, Kind: Report, Body: PackReport("s/w", held)}))
+	b.out(b.Step(b.now, station.Note{From: 7, Kind: Report, Body: PackReport("s/w", held, 0)}))
 	if k := b.ask(1, 10*time.Second, false); k != No || b.Kept(b.now)[0].Lent != 2 {
 		t.Errorf("lent %d, and one more: %v", b.Kept(b.now)[0].Lent, k == Grant)
 	}
-	b.out(b.Step(b.now, station.Note{From: 7, Kind: Report, Body: PackReport("s/w", []Held{{Tag: 73, Left: 5000}})}))
+	b.out(b.Step(b.now, station.Note{From: 7, Kind: Report, Body: PackReport("s/w", []Held{{Tag: 73, Left: 5000}}, 0)}))
 	if b.Kept(b.now)[0].Lent != 2 {
 		t.Error("a report that nobody asked for changes the book")
 	}
--- a/internal/gauge/note.go
+++ b/internal/gauge/note.go
@@ -30,6 +30,9 @@
 	Reason uint8
 	Worth  uint16 // Ask: of the prompt's promise
 	Turn   uint16 // milliseconds from one slot's return to the next, as measured
+	Read   uint32 // Ask: prompt tokens that the worker has to read; in answers: milliseconds that it still reads
+	Mem    uint32 // Ask: tokens of memory that the run needs
+	Soon   uint32 // Ask, not waiting: a worker that still reads longer than so many milliseconds is no free one
 }
 
 // Reasons of a No.
@@ -57,26 +60,24 @@
 type Held struct {
 	Tag  uint64
 	Left uint32
-	_    uint32
+	Mem  uint32
 }
 
-func packReport(worker string, l []Held) []byte {
+// PackReport lays out what a node holds of a worker, and how much it sent there in the last second.
+func PackReport(worker string, l []Held, sent int) []byte {
 	items := make([][]byte, len(l))
 	for i, x := range l {
 		items[i] = station.Pack(x)
 	}
-	return station.Pack(Head{}, []byte(worker), station.PackList(items))
+	return station.Pack(Head{Lent: uint16(min(sent, 65535))}, []byte(worker), station.PackList(items))
 }
 
-// PackReport lays out what a node holds of a worker.
-func PackReport(worker string, l []Held) []byte { return packReport(worker, l) }
-
 // UnpackReport is the inverse; an audit has the same form.
-func UnpackReport(b []byte) (string, []Held, error) {
+func UnpackReport(b []byte) (string, []Held, int, error) {
 	var h Head
 	var w, list []byte
 	if err := station.Unpack(b, &h, &w, &list); err != nil {
-		return "", nil, err
+		return "", nil, 0, err
 	}
 	items, err := station.UnpackList(list)
 	var l []Held
@@ -87,7 +88,7 @@
 		}
 		l = append(l, x)
 	}
-	return string(w), l, err
+	return string(w), l, int(h.Lent), err
 }
 
 // Worker is what a keeper must know of one worker.
@@ -102,6 +103,12 @@
 	Floor  int
 	Aim    time.Duration
 	First  time.Duration
+
+	Memory   int        // tokens that may be lent out; 0 for a worker that is no engine
+	Reads    float64    // prompt tokens read in a millisecond
+	WarmRate float64    // requests a second that it bears while cold; 0 when any
+	ColdTil  units.Time // till when it is known to be cold
+	Lax      bool       // a new keeper lends without waiting out what silent nodes may hold
 }
 
 // Peer is one vane in membership's view.
--- a/internal/gauge/step.go
+++ b/internal/gauge/step.go
@@ -11,14 +11,18 @@
 // Step takes one note for the keeper.
 func (g *Gauge) Step(now units.Time, n station.Note) (out station.Out) {
 	if n.Kind == Report {
-		name, held, err := UnpackReport(n.Body)
+		name, held, sent, err := UnpackReport(n.Body)
 		out.Fail(err)
 		if k := g.keeps[name]; err == nil && k != nil && (!k.open || k.late[n.From]) {
 			for _, h := range held {
 				if p := (permit{n.From, h.Tag}); k.lent[p] == nil {
-					k.lent[p] = &loan{until: now.Add(units.Millis(h.Left).Span() + grace), since: now}
+					k.lent[p] = &loan{until: now.Add(units.Millis(h.Left).Span() + grace), since: now, mem: h.Mem}
+					k.mem += int(h.Mem)
 				}
 			}
+			for range sent {
+				k.ring = append(k.ring, now)
+			}
 			delete(k.need, n.From)
 			if delete(k.late, n.From); k.open {
 				return out
@@ -60,6 +64,7 @@
 	h.Lent, h.Cap = uint16(len(k.lent)), uint16(g.Cap(now, name))
 	h.Wait = uint8(min(255, len(k.list)))
 	h.Turn = uint16(min(k.gap(max(1, int(h.Cap)))/time.Millisecond, 65535))
+	h.Read = uint32(units.ToMillis(k.backlog(now, g.workers[name])))
 	return h
 }
 
@@ -95,24 +100,27 @@
 		out.Send(from, No, Pack(g.state(now, name, k, r), name))
 		return
 	}
-	if k.open && len(k.lent) < c && len(k.list) == 0 {
-		g.lend(now, name, k, ask{permit: p, until: now.Add(left), since: now}, out)
+	w := g.workers[name]
+	me := ask{permit: p, until: now.Add(left), worth: h.Worth, read: h.Read, mem: h.Mem, since: now}
+	late, pace := k.backlog(now, w), k.due(now, g.rate(now, w))
+	busy := h.Wait == 0 && h.Soon > 0 && late > units.Millis(h.Soon).Span()
+	if k.open && len(k.lent) < c && len(k.list) == 0 && !busy && pace == 0 && k.fits(w, me.mem) {
+		g.lend(now, name, k, me, out)
 		return
 	}
-	me := ask{permit: p, until: now.Add(left), worth: h.Worth, since: now}
 	at, yield := g.place(now, name, k, me)
 	due := wait * time.Duration(at+1)
 	if len(k.lent)+at < c {
-		due = 0 // a slot is free for it: only the reports are waited for
+		due = max(pace, late) // a slot is free for it: only the reports, the rate or the reading are waited for
 	}
-	if !k.open {
+	if !k.open && !w.Lax {
 		due = max(due, k.holdTil().Sub(now))
 	}
 	r.Left = uint32(units.ToMillis(due))
 	switch {
-	case len(k.list)-len(yield) >= g.workers[name].Bound:
+	case len(k.list)-len(yield) >= w.Bound:
 		r.Reason = Full
-	case due+g.workers[name].First > left:
+	case due+w.First > left:
 		r.Reason = Late
 	case h.Wait == 0:
 		r.Reason = Busy
@@ -130,7 +138,8 @@
 }
 
 func (g *Gauge) lend(now units.Time, name string, k *keep, a ask, out *station.Out) {
-	k.lent[a.permit] = &loan{until: a.until.Add(grace), since: now}
+	k.lent[a.permit] = &loan{until: a.until.Add(grace), since: now, mem: a.mem}
+	k.granted(now, g.workers[name], a.read, a.mem)
 	k.waitSum += now.Sub(a.since)
 	k.waitN++
 	out.Send(a.node, Grant, Pack(g.state(now, name, k, Head{Tag: a.tag}), name))
@@ -143,7 +152,7 @@
 	c := g.Cap(now, name)
 	for c > 0 && k.open && len(k.list) > 0 && len(k.lent) < c {
 		a := k.list[0]
-		if a.until < now.Add(w.First) {
+		if a.until < now.Add(w.First) || k.due(now, g.rate(now, w)) > 0 || !k.fits(w, a.mem) {
 			break
 		}
 		k.list = k.list[1:]
@@ -182,7 +191,7 @@
 	if l == nil || unsure {
 		return // an unsure run keeps its slot till its own end
 	}
-	delete(k.lent, p)
+	k.drop(p)
 	k.hold = ewma(k.hold, now.Sub(l.since))
 	if busy := len(k.list) > 0; busy && k.back != 0 {
 		k.turn = ewma(k.turn, min(now.Sub(k.back), 5*time.Second))
@@ -193,6 +202,14 @@
 	}
 }
 
+// drop takes a permit out of the book.
+func (k *keep) drop(p permit) {
+	if l := k.lent[p]; l != nil {
+		k.mem -= int(l.mem)
+		delete(k.lent, p)
+	}
+}
+
 func ewma(old, x time.Duration) time.Duration {
 	if old == 0 {
 		return x
--- a/internal/gauge/upkeep.go
+++ b/internal/gauge/upkeep.go
@@ -30,7 +30,7 @@
 			}
 		}
 		for _, n := range station.Keys(by) {
-			out.Send(n, Audit, packReport(name, by[n]))
+			out.Send(n, Audit, PackReport(name, by[n], 0))
 		}
 	}
 }
--- a/internal/gauge/watch.go
+++ b/internal/gauge/watch.go
@@ -50,6 +50,9 @@
 	return peers, changed
 }
 
+// Lost counts those that fell silent and may still be at work behind a cut.
+func (w *Watch) Lost() int { return len(w.lost) }
+
 // Holds gives the moments until which processes that are not live may still have runs going: those that fell
 // silent for the longest time left there is, those known to have ended for as long as workers take to notice.
 func (w *Watch) Holds(longest time.Duration) map[units.Node]units.Time {
--- a/internal/hygrometer/hygrometer.go
+++ b/internal/hygrometer/hygrometer.go
@@ -19,51 +19,15 @@
 
 // Spans (start values).
 const (
-	silent = 150 * time.Millisecond // a keeper that says nothing for so long is passed over
-	again  = 300 * time.Millisecond // a waiting prompt's ask is repeated
-	lostAt = 900 * time.Millisecond // a waiting prompt's keeper that says nothing for so long is given up
-	grace  = 500 * time.Millisecond
-	notice = 300 * time.Millisecond // a worker notices a broken wire within this
-	waits  = 3                      // how many waitlists one prompt may try
+	silent  = 150 * time.Millisecond // a keeper that says nothing for so long is passed over
+	again   = 300 * time.Millisecond // a waiting prompt's ask is repeated
+	lostAt  = 900 * time.Millisecond // a waiting prompt's keeper that says nothing for so long is given up
+	grace   = 500 * time.Millisecond
+	notice  = 300 * time.Millisecond // a worker notices a broken wire within this
+	muteFor = time.Second            // a keeper that said nothing is asked last for so long
+	waits   = 3                      // how many waitlists one prompt may try
 )
 
-type stage uint8
-
-const (
-	asking stage = iota
-	waiting
-	held
-	ghost // its run may still be going: the slot stays taken till its time is out
-)
-
-type option struct {
-	name string
-	due  time.Duration
-}
-
-// Req is one prompt at the door of one service.
-type Req struct {
-	Tag    uint64
-	Policy string
-	Cands  []string // workers, best first
-	Tries  int      // how many of them may be asked for a free slot
-	Until  units.Time
-	First  time.Duration
-	Worth  uint16 // of its promise
-	Keeper func(worker string) units.Node
-
-	stage  stage
-	worker string
-	keeper units.Node
-	next   int
-	tried  int
-	opts   []option
-	why    uint8
-	due    time.Duration
-	sent   units.Time
-	heard  units.Time
-}
-
 // Verdict is what becomes of a prompt.
 type Verdict struct {
 	Tag    uint64
@@ -75,6 +39,7 @@
 // Load is what was last heard of a worker.
 type Load struct {
 	Lent, Cap, Wait int
+	Reads           time.Duration // how long it still reads what it was sent
 	At              units.Time
 }
 
@@ -84,13 +49,15 @@
 	reqs     map[uint64]*Req
 	Flight   map[string]int // this node's own prompts in flight, per worker
 	loyal    map[string]units.Node
+	mute     map[units.Node]units.Time // keepers that said nothing, till when they are asked last
+	sent     map[string][]units.Time   // what went to a worker in the last second
 	Loads    map[string]Load
 	Verdicts []Verdict
 }
 
 // New gives an empty one.
 func New(self units.Node) *Hygrometer {
-	return &Hygrometer{self: self, reqs: map[uint64]*Req{}, Flight: map[string]int{}, loyal: map[string]units.Node{}, Loads: map[string]Load{}}
+	return &Hygrometer{self: self, reqs: map[uint64]*Req{}, Flight: map[string]int{}, loyal: map[string]units.Node{}, mute: map[units.Node]units.Time{}, sent: map[string][]units.Time{}, Loads: map[string]Load{}}
 }
 
 // Arrive takes a prompt in at the door.
@@ -107,7 +74,7 @@
 		return
 	}
 	r.worker = r.Cands[0]
-	h.enter(r)
+	h.enter(now, r)
 }
 
 // knee asks the candidates' keepers for a free slot in turn, then waits where the wait is shortest.
@@ -115,7 +82,12 @@
 	for r.next < len(r.Cands) && r.next < r.Tries {
 		r.worker = r.Cands[r.next]
 		r.next++
-		if r.keeper = r.Keeper(r.worker); r.keeper != 0 {
+		r.keeper = r.Keeper(r.worker)
+		if now < h.mute[r.keeper] && r.next < len(r.Cands) {
+			r.Tries++ // the next one is asked in its place
+			continue
+		}
+		if r.keeper != 0 {
 			h.ask(now, r, false, out)
 			return
 		}
@@ -127,7 +99,7 @@
 func (h *Hygrometer) queue(now units.Time, r *Req, out *station.Out) {
 	best := -1
 	for i, o := range r.opts {
-		if best < 0 || o.due < r.opts[best].due {
+		if best < 0 || o.due+o.away < r.opts[best].due+r.opts[best].away {
 			best = i
 		}
 	}
@@ -159,7 +131,10 @@
 }
 
 func (h *Hygrometer) ask(now units.Time, r *Req, wait bool, out *station.Out) {
-	a := gauge.Head{Tag: r.Tag, Left: uint32(units.ToMillis(r.Until.Sub(now))), Worth: r.Worth}
+	a := gauge.Head{Tag: r.Tag, Left: uint32(units.ToMillis(r.Until.Sub(now))), Worth: r.Worth, Mem: r.Mem, Read: r.Read, Soon: uint32(units.ToMillis(r.Soon))}
+	if !r.home(r.worker) {
+		a.Read = r.Full
+	}
 	if wait {
 		a.Wait = 1
 	}
@@ -171,9 +146,10 @@
 	out.Send(r.keeper, gauge.Ask, gauge.Pack(a, r.worker))
 }
 
-func (h *Hygrometer) enter(r *Req) {
+func (h *Hygrometer) enter(now units.Time, r *Req) {
 	r.stage = held
 	h.Flight[r.worker]++
+	h.sent[r.worker] = append(h.lately(now, r.worker), now)
 	h.Verdicts = append(h.Verdicts, Verdict{Tag: r.Tag, Worker: r.worker, Code: synop.OK})
 }
 
--- /dev/null
+++ b/internal/hygrometer/request.go
@@ -0,0 +1,58 @@
+package hygrometer
+
+import (
+	"slices"
+	"time"
+
+	"seamshunt/internal/units"
+)
+
+type stage uint8
+
+const (
+	asking stage = iota
+	waiting
+	held
+	ghost // its run may still be going: the slot stays taken till its time is out
+)
+
+type option struct {
+	name string
+	due  time.Duration
+	away time.Duration
+}
+
+// Req is one prompt at the door of one service.
+type Req struct {
+	Tag    uint64
+	Policy string
+	Cands  []string // workers, best first
+	Tries  int      // how many of them may be asked for a free slot
+	Until  units.Time
+	First  time.Duration
+	Worth  uint16 // of its promise
+	Keeper func(worker string) units.Node
+
+	Homes int           // the first so many of Cands hold the shared parts of its prompt
+	Read  uint32        // prompt tokens that a home has to read
+	Full  uint32        // and any other worker
+	Mem   uint32        // tokens of memory that its run needs
+	Soon  time.Duration // a worker that reads longer than this is passed by while others are free; 0: none is
+	Away  time.Duration // how much sooner another worker than a home must be
+
+	stage  stage
+	worker string
+	keeper units.Node
+	next   int
+	tried  int
+	opts   []option
+	why    uint8
+	due    time.Duration
+	sent   units.Time
+	heard  units.Time
+}
+
+// home says whether a worker holds the shared parts of the prompt.
+func (r *Req) home(worker string) bool {
+	return slices.Contains(r.Cands[:min(r.Homes, len(r.Cands))], worker)
+}
--- a/internal/hygrometer/step.go
+++ b/internal/hygrometer/step.go
@@ -17,6 +17,7 @@
 		case asking:
 			if now.Sub(r.sent) >= silent {
 				h.drop(r, &out)
+				h.mute[r.keeper] = now.Add(muteFor)
 				h.refused(now, r, gauge.Silent, 0, &out)
 			}
 		case waiting:
@@ -77,7 +78,11 @@
 	}
 	if r.stage == asking {
 		if reason == gauge.Busy {
-			r.opts = append(r.opts, option{r.worker, due})
+			o := option{name: r.worker, due: due}
+			if !r.home(r.worker) {
+				o.away = r.Away
+			}
+			r.opts = append(r.opts, o)
 		}
 		h.knee(now, r, out)
 		return
@@ -88,7 +93,7 @@
 // Step takes one note for the node that asks.
 func (h *Hygrometer) Step(now units.Time, n station.Note) (out station.Out) {
 	if n.Kind == gauge.Audit {
-		name, l, err := gauge.UnpackReport(n.Body)
+		name, l, _, err := gauge.UnpackReport(n.Body)
 		out.Fail(err)
 		for _, x := range l {
 			if h.reqs[x.Tag] == nil {
@@ -97,6 +102,7 @@
 		}
 		return out
 	}
+	delete(h.mute, n.From)
 	b, name, err := gauge.Unpack(n.Body)
 	if err != nil {
 		out.Fail(err)
@@ -107,7 +113,7 @@
 		return out
 	}
 	if b.Cap > 0 {
-		h.Loads[name] = Load{Lent: int(b.Lent), Cap: int(b.Cap), Wait: int(b.Wait), At: now}
+		h.Loads[name] = Load{Lent: int(b.Lent), Cap: int(b.Cap), Wait: int(b.Wait), Reads: units.Millis(b.Read).Span(), At: now}
 	}
 	r := h.reqs[b.Tag]
 	mine := r != nil && r.stage <= waiting && r.worker == name && r.keeper == n.From
@@ -144,7 +150,7 @@
 		h.shed(r, synop.WaitLate)
 		return
 	}
-	h.enter(r)
+	h.enter(now, r)
 }
 
 // report tells a new keeper all that is held of a worker; from then on only its grants count (design 6).
@@ -153,10 +159,20 @@
 	var l []gauge.Held
 	for _, r := range h.sorted() {
 		if r.worker == name && r.stage >= held && r.keeper != 0 {
-			l = append(l, gauge.Held{Tag: r.Tag, Left: uint32(units.ToMillis(r.Until.Sub(now)))})
+			l = append(l, gauge.Held{Tag: r.Tag, Left: uint32(units.ToMillis(r.Until.Sub(now))), Mem: r.Mem})
 		}
 	}
-	out.Send(from, gauge.Report, gauge.PackReport(name, l))
+	out.Send(from, gauge.Report, gauge.PackReport(name, l, len(h.lately(now, name))))
+}
+
+// lately lists what went to a worker in the last second.
+func (h *Hygrometer) lately(now units.Time, name string) []units.Time {
+	l := h.sent[name]
+	for len(l) > 0 && now.Sub(l[0]) > time.Second {
+		l = l[1:]
+	}
+	h.sent[name] = l
+	return l
 }
 
 // Waiting counts the prompts that are not in yet.
--- a/internal/mast/mast.go
+++ b/internal/mast/mast.go
@@ -78,6 +78,9 @@
 	News    uint64
 	all     map[units.Node]*Member
 	order   []units.Node // of all, sorted; made anew when it changes
+	kept    []Member     // what All last gave, till something changes
+	digest  uint64       // of the live members, while summed holds
+	summed  bool
 	seeds   []string
 	rng     *rand.Rand
 	ring    []units.Node
@@ -115,6 +118,7 @@
 	}
 	if s.Flags != old {
 		s.Inc++
+		m.changed()
 	}
 }
 
@@ -127,24 +131,6 @@
 	return *x, true
 }
 
-// All lists every member that isn't forgotten, in order of id.
-func (m *Mast) All() []Member {
-	if m.order == nil {
-		m.order = station.Keys(m.all)
-	}
-	l := make([]Member, 0, len(m.order))
-	for _, n := range m.order {
-		l = append(l, *m.all[n])
-	}
-	return l
-}
-
-// Live lists the members of a role that are alive or only suspected.
-func (m *Mast) Live(r Role) []Member {
-	l := m.All()
-	return slices.DeleteFunc(l, func(x Member) bool { return x.Role != r || x.State > Suspect })
-}
-
 // Tick moves the probing on.
 func (m *Mast) Tick(now units.Time) (out station.Out) {
 	if m.open != 0 && !m.asked && now.Sub(m.at) >= askAt {
@@ -160,6 +146,7 @@
 		if x.State >= Dead && now.Sub(x.since) > forget {
 			delete(m.all, x.Node)
 			m.order = nil
+			m.changed()
 		}
 	}
 	for s, r := range m.relay {
@@ -246,5 +233,6 @@
 
 func (m *Mast) set(x *Member, s State, now units.Time) {
 	x.State, x.since = s, now
+	m.changed()
 	m.tell(x.Node)
 }
--- a/internal/tower/tower.go
+++ b/internal/tower/tower.go
@@ -159,6 +159,13 @@
 	}
 }
 
+// Again takes a boot file that has changed: only the seeds may be others.
+func (t *Tower) Again(b *boot.Boot) {
+	t.MastMu.Lock()
+	t.Mast.Seeds(b.Seeds)
+	t.MastMu.Unlock()
+}
+
 // Flag sets what this node says of itself.
 func (t *Tower) Flag(f uint16, on bool) {
 	t.MastMu.Lock()
--- a/internal/vaned/desk.go
+++ b/internal/vaned/desk.go
@@ -10,14 +10,14 @@
 )
 
 // cands asks the placement policy for the workers' order, and finds each one's keeper.
-func (v *Vane) cands(now units.Time, s *forecast.Service, text []byte) ([]string, map[string]units.Node) {
-	q := windvane.Query{Prefix: windvane.Fingerprint(text, s.Prefix), Zone: v.Boot.Zone, Spread: s.Spread}
+func (v *Vane) cands(now units.Time, s *forecast.Service, prefix uint64) ([]string, map[string]units.Node) {
+	q := windvane.Query{Prefix: prefix, Zone: v.Boot.Zone, Spread: s.Spread}
 	keepers := map[string]units.Node{}
 	var over []windvane.Spot // passed over, but better than none
 	v.tableMu.Lock()
 	for _, x := range v.table.pools[s.Pool] {
 		name := s.Name + "/" + x.ID
-		if x.Leaving || v.table.out[x.Zone] {
+		if x.Leaving || v.table.out[x.Zone] || x.Service != "" && x.Service != s.Name {
 			continue
 		}
 		keepers[name] = gauge.Keeper(v.table.peers, name, x.Zone)
@@ -34,7 +34,7 @@
 	v.deskMu.Lock()
 	for i := range q.Spots {
 		if l, ok := v.desk.Loads[q.Spots[i].Name]; ok && now.Sub(l.At) < 2*time.Second {
-			q.Spots[i].Load = float64(l.Lent+l.Wait) / float64(l.Cap)
+			q.Spots[i].Load = float64(l.Lent+l.Wait)/float64(l.Cap) + float64(max(0, l.Reads-now.Sub(l.At)))/float64(time.Second)
 		}
 	}
 	v.deskMu.Unlock()
--- /dev/null
+++ b/internal/vaned/relay.go
@@ -0,0 +1,159 @@
+package vaned
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"seamshunt/internal/codebook"
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+	"seamshunt/internal/vernier"
+)
+
+// relay is one request on its way through this node in an adapter's words (design 11): its bytes go to a worker and the
+// worker's come back unchanged. Its id belongs to one try of a client, so nothing is claimed for it.
+type relay struct {
+	v      *Vane
+	ctx    *fasthttp.RequestCtx
+	rules  *rules
+	m      *forecast.Mapping
+	id     string
+	body   []byte
+	begun  units.Time
+	until  units.Time
+	left   time.Duration
+	prompt codebook.Prompt
+	sized  bool   // the prompt's size is known
+	last   string // the id of the last whole event that the client has
+	sent   int    // workers that the request was sent to
+	ran    bool   // it may have run
+	broke  string // the worker that broke off last
+	why    synop.Code
+	due    time.Duration
+	reply  *reply // while a stream goes on
+}
+
+// holdFor is how long a request waits for a node that woke and asks whether its news still stands.
+const holdFor = 150 * time.Millisecond
+
+// relay takes one request its way.
+func (v *Vane) relay(ctx *fasthttp.RequestCtx) {
+	v.flight.Add(1)
+	w := &relay{v: v, ctx: ctx, begun: v.Crew.Now()}
+	defer func() {
+		if w.reply == nil {
+			v.flight.Add(-1)
+		}
+	}()
+	if v.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
+	for end := w.begun.Add(holdFor); !v.ready.Load() && v.Crew.Now() < end; {
+		v.Crew.Sleep(5 * time.Millisecond)
+	}
+	w.rules = v.rules.Load()
+	if w.rules == nil || !v.ready.Load() && !v.leaving.Load() {
+		w.end(synop.NotReady, 200*time.Millisecond)
+		return
+	}
+	path, host := ctx.Request.Header.RequestURI(), string(ctx.Request.Header.Host())
+	if i := bytes.IndexByte(path, '?'); i >= 0 {
+		path = path[:i]
+	}
+	do, ok := w.rules.Program.Find(vernier.Ask{Host: host, Path: string(path), Header: func(n string) string { return string(ctx.Request.Header.Peek(n)) }})
+	if !ok {
+		w.end(synop.NoMapping, 0)
+		return
+	}
+	w.m = w.rules.Mappings[do[0].Mapping]
+	w.read()
+	v.tallies.count(w.m, func(t *tally) { t.ask(w.begun) })
+	vernier.Run(do, vernier.Hands{Limit: w.limit, Claim: func() bool { return false }, Share: w.share, Try: w.try, Refuse: w.refuse})
+}
+
+// read takes what the headers tell.
+func (w *relay) read() {
+	n, h := &w.v.Words.Names, &w.ctx.Request.Header
+	w.id = string(h.Peek(n.Try))
+	w.last = string(h.Peek(n.After))
+	w.left = w.m.Promise.Longest
+	if ms, err := strconv.ParseFloat(string(h.Peek(n.Left)), 64); err == nil && ms >= 0 && ms < 1e9 {
+		w.left = time.Duration(ms * float64(time.Millisecond))
+	}
+	w.body = bytes.Clone(w.ctx.PostBody()) // outlives the handler
+	if w.v.Words.Prompt != nil {
+		w.prompt, w.sized = w.v.Words.Prompt(h)
+	}
+}
+
+// limit bounds the client's time left by the mapping's.
+func (w *relay) limit(ms int) bool {
+	w.until = w.begun.Add(min(w.left, time.Duration(ms)*time.Millisecond))
+	return false
+}
+
+// share draws the service among those that share the mapping; the same try always draws the same.
+func (w *relay) share() bool {
+	sum := 0
+	for _, t := range w.m.Split {
+		sum += t.Share
+	}
+	x := int(units.Mix("share", w.id) % uint64(max(1, sum)))
+	for _, t := range w.m.Split {
+		if x -= t.Share; x < 0 {
+			return w.try(t.Service)
+		}
+	}
+	return false
+}
+
+// refuse is the last step of every way: the final answer, at once, with when to come back if it has not run.
+func (w *relay) refuse() {
+	c := w.why
+	if c == 0 {
+		c = synop.NoWorker
+	}
+	s := w.rules.Services[w.m.To[0]]
+	w.v.tallies.count(w.m, func(t *tally) {
+		t.refused++
+		t.waited += w.v.Crew.Now().Sub(w.begun)
+	})
+	if w.ran {
+		w.end(synop.Unknown, 0)
+		return
+	}
+	w.end(c, back(s.RetryAfter, s.Jitter, w.due))
+}
+
+// end answers with a code of our own. A client is told when to come back only where the request did not run.
+func (w *relay) end(c synop.Code, after time.Duration) {
+	w.v.stats.count(c)
+	r := &w.ctx.Response
+	r.Reset()
+	if w.v.leaving.Load() {
+		w.ctx.SetConnectionClose()
+	}
+	if after > 0 {
+		r.Header.Set("Retry-After", strings.TrimRight(strconv.FormatFloat(after.Seconds(), 'f', 3, 64), "0"))
+	}
+	r.SetStatusCode(c.Status())
+	r.Header.SetContentType("application/json")
+	r.SetBodyString(`{"code":` + strconv.Itoa(int(c)) + `,"text":"` + reasonOf(c) + "\"}\n")
+}
+
+func reasonOf(c synop.Code) string {
+	switch c {
+	case synop.NoMapping:
+		return "no mapping takes this request"
+	case synop.NotReady:
+		return "this node has no confirmed configuration yet"
+	case synop.Unknown:
+		return "the outcome is unknown: it may have run"
+	}
+	return reasons[c]
+}
--- /dev/null
+++ b/internal/vaned/relay_try.go
@@ -0,0 +1,244 @@
+package vaned
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"seamshunt/internal/anemometer"
+	"seamshunt/internal/codebook"
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// most is how many workers the request may be sent to.
+func (w *relay) most() int {
+	if w.m.Tries > 0 {
+		return w.m.Tries
+	}
+	return triesMost
+}
+
+// may says whether the request may go to another worker, and takes the further try from the budget.
+func (w *relay) may(service string, now units.Time) bool {
+	switch {
+	case w.sent == 0:
+		return true
+	case w.sent >= w.most() || w.ran && w.m.Once:
+		return false
+	case !w.v.budgetOf(service).Again(now):
+		w.why = synop.Budget
+		return false
+	}
+	w.v.tallies.count(w.m, func(t *tally) { t.again++ })
+	return true
+}
+
+// try offers the request to one service. True ends its way.
+func (w *relay) try(service string) bool {
+	s, v := w.rules.Services[service], w.v
+	for range triesMost + 2 { // what never left this node may look further as well
+		now := v.Crew.Now()
+		if w.until.Sub(now) < s.First {
+			w.why = synop.OutOfTime
+			return false
+		}
+		if !w.may(service, now) {
+			return false
+		}
+		x, tag, ok := w.admit(now, s)
+		if !ok {
+			return true
+		}
+		if x.Code != synop.OK {
+			w.why, w.due = x.Code, x.Due
+			return false
+		}
+		if v.Crew.Now().Sub(x.at) > staleAt {
+			v.done(tag, false)
+			continue
+		}
+		if e := w.handOver(tag, x.Worker, s); e != nil {
+			w.answer(e)
+			return true
+		}
+	}
+	return false
+}
+
+// run is one hand-over that was answered.
+type run struct {
+	*anemometer.Exchange
+	tag     uint64
+	worker  string
+	service *forecast.Service
+	handed  units.Time
+}
+
+// admit asks the hygrometer and waits for its verdict; false when the client hung up.
+func (w *relay) admit(now units.Time, s *forecast.Service) (verdict, uint64, bool) {
+	v, tag := w.v, w.v.tag.Add(1)
+	q := hygrometer.Req{Tag: tag, Policy: s.Allow, Until: w.until, First: s.First, Worth: uint16(w.m.Promise.Worth), Tries: 3}
+	cands, keepers := v.place(now, s, w, &q)
+	q.Cands, q.Keeper = cands, func(n string) units.Node { return keepers[n] }
+	c := make(chan verdict, 1)
+	v.deskMu.Lock()
+	v.doors[tag] = c
+	out := v.desk.Arrive(now, q)
+	v.tell(now)
+	v.deskMu.Unlock()
+	v.Deliver(out)
+	t := time.NewTicker(2 * peekAt)
+	defer t.Stop()
+	for {
+		select {
+		case x := <-c:
+			return x, tag, true
+		case <-t.C:
+			if anemometer.HungUp(w.ctx.Conn()) {
+				v.cut(tag)
+				v.stats.count(synop.HungUp)
+				w.ctx.SetConnectionClose()
+				w.end(synop.HungUp, 0)
+				return verdict{}, tag, false
+			}
+		}
+	}
+}
+
+// request lays out what goes to the worker: the client's bytes, and what the worker is told besides.
+func (w *relay) request(worker string, left time.Duration) *fasthttp.Request {
+	n, r := &w.v.Words.Names, fasthttp.AcquireRequest()
+	w.ctx.Request.Header.CopyTo(&r.Header)
+	for _, h := range hops {
+		r.Header.Del(h)
+	}
+	r.Header.ResetConnectionClose()
+	r.Header.SetNoDefaultContentType(true)
+	r.Header.Set(n.Left, strconv.Itoa(int(max(1, left/time.Millisecond))))
+	r.Header.Set(n.Expect, worker)
+	r.Header.Set(n.Urgency, strconv.Itoa(urgency(w)))
+	if w.last != "" {
+		r.Header.Set(n.After, w.last)
+	}
+	r.SetBodyRaw(w.body)
+	return r
+}
+
+// hops are the headers that concern one connection only.
+var hops = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
+
+// handOver sends the request to a worker. Nothing means that it may look further, as far as may allows.
+func (w *relay) handOver(tag uint64, name string, s *forecast.Service) *run {
+	v := w.v
+	addr, zone, ok := v.address(name, s)
+	if !ok || !w.m.Reaches(s.Name) {
+		v.done(tag, false)
+		w.why = synop.NoWorker
+		return nil
+	}
+	now := v.Crew.Now()
+	worker := name[len(s.Name)+1:]
+	req := w.request(worker, w.until.Sub(now))
+	o := &anemometer.Order{Worker: worker, Addr: addr, ID: w.id, Req: req, Due: time.Now().Add(w.until.Sub(now)), Fresh: w.m.Once,
+		Most: v.connsOf(s), Gone: func() bool { return anemometer.HungUp(w.ctx.Conn()) }}
+	v.stats.hand(zone, v.Boot.Zone, len(w.body))
+	if w.sent == 0 {
+		v.budgetOf(s.Name).First(now)
+	}
+	x := v.pool.Do(o)
+	fasthttp.ReleaseRequest(req)
+	switch x.Kind {
+	case anemometer.Piece:
+		w.sent++
+		w.ran = true
+		if w.retries(x.Resp.StatusCode()) {
+			x.End()
+			v.done(tag, false)
+			v.passOver(name)
+			w.why = synop.WorkerNo
+			return nil
+		}
+		v.habitOf(s.Name).Add(v.Crew.Now().Sub(now))
+		return &run{Exchange: x, tag: tag, worker: name, service: s, handed: now}
+	case anemometer.NotSent:
+		v.done(tag, false)
+		if x.Down {
+			v.passOver(name)
+		}
+		w.why = synop.NoWorker
+	case anemometer.NotRun, anemometer.Moved:
+		w.sent++
+		v.done(tag, false)
+		v.passOver(name)
+		w.why = synop.WorkerNo
+	default:
+		w.sent++
+		w.ran = true
+		w.why = synop.Unknown
+		v.done(tag, !x.Down)
+		v.passOver(name)
+		v.Log.WithError(x.Err).WithField("worker", name).Warn("a try of unknown outcome")
+	}
+	x.End()
+	return nil
+}
+
+// retries says whether a worker's own failure is worth another worker: only where the request may run again.
+func (w *relay) retries(status int) bool {
+	return status >= 500 && !w.m.Once && w.sent < w.most() && w.v.Crew.Now().Add(w.m.Promise.First/4) < w.until
+}
+
+// place orders the workers for one request, and says what each would have to read and hold.
+func (v *Vane) place(now units.Time, s *forecast.Service, w *relay, q *hygrometer.Req) ([]string, map[string]units.Node) {
+	size(w.prompt, w.sized && s.Memory > 0, w.m, s, q)
+	cands, keepers := v.cands(now, s, homeKey(w.prompt, w.sized))
+	if w.broke != "" && len(cands) > 1 && cands[0] == w.broke {
+		cands = append(cands[1:], cands[0])
+	}
+	return cands, keepers
+}
+
+// homeKey names the shared parts of a prompt: all but the last, which is its own or its session's.
+func homeKey(p codebook.Prompt, sized bool) uint64 {
+	if !sized || len(p.Parts) < 2 {
+		return 0
+	}
+	return units.Mix(p.Parts[len(p.Parts)-2].ID)
+}
+
+// size works out what a prompt costs a worker that holds its shared parts, and one that doesn't (design 12).
+func size(p codebook.Prompt, sized bool, m *forecast.Mapping, s *forecast.Service, q *hygrometer.Req) {
+	if !sized {
+		return
+	}
+	shared := 0
+	for i, x := range p.Parts {
+		if i < len(p.Parts)-1 {
+			shared += x.Tokens
+		}
+	}
+	shared = min(shared, p.In)
+	q.Homes, q.Full, q.Read = 1, uint32(p.In), uint32(p.In-shared)
+	q.Mem = uint32(p.In - shared + p.Out)
+	cold := time.Duration(float64(shared)/s.Reads*float64(time.Millisecond)) + 1
+	q.Soon = m.Promise.First/8 + 8*cold
+	q.Away = 4 * cold
+}
+
+// urgency tells the worker who goes first.
+func urgency(w *relay) int { return min(9, 2+w.m.Rank) }
+
+// connsOf is this node's part of the connections that a worker accepts from all nodes together.
+func (v *Vane) connsOf(s *forecast.Service) int {
+	if s.Conns == 0 {
+		return 0
+	}
+	v.tableMu.Lock()
+	n := len(v.table.peers)
+	v.tableMu.Unlock()
+	return max(2, s.Conns*8/10/max(1, n))
+}
--- /dev/null
+++ b/internal/vaned/reply.go
@@ -0,0 +1,200 @@
+package vaned
+
+import (
+	"io"
+
+	"seamshunt/internal/anemometer"
+	"seamshunt/internal/synop"
+)
+
+// smallest answers are read whole before the first byte goes to the client: a broken one is then no success.
+const whole = 64 << 10
+
+// answer passes a worker's answer on.
+func (w *relay) answer(e *run) {
+	v := w.v
+	if c := e.Resp.StatusCode(); c == 408 || c == 421 || c == 429 || c == 503 {
+		e.End() // a refusal that does not say that it has not run promises what nobody knows
+		v.done(e.tag, false)
+		w.end(synop.Unknown, 0)
+		return
+	}
+	v.tallies.count(w.m, func(t *tally) { t.firstWords(v.Crew.Now().Sub(w.begun)) })
+	w.heads(e)
+	r := &reply{w: w, run: e}
+	r.events.Last = w.last
+	if w.m.Stream || e.Length() < 0 || e.Length() > whole {
+		w.reply = r
+		w.ctx.Response.ImmediateHeaderFlush = true
+		w.ctx.SetBodyStream(r, e.Length())
+		return
+	}
+	b, err := io.ReadAll(r)
+	if err != nil {
+		r.Close()
+		w.broke = e.worker
+		if w.may(e.service.Name, v.Crew.Now()) && w.try(e.service.Name) {
+			return
+		}
+		w.end(synop.Unknown, 0)
+		return
+	}
+	w.ctx.Response.SetBodyRaw(b)
+	r.Close()
+}
+
+// heads copies the worker's status and headers, but for those that concern one connection only.
+func (w *relay) heads(e *run) {
+	out, in := &w.ctx.Response, e.Resp
+	out.Reset()
+	in.Header.CopyTo(&out.Header)
+	for _, h := range hops {
+		out.Header.Del(h)
+	}
+	out.Header.ResetConnectionClose()
+	out.Header.SetNoDefaultContentType(true)
+	if w.v.leaving.Load() {
+		w.ctx.SetConnectionClose()
+	}
+}
+
+// reply is the body of a client's answer. An error from Read makes the server break the connection off without a
+// final chunk, so that a broken answer never looks whole. A stream that may be resumed goes on at another worker behind
+// the last whole event, under its first head (design 11).
+type reply struct {
+	w *relay
+	*run
+	events anemometer.Events
+	out    []byte // whole events that are not read yet
+	buf    []byte
+	got    bool // something of a stream came
+	ended  bool
+	closed bool
+	err    error
+}
+
+// Read gives the next bytes as they come.
+func (r *reply) Read(p []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
+	if !r.w.m.Resume || r.Resp.StatusCode() != 200 {
+		n, err := r.run.Read(p)
+		if err == io.EOF {
+			r.ended = true
+		} else if err != nil {
+			r.broken(err)
+		}
+		return n, err
+	}
+	for len(r.out) == 0 {
+		if r.ended {
+			return 0, io.EOF
+		}
+		if err := r.more(); err != nil {
+			r.err = err
+			return 0, err
+		}
+	}
+	n := copy(p, r.out)
+	r.out = r.out[n:]
+	return n, nil
+}
+
+// more reads on until something whole has come, at another worker if need be.
+func (r *reply) more() error {
+	if r.buf == nil {
+		r.buf = make([]byte, 4096)
+	}
+	n, err := r.run.Read(r.buf)
+	out, bad := r.events.Whole(r.buf[:n])
+	r.out = append(r.out[:0], out...)
+	switch {
+	case bad != nil:
+		err = bad
+	case err == io.EOF && r.events.Tail() > 0:
+		err = errBroken // the end came in the middle of an event
+	case err == io.EOF:
+		r.ended = true
+		return nil
+	}
+	if err == nil {
+		return nil
+	}
+	r.broken(err)
+	if !r.resume() {
+		return errBroken
+	}
+	return nil
+}
+
+func (r *reply) broken(err error) {
+	v := r.w.v
+	v.stats.count(synop.BrokenStream)
+	v.passOver(r.worker)
+	v.Log.WithError(err).WithField("worker", r.worker).Warn("a stream broke")
+}
+
+// resume takes the stream up at another worker behind the last whole event.
+func (r *reply) resume() bool {
+	w := r.w
+	w.last, w.broke = r.events.Last, r.worker
+	r.run.End()
+	w.v.cut(r.tag)
+	r.run.tag = 0
+	for {
+		now := w.v.Crew.Now()
+		if w.until.Sub(now) < r.service.First || !w.may(r.service.Name, now) {
+			return false
+		}
+		x, tag, ok := w.admit(now, r.service)
+		if !ok || x.Code != synop.OK {
+			return false
+		}
+		e := w.handOver(tag, x.Worker, r.service)
+		if e == nil {
+			continue
+		}
+		if e.Resp.StatusCode() != 200 {
+			e.End()
+			w.v.cut(tag)
+			return false
+		}
+		r.run = e
+		r.events = anemometer.Events{Last: r.events.Last}
+		return true
+	}
+}
+
+// Close ends the run and gives the slot back; the server calls it however the answer ended.
+func (r *reply) Close() error {
+	if r.closed {
+		return nil
+	}
+	r.closed = true
+	v, w := r.w.v, r.w
+	r.run.End()
+	now := v.Crew.Now()
+	v.tallies.count(w.m, func(t *tally) {
+		t.ended++
+		t.held += now.Sub(r.handed)
+		if r.ended && now <= w.until {
+			t.whole++
+		}
+	})
+	if r.tag != 0 {
+		if r.ended {
+			v.done(r.tag, false)
+		} else {
+			v.cut(r.tag)
+		}
+	}
+	if r.ended {
+		v.stats.count(synop.OK)
+		v.well(r.worker)
+	}
+	if w.reply == r {
+		v.flight.Add(-1)
+	}
+	return nil
+}
--- a/internal/vaned/rig_test.go
+++ b/internal/vaned/rig_test.go
@@ -86,7 +86,7 @@
 	t.Helper()
 	b := &boot.Boot{Name: "n1", Zone: "z1", Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), DrainMs: 1000}
 	b.Seeds = []string{b.Addr}
-	v := New(b)
+	v := New(b, nil)
 	if err := v.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/vaned/rules.go
+++ b/internal/vaned/rules.go
@@ -61,9 +61,11 @@
 	if r == nil {
 		return
 	}
+	live, known := len(peers), len(peers)+t.watch.Lost()
 	ws := r.Keep(t.pools, t.sky.Start(), t.out)
 	v.gaugeMu.Lock()
 	v.gauge.Workers(ws)
+	v.gauge.Allow(v.Boot.Bounds.WarmExcess, v.Boot.Bounds.WarmSlack, float64(live)/float64(max(1, known)))
 	v.gauge.View(peers, t.watch.Holds(r.Longest(false)))
 	v.gaugeMu.Unlock()
 }
@@ -73,7 +75,7 @@
 	kind, name, _ := strings.Cut(it.Key, "/")
 	switch kind {
 	case "config":
-		c, faults := forecast.Read(it.Data)
+		c, faults := v.compile(it.Data)
 		if len(faults) > 0 {
 			v.Log.WithError(faults[0]).Error("a configuration that control took does not compile here")
 			return
--- /dev/null
+++ b/internal/vaned/speak.go
@@ -0,0 +1,69 @@
+package vaned
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// lingerFor is how long a leaving node still takes requests: clients come until its readiness has been asked twice.
+const lingerFor = 3 * time.Second
+
+// speak has the door for clients take requests in the book's words, byte for byte.
+func (v *Vane) speak() {
+	w := v.web
+	w.Handler = v.relay
+	w.ReadTimeout, w.IdleTimeout = 30*time.Second, 60*time.Second
+	w.ReadBufferSize = 20 << 10
+	w.NoDefaultServerHeader = true
+	w.NoDefaultContentType = true
+	w.CloseOnShutdown = true
+	w.DisablePreParseMultipartForm = true
+	w.ReduceMemoryUsage = true
+	v.Crew.Every(time.Second, func(units.Time) { v.pool.Sweep() })
+}
+
+// askable answers at an address of its own whether this node is ready.
+func (v *Vane) askable() error {
+	if v.Boot.Ready == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp", v.Boot.Ready)
+	if err != nil {
+		return fmt.Errorf("vane: %w", err)
+	}
+	v.ask = &fasthttp.Server{Handler: v.readiness, Name: "vane", NoDefaultDate: true, Logger: quiet{}, ReduceMemoryUsage: true}
+	v.Crew.Go(func() { _ = v.ask.Serve(ln) })
+	return nil
+}
+
+func (v *Vane) readiness(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/status":
+		v.status(ctx)
+	case "/metrics":
+		v.metrics(ctx)
+	case v.Words.Ready:
+		if !v.ready.Load() || v.leaving.Load() || v.alone() {
+			ctx.SetStatusCode(503)
+			return
+		}
+		ctx.SetBodyString("ready\n")
+	default:
+		ctx.SetStatusCode(404)
+	}
+}
+
+// compile reads a configuration in whichever words it was given.
+func (v *Vane) compile(b []byte) (*forecast.Config, []*synop.Fault) {
+	if v.Words != nil {
+		return v.Words.Config(b)
+	}
+	return forecast.Read(b)
+}
--- a/internal/vaned/vane.go
+++ b/internal/vaned/vane.go
@@ -13,6 +13,7 @@
 
 	"seamshunt/internal/anemometer"
 	"seamshunt/internal/boot"
+	"seamshunt/internal/codebook"
 	"seamshunt/internal/gauge"
 	"seamshunt/internal/hygrometer"
 	"seamshunt/internal/mast"
@@ -58,12 +59,18 @@
 	began    units.Time
 	flight   atomic.Int64
 	web      *fasthttp.Server
+	ask      *fasthttp.Server // answers whether this node is ready, where that has an address of its own
+	Words    *codebook.Book   // the outside world's words; nil: the product's own interface
+	pool     *anemometer.Pool
 	stats    stats
 }
 
-// New builds a vane.
-func New(b *boot.Boot) *Vane {
+// New builds a vane; with a book it speaks that world's words to clients and workers (design 11).
+func New(b *boot.Boot, book *codebook.Book) *Vane {
 	v := &Vane{Tower: tower.New(b, tower.Random(), mast.Vane), doors: map[uint64]chan verdict{}, claims: map[uint64]chan synop.Code{}}
+	if v.Words = book; book != nil {
+		v.pool = anemometer.NewPool(book.Names)
+	}
 	v.desk = hygrometer.New(v.Self)
 	v.gauge = gauge.New(v.Self)
 	v.screen = screen.New(v.Self, v.Crew.Now())
@@ -91,6 +98,13 @@
 	v.began = v.Crew.Now()
 	v.web = &fasthttp.Server{Handler: v.serve, Name: "vane", MaxRequestBodySize: MaxPrompt, NoDefaultDate: true,
 		ReadTimeout: 30 * time.Second, Logger: quiet{}, ErrorHandler: v.malformed, Concurrency: 65536}
+	if v.Words != nil {
+		v.speak()
+	}
+	if err := v.askable(); err != nil {
+		ln.Close()
+		return err
+	}
 	v.Crew.Go(func() { _ = v.web.Serve(ln) })
 	v.Crew.Every(20*time.Millisecond, v.beat)
 	return nil
@@ -186,12 +200,16 @@
 	v.leaving.Store(true)
 	v.Flag(mast.Draining, true)
 	v.Flag(mast.Ready, false)
+	least := v.Crew.Now()
+	if v.Words != nil {
+		least = least.Add(lingerFor)
+	}
 	end := v.Crew.Now().Add(time.Duration(v.Boot.DrainMs) * time.Millisecond)
 	for quietSince := v.Crew.Now(); v.Crew.Now() < end; v.Crew.Sleep(20 * time.Millisecond) {
 		if v.flight.Load() > 0 {
 			quietSince = v.Crew.Now()
 		}
-		if v.Crew.Now().Sub(quietSince) > 300*time.Millisecond {
+		if now := v.Crew.Now(); now > least && now.Sub(quietSince) > 300*time.Millisecond {
 			break
 		}
 	}
@@ -203,5 +221,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
 	_ = v.web.ShutdownWithContext(ctx)
+	if v.ask != nil {
+		_ = v.ask.ShutdownWithContext(ctx)
+	}
 	v.Goodbye()
 }
--- a/internal/vaned/way.go
+++ b/internal/vaned/way.go
@@ -12,6 +12,7 @@
 	"seamshunt/internal/hygrometer"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
+	"seamshunt/internal/windvane"
 )
 
 // way is one request on its way.
@@ -90,7 +91,7 @@
 // admit asks the hygrometer and waits for its verdict, noticing a caller that hangs up.
 func (w *way) admit(now units.Time, tag uint64, s *forecast.Service) (verdict, bool) {
 	v := w.v
-	cands, keepers := v.cands(now, s, w.text)
+	cands, keepers := v.cands(now, s, windvane.Fingerprint(w.text, s.Prefix))
 	c := make(chan verdict, 1)
 	v.deskMu.Lock()
 	v.doors[tag] = c
--- a/internal/windvane/windvane.go
+++ b/internal/windvane/windvane.go
@@ -28,6 +28,7 @@
 	"prefix": (*Windvane).prefix,
 	"least":  (*Windvane).least,
 	"turn":   (*Windvane).turn,
+	"home":   (*Windvane).home,
 }
 
 // Windvane holds what policies remember between prompts.
@@ -77,6 +78,23 @@
 	return s
 }
 
+// home: one order for the whole fleet, whatever the zone, so that a long shared part is read by few workers; behind
+// the first few, and where nothing is shared, the least loaded.
+func (w *Windvane) home(q Query) []string {
+	l := slices.Clone(q.Spots)
+	if q.Prefix == 0 {
+		rotate(l, int(w.next.Add(1)))
+		slices.SortStableFunc(l, func(a, b Spot) int { return byLoad(a, b, "") })
+		return names(l)
+	}
+	rank := func(s Spot) uint64 { return units.Mix(units.Hex(q.Prefix), s.Name) }
+	slices.SortFunc(l, func(a, b Spot) int { return flip(rank(a) > rank(b)) })
+	if len(l) > q.Spread {
+		slices.SortStableFunc(l[q.Spread:], func(a, b Spot) int { return byLoad(a, b, "") })
+	}
+	return names(l)
+}
+
 func flip(first bool) int {
 	if first {
 		return -1
@@ -87,10 +105,10 @@
 // byLoad puts the less loaded first; a worker in another zone must be much less loaded to come before.
 func byLoad(a, b Spot, zone string) int {
 	x, y := a.Load, b.Load
-	if a.Zone != zone {
+	if a.Zone != zone && zone != "" {
 		x += 0.5
 	}
-	if b.Zone != zone {
+	if b.Zone != zone && zone != "" {
 		y += 0.5
 	}
 	if x < y {
