Membership keeps its table's copy and its digest till something changes

Now both are kept and worked out when asked for after a change; a list given out is never written to. Ruled out: a list without news and times of hearing, so that it would outlive each note: news needs both.

--- a/internal/mast/note.go
+++ b/internal/mast/note.go
@@ -33,7 +33,8 @@
 // pack lays out what the neighbour should hear: this node itself and what changed lately, or the whole table.
 func (m *Mast) pack(seq uint64, target units.Node, whole bool) []byte {
 	var items [][]byte
-	for _, x := range m.All() {
+	for _, n := range m.ids() {
+		x := m.all[n]
 		if !whole && x.Node != m.Self && m.fresh[x.Node] == 0 {
 			continue
 		}
@@ -46,16 +47,6 @@
 	return station.Pack(probeHead{Seq: seq, News: m.News, Target: uint64(target), Sum: m.sum()}, station.PackList(items))
 }
 
-// sum is a digest of the live members. Those that are gone are left out: each node forgets them at its own time.
-func (m *Mast) sum() (s uint64) {
-	for n, x := range m.all {
-		if x.State <= Suspect {
-			s += units.Mix(n.String(), units.Hex(x.Inc))
-		}
-	}
-	return s
-}
-
 // tell has a change ride on so many notes that all hear of it, as a rule; the digests find the exceptions.
 func (m *Mast) tell(n units.Node) { m.fresh[n] = 3 * bits.Len(uint(len(m.all))) }
 
--- a/internal/mast/step.go
+++ b/internal/mast/step.go
@@ -18,6 +18,7 @@
 	}
 	if x := m.all[n.From]; x != nil {
 		x.News, x.Heard = h.News, now
+		m.heard()
 	}
 	switch n.Kind {
 	case Probe:
@@ -64,6 +65,7 @@
 		s := m.all[m.Self]
 		if y.Inc > s.Inc || y.Inc == s.Inc && y.State > s.State {
 			s.Inc = y.Inc + 1
+			m.changed()
 			m.tell(m.Self)
 		}
 		return
@@ -74,6 +76,7 @@
 		c.since, c.News, c.Heard = now, 0, 0
 		m.all[y.Node] = &c
 		m.order = nil
+		m.changed()
 		m.tell(y.Node)
 		return
 	}
@@ -82,6 +85,7 @@
 		*x = *y
 		x.News, x.Heard, x.since = was.News, was.Heard, was.since
 		old := was.State
+		m.changed()
 		m.tell(y.Node)
 		if x.State != old {
 			x.since = now
@@ -110,6 +114,7 @@
 	s := m.all[m.Self]
 	s.Inc++
 	s.State = Left
+	m.changed()
 	for _, n := range m.others(0) {
 		out.Send(n, Probe, m.pack(0, 0, false))
 	}
--- /dev/null
+++ b/internal/mast/table.go
@@ -0,0 +1,56 @@
+package mast
+
+import (
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// changed is told of every change of what the digest is of, or of who there is: both are worked out anew when asked
+// for next. At 400 nodes a daemon asks for the table some 170 times a second (docs/CAPACITY.md).
+func (m *Mast) changed() { m.kept, m.summed = nil, false }
+
+// heard is told that only a member's news was told anew, which the digest is not of.
+func (m *Mast) heard() { m.kept = nil }
+
+// ids gives all nodes in order.
+func (m *Mast) ids() []units.Node {
+	if m.order == nil {
+		m.order = station.Keys(m.all)
+	}
+	return m.order
+}
+
+// All lists every member that isn't forgotten, in order of id. The list is the same one till something changes: it
+// is never written to again, neither here nor by who asked.
+func (m *Mast) All() []Member {
+	if m.kept == nil {
+		m.kept = make([]Member, 0, len(m.all))
+		for _, n := range m.ids() {
+			m.kept = append(m.kept, *m.all[n])
+		}
+	}
+	return m.kept[:len(m.kept):len(m.kept)]
+}
+
+// Live lists the members of a role that are alive or only suspected.
+func (m *Mast) Live(r Role) (l []Member) {
+	for _, n := range m.ids() {
+		if x := m.all[n]; x.Role == r && x.State <= Suspect {
+			l = append(l, *x)
+		}
+	}
+	return l
+}
+
+// sum is a digest of the live members. Those that are gone are left out: each node forgets them at its own time.
+func (m *Mast) sum() uint64 {
+	if !m.summed {
+		m.digest, m.summed = 0, true
+		for n, x := range m.all {
+			if x.State <= Suspect {
+				m.digest += units.Mix(n.String(), units.Hex(x.Inc))
+			}
+		}
+	}
+	return m.digest
+}
