--- /dev/null
+++ b/cmd/gale/hollow.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"seamshunt/internal/hollow"
+)
+
+const jobsMost = 16
+
+// study is what the flags of gale hollow say.
+type study struct {
+	sizes  []int
+	names  []string
+	seed   uint64
+	dir    string
+	memory uint64
+	jobs   int
+	frames int
+}
+
+// hollowCmd measures what each role costs at several sizes, with hollow nodes.
+func hollowCmd() *cobra.Command {
+	x := &study{}
+	for _, e := range hollow.Experiments {
+		x.names = append(x.names, e.Name)
+	}
+	c := &cobra.Command{Use: "hollow", Short: "run hollow nodes at several sizes, and write what each role costs as a table and a plot", Args: cobra.NoArgs}
+	c.RunE = func(*cobra.Command, []string) error {
+		l, err := x.check()
+		if err != nil {
+			return err
+		}
+		ctx, stop := interrupted()
+		defer stop()
+		return x.run(ctx, l)
+	}
+	f := c.Flags()
+	f.IntSliceVar(&x.sizes, "sizes", []int{12, 50, 100, 200, 400}, "how many vanes; 8 barometers are with them")
+	f.StringSliceVar(&x.names, "experiments", x.names, "what the site does")
+	f.Uint64Var(&x.seed, "seed", 1, "seed")
+	f.StringVar(&x.dir, "dir", "", "a folder for capacity.csv, capacity.md and capacity.svg; the Markdown is printed anyway")
+	f.Uint64Var(&x.memory, "memory-mb", 6144, "the most memory that all runs may take together; never over half of the machine's")
+	f.IntVar(&x.jobs, "jobs", 3, "how many runs at a time, each a process of one thread")
+	f.IntVar(&x.frames, "frames", 20000, "how many real frames to send for the price of one; 0 for none")
+	c.AddCommand(oneCmd())
+	return c
+}
+
+func memory(most uint64) (uint64, error) {
+	half, err := hollow.Half()
+	return min(half, most<<20), err
+}
+
+// check reads what can be wrong before anything starts.
+func (x *study) check() ([]hollow.Experiment, error) {
+	m, err := memory(x.memory)
+	if err != nil {
+		return nil, err
+	}
+	l, err := hollow.Find(x.names)
+	switch {
+	case err != nil:
+		return nil, err
+	case len(l) == 0:
+		return nil, errors.New("--experiments names none")
+	case x.jobs < 1 || x.jobs > jobsMost:
+		return nil, fmt.Errorf("--jobs is 1 to %d", jobsMost)
+	case x.frames < 0:
+		return nil, errors.New("--frames is 0 or above")
+	}
+	if err := hollow.CheckSizes(x.sizes, m/uint64(x.jobs)); err != nil {
+		return nil, err
+	}
+	if x.dir != "" {
+		if s, err := os.Stat(x.dir); err != nil || !s.IsDir() {
+			return nil, fmt.Errorf("--dir %s: no such folder", x.dir)
+		}
+	}
+	return l, nil
+}
+
+// oneCmd is one run in its own process, so that its memory and processor time are its own.
+func oneCmd() *cobra.Command {
+	var seed uint64
+	c := &cobra.Command{Use: "one EXPERIMENT SIZE", Short: "one run, its result as JSON", Args: cobra.ExactArgs(2)}
+	c.RunE = func(_ *cobra.Command, a []string) error {
+		l, err := hollow.Find(a[:1])
+		if err != nil {
+			return err
+		}
+		n, err := strconv.Atoi(a[1])
+		if err != nil {
+			return fmt.Errorf("SIZE: %w", err)
+		}
+		m, err := hollow.Half()
+		if err != nil {
+			return err
+		}
+		if err := hollow.CheckSizes([]int{n}, m); err != nil {
+			return err
+		}
+		runtime.GOMAXPROCS(1) // one thread, so that processor time is steady
+		r, err := hollow.Measure(l[0], hollow.At(n, seed))
+		if err != nil {
+			return err
+		}
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed")
+	return c
+}
+
+// run does the largest first, so that none is left over at the end, and writes what was asked for.
+func (x *study) run(ctx context.Context, l []hollow.Experiment) error {
+	me, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	all := make([][]hollow.Result, len(l))
+	errs := make([]error, len(l)*len(x.sizes))
+	free := make(chan struct{}, x.jobs)
+	var wait sync.WaitGroup
+	for j := len(x.sizes) - 1; j >= 0; j-- {
+		for i, e := range l {
+			if all[i] == nil {
+				all[i] = make([]hollow.Result, len(x.sizes))
+			}
+			free <- struct{}{}
+			wait.Go(func() {
+				defer func() { <-free }()
+				out, err := exec.CommandContext(ctx, me, "hollow", "one", e.Name, strconv.Itoa(x.sizes[j]), "--seed", strconv.FormatUint(x.seed, 10)).Output()
+				if err == nil {
+					err = json.Unmarshal(out, &all[i][j])
+				}
+				errs[i*len(x.sizes)+j] = err
+			})
+		}
+	}
+	wait.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	var rows []hollow.Row
+	for i, e := range l {
+		for j, n := range x.sizes {
+			r := all[i][j]
+			rows = append(rows, r.Rows...)
+			fmt.Printf("%-8s %4d: ready after %.1f s; changes %v, slowest in force after %v; verdicts %v; claims %v; polls %d; %.1f s of processor time\n", e.Name, n,
+				r.Ready.Seconds(), r.Changes, r.Force.Round(time.Millisecond), r.Verdicts, r.Claimed, r.Polls, r.Real.Seconds())
+		}
+	}
+	for _, size := range []int{124, 4096, 65536} {
+		if x.frames > 0 {
+			d, err := hollow.Frames(x.frames, size)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("a frame of %d bytes over loopback, sent and taken: %.1f microseconds of processor time\n", size, float64(d.Nanoseconds())/1000)
+		}
+	}
+	return x.write(rows)
+}
+
+func (x *study) write(rows []hollow.Row) error {
+	var md strings.Builder
+	if err := hollow.Markdown(&md, rows, hollow.Fit(rows)); err != nil {
+		return err
+	}
+	fmt.Print("\n", md.String())
+	if x.dir == "" {
+		return nil
+	}
+	return errors.Join(write(filepath.Join(x.dir, "capacity.md"), func(w io.Writer) error { _, err := io.WriteString(w, md.String()); return err }),
+		write(filepath.Join(x.dir, "capacity.csv"), func(w io.Writer) error { return hollow.Table(w, rows) }),
+		hollow.Plot(filepath.Join(x.dir, "capacity.svg"), rows))
+}
+
+func write(path string, f func(io.Writer) error) error {
+	o, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f(o), o.Close())
+}
--- /dev/null
+++ b/internal/hollow/frames.go
@@ -0,0 +1,64 @@
+package hollow
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"seamshunt/internal/crew"
+	"seamshunt/internal/station"
+	"seamshunt/internal/telegraph"
+	"seamshunt/internal/units"
+)
+
+// Frames sends real frames of some size over loopback by the daemons' own wires, one at a time as a quiet node's go,
+// and gives the processor time of one, sent and taken.
+func Frames(n, size int) (time.Duration, error) {
+	c := crew.New(clockwork.NewRealClock(), 4)
+	defer c.Stop(time.Second)
+	var came atomic.Int64
+	wake := make(chan struct{}, 1)
+	addrs := make([]string, 2)
+	for i := range addrs {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return 0, fmt.Errorf("hollow: %w", err)
+		}
+		addrs[i] = ln.Addr().String()
+		ln.Close()
+	}
+	a, err := telegraph.Open(1, addrs[0], c, func(station.Note) {}, nil)
+	if err != nil {
+		return 0, fmt.Errorf("hollow: %w", err)
+	}
+	defer a.Close()
+	b, err := telegraph.Open(2, addrs[1], c, func(station.Note) {
+		c.Do(func() {
+			came.Add(1)
+			wake <- struct{}{}
+		})
+	}, nil)
+	if err != nil {
+		return 0, fmt.Errorf("hollow: %w", err)
+	}
+	defer b.Close()
+	a.Learn(2, addrs[1])
+	body := make([]byte, size)
+	from := time.Duration(0)
+	for i := range n + 100 {
+		if i == 100 { // the wire stands
+			from = cpu()
+		}
+		a.Send(station.Note{To: units.Node(2), Kind: station.Mast, Body: body})
+		select {
+		case <-wake:
+		case <-time.After(5 * time.Second):
+			return 0, errors.New("hollow: a frame did not come")
+		}
+	}
+	return (cpu() - from) / time.Duration(n), nil
+}
--- /dev/null
+++ b/internal/hollow/load.go
@@ -0,0 +1,162 @@
+package hollow
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/mast"
+	"seamshunt/internal/screen"
+	"seamshunt/internal/station"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// What prompts are like: their mean run keeps 30,870 streams open at 1,700 requests a second (490,000 tokens a
+// second at one in 63 ms each), which is 48 to a worker.
+const (
+	meanRun  = 18200 * time.Millisecond
+	deadline = 60 * time.Second
+	knee     = 64
+	prefixes = 1_100_000
+)
+
+// load is what the world asks of its nodes, and what came of it.
+type load struct {
+	workers   []forecast.Worker
+	pool      map[string][]int
+	poolNames []string
+	traffic   bool
+	claims    bool
+	Polls     int
+	Done      map[synop.Code]int // operators' changes by their outcome
+	Verdicts  map[synop.Code]int
+	Claimed   map[synop.Code]int
+	asked     map[units.Num]units.Time
+	taken     map[units.Num]int
+	Force     time.Duration // the longest from an operator's change to its being in force on the last vane
+	changes   int
+	serial    int
+}
+
+func newLoad(s Shape) *load {
+	l := &load{pool: map[string][]int{}, Done: map[synop.Code]int{}, Verdicts: map[synop.Code]int{}, Claimed: map[synop.Code]int{},
+		asked: map[units.Num]units.Time{}, taken: map[units.Num]int{}}
+	for i := range s.Models {
+		l.poolNames = append(l.poolNames, fmt.Sprintf("pool%02d", i))
+	}
+	for i := range s.Workers {
+		l.join(i)
+	}
+	return l
+}
+
+func (l *load) join(i int) {
+	z := site[(i/len(l.poolNames)+i)%len(site)].zone
+	l.workers = append(l.workers, forecast.Worker{ID: fmt.Sprintf("w%04d", i), Addr: fmt.Sprintf("w%04d.%s.site.example:8000", i, z), Zone: z, Age: time.Hour})
+	p := l.poolNames[i%len(l.poolNames)]
+	l.pool[p] = append(l.pool[p], i)
+}
+
+// listed is the platform's answer for one pool.
+func (w *World) listed(p string) []forecast.Worker {
+	l := make([]forecast.Worker, len(w.pool[p]))
+	for i, x := range w.pool[p] {
+		l[i] = w.workers[x]
+		l[i].Age += time.Duration(w.Now)
+	}
+	return l
+}
+
+// Config lays out a configuration of a service for each model and a mapping for each tenant.
+func Config(models, tenants int, note string) []byte {
+	var s, m []string
+	for i := range models {
+		s = append(s, fmt.Sprintf(`{"name":"m%02d","pool":"pool%02d","cap":%d,"waitlist":%d,"warm_ms":0,"spread":4,"first_ms":160}`, i, i, knee, 2*knee))
+	}
+	for i := range tenants {
+		m = append(m, fmt.Sprintf(`"mapping t%03d { when path = \"/v1/chat\" and header \"Tenant\" = \"tenant-%03d\" to m%02d promise talk repeat }"`, i, i, i%models))
+	}
+	return []byte(fmt.Sprintf("{\"services\":[%s],\n\"promises\":[{\"name\":\"talk\",\"first_ms\":710,\"deadline_ms\":%d}],\n\"layout\":[\"# %s\",\n%s]}",
+		strings.Join(s, ",\n"), deadline.Milliseconds(), note, strings.Join(m, ",\n")))
+}
+
+// Change has the first voter's operator write a new configuration.
+func (w *World) Change() {
+	w.changes++
+	w.asked[units.Num(w.changes)] = w.Now
+	for _, n := range w.nodes {
+		if n.role == mast.Barometer {
+			n.prog.(*core).change(Config(w.Models, w.Tenants, fmt.Sprintf("change %d", w.changes)))
+			return
+		}
+	}
+}
+
+// inForce is told that one more vane has a configuration in force.
+func (w *World) inForce(num units.Num, now units.Time) {
+	if w.taken[num]++; w.taken[num] == w.Vanes {
+		w.Force = max(w.Force, now.Sub(w.asked[num]))
+	}
+}
+
+// prompts has a vane's callers come at its share of the rate, as long as there is traffic.
+func (v *vane) prompts() {
+	w, life := v.n.w, v.n.life
+	gap := float64(w.Vanes) / w.Rate * 1e9
+	w.After(time.Duration(w.rng.ExpFloat64()*gap), func() {
+		if !v.n.up || v.n.life != life || !(w.traffic || w.claims) {
+			return
+		}
+		if w.traffic && v.ready {
+			v.n.timed(station.Gauge, v.arrive)
+		}
+		if w.claims && v.ready {
+			v.n.timed(station.Claim, v.claim)
+		}
+		v.prompts()
+	})
+}
+
+// arrive takes one prompt to the desk; nothing runs behind it but the time that its stream would last.
+func (v *vane) arrive() station.Out {
+	w, now := v.n.w, v.n.w.Now
+	s := v.config.Services[fmt.Sprintf("m%02d", w.rng.IntN(w.Models))]
+	cands, keepers := v.cands(now, s, units.Mix("prefix", fmt.Sprint(w.rng.IntN(prefixes))))
+	v.tag++
+	out := v.desk.Arrive(now, hygrometer.Req{Tag: v.tag, Policy: s.Allow, Cands: cands, Tries: s.Spread + 4, Until: now.Add(deadline), First: s.First,
+		Keeper: func(n string) units.Node { return keepers[n] }})
+	v.tell()
+	return out
+}
+
+// claim claims one fresh key, as a prompt that may not repeat does first.
+func (v *vane) claim() station.Out {
+	v.tag++
+	key := "notice/" + units.Hex(v.tag)
+	return v.screen.Claim(v.n.w.Now, v.tag<<8^uint64(v.n.self), key, screen.Holders(v.n.mast.All(), key))
+}
+
+// tell takes the desk's verdicts and the screen's results.
+func (v *vane) tell() {
+	w, life := v.n.w, v.n.life
+	for _, x := range v.desk.Verdicts {
+		w.Verdicts[x.Code]++
+		if x.Code != synop.OK {
+			continue
+		}
+		run := min(time.Duration(w.rng.ExpFloat64()*float64(meanRun)), deadline-time.Second)
+		w.After(run, func() {
+			if v.n.up && v.n.life == life {
+				v.n.timed(station.Gauge, func() station.Out { return v.desk.Done(w.Now, x.Tag, false) })
+			}
+		})
+	}
+	v.desk.Verdicts = v.desk.Verdicts[:0]
+	for _, r := range v.screen.Results {
+		w.Claimed[r.Code]++
+	}
+	v.screen.Results = v.screen.Results[:0]
+}
--- /dev/null
+++ b/internal/hollow/measure.go
@@ -0,0 +1,180 @@
+package hollow
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+
+	"seamshunt/internal/mast"
+	"seamshunt/internal/station"
+	"seamshunt/internal/synop"
+)
+
+// Experiment is one thing that a site does while it is measured.
+type Experiment struct {
+	Name, What string
+	span       time.Duration
+	before     func(*World) // after all serve, before the measuring
+	during     func(*World, time.Duration)
+}
+
+// settle is how long it takes after the start until no change rides on notes any more.
+const settle = 8 * time.Second
+
+func quiet(w *World) { w.Run(settle) }
+
+// Experiments in the order of the table.
+var Experiments = []Experiment{
+	{"start", "all vanes started at once, from their start on", 10 * time.Second, nil, nil},
+	{"rest", "nothing happens", 10 * time.Second, quiet, nil},
+	{"serve", "requests at the peak, long streams", 20 * time.Second, func(w *World) { w.serve(true, false); w.Run(45 * time.Second) }, nil},
+	{"claim", "a key claimed for every request of the peak, no permits", 10 * time.Second, func(w *World) { quiet(w); w.serve(false, true) }, nil},
+	{"config", "a change of the configuration every 2 s", 10 * time.Second, quiet, func(w *World, d time.Duration) { w.every(2*time.Second, d, w.Change) }},
+	{"workers", "a worker listed and one taken off, every 2 s", 10 * time.Second, quiet, func(w *World, d time.Duration) { w.every(2*time.Second, d, w.turnover) }},
+	{"restart", "a vane restarted every 4 s", 20 * time.Second, quiet, func(w *World, d time.Duration) { w.every(4*time.Second, d, w.restart) }},
+	{"region", "a region cut off: its first 20 s", 20 * time.Second, quiet, func(w *World, _ time.Duration) { w.cut = "c" }},
+	{"heal", "the 20 s after a region was cut off for 20 s", 20 * time.Second, func(w *World) { quiet(w); w.cut = "c"; w.Run(20 * time.Second) },
+		func(w *World, _ time.Duration) { w.cut = "" }},
+}
+
+// Find gives the experiments of these names, or the ones that there are.
+func Find(names []string) (l []Experiment, err error) {
+	for _, n := range names {
+		i := slices.IndexFunc(Experiments, func(e Experiment) bool { return e.Name == n })
+		if i < 0 {
+			var all []string
+			for _, e := range Experiments {
+				all = append(all, e.Name)
+			}
+			return nil, fmt.Errorf("no experiment %q: there are %q", n, all)
+		}
+		l = append(l, Experiments[i])
+	}
+	return l, nil
+}
+
+// Row is what one part of one role cost, per node and second of virtual time.
+type Row struct {
+	Experiment string
+	Size       int
+	Role       string
+	Part       string
+	Notes      float64 // sent
+	Out, In    float64 // bytes
+	Most       float64 // of one node: bytes sent or taken, whichever is more
+	Core       float64 // percent of a core
+	HeapKB     float64
+	Writes     float64 // syncs of a barometer's disk
+	Disk       float64 // bytes of its records
+}
+
+var partNames = map[station.Kind]string{0: "loop", station.Mast: "membership", station.Barograph: "control state", station.Bulletin: "news",
+	station.Ballot: "ballot", station.Gauge: "permits", station.Claim: "claims", station.Isobar: "repair"}
+
+// Result is one run: its rows, and what the page wants to know besides.
+type Result struct {
+	Rows     []Row
+	Ready    time.Duration // until all served and all knew all
+	Force    time.Duration // the longest until a change was in force everywhere
+	Changes  map[synop.Code]int
+	Verdicts map[synop.Code]int
+	Claimed  map[synop.Code]int
+	Polls    int
+	Real     time.Duration // processor time of the measured span
+}
+
+// Measure runs one experiment at one size.
+func Measure(e Experiment, s Shape) (Result, error) {
+	var r Result
+	base := heap()
+	w, err := NewWorld(s)
+	if err != nil {
+		return r, err
+	}
+	if e.Name != "start" {
+		if r.Ready, err = w.Start(); err != nil {
+			return r, err
+		}
+	}
+	if e.before != nil {
+		e.before(w)
+	}
+	clear(w.counts)
+	w.Writes, w.Synced = 0, 0
+	for _, n := range w.nodes {
+		n.bytes, n.in = 0, 0
+	}
+	runtime.GC()
+	from, began := cpu(), w.Now
+	if e.Name == "start" {
+		if r.Ready, err = w.Start(); err != nil {
+			return r, err
+		}
+	}
+	if e.during != nil {
+		e.during(w, e.span)
+	}
+	w.Run(e.span - w.Now.Sub(began))
+	r.Real = cpu() - from
+	r.rows(w, e, w.Now.Sub(began).Seconds(), heap()-base)
+	r.Force, r.Changes, r.Verdicts, r.Claimed, r.Polls = w.Force, w.Done, w.Verdicts, w.Claimed, w.Polls
+	return r, nil
+}
+
+// rows puts processor time down to parts in the measure of the time that their calls took: so the calls' share of the
+// collector, and of this package's own net, is in it.
+func (r *Result) rows(w *World, e Experiment, secs float64, held float64) {
+	var busy time.Duration
+	for _, c := range w.counts {
+		busy += c.Busy
+	}
+	share := r.Real.Seconds() / max(busy.Seconds(), 1e-9)
+	for _, role := range []mast.Role{mast.Vane, mast.Barometer} {
+		nodes, name := float64(w.Vanes), "vane"
+		if role == mast.Barometer {
+			nodes, name = Aside, "barometer"
+		}
+		all := Row{Experiment: e.Name, Size: w.Vanes, Role: name, Part: "all"}
+		for _, n := range w.nodes {
+			if n.role == role {
+				all.Most = max(all.Most, float64(max(n.bytes, n.in))/secs)
+			}
+		}
+		for _, k := range []station.Kind{0, station.Mast, station.Bulletin, station.Gauge, station.Claim, station.Barograph, station.Ballot, station.Isobar} {
+			c := w.counts[partKey{role, k}]
+			if c == nil {
+				continue
+			}
+			per := secs * nodes
+			x := Row{Experiment: e.Name, Size: w.Vanes, Role: name, Part: partNames[k], Notes: float64(c.Notes) / per, Out: float64(c.Bytes) / per, In: float64(c.In) / per,
+				Core: 100 * c.Busy.Seconds() * share / per}
+			all.Notes, all.Out, all.In, all.Core = all.Notes+x.Notes, all.Out+x.Out, all.In+x.In, all.Core+x.Core
+			r.Rows = append(r.Rows, x)
+		}
+		all.HeapKB = held / 1024 / float64(w.Vanes+Aside) // of both roles alike: one heap holds them all
+		if role == mast.Barometer {
+			all.Writes, all.Disk = float64(w.Writes)/secs/nodes, float64(w.Synced)/secs/nodes
+		}
+		r.Rows = append(r.Rows, all)
+	}
+}
+
+// cpu is this process's own processor time, user and system.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// heap is what lives after a collection.
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return math.Max(0, float64(m.HeapAlloc))
+}
--- /dev/null
+++ b/internal/hollow/node.go
@@ -0,0 +1,179 @@
+package hollow
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"seamshunt/internal/bulletin"
+	"seamshunt/internal/mast"
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// How often the daemons' loops run: package tower's, the vane's and the barometer's.
+const (
+	towerGap = 50 * time.Millisecond
+	vaneGap  = 20 * time.Millisecond
+	coreGap  = 50 * time.Millisecond
+	syncTime = 2 * time.Millisecond
+)
+
+// node is one hollow process: what package tower holds, and a program.
+type node struct {
+	w      *World
+	self   units.Node
+	addr   string
+	zone   string
+	region string
+	role   mast.Role
+	up     bool
+	life   int
+	mast   *mast.Mast
+	bull   *bulletin.Bulletin
+	prog   program
+	bytes  int // of frames sent, and taken
+	in     int
+}
+
+// add puts a machine into the world; its process starts at once.
+func (w *World) add(i int, role mast.Role) *node {
+	z := site[i%len(site)]
+	n := &node{w: w, zone: z.zone, region: z.region, role: role}
+	name := "v"
+	if role == mast.Barometer {
+		name = "b"
+	}
+	n.addr = fmt.Sprintf("%s%03d.%s.site.example:7400", name, i, z.zone)
+	w.nodes = append(w.nodes, n)
+	w.byAddr[n.addr] = n
+	n.start()
+	return n
+}
+
+func (w *World) seeds() (l []string) {
+	for _, n := range w.nodes {
+		if n.role == mast.Barometer && len(l) < 3 {
+			l = append(l, n.addr)
+		}
+	}
+	return l
+}
+
+// start begins a fresh process on the machine.
+func (n *node) start() {
+	w := n.w
+	delete(w.byID, n.self)
+	n.life++
+	n.up = true
+	if n.self == 0 || n.role == mast.Vane { // a barometer is known by its disk
+		n.self = units.Node(w.rng.Uint64() | 1)
+	}
+	w.byID[n.self] = n
+	web := n.addr[:len(n.addr)-2] + "80"
+	me := mast.Member{Node: n.self, Inc: uint64(1e12 + int64(w.Now)/1e6), Role: n.role, Addr: n.addr, Web: web, Zone: n.zone}
+	n.mast = mast.New(me, w.seeds(), rand.New(rand.NewPCG(w.rng.Uint64(), 0)))
+	n.bull = bulletin.New(n.self)
+	gap := vaneGap
+	if n.role == mast.Vane {
+		n.prog = newVane(n)
+	} else {
+		n.prog = newCore(n)
+		gap = coreGap
+	}
+	n.every(towerGap, station.Mast, n.beat)
+	n.every(gap, 0, func(now units.Time) station.Out { return n.prog.beat(now, nil) })
+}
+
+// every runs a loop of the process as long as it lives, and puts its time down to a part.
+func (n *node) every(gap time.Duration, kind station.Kind, f func(units.Time) station.Out) {
+	life := n.life
+	var tick func()
+	tick = func() {
+		if !n.up || n.life != life {
+			return
+		}
+		n.timed(kind, func() station.Out { return f(n.w.Now) })
+		n.w.After(gap, tick)
+	}
+	n.w.After(time.Duration(n.w.rng.Int64N(int64(gap))), tick)
+}
+
+// beat is package tower's: membership, then news.
+func (n *node) beat(now units.Time) station.Out {
+	n.mast.News = n.bull.Sum
+	out := n.mast.Tick(now)
+	out.Join(n.bull.Beat(now, n.mast.All(), n.self))
+	return out
+}
+
+func (n *node) timed(kind station.Kind, f func() station.Out) {
+	t := time.Now()
+	out := f()
+	n.w.part(n.role, kind).Busy += time.Since(t)
+	n.deliver(out)
+}
+
+// take gives a note to its machine, as package tower does.
+func (n *node) take(x station.Note) {
+	kind := x.Kind &^ 15
+	n.timed(kind, func() station.Out {
+		switch kind {
+		case station.Mast:
+			return n.mast.Step(n.w.Now, x)
+		case station.Bulletin:
+			return n.bull.Step(n.w.Now, x)
+		}
+		return n.prog.step(n.w.Now, x)
+	})
+}
+
+// deliver sends what a step gave out; a barometer's later notes wait for the disk.
+func (n *node) deliver(out station.Out) {
+	// The order of a step's notes may hang on a map; the world's must not.
+	slices.SortStableFunc(out.Notes, func(a, b station.Note) int {
+		return cmp.Or(cmp.Compare(a.To, b.To), cmp.Compare(a.Addr, b.Addr), cmp.Compare(a.Kind, b.Kind), bytes.Compare(a.Body, b.Body))
+	})
+	for _, x := range out.Notes {
+		n.w.send(n, x)
+	}
+	if n.role == mast.Vane {
+		for _, x := range out.After {
+			n.w.send(n, x)
+		}
+		return
+	}
+	if len(out.Writes)+len(out.After) == 0 {
+		return
+	}
+	if len(out.Writes) > 0 {
+		n.w.Writes++
+	}
+	for _, r := range out.Writes {
+		n.w.Synced += len(r.Key) + len(r.Data)
+	}
+	life := n.life
+	n.w.After(syncTime, func() {
+		if n.up && n.life == life {
+			for _, x := range out.After {
+				n.w.send(n, x)
+			}
+		}
+	})
+}
+
+// stop ends the process after its goodbye; what was meant for it is refused from then on.
+func (n *node) stop() {
+	n.timed(station.Mast, n.mast.Leave)
+	n.up = false
+	n.life++
+}
+
+// fail ends it without a word.
+func (n *node) fail() {
+	n.up = false
+	n.life++
+}
--- /dev/null
+++ b/internal/hollow/vane.go
@@ -0,0 +1,166 @@
+package hollow
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"seamshunt/internal/barograph"
+	"seamshunt/internal/bulletin"
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/gauge"
+	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/mast"
+	"seamshunt/internal/nephoscope"
+	"seamshunt/internal/screen"
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+	"seamshunt/internal/windvane"
+)
+
+// vane is package vaned without its web side, its streams and its locks.
+type vane struct {
+	n      *node
+	config *forecast.Config
+	ready  bool
+	pools  map[string][]forecast.Worker
+	out    map[string]bool
+	sky    *nephoscope.Nephoscope
+	voters barograph.Voters
+	desk   *hygrometer.Hygrometer
+	gauge  *gauge.Gauge
+	watch  *gauge.Watch
+	screen *screen.Screen
+	wind   windvane.Windvane
+	peers  []gauge.Peer
+	fresh  bool
+	began  units.Time
+	tag    uint64
+}
+
+func newVane(n *node) *vane {
+	return &vane{n: n, pools: map[string][]forecast.Worker{}, out: map[string]bool{}, sky: nephoscope.New(), desk: hygrometer.New(n.self),
+		gauge: gauge.New(n.self), watch: gauge.NewWatch(), screen: screen.New(n.self, n.w.Now), began: n.w.Now, tag: n.w.rng.Uint64() >> 1}
+}
+
+func (v *vane) step(now units.Time, n station.Note) (out station.Out) {
+	switch n.Kind &^ 15 {
+	case station.Gauge:
+		if n.Kind != gauge.Ask && n.Kind != gauge.Return && n.Kind != gauge.Report {
+			out = v.desk.Step(now, n)
+			v.tell()
+		}
+		if n.Kind == gauge.Ask || n.Kind == gauge.Return || n.Kind == gauge.Report || n.Kind == gauge.ReportAsk {
+			out.Join(v.gauge.Step(now, n))
+		}
+	case station.Claim:
+		out = v.screen.Step(now, n)
+		v.tell()
+	}
+	return out
+}
+
+func (v *vane) gone(now units.Time, l []units.Node) {
+	for _, n := range l {
+		v.gauge.Gone(now, n)
+		v.watch.Void(now, n)
+	}
+	v.fresh = true
+}
+
+func (v *vane) calm(units.Time) bool { return v.ready }
+
+// beat is the vane's loop; like the daemon's it takes membership's table anew for each of its three looks.
+func (v *vane) beat(now units.Time, _ []mast.Member) station.Out {
+	v.refresh(now)
+	out := v.desk.Tick(now)
+	v.tell()
+	out.Join(v.gauge.Tick(now))
+	var longest time.Duration
+	if v.config != nil {
+		longest = max(time.Second, v.config.Longest(true))
+	}
+	var peers []units.Node
+	for _, m := range v.n.mast.All() {
+		if m.Role == mast.Vane && m.State <= mast.Suspect && m.Node != v.n.self {
+			peers = append(peers, m.Node)
+		}
+	}
+	v.screen.Core(v.voters)
+	out.Join(v.screen.Tick(now, peers, longest))
+	v.tell()
+	v.confirm(now, &out)
+	return out
+}
+
+// refresh brings news and membership into the tables and, when they changed, to the keeper.
+func (v *vane) refresh(now units.Time) {
+	fresh := v.n.bull.Fresh
+	v.n.bull.Fresh = nil
+	for _, it := range fresh {
+		v.news(now, it)
+	}
+	v.fresh = v.fresh || len(fresh) > 0
+	peers, silent := v.watch.See(now, v.n.mast.All())
+	v.fresh = v.fresh || silent
+	if !v.fresh && slices.Equal(peers, v.peers) {
+		return
+	}
+	v.peers, v.fresh = peers, false
+	if v.config == nil {
+		return
+	}
+	v.gauge.Workers(v.config.Keep(v.pools, v.sky.Start(), v.out))
+	v.gauge.View(peers, v.watch.Holds(v.config.Longest(false)))
+}
+
+func (v *vane) news(now units.Time, it bulletin.Item) {
+	switch kind, _, _ := strings.Cut(it.Key, "/"); kind {
+	case "config":
+		if c, faults := forecast.Read(it.Data); len(faults) == 0 {
+			v.config = c
+			v.n.w.inForce(it.Num, now)
+		}
+	case "workers":
+		if pool, err := v.sky.Take(now, it.Key, it.Num, it.Data); err == nil {
+			v.pools[pool] = v.sky.List(pool)
+		}
+	case barograph.KeyVoters:
+		if s, err := barograph.UnpackVoters(it.Data); err == nil {
+			v.voters = s
+		}
+	}
+}
+
+func (v *vane) confirm(now units.Time, out *station.Out) {
+	all := v.n.mast.All()
+	bulletin.Neighbours(all, v.n.self)
+	if v.ready || v.config == nil {
+		return
+	}
+	ok, asks := v.n.bull.Confirm(now, all, v.n.self, v.voters.IDs, v.began)
+	if ok {
+		v.ready = true
+		v.n.mast.Flag(mast.Ready, true)
+	}
+	out.Join(asks)
+}
+
+// cands is the daemon's own search for a prompt's workers and their keepers.
+func (v *vane) cands(now units.Time, s *forecast.Service, prefix uint64) ([]string, map[string]units.Node) {
+	q := windvane.Query{Prefix: prefix, Zone: v.n.zone, Spread: s.Spread}
+	keepers := map[string]units.Node{}
+	for _, x := range v.pools[s.Pool] {
+		name := s.Name + "/" + x.ID
+		if x.Leaving || v.out[x.Zone] {
+			continue
+		}
+		keepers[name] = gauge.Keeper(v.peers, name, x.Zone)
+		spot := windvane.Spot{Name: name, Zone: x.Zone}
+		if l, ok := v.desk.Loads[name]; ok && now.Sub(l.At) < 2*time.Second {
+			spot.Load = float64(l.Lent+l.Wait) / float64(l.Cap)
+		}
+		q.Spots = append(q.Spots, spot)
+	}
+	return v.wind.Order(s.Place, q), keepers
+}
--- /dev/null
+++ b/internal/hollow/world.go
@@ -0,0 +1,126 @@
+package hollow
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"seamshunt/internal/mast"
+	"seamshunt/internal/units"
+)
+
+// Full is the size to design for.
+var Full = Shape{Vanes: 400, Workers: 640, Models: 21, Tenants: 870, Rate: 1700}
+
+// At is a site of n vanes with its share of all that grows with a site: workers, models, tenants and requests.
+func At(n int, seed uint64) Shape {
+	part := func(x int) int { return max(1, x*n/Full.Vanes) }
+	return Shape{Vanes: n, Workers: part(Full.Workers), Models: part(Full.Models), Tenants: part(Full.Tenants), Rate: Full.Rate * float64(n) / float64(Full.Vanes), Seed: seed}
+}
+
+// NewWorld founds the control state among its voters and writes the first configuration; no vane runs yet.
+func NewWorld(s Shape) (*World, error) {
+	w := &World{Shape: s, rng: rand.New(rand.NewPCG(s.Seed, 17)), byID: map[units.Node]*node{}, byAddr: map[string]*node{}, slots: map[int64][]event{},
+		counts: map[partKey]*count{}, load: newLoad(s)}
+	for i := range Founders {
+		w.add(i*3, mast.Barometer) // zones of all regions
+	}
+	if !w.until(30*time.Second, w.calm) {
+		return nil, errors.New("hollow: the voters did not found a fleet")
+	}
+	for i := Founders; i < Aside; i++ {
+		w.add(i*3, mast.Barometer)
+	}
+	w.Run(3 * time.Second)
+	w.Change()
+	w.Run(2 * time.Second)
+	return w, nil
+}
+
+// Start starts all vanes at once, and says how long it takes until all serve and all know all.
+func (w *World) Start() (time.Duration, error) {
+	from := w.Now
+	for i := range w.Vanes {
+		w.add(i, mast.Vane)
+	}
+	if !w.until(2*time.Minute, func() bool { return w.calm() && w.agree() }) {
+		return 0, fmt.Errorf("hollow: %d vanes did not all come to serve in 2 minutes", w.Vanes)
+	}
+	return w.Now.Sub(from), nil
+}
+
+func (w *World) until(most time.Duration, ok func() bool) bool {
+	for end := w.Now.Add(most); w.Now < end; {
+		if w.Run(100 * time.Millisecond); ok() {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *World) calm() bool {
+	for _, n := range w.nodes {
+		if n.up && !n.prog.calm(w.Now) {
+			return false
+		}
+	}
+	return true
+}
+
+// agree says whether every node knows every live one, and none that is not.
+func (w *World) agree() bool {
+	up := 0
+	for _, n := range w.nodes {
+		if n.up {
+			up++
+		}
+	}
+	for _, n := range w.nodes {
+		if n.up && len(n.mast.Live(mast.Vane))+len(n.mast.Live(mast.Barometer)) != up {
+			return false
+		}
+	}
+	return true
+}
+
+// each does a thing to every vane that runs.
+func (w *World) each(f func(*vane)) {
+	for _, n := range w.nodes {
+		if v, ok := n.prog.(*vane); ok && n.up {
+			f(v)
+		}
+	}
+}
+
+// serve opens the doors.
+func (w *World) serve(traffic, claims bool) {
+	w.traffic, w.claims = traffic, claims
+	w.each((*vane).prompts)
+}
+
+// every does a thing again and again while a span lasts, first after half a gap.
+func (w *World) every(gap, span time.Duration, f func()) {
+	for t := gap / 2; t < span; t += gap {
+		w.After(t, f)
+	}
+}
+
+// restart stops one vane with its goodbye; the next process starts on its machine a second later.
+func (w *World) restart() {
+	n := w.nodes[Aside+w.serial%w.Vanes]
+	w.serial += 7
+	if !n.up {
+		return
+	}
+	n.stop()
+	w.After(time.Second, n.start)
+}
+
+// turnover lists one new worker and takes the oldest of its pool off the list.
+func (w *World) turnover() {
+	i := len(w.workers)
+	w.join(i)
+	p := w.poolNames[i%len(w.poolNames)]
+	w.pool[p] = w.pool[p][1:]
+}
