Voters that grow, in the simulator; a change of voters that was fenced off begins again

Cause: a change whose write was fenced off by another owner waited out its ten seconds, and a new voter, or any at a new set, took itself for one that reaches nobody, which moved owners to and fro. A change also waited 300 ms between asking for keys and reading them. Ruled out: lost notes (all came), disks (none slow).

--- a/internal/barograph/change.go
+++ b/internal/barograph/change.go
@@ -18,7 +18,8 @@
 	seen  map[units.Node]bool
 	keys  map[string]uint64 // key to the tag of its confirmed read
 	done  map[uint64]bool
-	asked units.Time
+	asked units.Time // the disks for their keys
+	read  units.Time // the keys for their values
 	sent  bool
 }
 
@@ -43,7 +44,7 @@
 	l := slices.Clone(v.IDs)
 	slices.Sort(l)
 	b.change = &change{want: Voters{Ver: b.cfg.Ver + 1, Size: v.Size, IDs: l}, since: now, seen: map[units.Node]bool{},
-		keys: map[string]uint64{}, done: map[uint64]bool{}, asked: now.Add(-time.Second)}
+		keys: map[string]uint64{}, done: map[uint64]bool{}, asked: now.Add(-time.Second), read: now.Add(-time.Second)}
 }
 
 func diff(a, b []units.Node) int {
@@ -71,7 +72,11 @@
 		b.change = nil
 		return
 	}
-	if c.sent || o.phase != holding || !o.fresh {
+	if o.phase != holding || !o.fresh {
+		return
+	}
+	if c.sent {
+		b.change = nil // its write was fenced off, and what stands is the old set: begin again
 		return
 	}
 	if !b.cfg.Most(c.seen) {
@@ -83,8 +88,8 @@
 		}
 		return
 	}
-	if now.Sub(c.asked) >= resend {
-		c.asked = now
+	if now.Sub(c.read) >= resend {
+		c.read = now
 		for _, k := range station.Keys(c.keys) {
 			tag := c.keys[k]
 			if !c.done[tag] {
--- a/internal/barograph/grower.go
+++ b/internal/barograph/grower.go
@@ -8,20 +8,27 @@
 	"seamshunt/internal/units"
 )
 
-// goneVoter is how long a voter must be away before a learner stands in for it; one whose disk is known to be lost is
-// gone at once (start).
-const goneVoter = 3 * time.Second
+// Spans of growing (start values). A voter that has been away for so long makes place for the learner that stands in for
+// it, one whose disk is known to be lost at once; a set that all are there of for so long has grown.
+const (
+	goneVoter = 1500 * time.Millisecond
+	calmFor   = 3 * time.Second
+)
 
 // Grower lets the voters grow to every disk that counts and replaces lost ones, one step at a time (design 13).
 type Grower struct {
 	away map[units.Node]units.Time
-	calm units.Time // since when every voter was there
+	ver  units.Num
+	calm units.Time // since when every voter of that version was there
 }
 
 // Next gives the set of voters that should come next; false when none should.
 func (g *Grower) Next(now units.Time, v Voters, l Look) (Voters, bool) {
 	if g.away == nil {
-		g.away, g.calm = map[units.Node]units.Time{}, now
+		g.away = map[units.Node]units.Time{}
+	}
+	if g.ver != v.Ver {
+		g.ver, g.calm = v.Ver, now
 	}
 	if v.Ver == 0 {
 		return Voters{}, false
@@ -51,7 +58,7 @@
 		return Voters{Size: size, IDs: ids}, true
 	case learner != 0 && (all || len(v.IDs) <= size):
 		return Voters{Size: size, IDs: append(slices.Clone(v.IDs), learner)}, true
-	case all && len(v.IDs) > size && now.Sub(g.calm) >= goneVoter:
+	case all && len(v.IDs) > size && now.Sub(g.calm) >= calmFor:
 		return Voters{Size: len(v.IDs), IDs: v.IDs}, true // nobody is gone: it has grown
 	}
 	return Voters{}, false
--- a/internal/barograph/voter.go
+++ b/internal/barograph/voter.go
@@ -23,6 +23,7 @@
 		return
 	}
 	b.cfg = v
+	b.reach.born, b.reach.sent = 0, 0 // whether it reaches these is to be seen
 	out.Writes = append(out.Writes, station.Record{Kind: RecVoters, Data: v.Pack()})
 	for _, o := range b.owns {
 		o.drop()
--- a/internal/windtunnel/core.go
+++ b/internal/windtunnel/core.go
@@ -44,6 +44,8 @@
 	Baro  *barograph.Barograph
 	Duty  *ballot.Ballot
 	doc   barograph.Doctor
+	found barograph.Seeds
+	grow  barograph.Grower
 	Iso   *isobar.Isobar
 	Roll  *screen.Roll
 	sky   *nephoscope.Nephoscope
@@ -54,14 +56,30 @@
 	Drain bool
 }
 
-// Core adds a machine with a disk; cores finds the machine that runs there now.
-func (s *Sim) Core(addr, zone string, founders int, seeds []string, cores map[*Host]*Core) *Host {
+// Core adds a machine with a disk; cores finds the machine that runs there now. With grow, voters are founded from seeds.
+func (s *Sim) Core(addr, zone string, founders int, seeds []string, grow *Growth, cores map[*Host]*Core) *Host {
 	return s.Add(addr, zone, NewDisk(), func(h *Host) *Proc {
-		if h.Disk.ID == 0 {
+		h.Grow = grow
+		if g := h.Grow; h.Disk.ID == 0 {
 			h.Disk.ID = units.Node(s.Rng.Uint64() | 1)
+			if g != nil && g.First && g.Counts {
+				h.Disk.Born = slices.Clone(g.Seeds)
+			}
+		}
+		self, seeds := h.Disk.ID, seeds
+		if h.Grow != nil {
+			seeds = h.Grow.Seeds
 		}
-		self := h.Disk.ID
 		c := &Core{common: s.common(h, self, mast.Barometer, seeds), H: h, doc: barograph.Doctor{Founders: founders}, sky: nephoscope.New(), poll: s.Poll, waits: map[uint64]func(barograph.Result){}}
+		c.mast.Flag(mast.Counts, h.Grow == nil || h.Grow.Counts)
+		if g := h.Grow; g != nil {
+			c.found = barograph.Seeds{Addr: h.Addr, Addrs: h.Disk.Born, First: h.Disk.Born != nil}
+			if !g.Counts {
+				c.found.Addrs, c.found.First = slices.Clone(g.Seeds), g.First
+			}
+			c.mast.Flag(mast.First, c.found.First)
+			g.First = false
+		}
 		c.Proc = &Proc{Self: self, Step: c.step, Tick: c.tick, Refused: func(now units.Time, a string) {
 			for _, n := range c.mast.Refused(now, a) {
 				c.Duty.Gone(now, n)
@@ -116,9 +134,16 @@
 		out.Join(c.Baro.Learn(it.Data))
 	}
 	c.Baro.View(look.Fit)
-	c.Baro.Blank(c.doc.Founders, look)
-	if ids := c.doc.Next(now, c.Baro.Voters(), look); ids != nil {
-		c.Baro.Want(now, ids)
+	if c.H.Grow != nil {
+		c.Baro.Propose(c.found.Set(now, look))
+		if v, ok := c.grow.Next(now, c.Baro.Voters(), look); ok {
+			c.Baro.WantSet(now, v)
+		}
+	} else {
+		c.Baro.Blank(c.doc.Founders, look)
+		if ids := c.doc.Next(now, c.Baro.Voters(), look); ids != nil {
+			c.Baro.Want(now, ids)
+		}
 	}
 	out.Join(c.Baro.Tick(now))
 	c.Roll.Low = c.H.Disk.Full
--- a/internal/windtunnel/disk.go
+++ b/internal/windtunnel/disk.go
@@ -10,6 +10,7 @@
 // Disk keeps synced records; it can be slow, stalled, full or lost.
 type Disk struct {
 	ID      units.Node // zero while blank
+	Born    []string   // the seeds of the very first start, on a disk that was blank then
 	Delay   time.Duration
 	Stalled bool
 	Full    bool // lives from the reserve
@@ -41,7 +42,7 @@
 // Wipe loses everything, the identity too.
 func (d *Disk) Wipe() {
 	d.crash()
-	d.ID, d.live, d.Stalled, d.Full = 0, map[string]station.Record{}, false, false
+	d.ID, d.Born, d.live, d.Stalled, d.Full = 0, nil, map[string]station.Record{}, false, false
 }
 
 // reserve is how many records the reserve bears here.
--- a/internal/windtunnel/sim.go
+++ b/internal/windtunnel/sim.go
@@ -51,10 +51,18 @@
 	Dark   bool // its network is gone: no refusal comes back either
 	Frozen bool
 	life   int
+	Grow   *Growth // where voters grow: what its boot file says
 	held   []station.Note
 	start  func(h *Host) *Proc
 }
 
+// Growth is the part of a boot file that founding from seeds goes by (design 13).
+type Growth struct {
+	Counts bool
+	First  bool
+	Seeds  []string
+}
+
 // Sim is one world.
 type Sim struct {
 	Now   units.Time
--- a/internal/windtunnel/world.go
+++ b/internal/windtunnel/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"seamshunt/internal/forecast"
@@ -15,6 +16,8 @@
 	Edges []string
 	Work  []string // zone of each worker
 	Fills bool     // its disks may fill
+	Grow  bool     // founded from seeds, voters grow
+	Lame  []int    // which core machines have a disk that doesn't count
 }
 
 func spread(zones []string, counts ...int) []string {
@@ -29,9 +32,9 @@
 
 // The two deployments.
 var (
-	Vatuloa = Place{"vatuloa", []string{"v1", "v2", "v3"}, spread([]string{"v1", "v2", "v3"}, 3, 3, 3), spread([]string{"v1", "v2", "v3"}, 6, 6, 6), true}
-	Council = Place{"council", []string{"t1", "t2", "t3", "t4"}, spread([]string{"t1", "t2", "t3", "t4"}, 2, 2, 2, 1),
-		spread([]string{"t1", "t2", "t3", "t4"}, 5, 5, 4, 4), false}
+	Vatuloa = Place{Name: "vatuloa", Cores: []string{"v1", "v2", "v3"}, Edges: spread([]string{"v1", "v2", "v3"}, 3, 3, 3), Work: spread([]string{"v1", "v2", "v3"}, 6, 6, 6), Fills: true}
+	Council = Place{Name: "council", Cores: []string{"t1", "t2", "t3", "t4"}, Edges: spread([]string{"t1", "t2", "t3", "t4"}, 2, 2, 2, 1),
+		Work: spread([]string{"t1", "t2", "t3", "t4"}, 5, 5, 4, 4)}
 )
 
 const workerCap = 4
@@ -83,10 +86,14 @@
 	for i := range p.Cores {
 		w.seeds = append(w.seeds, fmt.Sprintf("core%d", i+1))
 	}
-	w.seeds = w.seeds[:3]
+	w.seeds = w.seeds[:min(3, len(w.seeds))]
 	w.Poll = w.poll
 	for i, z := range p.Cores {
-		w.coreH = append(w.coreH, w.Core(fmt.Sprintf("core%d", i+1), z, len(p.Cores), w.seeds, w.cores))
+		var g *Growth
+		if p.Grow {
+			g = &Growth{Counts: !slices.Contains(p.Lame, i), First: true, Seeds: w.seeds}
+		}
+		w.coreH = append(w.coreH, w.Core(fmt.Sprintf("core%d", i+1), z, len(p.Cores), w.seeds, g, w.cores))
 	}
 	for i, z := range p.Edges {
 		w.edgeH = append(w.edgeH, w.Edge(fmt.Sprintf("n%d", i+1), z, w.seeds, w.edges))
