--- /dev/null
+++ b/internal/barod/control_test.go
@@ -0,0 +1,210 @@
+package barod
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
+
+	"seamshunt/internal/boot"
+	"seamshunt/internal/codebook"
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/weatherglass"
+)
+
+// toyBook is an outside world whose configurations are {"v": VERSION, "x": TEXT}; a change gives a version and a text to
+// put behind the old one.
+func toyBook() *codebook.Book {
+	read := func(data []byte) (uint64, string, []*synop.Fault) {
+		v, err := fastjson.ParseBytes(data)
+		if err != nil || v.GetUint64("v") == 0 {
+			return 0, "", []*synop.Fault{{Code: synop.BadConfig, Text: "no version"}}
+		}
+		return v.GetUint64("v"), string(v.GetStringBytes("x")), nil
+	}
+	return &codebook.Book{
+		Config: func(data []byte) (*forecast.Config, []*synop.Fault) {
+			v, _, fs := read(data)
+			if len(fs) > 0 {
+				return nil, fs
+			}
+			return &forecast.Config{Version: v, Services: map[string]*forecast.Service{"s": {Name: "s", Warm: 3 * time.Second}}}, nil
+		},
+		Change: func(old, change []byte) ([]byte, []*synop.Fault) {
+			_, was, _ := read(old)
+			v, x, fs := read(change)
+			return fmt.Appendf(nil, `{"v":%d,"x":%q}`, v, was+x), fs
+		},
+		Control: func(codebook.Control) fasthttp.RequestHandler {
+			return func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("the door's " + string(ctx.Path())) }
+		},
+	}
+}
+
+// grownCore starts n barometers that are founded from seeds.
+func grownCore(t *testing.T, n int, book *codebook.Book) []*Barometer {
+	t.Helper()
+	var bs []*boot.Boot
+	var seeds []string
+	for i := range n {
+		b := &boot.Boot{Name: fmt.Sprint("c", i), Zone: fmt.Sprint("z", i), Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), Data: t.TempDir(), Platform: weatherglass.Addr(t),
+			PollMs: 500, Reserve: 64 << 10, Grow: true, First: true, Counts: true, Zones: []string{"z0", "z9"}}
+		bs = append(bs, b)
+		if len(seeds) < 3 {
+			seeds = append(seeds, b.Addr)
+		}
+	}
+	var cs []*Barometer
+	for _, b := range bs {
+		b.Seeds = seeds
+		c, err := New(b, book)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(c.Drain)
+		cs = append(cs, c)
+	}
+	weatherglass.Until(t, "all vote", func() bool {
+		for _, c := range cs {
+			if v := c.voters(); len(v.IDs) != n || !v.Has(c.Self) {
+				return false
+			}
+		}
+		return true
+	})
+	return cs
+}
+
+// until a call gets through: the owner may just have moved.
+func sure(t *testing.T, f func() (synop.Code, []*synop.Fault)) synop.Code {
+	t.Helper()
+	var code synop.Code
+	weatherglass.Until(t, "a clear answer", func() bool {
+		code, _ = f()
+		return code != synop.Unsure && code != synop.NoMajority
+	})
+	return code
+}
+
+// An adapter's calls, at any of four nodes: versions rise, what was taken is known wherever it comes again, and what is
+// refused never comes into force.
+func TestControl(t *testing.T) {
+	t.Parallel()
+	cs := grownCore(t, 4, toyBook())
+	at := func(i int) codebook.Control { return cs[i%4].Control() }
+	if _, _, code := at(0).Read(); code != synop.NotFound {
+		t.Errorf("read before anything was set: %d", code)
+	}
+	doc := func(v int, x string) []byte { return fmt.Appendf(nil, `{"v":%d,"x":%q}`, v, x) }
+	for i, x := range []struct {
+		builds uint64
+		data   []byte
+		change bool
+		want   synop.Code
+	}{
+		{0, []byte(`{`), false, synop.BadConfig},
+		{0, doc(5, "a"), false, synop.OK},
+		{0, doc(5, "a"), false, synop.OK},
+		{5, doc(5, "a"), false, synop.OK},
+		{0, doc(6, "b"), false, synop.Conflict},
+		{5, doc(5, "b"), false, synop.BadConfig},
+		{5, doc(3, "b"), false, synop.BadConfig},
+		{9, doc(12, "b"), false, synop.Conflict},
+		{5, doc(8, "b"), false, synop.OK},
+		{5, doc(8, "b"), false, synop.OK},
+		{0, doc(5, "a"), false, synop.OK}, // taken once, and known still
+		{5, doc(9, "c"), true, synop.Conflict},
+		{8, doc(8, "c"), true, synop.BadConfig},
+		{8, []byte(`{}`), true, synop.BadConfig},
+		{8, doc(11, "c"), true, synop.OK},
+		{8, doc(11, "c"), true, synop.OK},
+		{11, doc(14, "d"), true, synop.OK},
+		{8, doc(11, "c"), true, synop.OK},
+	} {
+		for k := range 2 {
+			do := at(i + k).Put
+			if x.change {
+				do = at(i + k).Change
+			}
+			if code := sure(t, func() (synop.Code, []*synop.Fault) { return do(x.builds, x.data) }); code != x.want {
+				t.Errorf("call %d at node %d, on %d %s: %d, want %d", i, (i+k)%4, x.builds, x.data, code, x.want)
+			}
+		}
+	}
+	for i := range 4 {
+		if data, v, code := at(i).Read(); code != synop.OK || v != 14 || string(data) != `{"v":14,"x":"bcd"}` {
+			t.Errorf("read at %d: %d %d %s", i, code, v, data)
+		}
+	}
+	// Sixteen changes later the first is forgotten, and is refused as stale.
+	for v := 15; v < 32; v++ {
+		if code := sure(t, func() (synop.Code, []*synop.Fault) { return at(v).Change(uint64(v-1), doc(v, "")) }); code != synop.OK {
+			t.Fatalf("change to %d: %d", v, code)
+		}
+	}
+	if code := sure(t, func() (synop.Code, []*synop.Fault) { return at(0).Put(0, doc(5, "a")) }); code != synop.Conflict {
+		t.Errorf("forgotten: %d", code)
+	}
+	for _, p := range []struct{ path, want string }{{"/config", "the door's /config"}, {"/healthz", "up\n"}, {"/v1/zones/z0", ""}} {
+		if _, b := call(t, cs[0], "GET", p.path, ""); p.want != "" && string(b) != p.want || p.want == "" && !bytes.Contains(b, []byte(`"code":208`)) {
+			t.Errorf("%s: %s", p.path, b)
+		}
+	}
+}
+
+// Two operators on one version, at two nodes at once: exactly one is told that it won, and its bytes are read back.
+func TestControlRaces(t *testing.T) {
+	t.Parallel()
+	cs := grownCore(t, 3, toyBook())
+	last := uint64(0)
+	for round := range 25 {
+		var wg sync.WaitGroup
+		codes, data := make([]synop.Code, 3), make([][]byte, 3)
+		for i := range 3 {
+			data[i] = fmt.Appendf(nil, `{"v":%d,"x":"%d"}`, last+1+uint64(i), i)
+			wg.Go(func() {
+				codes[i] = sure(t, func() (synop.Code, []*synop.Fault) { return cs[(i+round)%3].Control().Put(last, data[i]) })
+			})
+		}
+		wg.Wait()
+		won := -1
+		for i, c := range codes {
+			if c == synop.OK && won < 0 {
+				won = i
+			} else if c != synop.Conflict {
+				t.Fatalf("round %d: %v", round, codes)
+			}
+		}
+		if won < 0 {
+			t.Fatalf("round %d: nobody won: %v", round, codes)
+		}
+		got, v, code := cs[round%3].Control().Read()
+		if code != synop.OK || !bytes.Equal(got, data[won]) {
+			t.Fatalf("round %d: %d won, read back %d %s", round, won, code, got)
+		}
+		last = v
+	}
+}
+
+// A zone is set and taken back at any node, as often as it is asked; one that there is not is refused.
+func TestControlZones(t *testing.T) {
+	t.Parallel()
+	cs := grownCore(t, 3, toyBook())
+	for i, out := range []bool{true, true, false, false, true, false} {
+		code := sure(t, func() (synop.Code, []*synop.Fault) { return cs[i%3].Control().Zone("z9", out), nil })
+		if _, b := call(t, cs[(i+1)%3], "GET", "/v1/zones/z9", ""); code != synop.OK || string(b) != fmt.Sprintf(`{"evacuated":%v}`, out) {
+			t.Errorf("set to %v: %d, read back %s", out, code, b)
+		}
+	}
+	if code := cs[0].Control().Zone("z1", true); code != synop.BadZone {
+		t.Errorf("a zone that the boot file doesn't name: %d", code)
+	}
+}
--- /dev/null
+++ b/internal/windtunnel/grow_loss_test.go
@@ -0,0 +1,196 @@
+package windtunnel
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"seamshunt/internal/barograph"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// loseDisk ends a core machine and brings it back with an empty disk, at its address or at another.
+func (w *World) loseDisk(i int, back time.Duration, moved bool) {
+	h := w.coreH[i]
+	w.Kill(h)
+	h.Disk.Wipe()
+	if moved {
+		w.serial++
+		h.Addr = fmt.Sprintf("core%d.%d", i+1, w.serial)
+		h.Grow.Seeds = nil // its own boot file names seeds of now
+		for _, o := range w.coreH[:min(4, len(w.coreH))] {
+			if o != h {
+				h.Grow.Seeds = append(h.Grow.Seeds, o.Addr)
+			}
+		}
+	}
+	w.After(back, func() { w.Start(h) })
+}
+
+// filled says whether a machine's disk votes, those that are gone don't, and it has every key that is stored anywhere.
+func (w *World) filled(i int) bool {
+	h := w.coreH[i]
+	if h.Proc == nil || !w.voters().Has(h.Disk.ID) || len(w.voters().IDs) != len(w.coreH) {
+		return false
+	}
+	mine := w.cores[h].Baro.Stored()
+	for _, o := range w.coreH {
+		if o.Proc == nil {
+			continue
+		}
+		for k, n := range w.cores[o].Baro.Stored() {
+			if mine[k] < n {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// A lost disk is replaced, and its successor filled, before catch_up_s is over: then the next may be lost, and what was
+// acknowledged still stands (design 13).
+func TestReplacedInTime(t *testing.T) {
+	const catchUp = 4 * time.Second
+	for _, x := range []struct {
+		n, lost int
+		moved   bool
+		back    time.Duration
+	}{{3, 1, false, 300 * time.Millisecond}, {3, 1, true, 1000 * time.Millisecond}, {4, 1, false, 1000 * time.Millisecond}, {4, 1, true, 300 * time.Millisecond},
+		{5, 2, false, 300 * time.Millisecond}, {5, 2, true, time.Second}, {6, 2, false, 2 * time.Second}, {6, 2, true, 300 * time.Millisecond}, {9, 2, false, 500 * time.Millisecond}} {
+		var took []time.Duration
+		for seed := *from; seed < *from+12; seed++ {
+			w := grown(seed, x.n)
+			w.Run(units.Time(6 * time.Second))
+			text, num := w.put(t, 1)
+			for _, z := range []string{"z1", "z2", "z3"} {
+				w.Evacuate(z, true)
+			}
+			w.Run(w.Now.Add(time.Second))
+			for round := range 3 {
+				var at []int
+				for k := range x.lost {
+					at = append(at, (int(seed)+round+k)%x.n)
+					w.loseDisk(at[k], x.back, x.moved)
+				}
+				w.Run(w.Now.Add(x.back))
+				d, ok := w.until(20*time.Second, func() bool {
+					for _, i := range at {
+						if !w.filled(i) {
+							return false
+						}
+					}
+					return true
+				})
+				took = append(took, d)
+				if !ok || d > catchUp {
+					t.Errorf("%d disks, %d lost, moved %v, seed %d round %d: replaced after %v; voters %v", x.n, x.lost, x.moved, seed, round, d, w.voters())
+					break
+				}
+				if w.Run(w.Now.Add(catchUp - d)); round == 1 {
+					text, num = w.put(t, 2)
+				}
+			}
+			w.readBack(t, text, num)
+		}
+		t.Logf("%d disks, %d lost at once, moved %v, back after %v: voting and filled %s after the return", x.n, x.lost, x.moved, x.back, Spread(took))
+	}
+}
+
+// In the moment of an acknowledgement as many disks are lost as the core bears, while all other machines that count lose
+// power: what was acknowledged is there again, as sent.
+func TestDisksLostAfterAck(t *testing.T) {
+	for _, x := range []struct{ n, lost int }{{3, 1}, {4, 1}, {5, 2}, {6, 2}, {9, 4}} {
+		for seed := *from; seed < *from+12; seed++ {
+			w := grown(seed, x.n)
+			w.Run(units.Time(5 * time.Second))
+			for round := range 4 {
+				text := configText(round)
+				num := units.Num(0)
+				w.change("config", text, func(o *Op) {
+					if o.Code != synop.OK {
+						return
+					}
+					num = o.Num
+					for i, h := range w.coreH {
+						if w.Kill(h); (i+round+int(seed))%x.n < x.lost {
+							h.Disk.Wipe()
+						}
+					}
+				})
+				if _, ok := w.until(6*time.Second, func() bool { return num > 0 }); !ok {
+					t.Fatalf("%d disks, seed %d: write %d was not acknowledged", x.n, seed, round)
+				}
+				w.Run(w.Now.Add(time.Second))
+				for _, h := range w.coreH {
+					w.Start(h)
+				}
+				w.readBack(t, text, num)
+				if _, ok := w.until(12*time.Second, w.settled); !ok {
+					t.Fatalf("%d disks, seed %d: never whole again: %v", x.n, seed, w.voters())
+				}
+			}
+		}
+	}
+}
+
+// The owner freezes at any moment of a write, another writes on the same number meanwhile, and the owner wakes with all
+// answers that came: at most one of the two is acknowledged, and that one is read back.
+func TestFrozenOwnerWakes(t *testing.T) {
+	both := 0
+	for _, n := range []int{3, 4, 6} {
+		for seed := *from; seed < *from+30; seed++ {
+			w := grown(seed, n)
+			w.Run(units.Time(5 * time.Second))
+			_, num := w.put(t, 0)
+			var owner, other *Core
+			for _, h := range w.coreH {
+				if c := w.cores[h]; c.Baro.Owner("config") == c.Self {
+					owner = c
+				} else {
+					other = c
+				}
+			}
+			write := func(c *Core, text string) {
+				w.callAt(c, barograph.Ask{Key: "config", Write: true, Expect: num, Plan: text, Data: []byte(text)}, nil)
+			}
+			write(owner, configText(1))
+			w.After(time.Duration(w.Rng.Int64N(int64(15*time.Millisecond))), func() { w.Freeze(owner.H) })
+			w.After(50*time.Millisecond, func() { write(other, configText(2)) })
+			w.After(3*time.Second, func() { w.Thaw(owner.H) })
+			w.Run(w.Now.Add(10 * time.Second))
+			ok := 0
+			for _, o := range w.History[len(w.History)-2:] {
+				if o.Code == synop.OK {
+					ok++
+				}
+			}
+			if both += ok; ok > 1 {
+				t.Errorf("%d disks, seed %d: two writes on number %d acknowledged", n, seed, num)
+			}
+			w.change("config", configText(3), nil)
+			w.Run(w.Now.Add(3 * time.Second))
+			for _, f := range Linear(w.History) {
+				t.Errorf("%d disks, seed %d: %s", n, seed, f)
+			}
+		}
+	}
+	if both < 30 {
+		t.Errorf("only %d of 90 races had a winner that was told", both)
+	}
+}
+
+// The troubles of the deployments, with voters founded from seeds that grow.
+func TestTroublesWhileGrown(t *testing.T) {
+	six := Council
+	six.Name, six.Cores, six.Lame = "six", []string{"t1", "t2", "t3", "t4", "t1", "t2"}, []int{1}
+	for _, x := range Troubles {
+		t.Run(x.Name, func(t *testing.T) {
+			t.Parallel()
+			for _, p := range []Place{Vatuloa, six} {
+				p.Name, p.Grow = p.Name+" grown", true
+				play(t, p, *from, x.Name)
+			}
+		})
+	}
+}
