--- a/internal/barod/duty.go
+++ b/internal/barod/duty.go
@@ -40,12 +40,16 @@
 	last string
 }
 
+// firstAsk is when a started node asks first. Until any list is known each asks once a gap, whatever its share: after
+// a full loss nobody can serve before one has (design 5).
+const firstAsk = 50 * time.Millisecond
+
 // poller asks the platform for one pool's workers, at this node's share of the fleet's rate (design 5). It wakes when
 // the next question can be due, and once a gap at the least, since its share may have changed.
 func (c *Barometer) poller(pool string) {
 	gap := time.Duration(c.Boot.PollMs) * time.Millisecond
 	turn := nephoscope.Turn{}
-	t := time.NewTimer(gap)
+	t := time.NewTimer(firstAsk)
 	defer t.Stop()
 	for {
 		select {
@@ -57,7 +61,10 @@
 		c.dutyMu.Lock()
 		share := c.duty.Share(now)
 		c.dutyMu.Unlock()
-		if !c.leaving.Load() && turn.Due(now, share, gap) {
+		c.skyMu.Lock()
+		known := len(c.sky.List(pool)) > 0
+		c.skyMu.Unlock()
+		if !c.leaving.Load() && (turn.Due(now, share, gap) || !known) {
 			c.ask(pool)
 		}
 		t.Reset(turn.Next(c.Crew.Now(), share, gap))
--- a/internal/mast/mast.go
+++ b/internal/mast/mast.go
@@ -63,6 +63,7 @@
 	doubt    = 1500 * time.Millisecond
 	forget   = 10 * time.Minute
 	introAt  = time.Second
+	aloneAt  = 100 * time.Millisecond // the same, while nobody is known
 	wholeGap = time.Second
 )
 
@@ -165,7 +166,7 @@
 			out.Send(n, Probe, m.pack(m.seq, 0, false))
 		}
 	}
-	if now.Sub(m.intro) >= introAt {
+	if gap := now.Sub(m.intro); gap >= introAt || gap >= aloneAt && len(m.all) == 1 {
 		m.intro = now
 		m.introduce(&out)
 	}
--- a/internal/mast/mast_test.go
+++ b/internal/mast/mast_test.go
@@ -70,3 +70,26 @@
 		t.Errorf("told %d times", told)
 	}
 }
+
+// A node that knows nobody tries its seeds ten times a second: after a full loss the fleet finds itself at once. One
+// that knows somebody tries those that are missing once a second.
+func TestAloneAsksOften(t *testing.T) {
+	m := New(Member{Node: 1, Addr: "a"}, []string{"s"}, rand.New(rand.NewPCG(1, 1)))
+	count := func(from, to time.Duration) (n int) {
+		for at := from; at < to; at += 50 * time.Millisecond {
+			for _, x := range m.Tick(units.Time(at)).Notes {
+				if x.Addr == "s" {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	if n := count(0, time.Second); n < 9 || n > 11 {
+		t.Errorf("alone: asked %d times in a second", n)
+	}
+	m.merge(units.Time(time.Second), &Member{Node: 2, Addr: "b"})
+	if n := count(time.Second, 3*time.Second); n < 1 || n > 3 {
+		t.Errorf("in company: asked %d times in two seconds", n)
+	}
+}
--- a/internal/telegraph/telegraph.go
+++ b/internal/telegraph/telegraph.go
@@ -31,6 +31,13 @@
 
 const waitMost = 512
 
+// A machine that was dark is found again soon after it is back: neither a dial that hangs nor the back-off after
+// refused ones outlasts that by much (design 4).
+const (
+	dialFor  = 400 * time.Millisecond
+	backMost = 250 * time.Millisecond
+)
+
 // Telegraph holds a process's wires.
 type Telegraph struct {
 	gnet.BuiltinEventEngine
@@ -191,7 +198,7 @@
 }
 
 func (t *Telegraph) dial(addr string, w *wire) {
-	nc, err := shield.Dial(addr, time.Second)
+	nc, err := shield.Dial(addr, dialFor)
 	var c gnet.Conn
 	if err == nil {
 		c, err = t.cli.Enroll(shield.Bare(nc))
@@ -201,7 +208,7 @@
 	wait := w.wait
 	w.wait = nil
 	if err != nil {
-		w.back = min(max(2*w.back, 50*time.Millisecond), time.Second)
+		w.back = min(max(2*w.back, 50*time.Millisecond), backMost)
 		w.next = t.crew.Now().Add(w.back)
 		t.mu.Unlock()
 		if errors.Is(err, syscall.ECONNREFUSED) && t.refused != nil {
--- a/internal/vaned/relay.go
+++ b/internal/vaned/relay.go
@@ -61,7 +61,7 @@
 		w.end(synop.NotReady, 200*time.Millisecond)
 		return
 	}
-	path, host := ctx.Request.Header.RequestURI(), string(ctx.Request.Header.Host())
+	path, host := ctx.Request.Header.RequestURI(), hostOf(ctx)
 	if i := bytes.IndexByte(path, '?'); i >= 0 {
 		path = path[:i]
 	}
@@ -76,6 +76,15 @@
 	vernier.Run(do, vernier.Hands{Limit: w.limit, Claim: func() bool { return false }, Share: w.share, Try: w.try, Refuse: w.refuse})
 }
 
+// hostOf is the host that the client names, without a port.
+func hostOf(ctx *fasthttp.RequestCtx) string {
+	h := strings.ToLower(string(ctx.Request.Header.Host()))
+	if i := strings.LastIndexByte(h, ':'); i > 0 && !strings.HasSuffix(h, "]") {
+		h = h[:i]
+	}
+	return h
+}
+
 // read takes what the headers tell.
 func (w *relay) read() {
 	n, h := &w.v.Words.Names, &w.ctx.Request.Header
--- a/internal/vaned/rules.go
+++ b/internal/vaned/rules.go
@@ -116,8 +116,11 @@
 		return
 	}
 	v.tableMu.Lock()
-	voters := v.table.voters.IDs
+	voters, known := v.table.voters.IDs, len(v.table.pools) > 0
 	v.tableMu.Unlock()
+	if v.Words != nil && !known {
+		return // no worker is known yet
+	}
 	v.BullMu.Lock()
 	ok, out := v.Bull.Confirm(now, all, v.Self, voters, v.began)
 	v.BullMu.Unlock()
