--- a/internal/vaned/relay_try.go
+++ b/internal/vaned/relay_try.go
@@ -229,8 +229,21 @@
 	q.Away = 4 * cold
 }
 
-// urgency tells the worker who goes first.
-func urgency(w *relay) int { return min(9, 2+w.m.Rank) }
+// briefest is the size, in tokens, up to which a prompt is of the first urgency; each doubling is one lower.
+const briefest = 1024
+
+// urgency tells the worker who goes first: the briefest prompt, since all behind it wait for its reading (design 12).
+// What has no size goes by its rank.
+func urgency(w *relay) int {
+	if !w.sized {
+		return min(9, 2+w.m.Rank)
+	}
+	u := 1
+	for n := w.prompt.In; n > briefest && u < 9; n /= 2 {
+		u++
+	}
+	return u
+}
 
 // connsOf is this node's part of the connections that a worker accepts from all nodes together.
 func (v *Vane) connsOf(s *forecast.Service) int {
