--- a/internal/anemometer/events.go
+++ b/internal/anemometer/events.go
@@ -42,7 +42,9 @@
 	kept := len(e.rest) - e.out
 	buf := b
 	if kept > 0 {
-		copy(e.rest, e.rest[e.out:])
+		if e.out > 0 {
+			copy(e.rest, e.rest[e.out:])
+		}
 		e.rest = append(e.rest[:kept], b...)
 		buf = e.rest
 	}
--- /dev/null
+++ b/internal/anemometer/exchange_test.go
@@ -0,0 +1,307 @@
+package anemometer
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// once answers the first request of the first connection so, and the rest well. It closes that one only when told.
+func once(t *testing.T, answer string, shut bool) string {
+	return serve(t, func(w *wire) {
+		if w.n == 0 {
+			if _, ok := w.get(); ok {
+				w.say(answer)
+			}
+			if shut {
+				return
+			}
+		}
+		echo(w)
+	})
+}
+
+// What a client sent goes on as it was.
+func TestExchangeChangesNothing(t *testing.T) {
+	got := make(chan string, 1)
+	const sent = "POST /a//b/../%2e%2F?x=%20y&&z HTTP/1.1\nHost: site.example\nContent-Length: 6\nX-One: 1\nAttempt-Id: a\n\nprompt"
+	addr := serve(t, func(w *wire) {
+		b := make([]byte, len(strings.ReplaceAll(sent, "\n", "\r\n")))
+		_, _ = io.ReadFull(w.r, b)
+		got <- string(b)
+		w.say("HTTP/1.1 200 OK\nAttempt-Id: a\nContent-Length: 0\n\n")
+		w.ended()
+	})
+	o := order(addr, "a")
+	o.Req.Header.Del("Attempt-Id")
+	o.Req.Header.SetRequestURI("/a//b/../%2e%2F?x=%20y&&z")
+	o.Req.Header.Set("X-One", "1")
+	o.Req.Header.Set("Attempt-Id", "a")
+	_ = o.Req.URI() // as a look at the path would do
+	want(t, NewPool(names), o, "")
+	if s := <-got; s != strings.ReplaceAll(sent, "\n", "\r\n") {
+		t.Fatalf("%q", s)
+	}
+}
+
+func TestExchangeLargeBodyAndHead(t *testing.T) {
+	big := strings.Repeat("x", 1<<20)
+	addr := once(t, "HTTP/1.1 200 OK\nAttempt-Id: a\nX-Long: "+strings.Repeat("y", 20000)+"\nContent-Length: 1048576\n\n"+big, false)
+	o := order(addr, "a")
+	o.Req.SetBodyString(big)
+	p := NewPool(names)
+	want(t, p, o, big)
+	want(t, p, order(addr, "b"), "b")
+}
+
+func TestExchangeAnswers(t *testing.T) {
+	const ok, a = "HTTP/1.1 200 OK\n", "Attempt-Id: a\n"
+	old := "HTTP/1.1 200 OK\nAttempt-Id: old\nContent-Length: 3\n\nold"
+	for _, x := range []struct {
+		name, answer string
+		kind         Kind
+		body         string
+		broken       bool // while reading
+		idle         int
+	}{
+		{"length", ok + a + "Content-Length: 3\n\nabc", Piece, "abc", false, 1},
+		{"chunks", ok + a + "Transfer-Encoding: chunked\n\n1\na\n2;x=y\nbc\n0\n\n", Piece, "abc", false, 1},
+		{"trailer", ok + a + "Transfer-Encoding: chunked\n\n3\nabc\n0\nX: y\n\n", Piece, "abc", false, 1},
+		{"close", ok + a + "Connection: close\nContent-Length: 3\n\nabc", Piece, "abc", false, 0},
+		{"no body", "HTTP/1.1 204 No Content\n" + a + "\n", Piece, "", false, 1},
+		{"not modified", "HTTP/1.1 304 Not Modified\n" + a + "Content-Length: 9\n\n", Piece, "", false, 1},
+		{"interim", "HTTP/1.1 100 Continue\n\nHTTP/1.1 103 Early Hints\n\n" + ok + a + "Content-Length: 3\n\nabc", Piece, "abc", false, 1},
+		{"failure with id", "HTTP/1.1 500 No\n" + a + "Content-Length: 3\n\nabc", Piece, "abc", false, 1},
+		{"extra bytes", ok + a + "Content-Length: 3\n\nabcEXTRA", Piece, "abc", false, 0},
+		{"extra answer", ok + a + "Content-Length: 3\n\nabc" + old, Piece, "abc", false, 0},
+		{"extra behind chunks", ok + a + "Transfer-Encoding: chunked\n\n3\nabc\n0\n\nx", Piece, "abc", false, 0},
+		{"surplus", old + ok + a + "Content-Length: 3\n\nabc", Piece, "abc", false, 1},
+		{"three surplus", old + old + old + ok + a + "Content-Length: 3\n\nabc", Piece, "abc", false, 1},
+		{"surplus in chunks", ok + "Attempt-Id: o\nTransfer-Encoding: chunked\n\n1\na\n0\n\n" + ok + a + "Content-Length: 3\n\nabc", Piece, "abc", false, 1},
+		{"refusal behind surplus", old + "HTTP/1.1 503 Full\n" + a + "Not-Run: 1\nContent-Length: 2\n\nno", NotRun, "", false, 1},
+		{"four surplus", old + old + old + old + ok + a + "Content-Length: 3\n\nabc", Unknown, "", false, 0},
+		{"two ids", ok + a + "Attempt-Id: b\nContent-Length: 3\n\nabc", Unknown, "", false, 0},
+		{"no id", ok + "Content-Length: 3\n\nabc", Unknown, "", false, 0},
+		{"no id, failure", "HTTP/1.1 500 No\nContent-Length: 0\n\n", Unknown, "", false, 0},
+		{"503 of doubt", "HTTP/1.1 503 No\nContent-Length: 0\n\n", Unknown, "", false, 0},
+		{"200 that says not run", ok + "Not-Run: 1\nContent-Length: 0\n\n", Unknown, "", false, 0},
+		{"503 not run", "HTTP/1.1 503 No\n" + a + "Not-Run: 1\nContent-Length: 0\n\n", NotRun, "", false, 1},
+		{"429 not run", "HTTP/1.1 429 No\n" + a + "Not-Run: 1\nTransfer-Encoding: chunked\n\n2\nno\n0\n\n", NotRun, "", false, 1},
+		{"400 not run", "HTTP/1.1 400 No\nNot-Run: 1\nContent-Length: 0\n\n", NotRun, "", false, 1},
+		{"421", "HTTP/1.1 421 Moved\n" + a + "Not-Run: 1\nContent-Length: 0\n\n", Moved, "", false, 0},
+		{"garbage", "\x00\x01\x02", Unknown, "", false, 0},
+		{"garbage like HTTP", "HTTP/9.1 200 OK\n" + a + "Content-Length: 0\n\n", Unknown, "", false, 0},
+		{"garbage behind the mark", "HTTP/1.1 2x0 OK\n" + a + "Content-Length: 0\n\n", Unknown, "", false, 0},
+		{"two lengths", ok + a + "Content-Length: 3\nContent-Length: 4\n\nabc", Unknown, "", false, 0},
+		{"switching", "HTTP/1.1 101 Switching\n\n", Unknown, "", false, 0},
+		{"bad chunk", ok + a + "Transfer-Encoding: chunked\n\n3\nabc\nzz\n", Piece, "abc", true, 0},
+		{"chunk too long", ok + a + "Transfer-Encoding: chunked\n\n3\nabcd\n0\n\n", Piece, "abc", true, 0},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			p := NewPool(names)
+			addr := once(t, x.answer, false)
+			b, err, y := all(t, p, order(addr, "a"))
+			if y.Kind != x.kind || b != x.body || (err != nil) != (x.broken || x.kind != Piece) {
+				t.Fatalf("kind %d, body %q, error %v", y.Kind, b, err)
+			}
+			wantCounts(t, p, x.idle, 1)
+			if y := want(t, p, order(addr, "b"), "b"); y.Reused != (x.idle == 1) {
+				t.Fatalf("reused %v", y.Reused)
+			}
+		})
+	}
+}
+
+// An answer that is cut off anywhere never ends as a whole one.
+func TestExchangeCutAnywhere(t *testing.T) {
+	for _, x := range []string{
+		"HTTP/1.1 200 OK\nAttempt-Id: a\nContent-Length: 3\n\nabc",
+		"HTTP/1.1 200 OK\nAttempt-Id: a\nTransfer-Encoding: chunked\n\n2\nab\n1\nc\n0\nX: y\n\n",
+		"HTTP/1.1 200 OK\nAttempt-Id: a\nConnection: close\n\nabc",
+	} {
+		x = strings.ReplaceAll(x, "\n", "\r\n")
+		for i := range len(x) {
+			y := given(x[:i], "a")
+			err := y.await(names)
+			if err == nil {
+				_, err = io.ReadAll(y.rest())
+			}
+			if err == nil {
+				t.Fatalf("cut at %d, it ends as whole: %q", i, x[:i])
+			}
+		}
+	}
+}
+
+func TestExchangeCutInTheBody(t *testing.T) {
+	for _, s := range []string{
+		"Content-Length: 9\n\nabc", "Transfer-Encoding: chunked\n\n9\nabc", "Transfer-Encoding: chunked\n\n3\nabc\n", "Transfer-Encoding: chunked\n\n3\nabc\n0\n",
+	} {
+		p := NewPool(names)
+		addr := once(t, "HTTP/1.1 200 OK\nAttempt-Id: a\n"+s, true)
+		b, err, x := all(t, p, order(addr, "a"))
+		if x.Kind != Piece || b != "abc" || !errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+			t.Fatalf("%q: kind %d, body %q, error %v", s, x.Kind, b, err)
+		}
+		wantCounts(t, p, 0, 1)
+	}
+}
+
+func TestExchangeUnknownAfterSilence(t *testing.T) {
+	p := NewPool(names)
+	addr := once(t, "", true)
+	if x := wantKind(t, p, order(addr, "a"), Unknown); x.Down {
+		t.Fatal("down though it took the request")
+	}
+	o := order(serve(t, (*wire).ended), "b")
+	o.Worker, o.Due = "v", time.Now().Add(20*time.Millisecond)
+	if x := wantKind(t, p, o, Unknown); !errors.Is(x.Err, os.ErrDeadlineExceeded) {
+		t.Fatal(x.Err)
+	}
+}
+
+func TestExchangeReadEndsAtDue(t *testing.T) {
+	addr := once(t, "HTTP/1.1 200 OK\nAttempt-Id: a\nContent-Length: 9\n\nabc", false)
+	o := order(addr, "a")
+	o.Due = time.Now().Add(200 * time.Millisecond)
+	b, err, _ := all(t, NewPool(names), o)
+	if b != "abc" || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatal(b, err)
+	}
+}
+
+// closed plays a worker that takes a request, says a little and tells when the connection has ended.
+func closed(t *testing.T, say string) (addr string, ended chan struct{}) {
+	ended = make(chan struct{})
+	return serve(t, func(w *wire) {
+		w.get()
+		w.say(say)
+		w.ended()
+		close(ended)
+	}), ended
+}
+
+func TestExchangeGone(t *testing.T) {
+	for _, say := range []string{"", "HTTP/1.1 200 OK\nAttempt", "HTTP/1.1 200 OK\nAttempt-Id: old\nContent-Length: 9\n\nold"} {
+		addr, ended := closed(t, say)
+		o, looks := order(addr, "a"), 0
+		o.Gone = func() bool { looks++; return looks == 3 }
+		if x := wantKind(t, NewPool(names), o, Unknown); !errors.Is(x.Err, ErrGone) || looks != 3 {
+			t.Fatal(x.Err, looks)
+		}
+		<-ended
+	}
+}
+
+func TestExchangeQuiet(t *testing.T) {
+	addr, ended := closed(t, "HTTP/1.1 100 Continue\n\n")
+	o := order(addr, "a")
+	o.Quiet = 30 * time.Millisecond
+	if x := wantKind(t, NewPool(names), o, Unknown); !errors.Is(x.Err, ErrSilent) {
+		t.Fatal(x.Err)
+	}
+	<-ended
+	// Once the head has come, silence is the caller's to judge: the rest comes when it comes.
+	next := make(chan struct{})
+	addr = serve(t, func(w *wire) {
+		w.get()
+		w.say("HTTP/1.1 200 OK\nAttempt-Id: a\nContent-Length: 2\n\na")
+		<-next
+		w.say("b")
+		w.ended()
+	})
+	o = order(addr, "a")
+	o.Quiet, o.Gone = soon/2, func() bool { return false }
+	x := NewPool(names).Do(o)
+	defer x.End()
+	if x.Kind != Piece || x.c.steps {
+		t.Fatal(x.Kind, x.Err)
+	}
+	var b [4]byte
+	if n, err := x.Read(b[:]); n != 1 || err != nil { // handed on before the rest is there
+		t.Fatal(n, err)
+	}
+	close(next)
+	if n, err := x.Read(b[:]); n != 1 || err != nil {
+		t.Fatal(n, err)
+	}
+}
+
+func TestExchangeCancel(t *testing.T) {
+	p := NewPool(names)
+	addr, ended := closed(t, "HTTP/1.1 200 OK\nAttempt-Id: a\nContent-Length: 9\n\nabc")
+	x := p.Do(order(addr, "a"))
+	var b [9]byte
+	if n, err := io.ReadFull(x.rest(), b[:3]); n != 3 || err != nil {
+		t.Fatal(n, err)
+	}
+	got := make(chan error)
+	go func() {
+		_, err := x.Read(b[:])
+		got <- err
+	}()
+	x.Cancel()
+	if err := <-got; err == nil || errors.Is(err, io.EOF) {
+		t.Fatal(err)
+	}
+	<-ended
+	x.End()
+	x.Cancel()
+	wantCounts(t, p, 0, 1)
+
+	// What was cancelled behind a whole body isn't used again either; what ended before can't be cancelled any more.
+	addr = serve(t, echo)
+	p = NewPool(names)
+	x = p.Do(order(addr, "a"))
+	_, _ = io.ReadAll(x.rest())
+	x.Cancel()
+	x.End()
+	wantCounts(t, p, 0, 1)
+	x = p.Do(order(addr, "b"))
+	_, _ = io.ReadAll(x.rest())
+	x.End()
+	x.Cancel()
+	if y := want(t, p, order(addr, "c"), "c"); !y.Reused {
+		t.Fatal("a connection of others was cancelled")
+	}
+}
+
+func TestExchangeHead(t *testing.T) {
+	p := NewPool(names)
+	addr := once(t, "HTTP/1.1 200 OK\nAttempt-Id: a\nContent-Length: 9\n\n", false)
+	o := order(addr, "a")
+	o.Req.ResetBody()
+	o.Req.Header.SetMethod("HEAD")
+	if x := want(t, p, o, ""); x.Length() != 0 {
+		t.Fatal(x.Length())
+	}
+	wantCounts(t, p, 0, 1)
+}
+
+func TestExchangeRefusalKeepsItsBody(t *testing.T) {
+	p := NewPool(names)
+	addr := once(t, "HTTP/1.1 503 Full\nNot-Run: 1\nRetry-After: 0.3\nContent-Length: 2\n\nno", false)
+	x := p.Do(order(addr, "a"))
+	if x.Kind != NotRun || string(x.Resp.Body()) != "no" || string(x.Resp.Header.Peek("Retry-After")) != "0.3" {
+		t.Fatal(x.Kind, x.Err, x.Resp)
+	}
+	if n, err := x.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		t.Fatal(n, err)
+	}
+	x.End()
+	wantCounts(t, p, 1, 1)
+	// One whose body doesn't come is believed all the same; only its connection is lost.
+	p = NewPool(names)
+	addr, ended := closed(t, "HTTP/1.1 503 Full\nNot-Run: 1\nContent-Length: 2\n\nn")
+	x = p.Do(order(addr, "a"))
+	if x.Kind != NotRun || bytes.Contains(x.Resp.Body(), []byte("n")) {
+		t.Fatal(x.Kind, x.Err)
+	}
+	x.End()
+	<-ended
+	wantCounts(t, p, 0, 1)
+}
