A broken answer that is tried elsewhere costs the budget one further try, not two

Cause: relay.answer took a further try from the budget before it called try, which takes one itself, so that in the whole-path tests the second of two torn answers in 16 requests was answered 502 though the budget had room.

--- a/internal/vaned/reply.go
+++ b/internal/vaned/reply.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		r.Close()
 		w.broke = e.worker
-		if w.may(e.service.Name, v.Crew.Now()) && w.try(e.service.Name) {
+		if w.try(e.service.Name) { // which takes it from the budget
 			return
 		}
 		w.end(synop.Unknown, 0)
