--- /dev/null
+++ b/internal/gauge/busy_test.go
@@ -0,0 +1,35 @@
+package gauge
+
+import (
+	"testing"
+	"time"
+)
+
+// A keeper is busy while a book is not open or a prompt waits, and not with nothing but lent slots.
+func TestBusy(t *testing.T) {
+	b := newBench(Worker{Cap: 1, Bound: 3, First: 50 * ms})
+	busy := func(want bool, when string) {
+		t.Helper()
+		if b.Busy() != want {
+			t.Errorf("%s: busy is %v", when, !want)
+		}
+	}
+	b.pass(20 * ms)
+	busy(false, "open and idle")
+	b.ask(1, time.Second, false)
+	busy(false, "one slot lent")
+	b.ask(2, time.Second, true)
+	busy(true, "one prompt waits")
+	b.back(1)
+	busy(false, "it has gone in")
+	b.View([]Peer{{Node: 1}, {Node: 2}}, nil)
+	busy(true, "another vane came")
+	g := New(1)
+	g.Workers(map[string]Worker{"s/w": {Cap: 1}})
+	g.View([]Peer{{Node: 1}}, nil)
+	busy(true, "a worker to keep")
+	g.Tick(b.now)
+	if !g.Busy() {
+		t.Error("a book that awaits reports is no business")
+	}
+}
--- /dev/null
+++ b/internal/hygrometer/busy.go
@@ -0,0 +1,11 @@
+package hygrometer
+
+// Busy says whether a prompt waits for anything but the end of its run: only then has a tick something to do.
+func (h *Hygrometer) Busy() bool {
+	for _, r := range h.reqs {
+		if r.stage != held {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/hygrometer/busy_test.go
@@ -0,0 +1,32 @@
+package hygrometer
+
+import (
+	"testing"
+	"time"
+
+	"seamshunt/internal/gauge"
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// While every prompt is in and none waits, a tick has nothing to do: then it says so.
+func TestBusy(t *testing.T) {
+	const ms = time.Millisecond
+	h, now := New(1), units.Time(time.Hour)
+	h.Arrive(now, Req{Tag: 7, Policy: "knee", Cands: []string{"s/w"}, Tries: 1, Until: now.Add(time.Second), First: 50 * ms,
+		Keeper: func(string) units.Node { return 2 }})
+	if !h.Busy() {
+		t.Error("an ask is under way")
+	}
+	h.Step(now, station.Note{From: 2, Kind: gauge.Grant, Body: gauge.Pack(gauge.Head{Tag: 7}, "s/w")})
+	if h.Busy() {
+		t.Error("the prompt is in")
+	}
+	if out := h.Tick(now.Add(time.Hour)); len(out.Notes)+len(h.Verdicts) != 1 {
+		t.Errorf("a tick with all prompts in said %v, %v", out.Notes, h.Verdicts)
+	}
+	h.Done(now, 7, true)
+	if !h.Busy() {
+		t.Error("a run that may still be going is waited out")
+	}
+}
--- a/internal/mast/mast.go
+++ b/internal/mast/mast.go
@@ -82,6 +82,7 @@
 	kept    []Member     // what All last gave, till something changes
 	digest  uint64       // of the live members, while summed holds
 	summed  bool
+	ver     uint64
 	seeds   []string
 	rng     *rand.Rand
 	ring    []units.Node
--- a/internal/mast/table.go
+++ b/internal/mast/table.go
@@ -7,7 +7,13 @@
 
 // changed is told of every change of what the digest is of, or of who there is: both are worked out anew when asked
 // for next. At 400 nodes a daemon asks for the table some 170 times a second (docs/CAPACITY.md).
-func (m *Mast) changed() { m.kept, m.summed = nil, false }
+func (m *Mast) changed() { m.kept, m.summed, m.ver = nil, false, m.ver+1 }
+
+// Version is another one whenever a member came, went or changed what it says of itself, its news apart.
+func (m *Mast) Version() uint64 { return m.ver }
+
+// Asking says whether a probe has waited for its answer for longer than usual.
+func (m *Mast) Asking(now units.Time) bool { return m.open != 0 && now > m.at }
 
 // heard is told that only a member's news was told anew, which the digest is not of.
 func (m *Mast) heard() { m.kept = nil }
--- /dev/null
+++ b/internal/mast/version_test.go
@@ -0,0 +1,59 @@
+package mast
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"seamshunt/internal/station"
+	"seamshunt/internal/units"
+)
+
+// The version moves with the members, not with their news; a probe counts as under way once it has waited.
+func TestVersion(t *testing.T) {
+	now := units.Time(time.Hour)
+	a := New(member(1), []string{"a" + units.Node(2).String()}, rand.New(rand.NewPCG(1, 1)))
+	b := New(member(2), nil, rand.New(rand.NewPCG(1, 2)))
+	v := a.Version()
+	hello := func(m *Mast, to *Mast) {
+		for _, n := range m.Tick(now).Notes {
+			n.From = m.Self
+			for _, r := range to.Step(now, n).Notes {
+				r.From = to.Self
+				m.Step(now, r)
+			}
+		}
+	}
+	hello(a, b)
+	if a.Version() == v {
+		t.Error("a newcomer is no change")
+	}
+	for v = a.Version(); now < units.Time(time.Hour+20*time.Second); now = now.Add(50 * time.Millisecond) {
+		b.News++
+		hello(a, b)
+		if a.Asking(now) {
+			t.Fatal("asking behind an answer")
+		}
+	}
+	if a.Version() != v {
+		t.Error("news and answers alone changed the version")
+	}
+	now = now.Add(round)
+	var sent []station.Note
+	for len(sent) == 0 {
+		now = now.Add(50 * time.Millisecond)
+		sent = a.Tick(now).Notes
+	}
+	if a.Asking(now) || !a.Asking(now.Add(50*time.Millisecond)) {
+		t.Error("a probe is under way once it has waited")
+	}
+	b.Flag(Draining, true)
+	sent[0].From = a.Self
+	for _, r := range b.Step(now, sent[0]).Notes {
+		r.From = b.Self
+		a.Step(now, r)
+	}
+	if a.Version() == v {
+		t.Error("a member that drains is no change")
+	}
+}
--- a/internal/tower/tower.go
+++ b/internal/tower/tower.go
@@ -42,10 +42,14 @@
 	Steps   map[station.Kind]func(units.Time, station.Note) // by range of kinds, for the program's own machines
 	Woke    func(units.Time)                                // after a freeze
 	Refused func(units.Time, []units.Node)                  // processes found to have ended
+	Moved   func()                                          // news came, or membership changed
 	Later   func(station.Out)                               // disk work; nil on a vane
 	Dropped atomic.Uint64
 	Errors  atomic.Uint64
 	last    units.Time
+	pace    crew.Pace
+	ver     atomic.Uint64 // of membership's table, as last seen
+	since   atomic.Int64  // when that changed
 }
 
 // Random gives a fresh id.
@@ -73,11 +77,12 @@
 	}
 	t.Tel = tel
 	t.last = t.Crew.Now()
-	t.Crew.Every(50*time.Millisecond, t.beat)
+	t.pace.Start(t.Crew, often, t.beat)
 	return nil
 }
 
-func (t *Tower) beat(now units.Time) {
+// beat is all that goes by the clock; it gives how long the next may wait.
+func (t *Tower) beat(now units.Time) time.Duration {
 	if gap := now.Sub(t.last); gap > time.Second && t.Woke != nil {
 		t.Log.WithField("gap", gap).Error("woke from a freeze: nothing held before is trusted")
 		t.Woke(now)
@@ -89,15 +94,21 @@
 	t.MastMu.Lock()
 	t.Mast.News = sum
 	out := t.Mast.Tick(now)
-	all := t.Mast.All()
+	all, ver, asking := t.Mast.All(), t.Mast.Version(), t.Mast.Asking(now)
 	t.MastMu.Unlock()
-	for _, m := range all {
-		t.Tel.Learn(m.Node, m.Addr)
+	if t.saw(now, ver) {
+		for _, m := range all {
+			t.Tel.Learn(m.Node, m.Addr)
+		}
 	}
 	t.BullMu.Lock()
 	out.Join(t.Bull.Beat(now, all, t.Self))
 	t.BullMu.Unlock()
 	t.Deliver(out)
+	if asking || !t.Calm(now) {
+		return often
+	}
+	return Seldom
 }
 
 // take is called on the wires' loop and only passes the note to the crew.
@@ -114,16 +125,24 @@
 		t.MastMu.Lock()
 		out := t.Mast.Step(now, n)
 		m, ok := t.Mast.Get(n.From)
+		ver := t.Mast.Version()
 		t.MastMu.Unlock()
 		if ok {
 			t.Tel.Learn(m.Node, m.Addr)
 		}
 		t.Deliver(out)
+		if ver != t.ver.Load() {
+			t.pace.By(often)
+		}
 	case station.Bulletin:
 		t.BullMu.Lock()
 		out := t.Bull.Step(now, n)
+		fresh := len(t.Bull.Fresh) > 0
 		t.BullMu.Unlock()
 		t.Deliver(out)
+		if fresh {
+			t.moved()
+		}
 	default:
 		if f := t.Steps[n.Kind&^15]; f != nil {
 			f(now, n)
--- /dev/null
+++ b/internal/vaned/beat.go
@@ -0,0 +1,41 @@
+package vaned
+
+import (
+	"time"
+
+	"seamshunt/internal/station"
+	"seamshunt/internal/tower"
+	"seamshunt/internal/units"
+)
+
+// beat works out the difference between what is wanted and what is; it gives how long the next may wait.
+func (v *Vane) beat(now units.Time) time.Duration {
+	v.refresh(now)
+	v.deskMu.Lock()
+	var out station.Out
+	busy := v.desk.Busy()
+	if busy {
+		out = v.desk.Tick(now)
+		v.tell(now)
+	}
+	v.deskMu.Unlock()
+	v.gaugeMu.Lock()
+	out.Join(v.gauge.Tick(now))
+	busy = busy || v.gauge.Busy()
+	v.gaugeMu.Unlock()
+	v.Deliver(out)
+	if v.Words == nil {
+		v.screenTick(now) // a book's requests claim nothing
+	}
+	v.confirm(now)
+	if busy || v.Words == nil || !v.ready.Load() || !v.Calm(now) {
+		return often
+	}
+	return tower.Seldom
+}
+
+// often is how long the beat waits while something is due: prompts that wait, books that are opened, a fleet that moves.
+const often = 20 * time.Millisecond
+
+// soon has the beat come soon.
+func (v *Vane) soon() { v.pace.By(often) }
--- a/internal/vaned/vane.go
+++ b/internal/vaned/vane.go
@@ -14,6 +14,7 @@
 	"seamshunt/internal/anemometer"
 	"seamshunt/internal/boot"
 	"seamshunt/internal/codebook"
+	"seamshunt/internal/crew"
 	"seamshunt/internal/gauge"
 	"seamshunt/internal/hygrometer"
 	"seamshunt/internal/mast"
@@ -62,6 +63,7 @@
 	ask      *fasthttp.Server // answers whether this node is ready, where that has an address of its own
 	Words    *codebook.Book   // the outside world's words; nil: the product's own interface
 	pool     *anemometer.Pool
+	pace     crew.Pace // of the beat
 	stats    stats
 }
 
@@ -78,6 +80,7 @@
 	v.tag.Store(uint64(tower.Random()) >> 1)
 	v.Woke = v.woke
 	v.Refused = v.gone
+	v.Moved = v.soon
 	v.Steps[station.Gauge] = v.permits
 	v.Steps[station.Claim] = func(now units.Time, n station.Note) {
 		v.screened(func() station.Out { return v.screen.Step(now, n) })
@@ -106,7 +109,7 @@
 		return err
 	}
 	v.Crew.Go(func() { _ = v.web.Serve(ln) })
-	v.Crew.Every(20*time.Millisecond, v.beat)
+	v.pace.Start(v.Crew, often, v.beat)
 	return nil
 }
 
@@ -126,8 +129,12 @@
 	if n.Kind == gauge.Ask || n.Kind == gauge.Return || n.Kind == gauge.Report || n.Kind == gauge.ReportAsk {
 		v.gaugeMu.Lock()
 		out := v.gauge.Step(now, n)
+		busy := v.gauge.Busy()
 		v.gaugeMu.Unlock()
 		v.Deliver(out)
+		if busy {
+			v.soon()
+		}
 	}
 }
 
@@ -142,21 +149,6 @@
 	v.desk.Verdicts = v.desk.Verdicts[:0]
 }
 
-// beat works out the difference between what is wanted and what is, every 20 ms.
-func (v *Vane) beat(now units.Time) {
-	v.refresh(now)
-	v.deskMu.Lock()
-	out := v.desk.Tick(now)
-	v.tell(now)
-	v.deskMu.Unlock()
-	v.gaugeMu.Lock()
-	out.Join(v.gauge.Tick(now))
-	v.gaugeMu.Unlock()
-	v.Deliver(out)
-	v.screenTick(now)
-	v.confirm(now)
-}
-
 // woke after a freeze: waiting prompts ask anew, and nothing new is taken before the news is confirmed.
 func (v *Vane) woke(now units.Time) {
 	v.unready()
