A process replaced in place takes no part of a cold worker's rate any more

Now an address that has another process, 30 s of silence, and any share under a half no longer count.

--- a/internal/gauge/watch.go
+++ b/internal/gauge/watch.go
@@ -29,10 +29,19 @@
 
 // See takes membership's list. Changed says whether somebody fell silent since the last look.
 func (w *Watch) See(now units.Time, all []mast.Member) (peers []Peer, changed bool) {
+	here := map[string]bool{}
+	for _, m := range all {
+		if m.Role == mast.Vane && m.State <= mast.Suspect {
+			here[m.Addr] = true
+		}
+	}
 	for _, m := range all {
 		if m.Role != mast.Vane {
 			continue
 		}
+		if m.State > mast.Suspect && here[m.Addr] {
+			w.Void(now, m.Node) // its machine runs another process in its place
+		}
 		switch {
 		case m.State <= mast.Suspect:
 			delete(w.lost, m.Node)
@@ -50,8 +59,20 @@
 	return peers, changed
 }
 
-// Lost counts those that fell silent and may still be at work behind a cut.
-func (w *Watch) Lost() int { return len(w.lost) }
+// lostFor is how long one that fell silent is held to be at work behind a cut, when rates are shared.
+const lostFor = 30 * time.Second
+
+// Part is the share of a cold worker's rate that this node's side may lend: as many as it sees live of all that may be at
+// work, and never under a half, since a cut has two sides (design 12).
+func (w *Watch) Part(now units.Time, live int) float64 {
+	n := 0
+	for _, t := range w.lost {
+		if now.Sub(t) < lostFor {
+			n++
+		}
+	}
+	return max(0.5, float64(live)/float64(max(1, live+n)))
+}
 
 // Holds gives the moments until which processes that are not live may still have runs going: those that fell
 // silent for the longest time left there is, those known to have ended for as long as workers take to notice.
--- a/internal/vaned/rules.go
+++ b/internal/vaned/rules.go
@@ -61,11 +61,10 @@
 	if r == nil {
 		return
 	}
-	live, known := len(peers), len(peers)+t.watch.Lost()
 	ws := r.Keep(t.pools, t.sky.Start(), t.out)
 	v.gaugeMu.Lock()
 	v.gauge.Workers(ws)
-	v.gauge.Allow(v.Boot.Bounds.WarmExcess, v.Boot.Bounds.WarmSlack, float64(live)/float64(max(1, known)))
+	v.gauge.Allow(v.Boot.Bounds.WarmExcess, v.Boot.Bounds.WarmSlack, t.watch.Part(now, len(peers)))
 	v.gauge.View(peers, t.watch.Holds(r.Longest(false)))
 	v.gaugeMu.Unlock()
 }
