--- a/internal/vaned/relay.go
+++ b/internal/vaned/relay.go
@@ -35,11 +35,13 @@
 	broke  string // the worker that broke off last
 	why    synop.Code
 	due    time.Duration
+	urge   uint8
 	reply  *reply // while a stream goes on
 }
 
-// holdFor is how long a request waits for a node that woke and asks whether its news still stands.
-const holdFor = 150 * time.Millisecond
+// holdFor is how long a request waits for a node that has started or woken and asks whether its news still stands: as a
+// rule that takes less. It is not given up meanwhile; one that is gets its answer at once (design 11).
+const holdFor = 700 * time.Millisecond
 
 // relay takes one request its way.
 func (v *Vane) relay(ctx *fasthttp.RequestCtx) {
