Keepers reckon with an engine's line in time, its speed as learned; in time or elsewhere

Cause: the keeper summed unread tokens at 100 a millisecond; a prompt of 56,244 tokens was reckoned with 515 ms and took 1,325: attention and the steps between the pieces were left out, and some workers are 1.3 times slower. What waited for a busy home was passed by only above an eighth of the aim + 8 x the shared parts' time, whether it would be late or not. Now: reading time with attention, a line per worker (what is begun is read to its end, the rest by urgency), speed learned from prompts that found the line empty, and an ask that says how soon first words must come. Ruled out by logged first-token times: that urgent prompts interrupt a long one's reading.

--- a/internal/forecast/compile.go
+++ b/internal/forecast/compile.go
@@ -81,7 +81,8 @@
 	s.Lax = true
 	if s.Memory > 0 {
 		set(&s.Share, 0.85)
-		set(&s.Reads, 100)
+		set(&s.Reads, 75)
+		set(&s.Pairs, 0.218)
 	}
 	if s.Cap > 0 {
 		set(&s.Waitlist, 2*s.Cap)
--- a/internal/forecast/config.go
+++ b/internal/forecast/config.go
@@ -32,7 +32,8 @@
 	First      time.Duration // expected time to first words before any was measured
 	Memory     int           // tokens that one worker's memory holds; 0 when it is no engine (design 12)
 	Share      float64       // of that memory may be lent out: the knee's other side
-	Reads      float64       // prompt tokens that one worker reads in a millisecond
+	Reads      float64       // prompt tokens that one worker reads in a millisecond, between other requests' steps
+	Pairs      float64       // milliseconds that a million pairs of a prompt's tokens take besides: attention
 	WarmRate   float64       // requests a second that a cold worker bears; 0 when any
 	Conns      int           // connections that one worker accepts from all nodes together; 0 when any
 	Lax        bool          // a new keeper lends without waiting out what silent nodes may hold
--- a/internal/forecast/keep.go
+++ b/internal/forecast/keep.go
@@ -18,7 +18,7 @@
 			}
 			k := gauge.Worker{Zone: w.Zone, Cap: s.Cap, Bound: s.Waitlist, Warm: s.Warm, Start: start[w.ID],
 				Closed: w.Leaving || out[w.Zone], Adapt: s.Adapt, Floor: s.Floor, Aim: s.WaitAim, First: s.First,
-				Memory: int(s.Share * float64(s.Memory)), Reads: s.Reads, WarmRate: s.WarmRate, Lax: s.Lax}
+				Memory: int(s.Share * float64(s.Memory)), WarmRate: s.WarmRate, Lax: s.Lax}
 			if k.Cap == 0 {
 				k.Cap = max(1, w.Slots)
 			}
--- a/internal/gauge/engine.go
+++ b/internal/gauge/engine.go
@@ -1,6 +1,7 @@
 package gauge
 
 import (
+	"slices"
 	"time"
 
 	"seamshunt/internal/units"
@@ -11,20 +12,81 @@
 
 // engine is what a keeper knows of a worker that reads prompts and holds them in memory: the knee's other side.
 type engine struct {
-	mem    int          // tokens lent
-	unread float64      // prompt tokens that are handed over and not read yet, by the worker's measured speed
-	at     units.Time   // when unread was worked out
-	ring   []units.Time // grants of the last second, for the rate that a cold worker bears
+	mem  int          // tokens lent
+	line []item       // what is handed over and not read yet, as the worker takes it: what it has begun is read to its end
+	at   units.Time   // when the line was worked out
+	slow float64      // how much longer than a usual worker it takes, as learned; 0 is not known yet
+	ring []units.Time // grants of the last second, for the rate that a cold worker bears
 }
 
-// backlog is how long the worker still reads what it was sent.
-func (k *keep) backlog(now units.Time, w Worker) time.Duration {
-	if w.Reads <= 0 {
-		return 0
+// item is a prompt's unread rest, in a usual worker's time.
+type item struct {
+	left time.Duration
+	urge uint8
+}
+
+// slowness is how much longer the worker takes than a usual one.
+func (k *keep) slowness() float64 {
+	if k.slow == 0 {
+		return 1
 	}
-	k.unread = max(0, k.unread-w.Reads*float64(now.Sub(k.at))/float64(time.Millisecond))
+	return k.slow
+}
+
+// read takes out of the line what the worker has read by now.
+func (k *keep) read(now units.Time) {
+	done := time.Duration(float64(now.Sub(k.at)) / k.slowness())
 	k.at = now
-	return time.Duration(k.unread / w.Reads * float64(time.Millisecond))
+	for len(k.line) > 0 && k.line[0].left <= done {
+		done -= k.line[0].left
+		k.line = k.line[1:]
+	}
+	if len(k.line) > 0 {
+		k.line[0].left -= done
+	}
+}
+
+// comes is where a prompt of some urgency comes in the line: behind all that are as urgent, and what is begun.
+func (k *keep) comes(urge uint8) int {
+	at := len(k.line)
+	for at > 1 && k.line[at-1].urge > urge {
+		at--
+	}
+	return at
+}
+
+// backlog is how long the worker reads the first so many of its line.
+func (k *keep) backlog(n int) (sum time.Duration) {
+	for _, x := range k.line[:n] {
+		sum += x.left
+	}
+	return time.Duration(float64(sum) * k.slowness())
+}
+
+// words is how long a prompt that is handed over now waits for its first words, as far as reading goes.
+func (k *keep) words(now units.Time, a ask) time.Duration {
+	if a.read == 0 {
+		return 0
+	}
+	k.read(now)
+	return k.backlog(k.comes(a.urge)) + time.Duration(float64(a.read)*k.slowness())
+}
+
+// Bounds of learning a worker's speed (start values): prompts that take less tell little of it.
+const (
+	tells   = 40 * time.Millisecond
+	usual   = 35 * time.Millisecond // till first words with nothing to read
+	quicker = 0.5
+	slower  = 4.0
+)
+
+// learn takes the time to first words of a prompt that found the line empty.
+func (k *keep) learn(own, took time.Duration) {
+	if own < tells {
+		return
+	}
+	x := float64(took-usual) / float64(own)
+	k.slow = min(slower, max(quicker, (3*k.slowness()+x)/4))
 }
 
 // fits says whether the worker's memory holds one more prompt; an idle worker holds any.
@@ -63,13 +125,15 @@
 }
 
 // granted notes a grant, and what it makes the worker read and hold.
-func (k *keep) granted(now units.Time, w Worker, read, mem uint32) {
+func (k *keep) granted(now units.Time, w Worker, a ask) {
 	if w.WarmRate > 0 {
 		k.ring = append(k.ring, now)
 	}
-	k.backlog(now, w)
-	k.unread += float64(read)
-	k.mem += int(mem)
+	k.read(now)
+	if a.read > 0 {
+		k.line = slices.Insert(k.line, k.comes(a.urge), item{a.read, a.urge})
+	}
+	k.mem += int(a.mem)
 }
 
 // Cap gives how many permits a worker may have out now.
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -28,7 +28,8 @@
 	permit
 	until units.Time // its deadline
 	worth uint16
-	read  uint32
+	read  time.Duration
+	urge  uint8
 	mem   uint32
 	since units.Time
 }
@@ -37,6 +38,7 @@
 	until units.Time
 	since units.Time
 	mem   uint32
+	reads time.Duration // what reading it takes a usual worker; 0 when others are read before it
 }
 
 // keep is one worker in this node's keeping.
--- a/internal/gauge/note.go
+++ b/internal/gauge/note.go
@@ -30,9 +30,10 @@
 	Reason uint8
 	Worth  uint16 // Ask: of the prompt's promise
 	Turn   uint16 // milliseconds from one slot's return to the next, as measured
-	Read   uint32 // Ask: prompt tokens that the worker has to read; in answers: milliseconds that it still reads
+	Read   uint32 // microseconds. Ask: that reading the prompt takes; answers: that all unread takes; Return: till first words
 	Mem    uint32 // Ask: tokens of memory that the run needs
-	Soon   uint32 // Ask, not waiting: a worker that still reads longer than so many milliseconds is no free one
+	Soon   uint32 // Ask, not waiting: a worker whose first words would come later than so many milliseconds is no free one
+	Urgent uint8  // Ask: the prompt's urgency at the worker, 0 the most urgent
 }
 
 // Reasons of a No.
@@ -105,7 +106,6 @@
 	First  time.Duration
 
 	Memory   int        // tokens that may be lent out; 0 for a worker that is no engine
-	Reads    float64    // prompt tokens read in a millisecond
 	WarmRate float64    // requests a second that it bears while cold; 0 when any
 	ColdTil  units.Time // till when it is known to be cold
 	Lax      bool       // a new keeper lends without waiting out what silent nodes may hold
--- a/internal/gauge/step.go
+++ b/internal/gauge/step.go
@@ -55,6 +55,9 @@
 	case Ask:
 		g.asked(now, n.From, name, k, h, &out)
 	case Return:
+		if l := k.lent[permit{n.From, h.Tag}]; l != nil && h.Read > 0 {
+			k.learn(l.reads, time.Duration(h.Read)*time.Microsecond)
+		}
 		g.returned(now, name, k, permit{n.From, h.Tag}, h.Wait == 1, &out)
 	}
 	return out
@@ -64,7 +67,8 @@
 	h.Lent, h.Cap = uint16(len(k.lent)), uint16(g.Cap(now, name))
 	h.Wait = uint8(min(255, len(k.list)))
 	h.Turn = uint16(min(k.gap(max(1, int(h.Cap)))/time.Millisecond, 65535))
-	h.Read = uint32(units.ToMillis(k.backlog(now, g.workers[name])))
+	k.read(now)
+	h.Read = uint32(min(k.backlog(len(k.line))/time.Microsecond, 1<<32-1))
 	return h
 }
 
@@ -101,8 +105,8 @@
 		return
 	}
 	w := g.workers[name]
-	me := ask{permit: p, until: now.Add(left), worth: h.Worth, read: h.Read, mem: h.Mem, since: now}
-	late, pace := k.backlog(now, w), k.due(now, g.rate(now, w))
+	me := ask{permit: p, until: now.Add(left), worth: h.Worth, read: time.Duration(h.Read) * time.Microsecond, urge: h.Urgent, mem: h.Mem, since: now}
+	late, pace := k.words(now, me), k.due(now, g.rate(now, w))
 	busy := h.Wait == 0 && h.Soon > 0 && late > units.Millis(h.Soon).Span()
 	if k.open && len(k.lent) < c && len(k.list) == 0 && !busy && pace == 0 && k.fits(w, me.mem) {
 		g.lend(now, name, k, me, out)
@@ -138,8 +142,11 @@
 }
 
 func (g *Gauge) lend(now units.Time, name string, k *keep, a ask, out *station.Out) {
-	k.lent[a.permit] = &loan{until: a.until.Add(grace), since: now, mem: a.mem}
-	k.granted(now, g.workers[name], a.read, a.mem)
+	k.lent[a.permit] = &loan{until: a.until.Add(grace), since: now, mem: a.mem, reads: a.read}
+	if k.read(now); len(k.line) > 0 {
+		k.lent[a.permit].reads = 0 // behind others its time tells nothing of the speed
+	}
+	k.granted(now, g.workers[name], a)
 	k.waitSum += now.Sub(a.since)
 	k.waitN++
 	out.Send(a.node, Grant, Pack(g.state(now, name, k, Head{Tag: a.tag}), name))
--- a/internal/hygrometer/hygrometer.go
+++ b/internal/hygrometer/hygrometer.go
@@ -131,9 +131,10 @@
 }
 
 func (h *Hygrometer) ask(now units.Time, r *Req, wait bool, out *station.Out) {
-	a := gauge.Head{Tag: r.Tag, Left: uint32(units.ToMillis(r.Until.Sub(now))), Worth: r.Worth, Mem: r.Mem, Read: r.Read, Soon: uint32(units.ToMillis(r.Soon))}
+	a := gauge.Head{Tag: r.Tag, Left: uint32(units.ToMillis(r.Until.Sub(now))), Worth: r.Worth, Mem: r.Mem, Urgent: r.Urge, Soon: uint32(units.ToMillis(r.Soon))}
+	a.Read = micros(r.Read)
 	if !r.home(r.worker) {
-		a.Read = r.Full
+		a.Read = micros(r.Full)
 	}
 	if wait {
 		a.Wait = 1
@@ -146,6 +147,8 @@
 	out.Send(r.keeper, gauge.Ask, gauge.Pack(a, r.worker))
 }
 
+func micros(d time.Duration) uint32 { return uint32(min(max(0, d/time.Microsecond), 1<<32-1)) }
+
 func (h *Hygrometer) enter(now units.Time, r *Req) {
 	r.stage = held
 	h.Flight[r.worker]++
@@ -158,6 +161,13 @@
 	h.Verdicts = append(h.Verdicts, Verdict{Tag: r.Tag, Code: c, Due: r.due})
 }
 
+// Words notes how long a prompt's first words took; the keeper learns of it with the slot's return.
+func (h *Hygrometer) Words(tag uint64, took time.Duration) {
+	if r := h.reqs[tag]; r != nil {
+		r.words = took
+	}
+}
+
 // Done gives a prompt's slot back when its stream ended, or when its caller went away.
 // Unsure says that the run may still be going.
 func (h *Hygrometer) Done(now units.Time, tag uint64, unsure bool) (out station.Out) {
@@ -168,7 +178,7 @@
 	if r.stage == held {
 		h.leave(r)
 	}
-	b := gauge.Head{Tag: tag}
+	b := gauge.Head{Tag: tag, Read: micros(r.words)}
 	if unsure && r.stage == held {
 		r.stage = ghost
 		b.Wait = 1
--- a/internal/hygrometer/request.go
+++ b/internal/hygrometer/request.go
@@ -34,10 +34,11 @@
 	Keeper func(worker string) units.Node
 
 	Homes int           // the first so many of Cands hold the shared parts of its prompt
-	Read  uint32        // prompt tokens that a home has to read
-	Full  uint32        // and any other worker
+	Read  time.Duration // what reading its prompt takes a home
+	Full  time.Duration // and any other worker
+	Urge  uint8         // its urgency at the worker
 	Mem   uint32        // tokens of memory that its run needs
-	Soon  time.Duration // a worker that reads longer than this is passed by while others are free; 0: none is
+	Soon  time.Duration // a worker whose first words come later than this is passed by while others are free; 0: none is
 	Away  time.Duration // how much sooner another worker than a home must be
 
 	stage  stage
@@ -48,6 +49,7 @@
 	opts   []option
 	why    uint8
 	due    time.Duration
+	words  time.Duration // what its first words took
 	sent   units.Time
 	heard  units.Time
 }
--- a/internal/hygrometer/step.go
+++ b/internal/hygrometer/step.go
@@ -113,7 +113,7 @@
 		return out
 	}
 	if b.Cap > 0 {
-		h.Loads[name] = Load{Lent: int(b.Lent), Cap: int(b.Cap), Wait: int(b.Wait), Reads: units.Millis(b.Read).Span(), At: now}
+		h.Loads[name] = Load{Lent: int(b.Lent), Cap: int(b.Cap), Wait: int(b.Wait), Reads: time.Duration(b.Read) * time.Microsecond, At: now}
 	}
 	r := h.reqs[b.Tag]
 	mine := r != nil && r.stage <= waiting && r.worker == name && r.keeper == n.From
--- a/internal/vaned/relay.go
+++ b/internal/vaned/relay.go
@@ -73,6 +73,11 @@
 		return
 	}
 	w.m = w.rules.Mappings[do[0].Mapping]
+	if lim := w.rules.Limits; lim.Body > 0 && len(ctx.PostBody()) > lim.Body || lim.Head > 0 && len(ctx.Request.Header.RawHeaders()) > lim.Head {
+		ctx.SetConnectionClose()
+		w.end(synop.TooLarge, 0)
+		return
+	}
 	w.read()
 	v.tallies.count(w.m, func(t *tally) { t.ask(w.begun) })
 	vernier.Run(do, vernier.Hands{Limit: w.limit, Claim: func() bool { return false }, Share: w.share, Try: w.try, Refuse: w.refuse})
--- a/internal/vaned/relay_try.go
+++ b/internal/vaned/relay_try.go
@@ -29,7 +29,7 @@
 		return true
 	case w.sent >= w.most() || w.ran && w.m.Once:
 		return false
-	case !w.v.budgetOf(service).Again(now):
+	case !w.v.budgetOf(service).Again(now, w.v.slack()):
 		w.why = synop.Budget
 		return false
 	}
@@ -120,7 +120,7 @@
 	r.Header.SetNoDefaultContentType(true)
 	r.Header.Set(n.Left, strconv.Itoa(int(max(1, left/time.Millisecond))))
 	r.Header.Set(n.Expect, worker)
-	r.Header.Set(n.Urgency, strconv.Itoa(urgency(w)))
+	r.Header.Set(n.Urgency, strconv.Itoa(int(w.urge)))
 	if w.last != "" {
 		r.Header.Set(n.After, w.last)
 	}
@@ -162,7 +162,11 @@
 			w.why = synop.WorkerNo
 			return nil
 		}
-		v.habitOf(s.Name).Add(v.Crew.Now().Sub(now))
+		took := v.Crew.Now().Sub(now)
+		v.habitOf(s.Name).Add(took)
+		v.deskMu.Lock()
+		v.desk.Words(tag, took)
+		v.deskMu.Unlock()
 		return &run{Exchange: x, tag: tag, worker: name, service: s, handed: now}
 	case anemometer.NotSent:
 		v.done(tag, false)
@@ -194,7 +198,15 @@
 
 // place orders the workers for one request, and says what each would have to read and hold.
 func (v *Vane) place(now units.Time, s *forecast.Service, w *relay, q *hygrometer.Req) ([]string, map[string]units.Node) {
-	size(w.prompt, w.sized && s.Memory > 0, w.m, s, q)
+	w.urge = byRank(w.m)
+	if w.sized && s.Memory > 0 {
+		size(w.prompt, s, q)
+		w.urge = urgency(q.Read)
+		if aim := w.m.Promise.First * soon / 100; q.Read < aim {
+			q.Soon = max(0, aim-now.Sub(w.begun)-s.First)
+		}
+	}
+	q.Urge = w.urge
 	cands, keepers := v.cands(now, s, homeKey(w.prompt, w.sized))
 	if w.broke != "" && len(cands) > 1 && cands[0] == w.broke {
 		cands = append(cands[1:], cands[0])
@@ -210,11 +222,17 @@
 	return units.Mix(p.Parts[len(p.Parts)-2].ID)
 }
 
+// soon is the part of the aim, in hundredths, within which first words are to be reckoned with (start value).
+const soon = 90
+
+// reads is how long a usual worker takes to read tokens of which so many others stand before.
+func reads(s *forecast.Service, own, before int) time.Duration {
+	n, b := float64(own), float64(before)
+	return time.Duration((n/s.Reads + s.Pairs*n*(b+n/2)/1e6) * float64(time.Millisecond))
+}
+
 // size works out what a prompt costs a worker that holds its shared parts, and one that doesn't (design 12).
-func size(p codebook.Prompt, sized bool, m *forecast.Mapping, s *forecast.Service, q *hygrometer.Req) {
-	if !sized {
-		return
-	}
+func size(p codebook.Prompt, s *forecast.Service, q *hygrometer.Req) {
 	shared := 0
 	for i, x := range p.Parts {
 		if i < len(p.Parts)-1 {
@@ -222,29 +240,26 @@
 		}
 	}
 	shared = min(shared, p.In)
-	q.Homes, q.Full, q.Read = 1, uint32(p.In), uint32(p.In-shared)
+	q.Homes, q.Full, q.Read = 1, reads(s, p.In, 0), reads(s, p.In-shared, shared)
 	q.Mem = uint32(p.In - shared + p.Out)
-	cold := time.Duration(float64(shared)/s.Reads*float64(time.Millisecond)) + 1
-	q.Soon = m.Promise.First/8 + 8*cold
-	q.Away = 4 * cold
+	q.Away = 4*(q.Full-q.Read) + 1
 }
 
-// briefest is the size, in tokens, up to which a prompt is of the first urgency; each doubling is one lower.
-const briefest = 1024
+// briefest is the reading time up to which a prompt is of the first urgency; each doubling is one lower.
+const briefest = 10 * time.Millisecond
 
 // urgency tells the worker who goes first: the briefest prompt, since all behind it wait for its reading (design 12).
-// What has no size goes by its rank.
-func urgency(w *relay) int {
-	if !w.sized {
-		return min(9, 2+w.m.Rank)
-	}
-	u := 1
-	for n := w.prompt.In; n > briefest && u < 9; n /= 2 {
+func urgency(read time.Duration) uint8 {
+	u := uint8(1)
+	for ; read > briefest && u < 9; read /= 2 {
 		u++
 	}
 	return u
 }
 
+// byRank is the urgency of what has no size.
+func byRank(m *forecast.Mapping) uint8 { return uint8(min(9, 2+m.Rank)) }
+
 // connsOf is this node's part of the connections that a worker accepts from all nodes together.
 func (v *Vane) connsOf(s *forecast.Service) int {
 	if s.Conns == 0 {
--- a/internal/vaned/size_test.go
+++ b/internal/vaned/size_test.go
@@ -2,23 +2,48 @@
 
 import (
 	"testing"
+	"time"
 
 	"seamshunt/internal/codebook"
 	"seamshunt/internal/forecast"
+	"seamshunt/internal/hygrometer"
 )
 
 func TestBrieferPromptsGoFirst(t *testing.T) {
-	at := func(in int) int {
-		return urgency(&relay{m: &forecast.Mapping{Rank: 4}, sized: true, prompt: codebook.Prompt{In: in}})
-	}
-	for _, x := range []struct{ in, want int }{{1, 1}, {1024, 1}, {1025, 2}, {2048, 2}, {5000, 4}, {60000, 7}, {1 << 30, 9}} {
-		if got := at(x.in); got != x.want {
-			t.Errorf("a prompt of %d tokens has urgency %d, not %d", x.in, got, x.want)
+	for _, x := range []struct {
+		read time.Duration
+		want uint8
+	}{{0, 1}, {briefest, 1}, {briefest + 1, 2}, {2 * briefest, 2}, {5 * briefest, 4}, {time.Second, 8}, {time.Hour, 9}} {
+		if got := urgency(x.read); got != x.want {
+			t.Errorf("a prompt that is read in %v has urgency %d, not %d", x.read, got, x.want)
 		}
 	}
-	for _, x := range []struct{ rank, want int }{{0, 2}, {3, 5}, {20, 9}} {
-		if got := urgency(&relay{m: &forecast.Mapping{Rank: x.rank}}); got != x.want {
+	for _, x := range []struct {
+		rank int
+		want uint8
+	}{{0, 2}, {3, 5}, {20, 9}} {
+		if got := byRank(&forecast.Mapping{Rank: x.rank}); got != x.want {
 			t.Errorf("without a size, rank %d has urgency %d, not %d", x.rank, got, x.want)
 		}
 	}
 }
+
+func TestSizeCountsAttentionAndWhatAHomeHolds(t *testing.T) {
+	s := &forecast.Service{Memory: 600000}
+	forecast.Defaults(s)
+	p := codebook.Prompt{In: 50000, Out: 1000, Parts: []codebook.Part{{ID: "a", Tokens: 500}, {ID: "b", Tokens: 4500}, {ID: "c", Tokens: 45000}}}
+	var q hygrometer.Req
+	size(p, s, &q)
+	// 45,000 tokens at 75 a millisecond, and 45,000 x 27,500 pairs; away from home 5,000 more, and all pairs.
+	home, away := 600*time.Millisecond+269775*time.Microsecond, 666666*time.Microsecond+272500*time.Microsecond
+	if near := func(a, b time.Duration) bool { return (a - b).Abs() < time.Millisecond }; !near(q.Read, home) || !near(q.Full, away) {
+		t.Errorf("read at home in %v, not %v; elsewhere in %v, not %v", q.Read, home, q.Full, away)
+	}
+	if q.Mem != 46000 || q.Homes != 1 || q.Away <= q.Full-q.Read {
+		t.Errorf("%+v", q)
+	}
+	p.In = 100 // parts that claim more than the whole
+	if size(p, s, &q); q.Read != 0 || q.Mem != 1000 || q.Full <= 0 {
+		t.Errorf("%+v", q)
+	}
+}
