--- a/internal/anemometer/budget.go
+++ b/internal/anemometer/budget.go
@@ -18,10 +18,12 @@
 	first, again int
 }
 
-// Budget holds a service's further tries to a fifth of this node's own first tries over ten seconds (design 8).
+// Budget holds a service's further tries to a share of this node's own first tries over ten seconds, a fifth unless said
+// otherwise (design 8, 11).
 type Budget struct {
-	mu   sync.Mutex
-	ring [slots]slot
+	mu    sync.Mutex
+	ring  [slots]slot
+	Ratio float64
 }
 
 func (b *Budget) slot(now units.Time) *slot {
@@ -40,8 +42,8 @@
 	b.mu.Unlock()
 }
 
-// Again asks for a further try and counts it when it is allowed.
-func (b *Budget) Again(now units.Time) bool {
+// Again asks for a further try, a few of which are allowed on top of the share, and counts it when it is allowed.
+func (b *Budget) Again(now units.Time, slack int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.slot(now)
@@ -52,7 +54,11 @@
 			again += x.again
 		}
 	}
-	if 5*(again+1) > first {
+	ratio := b.Ratio
+	if ratio <= 0 {
+		ratio = 0.2
+	}
+	if float64(again+1) > ratio*float64(first)+float64(slack) {
 		return false
 	}
 	s.again++
--- a/internal/vaned/dark.go
+++ b/internal/vaned/dark.go
@@ -18,7 +18,7 @@
 		w.paid = false
 		return true
 	}
-	if !w.v.budgetOf(service).Again(now) {
+	if !w.v.budgetOf(service).Again(now, 0) {
 		return false
 	}
 	w.v.tallies.count(w.m, func(t *tally) { t.again++ })
--- a/internal/vaned/status.go
+++ b/internal/vaned/status.go
@@ -91,6 +91,7 @@
 	}
 	v.BullMu.Unlock()
 	o.Set("news", news)
+	o.Set("in_force", v.inForce(&a))
 	kept := a.NewArray()
 	v.gaugeMu.Lock()
 	for i, k := range v.gauge.Kept(now) {
@@ -128,6 +129,22 @@
 	ctx.SetBody(append(o.MarshalTo(nil), '\n'))
 }
 
+// inForce is what requests are handled by here: the number of the configuration, and how many workers are known.
+func (v *Vane) inForce(a *fastjson.Arena) *fastjson.Value {
+	x := a.NewObject()
+	if r := v.rules.Load(); r != nil {
+		x.Set("config", a.NewNumberInt(int(r.num)))
+	}
+	n := 0
+	v.tableMu.Lock()
+	for _, l := range v.table.pools {
+		n += len(l)
+	}
+	v.tableMu.Unlock()
+	x.Set("workers", a.NewNumberInt(n))
+	return x
+}
+
 // Member lays a member out for status pages.
 func Member(a *fastjson.Arena, m mast.Member) *fastjson.Value {
 	x := a.NewObject()
--- a/internal/vaned/tries_test.go
+++ b/internal/vaned/tries_test.go
@@ -116,7 +116,7 @@
 func TestBudget(t *testing.T) {
 	t.Parallel()
 	var b anemometer.Budget
-	if b.Again(0) {
+	if b.Again(0, 0) {
 		t.Error("a further try without any first one")
 	}
 	type try struct {
@@ -130,7 +130,7 @@
 			b.First(now)
 			l = append(l, try{now, false})
 		}
-		if b.Again(now) {
+		if b.Again(now, 0) {
 			l = append(l, try{now, true})
 		}
 	}
@@ -158,3 +158,18 @@
 		t.Errorf("only %d further tries were allowed", again)
 	}
 }
+
+// A few further tries are allowed on top of the share, where the world grants an allowance: each node takes its part.
+func TestSlackOfBudget(t *testing.T) {
+	b := anemometer.Budget{Ratio: 0.1}
+	for range 20 {
+		b.First(0)
+	}
+	n := 0
+	for b.Again(0, 2) {
+		n++
+	}
+	if n != 4 {
+		t.Errorf("%d further tries for 20 first ones at a tenth and two on top", n)
+	}
+}
--- a/internal/vaned/vane.go
+++ b/internal/vaned/vane.go
@@ -183,8 +183,30 @@
 }
 
 func (v *Vane) budgetOf(service string) *anemometer.Budget {
-	b, _ := v.budget.LoadOrStore(service, &anemometer.Budget{})
-	return b.(*anemometer.Budget)
+	x, ok := v.budget.Load(service)
+	if !ok {
+		ratio := v.Boot.Bounds.RetryRatio
+		if v.Words != nil {
+			ratio *= retryPart
+		}
+		x, _ = v.budget.LoadOrStore(service, &anemometer.Budget{Ratio: ratio})
+	}
+	return x.(*anemometer.Budget)
+}
+
+// retryPart leaves some of the budget for what nodes that don't see each other count differently.
+const retryPart = 0.9
+
+// slack is this node's part of the further tries that are allowed on top of the share: never more than two, since a node
+// that has just started may know few of the others.
+func (v *Vane) slack() int {
+	if v.Boot.Bounds.RetrySlack == 0 {
+		return 0
+	}
+	v.tableMu.Lock()
+	n := len(v.table.peers)
+	v.tableMu.Unlock()
+	return min(2, v.Boot.Bounds.RetrySlack/(2*max(1, n)))
 }
 
 // Drain takes nothing new, gives its duties away and lets streams end within the limit.
