Requests that two readers could end at different places are refused, the connection closed

Cause: the whole-path tests of platform/standin handed over, of 36 malformed requests, those with chunks and a length, with a folded field, of another version, and with the methods BREW and TRACE (9 arrivals at workers). And a body over the configured limit left the connection open: end() resets the answer and with it the close that was set before.

Does: relay looks at version, method, folded fields and doubled ends first, answers 400 and closes; over the limit it closes behind the answer.

--- a/internal/vaned/relay.go
+++ b/internal/vaned/relay.go
@@ -52,6 +52,11 @@
 			v.flight.Add(-1)
 		}
 	}()
+	if !proper(&ctx.Request.Header) {
+		w.end(synop.BadBody, 0)
+		ctx.SetConnectionClose()
+		return
+	}
 	if v.leaving.Load() {
 		ctx.SetConnectionClose()
 	}
@@ -74,8 +79,8 @@
 	}
 	w.m = w.rules.Mappings[do[0].Mapping]
 	if lim := w.rules.Limits; lim.Body > 0 && len(ctx.PostBody()) > lim.Body || lim.Head > 0 && len(ctx.Request.Header.RawHeaders()) > lim.Head {
-		ctx.SetConnectionClose()
 		w.end(synop.TooLarge, 0)
+		ctx.SetConnectionClose()
 		return
 	}
 	w.read()
@@ -170,6 +175,10 @@
 		return "this node has no confirmed configuration yet"
 	case synop.Unknown:
 		return "the outcome is unknown: it may have run"
+	case synop.BadBody:
+		return "the request could not be read"
+	case synop.TooLarge:
+		return "the request is over the limits"
 	}
 	return reasons[c]
 }
--- a/internal/vaned/speak.go
+++ b/internal/vaned/speak.go
@@ -1,8 +1,10 @@
 package vaned
 
 import (
+	"bytes"
 	"fmt"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -29,6 +31,32 @@
 	v.Crew.Every(time.Second, func(units.Time) { v.pool.Sweep() })
 }
 
+// proper says whether a request may be passed on: none whose end two readers could see at different places, none of a
+// version or method that this node doesn't know.
+func proper(h *fasthttp.RequestHeader) bool {
+	if p := string(h.Protocol()); p != "HTTP/1.1" && p != "HTTP/1.0" {
+		return false
+	}
+	switch string(h.Method()) {
+	case "POST", "GET", "HEAD", "PUT", "PATCH", "DELETE", "OPTIONS":
+	default:
+		return false
+	}
+	raw := h.RawHeaders()
+	if bytes.Contains(raw, []byte("\n ")) || bytes.Contains(raw, []byte("\n\t")) {
+		return false // a field that goes on in the next line
+	}
+	if h.ContentLength() != -1 {
+		return true
+	}
+	for l := range bytes.Lines(raw) { // chunks, and a length besides
+		if n, _, _ := bytes.Cut(l, []byte(":")); strings.EqualFold(string(bytes.TrimSpace(n)), fasthttp.HeaderContentLength) {
+			return false
+		}
+	}
+	return true
+}
+
 // askable answers at an address of its own whether this node is ready.
 func (v *Vane) askable() error {
 	if v.Boot.Ready == "" {
