--- a/internal/barograph/grower.go
+++ b/internal/barograph/grower.go
@@ -64,11 +64,14 @@
 	return Voters{}, false
 }
 
+// counts says whether a barometer's disk counts, or stands in for one where nobody's does.
+func (l Look) counts(m mast.Member) bool { return l.bare || m.Flags&mast.Counts != 0 }
+
 // learner picks the disk that is to vote next: one that came in place of a lost voter's, or the lowest.
 func (l Look) learner(v Voters) (best units.Node) {
 	place := false
 	for _, m := range l.Cores {
-		if v.Has(m.Node) || m.Flags&mast.Counts == 0 || !usable(m) {
+		if v.Has(m.Node) || !l.counts(m) || !usable(m) {
 			continue
 		}
 		in := slices.ContainsFunc(l.gone, func(x mast.Member) bool { return v.Has(x.Node) && x.Addr == m.Addr })
--- a/internal/barograph/grower_test.go
+++ b/internal/barograph/grower_test.go
@@ -36,6 +36,8 @@
 		"none counts, at first":      {"a", []mast.Member{core(1, "a", 0), core(2, "b", 0), core(3, "c", mast.First), core(4, "d", both), core(5, "e", both)}, 0, []units.Node{4, 5}, false},
 		"none counts":                {"a", []mast.Member{core(1, "a", 0), core(2, "b", 0), core(3, "c", mast.First), core(4, "d", both), core(5, "e", mast.Counts)}, 2 * time.Second, []units.Node{4}, true},
 		"none counts, not the first": {"b", []mast.Member{core(1, "a", 0), core(2, "b", 0), core(3, "c", 0), core(4, "d", both)}, 2 * time.Second, []units.Node{4}, false},
+		"no disk at all, at first":   {"a", []mast.Member{core(1, "a", mast.First), core(2, "b", mast.First), core(3, "c", mast.First), core(4, "d", mast.First)}, 2 * time.Second, []units.Node{1, 2, 3, 4}, false},
+		"no disk at all":             {"a", []mast.Member{core(1, "a", mast.First), core(2, "b", mast.First), core(3, "c", mast.First), core(4, "d", mast.First)}, 4 * time.Second, []units.Node{1, 2, 3, 4}, true},
 	} {
 		s := Seeds{Addr: x.at, Addrs: abc, First: true}
 		s.Set(units.Time(time.Second), LookAt(x.all))
--- a/internal/barograph/look.go
+++ b/internal/barograph/look.go
@@ -15,18 +15,19 @@
 	Cores  []mast.Member       // the live barometers
 	Lost   map[units.Node]bool // barometers at whose address another one lives now: their disks were lost
 	gone   []mast.Member       // the same
+	bare   bool                // no barometer has a disk that counts: then each one counts (design 13)
 }
 
 // LookAt reads membership.
 func LookAt(all []mast.Member) (l Look) {
-	l.Lost = replaced(all)
+	l.Lost, l.bare = replaced(all), true
 	for _, m := range all {
 		live := m.State <= mast.Suspect && !l.Lost[m.Node]
 		if m.Role != mast.Barometer {
 			l.Fleet = l.Fleet || live && m.Flags&mast.Ready != 0
 			continue
 		}
-		if live {
+		if l.bare = l.bare && m.Flags&mast.Counts == 0; live {
 			l.Cores = append(l.Cores, m)
 		} else if l.Lost[m.Node] {
 			l.gone = append(l.gone, m)
--- a/internal/barograph/seeds.go
+++ b/internal/barograph/seeds.go
@@ -43,7 +43,7 @@
 		return ids, ids[0] == l.at(s.Addr)
 	}
 	for _, m := range l.Cores {
-		if m.State == mast.Alive && m.Flags&mast.Counts != 0 && m.Flags&mast.First != 0 {
+		if m.State == mast.Alive && l.counts(m) && m.Flags&mast.First != 0 {
 			ids = append(ids, m.Node)
 		}
 	}
@@ -51,7 +51,11 @@
 	if !slices.Equal(ids, s.view) {
 		s.view, s.since = ids, now
 	}
-	return ids, s.Addr == slices.Min(s.Addrs) && now.Sub(s.since) >= steady
+	span := steady
+	if l.bare {
+		span *= 2 // one that counts may not have been heard of yet
+	}
+	return ids, s.Addr == slices.Min(s.Addrs) && now.Sub(s.since) >= span
 }
 
 // at gives the barometer that lives at an address.
