Chunks and a length besides are refused also where the body was read already

Cause: once a chunked body is read, fasthttp tells its length, so the look for both never happened; two such requests were handed over. The raw header lines are looked at instead, once for this and for folded fields.

--- a/internal/vaned/speak.go
+++ b/internal/vaned/speak.go
@@ -42,19 +42,22 @@
 	default:
 		return false
 	}
-	raw := h.RawHeaders()
-	if bytes.Contains(raw, []byte("\n ")) || bytes.Contains(raw, []byte("\n\t")) {
-		return false // a field that goes on in the next line
-	}
-	if h.ContentLength() != -1 {
-		return true
-	}
-	for l := range bytes.Lines(raw) { // chunks, and a length besides
-		if n, _, _ := bytes.Cut(l, []byte(":")); strings.EqualFold(string(bytes.TrimSpace(n)), fasthttp.HeaderContentLength) {
-			return false
+	length, chunks := false, false
+	for l := range bytes.Lines(h.RawHeaders()) {
+		switch l[0] | 0x20 {
+		case ' ', '\t' | 0x20:
+			return false // a field that goes on in the next line
+		case 'c':
+			length = length || named(l, fasthttp.HeaderContentLength)
+		case 't':
+			chunks = chunks || named(l, fasthttp.HeaderTransferEncoding)
 		}
 	}
-	return true
+	return !length || !chunks
+}
+
+func named(line []byte, field string) bool {
+	return len(line) > len(field) && line[len(field)] == ':' && strings.EqualFold(string(line[:len(field)]), field)
 }
 
 // askable answers at an address of its own whether this node is ready.
