A fleet's start sends fewer bytes: long frames packed, fewer tells and pulls

Now a body of 400 bytes or more is packed by s2 where that shortens it; a change of a member rides on 4 + log2 n notes, not 3 x log2 n (the digests find the exceptions, as before); a digest told before one's own last change asks for nothing.

--- /dev/null
+++ b/internal/bulletin/beat_test.go
@@ -0,0 +1,50 @@
+package bulletin
+
+import (
+	"testing"
+	"time"
+
+	"seamshunt/internal/mast"
+	"seamshunt/internal/units"
+)
+
+// Whose digest differs is asked, unless it was told before this node's own news last changed.
+func TestBehind(t *testing.T) {
+	b, now := New(1), units.Time(time.Hour)
+	member := func(news uint64, heard units.Time) []mast.Member {
+		return []mast.Member{{Node: 1}, {Node: 2, News: news, Heard: heard}}
+	}
+	asked := func(all []mast.Member) int {
+		t.Helper()
+		k := 0
+		for _, n := range b.Beat(now, all, 1).Notes {
+			if n.Kind == Pull {
+				k++
+			}
+		}
+		return k
+	}
+	if asked(member(7, now)) != 1 {
+		t.Error("a starting node asks nobody")
+	}
+	now = now.Add(time.Second)
+	before := now.Add(-10 * time.Millisecond)
+	b.Take(Item{Key: "config", Num: 4})
+	if asked(member(7, before)) != 0 {
+		t.Error("an old digest counts")
+	}
+	now = now.Add(100 * time.Millisecond)
+	if asked(member(7, before)) != 0 {
+		t.Error("an old digest counts a beat later")
+	}
+	if asked(member(b.Sum, now)) != 0 {
+		t.Error("one that holds the same is asked")
+	}
+	if asked(member(7, now)) != 1 {
+		t.Error("one that still differs is not asked")
+	}
+	now = now.Add(freshFor)
+	if asked(member(7, now.Add(-freshFor))) != 0 {
+		t.Error("a digest counts for ever")
+	}
+}
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -51,6 +51,8 @@
 	out        map[string]*pushed                  // news on its way
 	Vouch      map[units.Node]map[string]units.Num // a starting node's confirmations
 	Stored     func() map[string]units.Num         // a barometer's numbers on disk; nil on a vane
+	seen       uint64                              // the digest at the last beat
+	moved      units.Time                          // when that was found changed
 	told       bool                                // something new came from a neighbour since the last tick
 }
 
--- a/internal/bulletin/confirm.go
+++ b/internal/bulletin/confirm.go
@@ -63,7 +63,8 @@
 	return k > len(voters)/2
 }
 
-// Beat pushes on what is on its way, and asks neighbours whose digest differs for what is lacking (design 4).
+// Beat pushes on what is on its way, and asks neighbours whose digest differs for what is lacking (design 4). A digest
+// that was told before this node's own news last changed says nothing: who told it has, as a rule, changed as well.
 func (b *Bulletin) Beat(now units.Time, all []mast.Member, self units.Node) station.Out {
 	var live []units.Node
 	for _, m := range all {
@@ -72,8 +73,11 @@
 		}
 	}
 	out := b.Tick(now, live)
+	if b.Sum != b.seen {
+		b.seen, b.moved = b.Sum, now
+	}
 	for _, m := range all {
-		if m.State == mast.Alive && m.Node != self && m.News != 0 && m.News != b.Sum && now.Sub(m.Heard) < freshFor {
+		if m.State == mast.Alive && m.Node != self && m.News != 0 && m.News != b.Sum && m.Heard > b.moved && now.Sub(m.Heard) < freshFor {
 			out.Join(b.Behind(now, m.Node))
 		}
 	}
--- a/internal/mast/note.go
+++ b/internal/mast/note.go
@@ -48,7 +48,7 @@
 }
 
 // tell has a change ride on so many notes that all hear of it, as a rule; the digests find the exceptions.
-func (m *Mast) tell(n units.Node) { m.fresh[n] = 3 * bits.Len(uint(len(m.all))) }
+func (m *Mast) tell(n units.Node) { m.fresh[n] = bits.Len(uint(len(m.all))) + 4 }
 
 // differs says whether the whole table is due, since the neighbour's digest is another: at most once in wholeGap.
 func (m *Mast) differs(now units.Time, sum uint64) bool {
--- a/internal/telegraph/frame.go
+++ b/internal/telegraph/frame.go
@@ -2,9 +2,12 @@
 package telegraph
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 
+	"github.com/klauspost/compress/s2"
+
 	"seamshunt/internal/station"
 	"seamshunt/internal/units"
 )
@@ -12,7 +15,13 @@
 // MaxBody bounds one note; a larger frame closes its wire.
 const MaxBody = 16 << 20
 
-const mark = 0x5353
+// The marks of plain frames and of packed ones. A body of packFrom bytes or more is packed where that makes it shorter:
+// members, workers and configurations are mostly repetition, and each goes to every node (design 4, 5).
+const (
+	mark     = 0x5353
+	packed   = 0x5363
+	packFrom = 400
+)
 
 type head struct {
 	Len  uint32
@@ -26,8 +35,14 @@
 
 func frame(n station.Note) []byte {
 	h := head{Len: uint32(len(n.Body)), Mark: mark, Kind: uint16(n.Kind), From: uint64(n.From), To: uint64(n.To)}
-	b, _ := binary.Append(make([]byte, 0, headLen+len(n.Body)), binary.LittleEndian, h)
-	return append(b, n.Body...)
+	body := n.Body
+	if len(body) >= packFrom {
+		if p := s2.Encode(nil, body); len(p) < len(body) {
+			body, h.Len, h.Mark = p, uint32(len(p)), packed
+		}
+	}
+	b, _ := binary.Append(make([]byte, 0, headLen+len(body)), binary.LittleEndian, h)
+	return append(b, body...)
 }
 
 func readHead(b []byte) (head, error) {
@@ -35,7 +50,7 @@
 	if _, err := binary.Decode(b, binary.LittleEndian, &h); err != nil {
 		return h, fmt.Errorf("telegraph: %w", err)
 	}
-	if h.Mark != mark {
+	if h.Mark != mark && h.Mark != packed {
 		return h, fmt.Errorf("telegraph: bad mark %#x", h.Mark)
 	}
 	if h.Len > MaxBody {
@@ -44,6 +59,19 @@
 	return h, nil
 }
 
-func (h head) note(body []byte) station.Note {
-	return station.Note{From: units.Node(h.From), To: units.Node(h.To), Kind: station.Kind(h.Kind), Body: body}
+// note makes a note of a frame, whose bytes are not kept.
+func (h head) note(body []byte) (station.Note, error) {
+	n := station.Note{From: units.Node(h.From), To: units.Node(h.To), Kind: station.Kind(h.Kind)}
+	if h.Mark != packed {
+		n.Body = bytes.Clone(body)
+		return n, nil
+	}
+	size, err := s2.DecodedLen(body)
+	if err == nil && size > MaxBody {
+		err = fmt.Errorf("telegraph: a body of %d bytes", size)
+	}
+	if err == nil {
+		n.Body, err = s2.Decode(nil, body)
+	}
+	return n, err
 }
--- a/internal/telegraph/telegraph.go
+++ b/internal/telegraph/telegraph.go
@@ -1,7 +1,6 @@
 package telegraph
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -124,7 +123,12 @@
 		if to := units.Node(h.To); to != 0 && to != t.Self {
 			continue // meant for one that lived at this address before
 		}
-		t.take(h.note(bytes.Clone(b[headLen:])))
+		n, err := h.note(b[headLen:])
+		if err != nil {
+			t.Bad.Add(1)
+			continue
+		}
+		t.take(n)
 	}
 	return gnet.None
 }
