A note is written by whoever sends it; the loop only writes what a wire did not take

Cause: each note to another process went through gnet's loop: a write to wake it, two waits, a read and the write, and a change of threads. Now it is one write on the descriptor between the wire's opening and its closing; what is not taken at once, and all behind it, goes through the loop until that has nothing left. It also mends a wire that closed before its dial had returned, which would have been written to for ever.

--- a/internal/telegraph/telegraph.go
+++ b/internal/telegraph/telegraph.go
@@ -20,7 +20,7 @@
 
 // wire is one held connection for sending; the way back is the neighbour's own wire.
 type wire struct {
-	c      gnet.Conn
+	link   *link
 	dial   bool
 	wait   [][]byte
 	next   units.Time
@@ -133,15 +133,15 @@
 	return gnet.None
 }
 
-// OnClose forgets a broken sending wire.
+// OnOpen and OnClose tell a sending wire's link between when it may be written to.
+func (o *outSide) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	c.Context().(*link).open(c)
+	return nil, gnet.None
+}
+
+// OnClose is called before the descriptor is closed.
 func (o *outSide) OnClose(c gnet.Conn, _ error) gnet.Action {
-	o.t.mu.Lock()
-	defer o.t.mu.Unlock()
-	for _, w := range o.t.wires {
-		if w.c == c {
-			w.c = nil
-		}
-	}
+	c.Context().(*link).close()
 	return gnet.None
 }
 
@@ -180,12 +180,16 @@
 		w = &wire{}
 		t.wires[addr] = w
 	}
-	if w.c != nil {
-		c := w.c
+	if l := w.link; l != nil {
 		t.mu.Unlock()
-		t.Out.Add(uint64(len(b)))
-		_ = c.AsyncWrite(b, nil)
-		return
+		if l.send(b) {
+			t.Out.Add(uint64(len(b)))
+			return
+		}
+		t.mu.Lock()
+		if w.link == l {
+			w.link = nil
+		}
 	}
 	now := t.crew.Now()
 	if now < w.next || len(w.wait) >= waitMost {
@@ -203,9 +207,9 @@
 
 func (t *Telegraph) dial(addr string, w *wire) {
 	nc, err := shield.Dial(addr, dialFor)
-	var c gnet.Conn
+	l := &link{}
 	if err == nil {
-		c, err = t.cli.Enroll(shield.Bare(nc))
+		_, err = t.cli.EnrollContext(shield.Bare(nc), l)
 	}
 	t.mu.Lock()
 	w.dial = false
@@ -220,11 +224,12 @@
 		}
 		return
 	}
-	w.back, w.c = 0, c
+	w.back, w.link = 0, l
 	t.mu.Unlock()
 	for _, b := range wait {
-		t.Out.Add(uint64(len(b)))
-		_ = c.AsyncWrite(b, nil)
+		if l.send(b) {
+			t.Out.Add(uint64(len(b)))
+		}
 	}
 }
 
