The product's own configuration says what an adapter can: engines, hosts, shares, tries, limits

Cause: forecast.Config could hold engines' memory and speed, cold rates, hosts, shares, tries and limits, but only an adapter could put them there; the product's own words had none of it, and its own door would have panicked on shares.

Services take slots (the worker list tells the cap), memory, share, reads, pairs_us, warm_rate, conns and lax; mappings take host, shares, tries, rank, stream, resume, pause and single; the document takes version and limits. Faults name field, or line and column. Plans name each change. The own door looks at hosts, draws shares by the caller's key, keeps to tries and size limits. A host's prefix without a slash at its end also matches the path itself. Defaults stay. Not acted upon yet by any door: head_ms, idle_ms, pause.

--- a/internal/forecast/parse.go
+++ b/internal/forecast/parse.go
@@ -1,11 +1,6 @@
 package forecast
 
-import (
-	"fmt"
-
-	"seamshunt/internal/synop"
-	"seamshunt/internal/vernier"
-)
+import "seamshunt/internal/synop"
 
 // parser reads the layout's mappings (docs/configuration.md has the grammar).
 type parser struct {
@@ -70,140 +65,17 @@
 		return false
 	}
 	m := &Mapping{Name: name.text, line: name.line, col: name.col}
-	runs := false
+	said := map[string]token{}
 	for p.peek().kind != '}' {
-		if !p.clause(m, &runs) {
+		if !p.clause(m, said) {
 			return false
 		}
 	}
 	p.next()
-	p.check(m, name, runs)
+	p.check(m, name, said)
+	if len(m.Split) == 1 {
+		m.Split = nil
+	}
 	p.c.Mappings = append(p.c.Mappings, m)
 	return true
 }
-
-func (p *parser) clause(m *Mapping, runs *bool) bool {
-	t, ok := p.want('n', "when, to, step, promise, once or repeat")
-	if !ok {
-		return false
-	}
-	switch t.text {
-	case "when":
-		return p.when(m)
-	case "to":
-		return p.services(m)
-	case "step":
-		s, ok := p.want('n', "a service")
-		if ok && m.Step != "" {
-			return p.bad(s, "a second step")
-		}
-		m.Step = s.text
-		return ok
-	case "promise":
-		s, ok := p.want('n', "a promise")
-		if !ok {
-			return false
-		}
-		if m.Promise = p.c.Promises[s.text]; m.Promise == nil {
-			p.bad(s, "no promise "+s.text)
-		}
-		return true
-	case "once", "repeat":
-		if *runs {
-			return p.bad(t, "once or repeat is said already")
-		}
-		*runs, m.Once = true, t.text == "once"
-		return true
-	}
-	return p.bad(t, t.text+" is no clause of a mapping")
-}
-
-func (p *parser) when(m *Mapping) bool {
-	for {
-		t, ok := p.want('n', "path, under or header")
-		if !ok {
-			return false
-		}
-		x := vernier.Match{}
-		switch t.text {
-		case "path":
-			x.Op = vernier.OpPath
-		case "under":
-			x.Op = vernier.OpUnder
-		case "header":
-			x.Op = vernier.OpHeader
-			h, ok := p.want('s', "the header's name in quotes")
-			if !ok {
-				return false
-			}
-			x.Name = h.text
-		default:
-			return p.bad(t, "path, under or header is wanted")
-		}
-		if _, ok := p.want('=', "="); !ok {
-			return false
-		}
-		v, ok := p.want('s', "a text in quotes")
-		if !ok {
-			return false
-		}
-		x.Text = v.text
-		if x.Op != vernier.OpHeader && (x.Text == "" || x.Text[0] != '/') {
-			p.bad(v, "a path begins with /")
-		}
-		m.Match = append(m.Match, x)
-		if t := p.peek(); t.kind != 'n' || t.text != "and" {
-			return true
-		}
-		p.next()
-	}
-}
-
-func (p *parser) services(m *Mapping) bool {
-	for {
-		s, ok := p.want('n', "a service")
-		if !ok {
-			return false
-		}
-		if p.c.Services[s.text] == nil {
-			p.f.add(synop.NoService, s.at(), "no service "+s.text)
-		}
-		m.To = append(m.To, s.text)
-		if p.peek().kind != ',' {
-			return true
-		}
-		p.next()
-	}
-}
-
-// check looks at a mapping as a whole.
-func (p *parser) check(m *Mapping, t token, runs bool) {
-	if len(m.Match) == 0 {
-		p.bad(t, "mapping "+m.Name+" has no when")
-	}
-	if len(m.To) == 0 {
-		p.bad(t, "mapping "+m.Name+" leads nowhere: to is missing")
-	}
-	if m.Promise == nil {
-		p.bad(t, "mapping "+m.Name+" keeps no promise")
-	}
-	if !runs {
-		p.bad(t, "mapping "+m.Name+" does not say once or repeat")
-	}
-	if m.Step == "" {
-		return
-	}
-	ok := false
-	for _, s := range m.To {
-		ok = ok || s == m.Step
-	}
-	if !ok {
-		p.f.add(synop.StepNotOpen, t.at(), fmt.Sprintf("mapping %s steps to %s, which it may not reach", m.Name, m.Step))
-	}
-	if len(m.To) > 0 && m.To[0] == m.Step {
-		p.f.add(synop.StepNotOpen, t.at(), fmt.Sprintf("mapping %s steps to its own first service", m.Name))
-	}
-	if m.Promise != nil && !m.Promise.Smaller {
-		p.f.add(synop.StepNotOpen, t.at(), fmt.Sprintf("promise %s lets no smaller model stand in", m.Promise.Name))
-	}
-}
--- a/internal/forecast/plan.go
+++ b/internal/forecast/plan.go
@@ -20,17 +20,18 @@
 	if old == nil {
 		old = &Config{}
 	}
+	if l := changed(old.facts(), next.facts()); l != "" {
+		p.Changes = append(p.Changes, l)
+	}
 	for _, n := range sorted(next.Services) {
 		s, o := next.Services[n], old.Services[n]
 		k := workers(s.Pool)
-		p.Ceilings = append(p.Ceilings, fmt.Sprintf("service %s: at most %d in flight and %d waiting per worker; %d workers known, so %d in flight",
-			n, s.Cap, s.Waitlist, k, k*s.Cap))
+		p.Ceilings = append(p.Ceilings, s.ceiling(k))
 		switch {
 		case o == nil:
 			p.Changes = append(p.Changes, "service "+n+" is new")
 		case *o != *s:
-			p.Changes = append(p.Changes, fmt.Sprintf("service %s: cap %d to %d, waitlist %d to %d, allow %s to %s, place %s to %s",
-				n, o.Cap, s.Cap, o.Waitlist, s.Waitlist, o.Allow, s.Allow, o.Place, s.Place))
+			p.Changes = append(p.Changes, "service "+n+": "+changed(o.facts(), s.facts()))
 		}
 		if k == 0 {
 			p.Warnings = append(p.Warnings, "pool "+s.Pool+" has no worker known: its prompts would be refused")
@@ -66,15 +67,18 @@
 			}
 			continue
 		}
-		if signature(m.Match) != signature(o.Match) || !slices.Equal(m.To, o.To) || m.Step != o.Step || m.Once != o.Once || m.Promise.Name != o.Promise.Name {
+		if l := changed(o.facts(), m.facts()); l != "" {
 			change++
 			if change <= 20 {
-				p.Changes = append(p.Changes, "mapping "+n+" changes")
+				p.Changes = append(p.Changes, "mapping "+n+" changes: "+l)
 			}
 		}
 		if o.Once && !m.Once {
 			p.Warnings = append(p.Warnings, "mapping "+n+" could not repeat and now may")
 		}
+		if m.Once && m.Single && !o.Single {
+			p.Warnings = append(p.Warnings, "mapping "+n+" claims nothing any more: a caller's second copy may run too")
+		}
 	}
 	for _, n := range sorted(was) {
 		if is[n] == nil {
--- a/internal/forecast/read.go
+++ b/internal/forecast/read.go
@@ -26,10 +26,12 @@
 		return nil, f.list
 	}
 	c := &Config{Services: map[string]*Service{}, Promises: map[string]*Promise{}}
-	o := object(v, "$", &f, "services", "promises", "layout")
+	o := object(v, "$", &f, "version", "limits", "services", "promises", "layout")
 	if o == nil {
 		return nil, f.list
 	}
+	c.readVersion(v, &f)
+	c.readLimits(v.Get("limits"), "$.limits", &f)
 	for i, x := range array(v, "$", "services", &f) {
 		c.readService(x, fmt.Sprintf("$.services[%d]", i), &f)
 	}
@@ -152,6 +154,20 @@
 	return n
 }
 
+// decimal reads a number that may have a fraction; 0 where none is given.
+func decimal(v *fastjson.Value, at, name string, most float64, f *faults) float64 {
+	x := v.Get(name)
+	if x == nil {
+		return 0
+	}
+	n, err := x.Float64()
+	if err != nil || !(n >= 0 && n <= most) {
+		f.add(synop.BadConfig, at+"."+name, fmt.Sprintf("a number from 0 to %g is wanted", most))
+		return 0
+	}
+	return n
+}
+
 func flag(v *fastjson.Value, at, name string, f *faults) bool {
 	x := v.Get(name)
 	if x == nil {
@@ -165,60 +181,3 @@
 }
 
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-
-func (c *Config) readService(v *fastjson.Value, at string, f *faults) {
-	if object(v, at, f, "name", "pool", "cap", "waitlist", "warm_ms", "allow", "place", "prefix_bytes", "spread",
-		"adapt", "floor", "wait_aim_ms", "retry_after_ms", "jitter_ms", "first_ms") == nil {
-		return
-	}
-	s := &Service{Name: text(v, at, "name", "", f), Pool: text(v, at, "pool", "", f)}
-	s.Cap = number(v, at, "cap", 0, 1, 10000, synop.BadCap, f)
-	s.Waitlist = number(v, at, "waitlist", max(1, 2*s.Cap), 1, 100000, synop.BadCap, f)
-	s.Warm = ms(number(v, at, "warm_ms", 5000, 0, 600000, synop.BadConfig, f))
-	s.Allow = text(v, at, "allow", "knee", f)
-	s.Place = text(v, at, "place", "prefix", f)
-	s.Prefix = number(v, at, "prefix_bytes", 1024, 16, 1<<20, synop.BadConfig, f)
-	s.Spread = number(v, at, "spread", 4, 1, 1000, synop.BadConfig, f)
-	s.Adapt = flag(v, at, "adapt", f)
-	s.Floor = number(v, at, "floor", max(1, s.Cap/2), 1, 10000, synop.BadCap, f)
-	s.WaitAim = ms(number(v, at, "wait_aim_ms", 100, 1, 60000, synop.BadConfig, f))
-	s.RetryAfter = ms(number(v, at, "retry_after_ms", 500, 1, 600000, synop.BadConfig, f))
-	s.Jitter = ms(number(v, at, "jitter_ms", 1000, 0, 600000, synop.BadConfig, f))
-	s.First = ms(number(v, at, "first_ms", 160, 1, 600000, synop.BadConfig, f))
-	if s.Floor > s.Cap && s.Cap > 0 {
-		f.add(synop.BadCap, at+".floor", "the floor is above the cap")
-	}
-	if !slices.Contains(allowNames(), s.Allow) {
-		f.add(synop.BadConfig, at+".allow", "unknown policy "+s.Allow)
-	}
-	if !slices.Contains(placeNames(), s.Place) {
-		f.add(synop.BadConfig, at+".place", "unknown policy "+s.Place)
-	}
-	if c.Services[s.Name] != nil {
-		f.add(synop.Duplicate, at+".name", "service "+s.Name+" given twice")
-	}
-	for _, x := range c.Services {
-		if x.Pool == s.Pool {
-			f.add(synop.Duplicate, at+".pool", "pool "+s.Pool+" already serves "+x.Name)
-		}
-	}
-	c.Services[s.Name] = s
-}
-
-func (c *Config) readPromise(v *fastjson.Value, at string, f *faults) {
-	if object(v, at, f, "name", "first_ms", "deadline_ms", "smaller", "worth") == nil {
-		return
-	}
-	p := &Promise{Name: text(v, at, "name", "", f)}
-	p.First = ms(number(v, at, "first_ms", 0, 1, 600000, synop.BadConfig, f))
-	p.Longest = ms(number(v, at, "deadline_ms", 0, 1, 600000, synop.BadConfig, f))
-	p.Smaller = flag(v, at, "smaller", f)
-	p.Worth = number(v, at, "worth", 1, 0, 1000, synop.BadConfig, f)
-	if p.First > p.Longest {
-		f.add(synop.BadConfig, at+".first_ms", "first words are promised later than the longest wait")
-	}
-	if c.Promises[p.Name] != nil {
-		f.add(synop.Duplicate, at+".name", "promise "+p.Name+" given twice")
-	}
-	c.Promises[p.Name] = p
-}
--- a/internal/forecast/seen.go
+++ b/internal/forecast/seen.go
@@ -66,15 +66,33 @@
 		if s.First95 > m.Promise.First {
 			p.Warnings = append(p.Warnings, fmt.Sprintf("mapping %s: first words are promised in %v, and 5 of 100 took over %v", m.Name, m.Promise.First, s.First95))
 		}
-		load[m.To[0]] += s.PerSecond * s.Held.Seconds()
+		m.spread(load, s.PerSecond*s.Held.Seconds())
 	}
 	p.carry(next, workers, load)
 }
 
+// spread adds what a mapping fills to its services, by their shares.
+func (m *Mapping) spread(load map[string]float64, filled float64) {
+	if len(m.Split) == 0 {
+		load[m.To[0]] += filled
+		return
+	}
+	sum := 0
+	for _, t := range m.Split {
+		sum += t.Share
+	}
+	for _, t := range m.Split {
+		load[t.Service] += filled * float64(t.Share) / float64(max(1, sum))
+	}
+}
+
 func (p *Plan) carry(next *Config, workers func(pool string) int, load map[string]float64) {
 	for _, n := range sorted(load) {
 		s := next.Services[n]
 		slots := workers(s.Pool) * s.Cap
+		if s.Cap == 0 {
+			continue // the worker list tells
+		}
 		if load[n] > float64(slots) {
 			p.Warnings = append(p.Warnings, fmt.Sprintf("service %s: what came in the last minute fills %.1f slots, and there would be %d: its promises can't be kept", n, load[n], slots))
 		}
--- a/internal/hollow/vane.go
+++ b/internal/hollow/vane.go
@@ -152,7 +152,7 @@
 	keepers := map[string]units.Node{}
 	for _, x := range v.pools[s.Pool] {
 		name := s.Name + "/" + x.ID
-		if x.Leaving || v.out[x.Zone] {
+		if x.Leaving || v.out[x.Zone] || x.Service != "" && x.Service != s.Name {
 			continue
 		}
 		keepers[name] = gauge.Keeper(v.peers, name, x.Zone)
--- a/internal/vaned/dark.go
+++ b/internal/vaned/dark.go
@@ -54,7 +54,7 @@
 			noted = true
 			v.passOver(name)
 		}
-		if !w.m.Once && w.until.Sub(now) > 2*s.First && !w.paid && w.again(s.Name, now) {
+		if !w.m.Once && w.more(1) && w.until.Sub(now) > 2*s.First && !w.paid && w.again(s.Name, now) {
 			w.paid = true
 			t.Cancel()
 			return anemometer.Event{Kind: anemometer.Unknown, Err: errDark}, false
--- a/internal/vaned/door.go
+++ b/internal/vaned/door.go
@@ -76,18 +76,22 @@
 	case !v.ready.Load() || w.rules == nil:
 		v.refuse(ctx, synop.NotReady, "this node has no confirmed configuration yet", true, time.Second)
 		return
+	case over(ctx, w.rules.Limits):
+		v.refuse(ctx, synop.TooLarge, "the request is over the limits", true, 0)
+		ctx.SetConnectionClose()
+		return
 	}
 	if !w.read() {
 		return
 	}
-	do, ok := w.rules.Program.Find(vernier.Ask{Path: path, Header: func(n string) string { return string(ctx.Request.Header.Peek(n)) }})
+	do, ok := w.rules.Program.Find(vernier.Ask{Host: hostOf(ctx), Path: path, Header: func(n string) string { return string(ctx.Request.Header.Peek(n)) }})
 	if !ok {
 		v.refuse(ctx, synop.NoMapping, "no mapping takes this request", true, 0)
 		return
 	}
 	w.m = w.rules.Mappings[do[0].Mapping]
 	v.tallies.count(w.m, func(t *tally) { t.ask(w.begun) })
-	vernier.Run(do, vernier.Hands{Limit: w.limit, Claim: w.claim, Try: w.try, Refuse: w.refuse})
+	vernier.Run(do, vernier.Hands{Limit: w.limit, Claim: w.claim, Share: w.share, Try: w.try, Refuse: w.refuse})
 }
 
 // read checks what every prompt must bring.
--- a/internal/vaned/relay.go
+++ b/internal/vaned/relay.go
@@ -78,7 +78,7 @@
 		return
 	}
 	w.m = w.rules.Mappings[do[0].Mapping]
-	if lim := w.rules.Limits; lim.Body > 0 && len(ctx.PostBody()) > lim.Body || lim.Head > 0 && len(ctx.Request.Header.RawHeaders()) > lim.Head {
+	if over(ctx, w.rules.Limits) {
 		w.end(synop.TooLarge, 0)
 		ctx.SetConnectionClose()
 		return
@@ -120,17 +120,28 @@
 
 // share draws the service among those that share the mapping; the same try always draws the same.
 func (w *relay) share() bool {
+	s, ok := draw(w.m.Split, w.id)
+	return ok && w.try(s)
+}
+
+// draw gives the service that an id falls to, by the shares.
+func draw(split []forecast.Target, id string) (string, bool) {
 	sum := 0
-	for _, t := range w.m.Split {
+	for _, t := range split {
 		sum += t.Share
 	}
-	x := int(units.Mix("share", w.id) % uint64(max(1, sum)))
-	for _, t := range w.m.Split {
+	x := int(units.Mix("share", id) % uint64(max(1, sum)))
+	for _, t := range split {
 		if x -= t.Share; x < 0 {
-			return w.try(t.Service)
+			return t.Service, true
 		}
 	}
-	return false
+	return "", false
+}
+
+// over says whether a request is larger than the limits in force allow.
+func over(ctx *fasthttp.RequestCtx, l forecast.Limits) bool {
+	return l.Body > 0 && len(ctx.PostBody()) > l.Body || l.Head > 0 && len(ctx.Request.Header.RawHeaders()) > l.Head
 }
 
 // refuse is the last step of every way: the final answer, at once, with when to come back if it has not run.
--- a/internal/vaned/rig_test.go
+++ b/internal/vaned/rig_test.go
@@ -83,6 +83,12 @@
 
 // rig is one vane alone, its news put in by hand; it keeps all workers itself.
 func rig(t testing.TB, workers ...string) *Vane {
+	t.Helper()
+	return rigOf(t, rigConfig, workers...)
+}
+
+// rigOf is a rig with a configuration of its own.
+func rigOf(t testing.TB, config string, workers ...string) *Vane {
 	t.Helper()
 	b := &boot.Boot{Name: "n1", Zone: "z1", Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), DrainMs: 1000}
 	b.Seeds = []string{b.Addr}
@@ -96,7 +102,7 @@
 		l = append(l, forecast.Worker{ID: fmt.Sprintf("w%d", i+1), Addr: a, Zone: "z1", Age: time.Hour})
 	}
 	v.BullMu.Lock()
-	v.Bull.Take(bulletin.Item{Key: "config", Num: 1, Data: []byte(rigConfig)})
+	v.Bull.Take(bulletin.Item{Key: "config", Num: 1, Data: []byte(config)})
 	v.Bull.Take(bulletin.Item{Key: "workers/main", Num: 1, Data: forecast.PackWorkers(l)})
 	v.BullMu.Unlock()
 	v.ready.Store(true)
--- a/internal/vaned/way.go
+++ b/internal/vaned/way.go
@@ -51,16 +51,32 @@
 	return false
 }
 
+// share draws the service among those that share the mapping: by the caller's key, so that its copies draw the same.
+func (w *way) share() bool {
+	id := w.key
+	if id == "" {
+		id = strconv.FormatUint(w.v.tag.Add(1), 16)
+	}
+	s, ok := draw(w.m.Split, id)
+	return ok && w.try(s)
+}
+
+// more says whether the mapping lets the prompt go to another worker, besides those that have it now.
+func (w *way) more(now int) bool { return w.m.Tries == 0 || w.sent+now < w.m.Tries }
+
 // try offers the prompt to one service. True ends the request's way.
 func (w *way) try(service string) bool {
 	s := w.rules.Services[service]
 	v := w.v
-	for range triesMost {
+	for range max(triesMost, w.m.Tries) {
 		now := v.Crew.Now()
 		if w.until.Sub(now) < s.First {
 			w.why = synop.OutOfTime
 			return w.sent > 0 && w.end()
 		}
+		if !w.more(0) {
+			return w.end()
+		}
 		if w.sent > 0 && !w.again(service, now) {
 			w.why = synop.Budget
 			return w.end()
--- a/internal/vernier/vernier.go
+++ b/internal/vernier/vernier.go
@@ -45,7 +45,7 @@
 	ways  []Way
 	exact map[string][]int          // path to ways, in order
 	loose []int                     // ways without an exact path
-	hosts map[string]map[string]int // host, then a prefix that ends with a slash, to the way: the longest one wins
+	hosts map[string]map[string]int // host, then a prefix, to the way: the longest one wins
 }
 
 // Build indexes the ways.
@@ -53,10 +53,8 @@
 	p := &Program{ways: ways, exact: map[string][]int{}, hosts: map[string]map[string]int{}}
 	for i, w := range ways {
 		if host, under, ok := w.place(); ok {
-			if p.hosts[host] == nil {
-				p.hosts[host] = map[string]int{}
-			}
-			p.hosts[host][under] = i
+			p.index(host, strings.TrimSuffix(under, "/")+"/", i)
+			p.index(host, under, i) // without a slash at its end it is also a whole path
 			continue
 		}
 		at := ""
@@ -74,6 +72,18 @@
 	return p
 }
 
+// index notes a way of a host and a prefix; the first one given stays.
+func (p *Program) index(host, under string, way int) {
+	by := p.hosts[host]
+	if by == nil {
+		by = map[string]int{}
+		p.hosts[host] = by
+	}
+	if _, ok := by[under]; !ok {
+		by[under] = way
+	}
+}
+
 // place says whether a way is one of a host and a prefix and nothing else.
 func (w *Way) place() (host, under string, ok bool) {
 	if len(w.Match) != 2 {
@@ -84,7 +94,7 @@
 		case OpHost:
 			host = m.Text
 		case OpUnder:
-			under = strings.TrimSuffix(m.Text, "/") + "/"
+			under = m.Text
 		}
 	}
 	return host, under, host != "" && under != ""
@@ -94,7 +104,7 @@
 func (p *Program) longest(host, path string) (int, bool) {
 	by := p.hosts[host]
 	for i := len(path); by != nil && i > 0; i = strings.LastIndexByte(path[:i-1], '/') + 1 {
-		if w, ok := by[path[:i]]; ok && path[i-1] == '/' {
+		if w, ok := by[path[:i]]; ok { // all but the whole path end with a slash
 			return w, true
 		}
 	}
--- a/internal/windtunnel/load.go
+++ b/internal/windtunnel/load.go
@@ -131,7 +131,7 @@
 	keepers := map[string]units.Node{}
 	for _, x := range e.Pools[s.Pool] {
 		name := s.Name + "/" + x.ID
-		if x.Leaving || e.Out[x.Zone] {
+		if x.Leaving || e.Out[x.Zone] || x.Service != "" && x.Service != s.Name {
 			continue
 		}
 		load := 0.0
--- /dev/null
+++ b/internal/windtunnel/words_test.go
@@ -0,0 +1,31 @@
+package windtunnel
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"seamshunt/internal/forecast"
+	"seamshunt/internal/units"
+)
+
+// A configuration with all that the layout has words for: traffic goes on under it, and nothing is broken.
+func TestWords(t *testing.T) {
+	text := strings.NewReplacer(`"cap":4,`, `"slots":true,"place":"home","memory":50000,"share":80,"reads":90,"pairs_us":200,"warm_rate":50,"conns":64,"lax":true,`,
+		`{"services":[`, `{"version":3,"limits":{"body_bytes":65536},"services":[{"name":"other","pool":"side","cap":2},`,
+		`to advice promise p6 repeat`, `to advice 90, other 10 promise p6 repeat tries 2 rank 1 stream resume pause 400`,
+		`when path = \"/v1/notice\" to advice promise p4 once`, `when host = \"a\" and under = \"/v1/notice\" to advice promise p4 once single`).Replace(configText(1))
+	c, faults := forecast.Read([]byte(text))
+	if len(faults) > 0 || c.Services["advice"].Memory != 50000 || c.Services["advice"].Cap != 0 || len(c.Mappings[0].Split) != 2 || !c.Mappings[1].Single {
+		t.Fatal(faults, text)
+	}
+	w := NewWorld(Vatuloa, *from)
+	w.At(units.Time(3*time.Second), func() { w.change("config", text, nil) })
+	w.At(units.Time(8*time.Second), w.Load)
+	w.At(units.Time(12*time.Second), func() { w.bounce(w.coreH[1], 2*time.Second, true) })
+	w.Run(units.Time(25 * time.Second))
+	w.end()
+	if len(w.acked) == 0 || w.Figures.Runs < 100 || len(w.Faults) > 0 {
+		t.Errorf("%d acknowledged, %d runs, %v", len(w.acked), w.Figures.Runs, w.Faults[:min(3, len(w.Faults))])
+	}
+}
