--- a/internal/observer/more.go
+++ b/internal/observer/more.go
@@ -70,7 +70,7 @@
 			bad = append(bad, fmt.Sprintf("%s on %s by %s broke after %s", c.Job, c.Worker, c.Vane, ms(c.End-c.At)))
 		}
 	}
-	return find("planned restarts and changes cut no stream", bad, fmt.Sprintf("%d streams broke, all with their node or worker or out of time", broken))
+	return find(Cuts, bad, fmt.Sprintf("%d streams broke, all with their node or worker or out of time", broken))
 }
 
 func worker(name string) string {
@@ -131,7 +131,7 @@
 		}
 		worst = max(worst, first-e.At)
 	}
-	return find("after a full loss, service is back within 12 s", bad, fmt.Sprintf("%d full losses; back after %s", n, ms(worst)))
+	return find(Back, bad, fmt.Sprintf("%d full losses; back after %s", n, ms(worst)))
 }
 
 // Figures are what a run measured.
@@ -212,6 +212,6 @@
 		all += f.Sent
 	}
 	x := float64(good) / float64(max(1, all))
-	f := Finding{"callers are served", x >= u.Served, fmt.Sprintf("%.1f%% whole and on time, at least %.0f%% wanted", 100*x, 100*u.Served)}
+	f := Finding{Served, x >= u.Served, fmt.Sprintf("%.1f%% whole and on time, at least %.0f%% wanted", 100*x, 100*u.Served)}
 	return f
 }
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -25,7 +25,11 @@
 	Evac   time.Duration
 	Back   time.Duration
 	Budget float64
-	Served float64 // least share of calls answered whole and on time; 0 leaves it unjudged
+	Served float64            // least share of calls answered whole and on time; 0 leaves it unjudged
+	Asked  bool               // callers and workers wrote down what was sent and what arrived
+	Window time.Duration      // of the budget where arrivals turned away count as well; 0 leaves that unjudged
+	Slack  int                // further arrivals of a service in it that are free
+	Cold   map[string]float64 // arrivals that a service's cold workers may have in any second
 }
 
 // DefaultRules are the brief's figures.
@@ -34,9 +38,22 @@
 		Once: map[string]bool{}, Pools: map[string][]string{}}
 }
 
-// Names of promises that others leave out or judge themselves.
+// Names of promises that others leave out, judge themselves or name otherwise.
 const (
 	Services = "nothing goes to a service that its mapping may not reach"
+	Whole    = "a success is the worker's whole, sealed answer, the caller's own"
+	Once     = "what may not repeat never runs twice"
+	NotRun   = `"not run" is true forever`
+	AtOnce   = "a refusal comes at once and says when to come back"
+	Leaving  = "a leaving worker gets nothing new after 3 s"
+	Zones    = "an evacuated zone gets nothing new after 5 s"
+	Cuts     = "planned restarts and changes cut no stream"
+	Asked    = "nothing runs but what a caller sent, as it was sent"
+	Order    = "no stream has a piece missing, doubled or of another run"
+	Budget   = "further arrivals stay within the budget of every window"
+	Cold     = "no cold worker is flooded"
+	Served   = "callers are served"
+	Back     = "after a full loss, service is back within 12 s"
 	ReadBack = "the configuration read back is the newest acknowledged one, as sent"
 )
 
@@ -51,6 +68,7 @@
 type Run struct {
 	Calls  []standin.Entry
 	Starts []standin.Entry
+	Turns  []standin.Entry          // arrivals that workers turned away
 	Ends   map[string]standin.Entry // by worker and request id
 	Events []standin.Entry
 }
@@ -70,10 +88,15 @@
 	if len(r.Calls) == 0 {
 		return nil, fmt.Errorf("observer: no call was written down in %s", dir)
 	}
-	for _, l := range [][]standin.Entry{r.Calls, r.Starts, r.Events} {
+	r.Sort()
+	return r, nil
+}
+
+// Sort puts what was written down in the order of time.
+func (r *Run) Sort() {
+	for _, l := range [][]standin.Entry{r.Calls, r.Starts, r.Events, r.Turns} {
 		slices.SortStableFunc(l, func(a, b standin.Entry) int { return cmp.Compare(a.At, b.At) })
 	}
-	return r, nil
 }
 
 func (r *Run) file(path string) error {
@@ -101,6 +124,8 @@
 		r.Calls = append(r.Calls, e)
 	case "start":
 		r.Starts = append(r.Starts, e)
+	case "turn":
+		r.Turns = append(r.Turns, e)
 	case "end":
 		r.Ends[e.Worker+" "+e.ID] = e
 	case "event":
@@ -120,11 +145,23 @@
 	}
 	l := []Finding{
 		r.once(u, calls, runs), r.notRun(runs), r.whole(runs), r.service(u, calls),
-		r.atOnce(), r.leaving(u), r.zones(u), r.retries(u), r.config(), r.cuts(),
+		r.atOnce(), r.leaving(u), r.zones(u), r.config(), r.cuts(),
+	}
+	if u.Window == 0 {
+		l = append(l, r.retries(u))
 	}
 	if u.Cap > 0 {
 		l = append(l, r.caps(u))
 	}
+	if u.Asked {
+		l = append(l, r.asked(calls), r.order())
+	}
+	if u.Window > 0 {
+		l = append(l, r.budget(u))
+	}
+	if len(u.Cold) > 0 {
+		l = append(l, r.cold(u))
+	}
 	return append(l, r.back(u), r.served(u))
 }
 
--- a/internal/standin/journal.go
+++ b/internal/standin/journal.go
@@ -11,7 +11,7 @@
 
 // Entry is one line of a journal; the observer judges a run by them alone.
 type Entry struct {
-	Kind    string  `json:"kind"` // start, end, call, event
+	Kind    string  `json:"kind"` // start, end, turn, call, event
 	At      int64   `json:"at"`   // microseconds of the wall clock, one machine's for all
 	Job     string  `json:"job,omitempty"`
 	Worker  string  `json:"worker,omitempty"`
@@ -35,6 +35,9 @@
 	Pieces  int     `json:"pieces,omitempty"`
 	Target  string  `json:"target,omitempty"`
 	Bytes   int     `json:"bytes,omitempty"`
+	Sum     string  `json:"sum,omitempty"`   // of method, path and body: as sent, as arrived
+	Order   string  `json:"order,omitempty"` // what is wrong in the order of a stream's pieces, whole or not
+	Cold    bool    `json:"cold,omitempty"`
 }
 
 // Journal is a file of entries.
