--- a/cmd/barometer/main.go
+++ b/cmd/barometer/main.go
@@ -21,7 +21,11 @@
 				return barod.New(b, platform.New(os.Getenv(platform.SettingsEnv), name))
 			},
 			func(d console.Daemon, b *boot.Boot) { d.(*barod.Barometer).Again(b) }, dump),
-		console.Check(name))
+		console.Check(name, &console.Look{Flag: "settings", What: "a settings file", At: func(path string) error {
+			_, err := platform.Boot(path, name)
+			return err
+		}},
+			&console.Look{Flag: "deploy", What: "a deploy file", At: platform.Deploy}))
 	root.AddCommand(calls()...)
 	console.Main(root)
 }
--- a/cmd/vane/main.go
+++ b/cmd/vane/main.go
@@ -21,6 +21,9 @@
 				return vaned.New(b, platform.New(os.Getenv(platform.SettingsEnv), name)), nil
 			},
 			func(d console.Daemon, b *boot.Boot) { d.(*vaned.Vane).Again(b) }, dump),
-		console.Check(name))
+		console.Check(name, &console.Look{Flag: "settings", What: "a settings file", At: func(path string) error {
+			_, err := platform.Boot(path, name)
+			return err
+		}}))
 	console.Main(root)
 }
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -131,15 +131,28 @@
 	return c
 }
 
+// Look checks one more kind of file, which an adapter knows.
+type Look struct {
+	Flag, What string
+	At         func(path string) error
+	path       string
+}
+
 // Check adds the command that checks files and starts nothing.
-func Check(name string) *cobra.Command {
+func Check(name string, more ...*Look) *cobra.Command {
 	var bootPath, configPath string
-	c := &cobra.Command{Use: "check", Short: "check a boot file or a configuration", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "check", Short: "check files: a boot file, a configuration, or what else the flags name", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			if bootPath == "" && configPath == "" {
-				return errors.New("--boot or --config is wanted")
-			}
 			var bad []error
+			some := bootPath != "" || configPath != ""
+			for _, l := range more {
+				if some = some || l.path != ""; l.path != "" {
+					bad = append(bad, l.At(l.path))
+				}
+			}
+			if !some {
+				return errors.New("a file is wanted, by one of the flags of check --help")
+			}
 			if bootPath != "" {
 				if _, err := boot.Read(bootPath, name); err != nil {
 					bad = append(bad, err)
@@ -155,12 +168,16 @@
 					}
 				}
 			}
-			if len(bad) == 0 {
+			err := errors.Join(bad...)
+			if err == nil {
 				fmt.Println("good")
 			}
-			return errors.Join(bad...)
+			return err
 		}}
 	c.Flags().StringVar(&bootPath, "boot", "", "a boot file")
 	c.Flags().StringVar(&configPath, "config", "", "a configuration")
+	for _, l := range more {
+		c.Flags().StringVar(&l.path, l.Flag, "", l.What)
+	}
 	return c
 }
