--- a/cmd/gale/main.go
+++ b/cmd/gale/main.go
@@ -7,6 +7,6 @@
 
 func main() {
 	root := console.Root("gale", "tries seamshunt out: stand-ins, fleets, drills, checks")
-	root.AddCommand(workerCmd(), platformCmd(), callerCmd(), fleetCmd(), compareCmd(), drillCmd(), checkCmd(), hollowCmd())
+	root.AddCommand(workerCmd(), platformCmd(), callerCmd(), fleetCmd(), compareCmd(), drillCmd(), checkCmd(), hollowCmd(), siteCmd())
 	console.Main(root)
 }
--- /dev/null
+++ b/cmd/gale/play.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"seamshunt/internal/fleet"
+	"seamshunt/internal/telegraph"
+	"seamshunt/platform"
+	"seamshunt/platform/standin"
+)
+
+// play is a site that runs.
+type play struct {
+	*site
+	f     *fleet.Fleet
+	began time.Time
+	place standin.Site
+	list  *standin.List
+	op    *standin.Operator
+	lns   []net.Listener
+	docMu sync.Mutex
+	doc   standin.Doc // as it was acknowledged last
+	mu    sync.Mutex
+	ready map[string][]string // fronts by zone
+}
+
+func (p *play) listen() (net.Listener, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err == nil {
+		p.lns = append(p.lns, ln)
+	}
+	return ln, err
+}
+
+func (p *play) close() {
+	for _, ln := range p.lns {
+		ln.Close()
+	}
+}
+
+// up starts the stand-ins and every process, and waits until nodes are ready.
+func (p *play) up(ctx context.Context) error {
+	j := p.f.Journal
+	p.list = &standin.List{Rate: 44, Lag: 800 * time.Millisecond, Page: 50, Sink: j}
+	ln, err := p.listen()
+	if err != nil {
+		return err
+	}
+	p.f.Crew.Go(func() { _ = p.list.Serve(ln) })
+	p.place = standin.Site{Machines: standin.Machines(p.machines, p.zones, p.disks), List: ln.Addr().String(), Rate: 44, LagMs: 800, GraceS: 8}
+	for i := range p.workers {
+		wl, err := p.listen()
+		if err != nil {
+			return err
+		}
+		w := &standin.Worker{Instance: standin.Instance{ID: fmt.Sprint("w", i+1), Service: "llm", Addr: wl.Addr().String(), Zone: fmt.Sprintf("z%d", i%p.zones+1), Slots: 8},
+			Queue: 4, Work: 30 * time.Millisecond, Events: 8, Pace: 20 * time.Millisecond, Size: 800, Sink: j, Crew: p.f.Crew}
+		p.f.Crew.Go(func() { _ = w.Serve(wl) })
+		p.list.Set(w.Instance)
+	}
+	var control []string
+	for _, m := range p.place.Machines {
+		for _, program := range []string{"barometer", "vane"} {
+			if program == "barometer" && !m.Disk {
+				continue
+			}
+			path, err := p.place.Settings(p.f.Dir, m, program, true)
+			if err != nil {
+				return err
+			}
+			p.f.Add(m.Name+"."+program, m.Zone, program, m.Front(), []string{"serve"}, []string{platform.SettingsEnv + "=" + path})
+			if err := p.f.Start(m.Name + "." + program); err != nil {
+				return err
+			}
+		}
+		if m.Disk {
+			control = append(control, m.Control())
+		}
+	}
+	p.op = &standin.Operator{Nodes: func() []string { return control }, Sink: j, Crew: p.f.Crew}
+	p.doc = standin.Doc{Generation: 1, Targets: []standin.Service{{Name: "llm", Probe: "/health", Conns: 200, Protocol: "h1"}}, Limits: &standin.Bounds{Head: 16384, Body: 1 << 20, HeadMs: 3000, IdleMs: 15000}}
+	p.doc.Routes = routes
+	if status, err := p.op.Put(0, p.doc); status != 200 {
+		return fmt.Errorf("site: the first configuration: %d %v", status, err)
+	}
+	p.op.Acknowledged(p.doc.Generation, standin.JSON(p.doc))
+	for end := time.Now().Add(20 * time.Second); ; {
+		p.look()
+		n := 0
+		for _, l := range p.ready {
+			n += len(l)
+		}
+		if n == len(p.place.Machines) {
+			break
+		}
+		if time.Now().After(end) || ctx.Err() != nil {
+			return fmt.Errorf("site: %d of %d nodes are ready after 20 s; their logs are in %s", n, len(p.place.Machines), p.f.Dir)
+		}
+		p.f.Crew.Sleep(50 * time.Millisecond)
+	}
+	for _, m := range p.place.Machines { // the very first start is over
+		for _, program := range []string{"barometer", "vane"} {
+			if _, err := p.place.Settings(p.f.Dir, m, program, false); err != nil {
+				return err
+			}
+		}
+	}
+	fmt.Printf("%d nodes ready %.1f s after the start; control at %s, readiness, status and metrics at %s; files in %s\n", len(p.place.Machines),
+		time.Since(p.began).Seconds(), control[0], p.place.Machines[0].Ready(), p.f.Dir)
+	return nil
+}
+
+const siteHost = "desk.example"
+
+var routes = []standin.Route{
+	{Name: "talk", Host: siteHost, Prefix: "/talk/", Variant: "streaming", Resumable: true, DeadlineMs: 8000, GoalMs: 800, GapMs: 400, Tries: 2, Target: "llm"},
+	{Name: "notice", Host: siteHost, Prefix: "/notice/", Variant: "effectful", DeadlineMs: 4000, GoalMs: 800, Tries: 2, Target: "llm"},
+	{Name: "ask", Host: siteHost, Prefix: "/ask/", Variant: "pure", DeadlineMs: 3000, GoalMs: 500, Tries: 2, Target: "llm"},
+}
+
+// look asks every node whether it is ready.
+func (p *play) look() {
+	m := map[string][]string{}
+	for _, x := range p.place.Machines {
+		if code, _, _, err := telegraph.HTTP("GET", x.Ready(), "/readiness", nil, nil, 300*time.Millisecond); err == nil && code == 200 {
+			m[x.Zone] = append(m[x.Zone], x.Front())
+		}
+	}
+	p.mu.Lock()
+	p.ready = m
+	p.mu.Unlock()
+}
+
+// fronts are the ready nodes of a zone in any order, behind them those of others; if there are none, all.
+func (p *play) fronts(zone string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := slices.Clone(p.ready[zone])
+	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	for z, x := range p.ready {
+		if z != zone {
+			l = append(l, x...)
+		}
+	}
+	if len(l) == 0 {
+		for _, x := range p.place.Machines {
+			l = append(l, x.Front())
+		}
+	}
+	return l
+}
+
+// day sends the traffic, carries the events out, and reads the configuration back.
+func (p *play) day(ctx context.Context) error {
+	start := time.Now()
+	tctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sent := make(chan struct{})
+	p.f.Crew.Go(func() {
+		defer close(sent)
+		p.traffic(tctx)
+	})
+	p.f.Crew.Go(func() {
+		for tctx.Err() == nil {
+			p.look()
+			p.f.Crew.Sleep(200 * time.Millisecond)
+		}
+	})
+	wait := func(at time.Duration) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(start.Add(at))):
+		}
+	}
+	for _, e := range p.plan {
+		wait(e.At)
+		fmt.Printf("%6.1f s: %s %s\n", time.Since(start).Seconds(), e.Verb, e.On)
+		if err := p.event(e); err != nil {
+			return fmt.Errorf("event %s %s: %w", e.Verb, e.On, err)
+		}
+	}
+	wait(time.Duration(p.secs) * time.Second)
+	cancel()
+	<-sent
+	status, b, err := p.op.Get()
+	var d standin.Doc
+	if status != 200 || json.Unmarshal(b, &d) != nil {
+		return fmt.Errorf("site: reading the configuration back: %d %v", status, err)
+	}
+	p.op.Read(d.Generation, standin.JSON(d))
+	return nil
+}
+
+// traffic sends requests from clients of every kind and zone till the context ends.
+func (p *play) traffic(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(p.seed, 11))
+	var clients []*standin.Client
+	for i := range 4 * p.zones {
+		zone := fmt.Sprintf("z%d", i%p.zones+1)
+		clients = append(clients, &standin.Client{Fronts: func() []string { return p.fronts(zone) }, Keep: i%2 == 0, Eager: i%7 == 6, Sink: p.f.Journal, Crew: p.f.Crew})
+	}
+	var wg sync.WaitGroup
+	for n := 0; ctx.Err() == nil; n++ {
+		c, route := clients[rng.IntN(len(clients))], routes[rng.IntN(len(routes))]
+		a := standin.Ask{Route: route, Path: fmt.Sprint("q", n), Body: fmt.Appendf(nil, "question %d", n), Left: time.Duration(route.DeadlineMs) * time.Millisecond, Tries: 2, Chunked: n%3 == 0}
+		wg.Add(1)
+		p.f.Crew.Go(func() {
+			defer wg.Done()
+			c.Do(context.WithoutCancel(ctx), a)
+		})
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(rng.ExpFloat64() / p.rate * float64(time.Second))):
+		}
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/cmd/gale/play_events.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"syscall"
+	"time"
+
+	"seamshunt/internal/fleet"
+	"seamshunt/platform/standin"
+)
+
+func (p *play) procs(machine string) []string {
+	var l []string
+	for _, m := range p.place.Machines {
+		if machine != "" && m.Name != machine {
+			continue
+		}
+		if m.Disk {
+			l = append(l, m.Name+".barometer")
+		}
+		l = append(l, m.Name+".vane")
+	}
+	return l
+}
+
+// event carries one out and notes it.
+func (p *play) event(e fleet.Event) error {
+	switch e.Verb {
+	case "evacuate", "readmit":
+		f := p.op.Evacuate
+		if e.Verb == "readmit" {
+			f = p.op.Withdraw
+		}
+		if status, err := f(e.On); status/100 != 2 {
+			return fmt.Errorf("%d %v", status, err)
+		}
+		return nil
+	case "leave":
+		p.list.Drain(e.On)
+		return nil
+	case "storm":
+		return p.storm()
+	case "killall", "startall":
+		p.f.Event(e.Verb, "")
+		e.Verb = e.Verb[:len(e.Verb)-len("all")]
+	}
+	return p.each(e)
+}
+
+// each does a thing to every process of a machine, or of all.
+func (p *play) each(e fleet.Event) error {
+	for _, n := range p.procs(e.On) {
+		p.f.Event(e.Verb, n)
+		var err error
+		switch e.Verb {
+		case "kill":
+			if err = p.f.Signal(n, syscall.SIGKILL); err == nil {
+				err = p.f.Wait(n, 5*time.Second)
+			}
+		case "stop", "restart":
+			err = p.f.Signal(n, syscall.SIGTERM)
+		case "start":
+			err = p.f.Start(n)
+		case "freeze":
+			err = p.f.Signal(n, syscall.SIGSTOP)
+		case "thaw":
+			err = p.f.Signal(n, syscall.SIGCONT)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if e.Verb != "restart" {
+		return nil
+	}
+	for _, n := range p.procs(e.On) {
+		if err := p.f.Wait(n, 12*time.Second); err != nil {
+			return err
+		}
+		if err := p.f.Start(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// storm has two operators race each other ten times.
+func (p *play) storm() error {
+	p.docMu.Lock()
+	defer p.docMu.Unlock()
+	for range 10 {
+		g := p.doc.Generation
+		got := make(chan int, 2)
+		for side := range 2 {
+			d := p.doc
+			d.Generation = g + 1 + uint64(side)
+			p.f.Crew.Go(func() {
+				status, _ := p.op.Put(g, d)
+				if status == 200 {
+					p.op.Acknowledged(d.Generation, standin.JSON(d))
+				}
+				got <- status
+			})
+		}
+		if a, b := <-got, <-got; a == 200 && b == 200 {
+			return fmt.Errorf("two changes on version %d were both taken", g)
+		}
+		_, b, err := p.op.Get()
+		if err != nil || json.Unmarshal(b, &p.doc) != nil {
+			return fmt.Errorf("reading back in a storm: %w", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/gale/site.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"seamshunt/internal/console"
+	"seamshunt/internal/fleet"
+	"seamshunt/internal/observer"
+	"seamshunt/platform/standin"
+)
+
+// site is a fleet on the platform's side of things, as the flags say it.
+type site struct {
+	machines, zones, disks, workers int
+	secs                            int
+	rate, served                    float64
+	seed                            uint64
+	events, dir                     string
+	plan                            []fleet.Event
+}
+
+// siteCmd runs a fleet by way of settings files, with stand-ins of the platform, and judges the run.
+func siteCmd() *cobra.Command {
+	x := &site{}
+	c := &cobra.Command{Use: "site", Short: "run a fleet as the users' platform would, each machine at an address of its own, and judge the run", Args: cobra.NoArgs}
+	c.RunE = func(*cobra.Command, []string) error {
+		ctx, stop := interrupted()
+		defer stop()
+		if err := x.check(); err != nil {
+			return err
+		}
+		return x.run(ctx)
+	}
+	f := c.Flags()
+	f.IntVar(&x.machines, "machines", 6, "how many machines")
+	f.IntVar(&x.zones, "zones", 3, "in how many zones, named z1, z2, ...")
+	f.IntVar(&x.disks, "disks", 3, "how many machines have a disk and serve control")
+	f.IntVar(&x.workers, "workers", 6, "how many workers, named w1, w2, ..., in the zones in turn")
+	f.IntVar(&x.secs, "seconds", 20, "how long traffic lasts, from when the nodes are ready")
+	f.Float64Var(&x.rate, "rate", 30, "requests a second")
+	f.Float64Var(&x.served, "served", 0.5, "least share of requests to be answered whole and on time")
+	f.Uint64Var(&x.seed, "seed", 1, "seed of the requests")
+	f.StringVar(&x.events, "events", "", "what happens: SECONDS:VERB:NAME,... of "+strings.Join(siteVerbs, " ")+"; the time counts from the traffic's beginning")
+	f.StringVar(&x.dir, "dir", "", "where the run's files go and stay; a passing folder unless given")
+	return c
+}
+
+var siteVerbs = []string{"kill", "stop", "start", "restart", "freeze", "thaw", "killall", "startall", "evacuate", "readmit", "leave", "storm"}
+
+// check reads what can be wrong before anything starts.
+func (x *site) check() (err error) {
+	switch {
+	case x.zones < 1 || x.machines < x.zones || x.machines > 60:
+		return errors.New("--machines is 1 to 60, and at least --zones")
+	case x.disks < 1 || x.disks > x.machines:
+		return errors.New("--disks is 1 to --machines")
+	case x.workers < 1 || x.workers > 200:
+		return errors.New("--workers is 1 to 200")
+	case x.secs < 1 || x.rate <= 0:
+		return errors.New("--seconds and --rate are above 0")
+	}
+	if x.plan, err = fleet.ParseEvents(x.events); err != nil {
+		return err
+	}
+	var machines, zones, workers []string
+	for _, m := range standin.Machines(x.machines, x.zones, x.disks) {
+		machines = append(machines, m.Name)
+		if !slices.Contains(zones, m.Zone) {
+			zones = append(zones, m.Zone)
+		}
+	}
+	for i := range x.workers {
+		workers = append(workers, fmt.Sprint("w", i+1))
+	}
+	for _, e := range x.plan {
+		names := machines
+		switch e.Verb {
+		case "evacuate", "readmit":
+			names = zones
+		case "leave":
+			names = workers
+		case "killall", "startall", "storm":
+			names = []string{e.On}
+		}
+		if !slices.Contains(siteVerbs, e.Verb) {
+			return fmt.Errorf("--events: %s is not known here; the verbs are %s", e.Verb, strings.Join(siteVerbs, " "))
+		}
+		if !slices.Contains(names, e.On) {
+			return fmt.Errorf("--events: %s %s: one of %s is wanted", e.Verb, e.On, strings.Join(names, " "))
+		}
+	}
+	return nil
+}
+
+// run brings the site up, plays, and judges.
+func (x *site) run(ctx context.Context) error {
+	dir := x.dir
+	if dir == "" {
+		d, err := os.MkdirTemp("", "gale")
+		if err != nil {
+			return err
+		}
+		dir = d
+		defer os.RemoveAll(dir)
+	}
+	me, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	f, err := fleet.Bare(fleet.Abs(dir), filepath.Dir(me))
+	if err != nil {
+		return err
+	}
+	defer f.Down()
+	p := &play{site: x, f: f, began: time.Now()}
+	defer p.close()
+	if err := p.up(ctx); err != nil {
+		return err
+	}
+	if err := p.day(ctx); err != nil {
+		return err
+	}
+	r, err := observer.Load(f.Dir)
+	if err != nil {
+		return err
+	}
+	good := true
+	for _, x := range standin.Judge(r, standin.Usual, x.served, standin.Union(p.op.All())...) {
+		word := "kept"
+		if !x.Good {
+			word, good = "BROKEN", false
+		}
+		fmt.Printf("%-7s %-9s %s: %s\n", word, x.Rule, x.Promise, x.Seen)
+	}
+	for _, m := range r.Measure(0, 1<<62) {
+		fmt.Printf("%-8s %5d sent, %5.1f%% on time, %d refused, %d broken, %d other; first words %.0f ms, 95th %.0f ms\n", m.Mapping, m.Sent,
+			100*float64(m.OnTime)/float64(max(1, m.Sent)), m.Refused, m.Broken, m.Other, m.First50, m.First9)
+	}
+	if !good {
+		return console.ErrPromise
+	}
+	return nil
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,6 +23,7 @@
 type proc struct {
 	name, zone, kind string
 	args             []string
+	env              []string
 	addr, web        string
 	data             string
 	cmd              *exec.Cmd
@@ -49,9 +50,8 @@
 	cutOn    []string
 }
 
-// New lays a fleet out in dir: boot files, data folders, journals. Nothing runs yet.
-func New(d *Deployment, dir, bin string, perSec int) (*Fleet, error) {
-	f := &Fleet{Dep: d, Dir: dir, Bin: bin, procs: map[string]*proc{}, Wrong: map[string]string{}, Platform: standin.NewPlatform(perSec), Crew: crew.New(clockwork.NewRealClock(), 1)}
+// Bare begins a fleet without a deployment: whoever adds its processes says what each is told.
+func Bare(dir, bin string) (*Fleet, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
@@ -59,10 +59,24 @@
 	if len(old) > 0 {
 		return nil, fmt.Errorf("fleet: %s holds the journals of an earlier run", dir)
 	}
+	f := &Fleet{Dir: dir, Bin: bin, procs: map[string]*proc{}, Wrong: map[string]string{}, Crew: crew.New(clockwork.NewRealClock(), 1)}
 	var err error
-	if f.Journal, err = standin.Open(filepath.Join(dir, "harness.jsonl")); err != nil {
+	f.Journal, err = standin.Open(filepath.Join(dir, "harness.jsonl"))
+	return f, err
+}
+
+// Add lays one process out; kind is its program, web is where it is reached.
+func (f *Fleet) Add(name, zone, kind, web string, args, env []string) {
+	f.add(&proc{name: name, zone: zone, kind: kind, web: web, args: args, env: env})
+}
+
+// New lays a fleet out in dir: boot files, data folders, journals. Nothing runs yet.
+func New(d *Deployment, dir, bin string, perSec int) (*Fleet, error) {
+	f, err := Bare(dir, bin)
+	if err != nil {
 		return nil, err
 	}
+	f.Dep, f.Platform = d, standin.NewPlatform(perSec)
 	workers := 0
 	for _, w := range d.Workers {
 		workers += w.Count
@@ -172,7 +186,7 @@
 	defer out.Close()
 	c := exec.Command(filepath.Join(f.Bin, bin), args...)
 	c.Stdout, c.Stderr = out, out
-	c.Env = append(os.Environ(), shield.Env+"="+f.cutFile(name))
+	c.Env = append(append(os.Environ(), shield.Env+"="+f.cutFile(name)), p.env...)
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("fleet: %w", err)
--- a/internal/fleet/proc.go
+++ b/internal/fleet/proc.go
@@ -50,7 +50,9 @@
 	for _, n := range f.order {
 		_ = f.Wait(n, 5*time.Second)
 	}
-	f.ln.Close()
+	if f.ln != nil {
+		f.ln.Close()
+	}
 	f.Crew.Stop(5 * time.Second)
 	f.Journal.Close()
 }
