An introduction bears its sender, not the whole table

Now a first word bears its sender and what is held of whoever lived at that address, so that it can refute that; the answer is the whole table as before, and its digest brings this one's in return. Ruled out: fewer first words, which would heal short cuts more slowly.

--- a/internal/mast/mast.go
+++ b/internal/mast/mast.go
@@ -195,7 +195,7 @@
 	}
 	for _, a := range to {
 		if !here[a] {
-			out.Notes = append(out.Notes, station.Note{Addr: a, Kind: Probe, Body: m.pack(0, 0, true)})
+			out.Notes = append(out.Notes, station.Note{Addr: a, Kind: Probe, Body: m.packIntro(a)})
 		}
 	}
 }
--- a/internal/mast/note.go
+++ b/internal/mast/note.go
@@ -41,12 +41,33 @@
 		if m.fresh[x.Node]--; m.fresh[x.Node] <= 0 {
 			delete(m.fresh, x.Node)
 		}
-		h := memberHead{Node: uint64(x.Node), Inc: x.Inc, Flags: x.Flags, State: uint8(x.State), Role: uint8(x.Role)}
-		items = append(items, station.Pack(h, []byte(x.Addr), []byte(x.Web), []byte(x.Zone)))
+		items = append(items, x.pack())
 	}
+	return m.lay(seq, target, items)
+}
+
+// packIntro lays out a first word to an address: this node itself, and what whoever lived there is taken for, so that
+// it can refute that. The answer is the whole table, and the digest in it says whether this one's is due in return. The
+// whole table itself would mostly go where nobody hears it: into a cut, four times a second (docs/CAPACITY.md).
+func (m *Mast) packIntro(addr string) []byte {
+	items := [][]byte{m.all[m.Self].pack()}
+	for _, n := range m.ids() {
+		if x := m.all[n]; n != m.Self && x.Addr == addr {
+			items = append(items, x.pack())
+		}
+	}
+	return m.lay(0, 0, items)
+}
+
+func (m *Mast) lay(seq uint64, target units.Node, items [][]byte) []byte {
 	return station.Pack(probeHead{Seq: seq, News: m.News, Target: uint64(target), Sum: m.sum()}, station.PackList(items))
 }
 
+func (x *Member) pack() []byte {
+	h := memberHead{Node: uint64(x.Node), Inc: x.Inc, Flags: x.Flags, State: uint8(x.State), Role: uint8(x.Role)}
+	return station.Pack(h, []byte(x.Addr), []byte(x.Web), []byte(x.Zone))
+}
+
 // tell has a change ride on so many notes that all hear of it, as a rule; the digests find the exceptions.
 func (m *Mast) tell(n units.Node) { m.fresh[n] = bits.Len(uint(len(m.all))) + 4 }
 
