A leaving node answers what nobody has begun before its grace runs out

Streams under way end as they can. Ruled out: a needless cut earlier (readiness and flight hold the drain up).

--- a/internal/vaned/speak.go
+++ b/internal/vaned/speak.go
@@ -17,6 +17,10 @@
 // lingerFor is how long a leaving node still takes requests: clients come until its readiness has been asked twice.
 const lingerFor = 3 * time.Second
 
+// endGap is how long before the end of its grace a leaving node answers whatever still waits: a request that nobody has
+// begun to work on must not end with a cut (design 11).
+const endGap = 400 * time.Millisecond
+
 // speak has the door for clients take requests in the book's words, byte for byte.
 func (v *Vane) speak() {
 	w := v.web
--- a/internal/vaned/stream.go
+++ b/internal/vaned/stream.go
@@ -40,6 +40,7 @@
 	synop.WaitLate:  "the time left does not reach to an answer",
 	synop.NoWorker:  "no worker can be reached",
 	synop.OutOfTime: "out of time",
+	synop.Draining:  "this node is leaving",
 	synop.Budget:    "no further try is left in the budget",
 	synop.WorkerNo:  "the workers refused",
 }
--- a/internal/vaned/vane.go
+++ b/internal/vaned/vane.go
@@ -55,6 +55,7 @@
 	tag      atomic.Uint64
 	ready    atomic.Bool
 	leaving  atomic.Bool
+	ending   atomic.Bool  // the grace is nearly over: what has no answer yet gets its final one
 	static   atomic.Int64 // since when no barometer has been heard, zero while one is
 	asked    units.Time
 	began    units.Time
@@ -224,6 +225,7 @@
 		if v.flight.Load() > 0 {
 			quietSince = v.Crew.Now()
 		}
+		v.ending.Store(v.Crew.Now() > end.Add(-endGap))
 		if now := v.Crew.Now(); now > least && now.Sub(quietSince) > 300*time.Millisecond {
 			break
 		}
