--- a/internal/weatherglass/weatherglass.go
+++ b/internal/weatherglass/weatherglass.go
@@ -11,7 +11,7 @@
 // Until looks again and again until f holds.
 func Until(t testing.TB, what string, f func() bool) {
 	t.Helper()
-	end := time.After(20 * time.Second)
+	end := time.After(60 * time.Second) // only to give up on what never comes: a full machine takes its time
 	tick := time.NewTicker(5 * time.Millisecond)
 	defer tick.Stop()
 	for !f() {
--- a/internal/windtunnel/full_test.go
+++ b/internal/windtunnel/full_test.go
@@ -15,6 +15,7 @@
 // Every disk full at once: an evacuation and configurations are acknowledged from the reserve and outlive the loss of
 // all power; a leaving mark reaches every vane (TestEachTrouble); beyond the reserve a change is refused.
 func TestEveryDiskFull(t *testing.T) {
+	t.Parallel()
 	for seed := *from; seed < *from+4; seed++ {
 		w := NewWorld(Vatuloa, seed)
 		w.Run(units.Time(4 * time.Second))
@@ -54,6 +55,7 @@
 // One core machine is cut off from the others alone, so that everybody still sees it by way of the vanes: whichever it
 // is, changes and reads go on at the others.
 func TestCutOffFromTheCoreAlone(t *testing.T) {
+	t.Parallel()
 	for _, p := range []Place{Vatuloa, Council} {
 		for i := range p.Cores {
 			w := NewWorld(p, *from)
@@ -85,6 +87,7 @@
 // A storm of configurations of a thousand mappings each, with a core machine killed in it: each that is acknowledged is
 // in force in time on every vane, none slides back, and the last is read back.
 func TestStormOfLargeConfigurations(t *testing.T) {
+	t.Parallel()
 	w := NewWorld(Council, *from)
 	large := func(n int) string {
 		var b strings.Builder
--- a/internal/windtunnel/grow_loss_test.go
+++ b/internal/windtunnel/grow_loss_test.go
@@ -51,6 +51,7 @@
 // A lost disk is replaced, and its successor filled, before catch_up_s is over: then the next may be lost, and what was
 // acknowledged still stands (design 13).
 func TestReplacedInTime(t *testing.T) {
+	t.Parallel()
 	const catchUp = 4 * time.Second
 	for _, x := range []struct {
 		n, lost int
@@ -100,6 +101,7 @@
 // In the moment of an acknowledgement as many disks are lost as the core bears, while all other machines that count lose
 // power: what was acknowledged is there again, as sent.
 func TestDisksLostAfterAck(t *testing.T) {
+	t.Parallel()
 	for _, x := range []struct{ n, lost int }{{3, 1}, {4, 1}, {5, 2}, {6, 2}, {9, 4}} {
 		for seed := *from; seed < *from+12; seed++ {
 			w := grown(seed, x.n)
@@ -137,6 +139,7 @@
 // The owner freezes at any moment of a write, another writes on the same number meanwhile, and the owner wakes with all
 // answers that came: at most one of the two is acknowledged, and that one is read back.
 func TestFrozenOwnerWakes(t *testing.T) {
+	t.Parallel()
 	both := 0
 	for _, n := range []int{3, 4, 6} {
 		for seed := *from; seed < *from+30; seed++ {
--- a/internal/windtunnel/grow_test.go
+++ b/internal/windtunnel/grow_test.go
@@ -81,6 +81,7 @@
 
 // Any number of disks, whichever of the seeds count: all disks that count come to vote, and no others.
 func TestFoundedFromSeeds(t *testing.T) {
+	t.Parallel()
 	for _, x := range []struct {
 		n    int
 		lame []int
@@ -118,6 +119,7 @@
 // Processes are killed at any moment of the founding, and come back with other seeds and without being told that this is
 // the first start: one set is founded all the same, never two, and all disks that count come to vote.
 func TestKilledWhileFounding(t *testing.T) {
+	t.Parallel()
 	for _, x := range []struct {
 		n    int
 		lame []int
--- a/internal/windtunnel/notes_test.go
+++ b/internal/windtunnel/notes_test.go
@@ -12,6 +12,7 @@
 // What the system's own notes cost between zones, quiet and under load, at three sizes; a node's part must not grow
 // with the fleet (design 5).
 func TestNotesBetweenZones(t *testing.T) {
+	t.Parallel()
 	quiet := map[int]float64{}
 	sizes := []int{11, 50}
 	if *seeds > 2 { // off the CI path
--- a/internal/windtunnel/play_test.go
+++ b/internal/windtunnel/play_test.go
@@ -116,6 +116,7 @@
 
 // Power lost on the whole core in the very moment of an acknowledgement: what was acknowledged is there again, as sent.
 func TestPowerLostAfterAck(t *testing.T) {
+	t.Parallel()
 	for _, p := range []Place{Vatuloa, Council} {
 		for seed := *from; seed < *from+4; seed++ {
 			w := NewWorld(p, seed)
@@ -152,6 +153,7 @@
 
 // A vane is warned while every slot is wanted: those who take its workers over must count what it still holds.
 func TestDrainInACrowd(t *testing.T) {
+	t.Parallel()
 	for seed := *from; seed < *from+4; seed++ {
 		w := NewWorld(Vatuloa, seed)
 		w.rate = 200
--- a/internal/windtunnel/repair_test.go
+++ b/internal/windtunnel/repair_test.go
@@ -9,6 +9,7 @@
 
 // A voter that missed writes is mended though nobody writes those keys again (design 2).
 func TestRepair(t *testing.T) {
+	t.Parallel()
 	for seed := *from; seed < *from+3; seed++ {
 		w := NewWorld(Vatuloa, seed)
 		w.Run(units.Time(5 * time.Second))
