--- a/cmd/barometer/calls.go
+++ b/cmd/barometer/calls.go
@@ -10,12 +10,12 @@
 
 	"github.com/spf13/cobra"
 
-	"seamshunt/internal/telegraph"
+	"seamshunt/internal/cluster/transport"
 )
 
 // call speaks to a running barometer's operators' door.
 func call(at, method, path string, body []byte) ([]byte, string, error) {
-	code, b, num, err := telegraph.HTTP(method, at, path, body, nil, 10*time.Second)
+	code, b, num, err := transport.HTTP(method, at, path, body, nil, 10*time.Second)
 	if err != nil {
 		return nil, "", fmt.Errorf("%s: %w", at, err)
 	}
--- a/cmd/barometer/main.go
+++ b/cmd/barometer/main.go
@@ -4,23 +4,23 @@
 import (
 	"os"
 
-	"seamshunt/internal/barod"
 	"seamshunt/internal/boot"
 	"seamshunt/internal/console"
+	"seamshunt/internal/control/controller"
 	"seamshunt/platform"
 )
 
 func main() {
 	const name = "barometer"
-	dump := func(d console.Daemon) { d.(*barod.Barometer).Book.Dump() }
+	dump := func(d console.Daemon) { d.(*controller.Controller).Book.Dump() }
 	root := console.Root(name, "the control plane: state on disk, operators, the platform, news")
 	root.AddCommand(
-		console.Run(name, func(b *boot.Boot) (console.Daemon, error) { return barod.New(b, nil) }, dump),
+		console.Run(name, func(b *boot.Boot) (console.Daemon, error) { return controller.New(b, nil) }, dump),
 		console.Serve(func() (*boot.Boot, error) { return platform.Boot(os.Getenv(platform.SettingsEnv), name) },
 			func(b *boot.Boot) (console.Daemon, error) {
-				return barod.New(b, platform.New(os.Getenv(platform.SettingsEnv), name))
+				return controller.New(b, platform.New(os.Getenv(platform.SettingsEnv), name))
 			},
-			func(d console.Daemon, b *boot.Boot) { d.(*barod.Barometer).Again(b) }, dump),
+			func(d console.Daemon, b *boot.Boot) { d.(*controller.Controller).Again(b) }, dump),
 		console.Check(name, &console.Look{Flag: "settings", What: "a settings file", At: func(path string) error {
 			_, err := platform.Boot(path, name)
 			return err
--- a/cmd/barometer/verify.go
+++ b/cmd/barometer/verify.go
@@ -9,7 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"seamshunt/internal/console"
-	"seamshunt/internal/heliograph"
+	"seamshunt/internal/control/changelog"
 )
 
 // verifyCmd checks a data folder's audit record.
@@ -33,7 +33,7 @@
 				return err
 			}
 		}
-		n, err := heliograph.Verify(dir, strings.TrimSpace(string(k)), old)
+		n, err := changelog.Verify(dir, strings.TrimSpace(string(k)), old)
 		if err != nil {
 			return fmt.Errorf("%w: %w", console.ErrPromise, err)
 		}
--- a/cmd/gale/play.go
+++ b/cmd/gale/play.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
+	"seamshunt/internal/cluster/transport"
 	"seamshunt/internal/fleet"
-	"seamshunt/internal/telegraph"
 	"seamshunt/platform"
 	"seamshunt/platform/standin"
 )
@@ -129,7 +129,7 @@
 func (p *play) look() {
 	m := map[string][]string{}
 	for _, x := range p.place.Machines {
-		if code, _, _, err := telegraph.HTTP("GET", x.Ready(), "/readiness", nil, nil, 300*time.Millisecond); err == nil && code == 200 {
+		if code, _, _, err := transport.HTTP("GET", x.Ready(), "/readiness", nil, nil, 300*time.Millisecond); err == nil && code == 200 {
 			m[x.Zone] = append(m[x.Zone], x.Front())
 		}
 	}
--- a/internal/bulletin/beat_test.go
+++ b/internal/cluster/configpush/beat_test.go
@@ -1,23 +1,23 @@
-package bulletin
+package configpush
 
 import (
 	"testing"
 	"time"
 
-	"seamshunt/internal/mast"
+	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/units"
 )
 
 // Whose digest differs is asked, unless it was told before this node's own news last changed.
 func TestBehind(t *testing.T) {
 	b, now := New(1), units.Time(time.Hour)
-	member := func(news uint64, heard units.Time) []mast.Member {
-		return []mast.Member{{Node: 1}, {Node: 2, News: news, Heard: heard}}
+	member := func(news uint64, heard units.Time) []membership.Member {
+		return []membership.Member{{Node: 1}, {Node: 2, News: news, Heard: heard}}
 	}
-	asked := func(all []mast.Member) int {
+	asked := func(all []membership.Member) int {
 		t.Helper()
 		k := 0
-		for _, n := range b.Beat(now, all, 1).Notes {
+		for _, n := range b.Beat(now, all, 1).Messages {
 			if n.Kind == Pull {
 				k++
 			}
--- a/internal/bulletin/confirm.go
+++ b/internal/cluster/configpush/confirm.go
@@ -1,10 +1,10 @@
-package bulletin
+package configpush
 
 import (
 	"time"
 
-	"seamshunt/internal/mast"
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -16,7 +16,7 @@
 
 // Confirm says whether a starting or woken node may serve: a majority of the voters have vouched that nothing newer
 // than its news stands or, with the core away, a majority of the serving neighbours have. Until then it asks (design 4).
-func (b *Bulletin) Confirm(now units.Time, all []mast.Member, self units.Node, voters []units.Node, began units.Time) (ok bool, out station.Out) {
+func (b *Feed) Confirm(now units.Time, all []membership.Member, self units.Node, voters []units.Node, began units.Time) (ok bool, out message.Effects) {
 	core, peers := Neighbours(all, self)
 	ok = len(voters) > 0 && b.confirmed(voters)
 	if !ok && len(core) == 0 && now.Sub(began) > alone && len(peers) > 0 {
@@ -32,13 +32,13 @@
 }
 
 // Neighbours lists the live barometers, and the live vanes that serve.
-func Neighbours(all []mast.Member, self units.Node) (core, peers []units.Node) {
+func Neighbours(all []membership.Member, self units.Node) (core, peers []units.Node) {
 	for _, m := range all {
 		switch {
-		case m.State > mast.Suspect || m.Node == self:
-		case m.Role == mast.Barometer:
+		case m.State > membership.Suspect || m.Node == self:
+		case m.Role == membership.Controller:
 			core = append(core, m.Node)
-		case m.Flags&mast.Ready != 0:
+		case m.Flags&membership.Ready != 0:
 			peers = append(peers, m.Node)
 		}
 	}
@@ -46,7 +46,7 @@
 }
 
 // confirmed says whether a majority of voters have vouched and nothing they hold is newer than the news here.
-func (b *Bulletin) confirmed(voters []units.Node) bool {
+func (b *Feed) confirmed(voters []units.Node) bool {
 	k := 0
 	for _, n := range voters {
 		m, ok := b.Vouch[n]
@@ -65,10 +65,10 @@
 
 // Beat pushes on what is on its way, and asks neighbours whose digest differs for what is lacking (design 4). A digest
 // that was told before this node's own news last changed says nothing: who told it has, as a rule, changed as well.
-func (b *Bulletin) Beat(now units.Time, all []mast.Member, self units.Node) station.Out {
+func (b *Feed) Beat(now units.Time, all []membership.Member, self units.Node) message.Effects {
 	var live []units.Node
 	for _, m := range all {
-		if m.State <= mast.Suspect && m.Node != self {
+		if m.State <= membership.Suspect && m.Node != self {
 			live = append(live, m.Node)
 		}
 	}
@@ -77,7 +77,7 @@
 		b.seen, b.moved = b.Sum, now
 	}
 	for _, m := range all {
-		if m.State == mast.Alive && m.Node != self && m.News != 0 && m.News != b.Sum && m.Heard > b.moved && now.Sub(m.Heard) < freshFor {
+		if m.State == membership.Alive && m.Node != self && m.News != 0 && m.News != b.Sum && m.Heard > b.moved && now.Sub(m.Heard) < freshFor {
 			out.Join(b.Behind(now, m.Node))
 		}
 	}
--- a/internal/bulletin/bulletin.go
+++ b/internal/cluster/configpush/feed.go
@@ -1,19 +1,19 @@
-// Package bulletin brings numbered news to every node and counts acknowledgements (design 4).
-package bulletin
+// Package configpush brings numbered news to every node and counts acknowledgements (design 4).
+package configpush
 
 import (
 	"cmp"
 	"slices"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
 // The notes of news.
 const (
-	Push = station.Bulletin + iota
-	Ackn
+	Push = message.KindConfigPush + iota
+	Ack
 	Pull
 	Vouch
 	Vouched
@@ -40,7 +40,7 @@
 }
 
 // Bulletin is the step machine of both programs.
-type Bulletin struct {
+type Feed struct {
 	Items      map[string]*Item
 	Sum        uint64
 	Fresh      []Item                              // what changed since the daemon last looked
@@ -57,13 +57,13 @@
 }
 
 // New gives an empty one.
-func New(self units.Node) *Bulletin {
-	return &Bulletin{me: self.String(), Items: map[string]*Item{}, Acks: map[string]map[units.Node]units.Num{}, asked: map[units.Node]units.Time{},
+func New(self units.Node) *Feed {
+	return &Feed{me: self.String(), Items: map[string]*Item{}, Acks: map[string]map[units.Node]units.Num{}, asked: map[units.Node]units.Time{},
 		out: map[string]*pushed{}, Vouch: map[units.Node]map[string]units.Num{}}
 }
 
 // Take sets a key's news if it is newer; it never goes back.
-func (b *Bulletin) Take(it Item) bool {
+func (b *Feed) Take(it Item) bool {
 	old := b.Items[it.Key]
 	if old != nil && old.Num >= it.Num {
 		return false
@@ -78,7 +78,7 @@
 }
 
 // Spread takes a chosen value and begins to push it to the nodes given.
-func (b *Bulletin) Spread(now units.Time, it Item, to []units.Node) (out station.Out) {
+func (b *Feed) Spread(now units.Time, it Item, to []units.Node) (out message.Effects) {
 	b.Take(it)
 	p := &pushed{need: map[units.Node]bool{}, num: it.Num, sent: now}
 	for _, n := range to {
@@ -90,19 +90,19 @@
 }
 
 func pack(it Item) []byte {
-	return station.Pack(newsHead{uint64(it.Num)}, []byte(it.Key), it.Data)
+	return message.Pack(newsHead{uint64(it.Num)}, []byte(it.Key), it.Data)
 }
 
 // Tick pushes again to those that have not acknowledged and still live, and to newcomers.
-func (b *Bulletin) Tick(now units.Time, live []units.Node) (out station.Out) {
-	for _, key := range station.Keys(b.out) {
+func (b *Feed) Tick(now units.Time, live []units.Node) (out message.Effects) {
+	for _, key := range message.Keys(b.out) {
 		p := b.out[key]
 		it := b.Items[key]
 		if now.Sub(p.sent) < again || it == nil || it.Num != p.num {
 			continue
 		}
 		p.sent = now
-		for _, n := range station.Keys(p.need) {
+		for _, n := range message.Keys(p.need) {
 			if slices.Contains(live, n) {
 				out.Send(n, Push, pack(*it))
 			} else {
@@ -119,7 +119,7 @@
 
 // relay tells a few others by number what came newly, so that they ask for what they lack: news goes round cuts that
 // part its pusher from some. The few are drawn by hash, so that every node draws others.
-func (b *Bulletin) relay(live []units.Node, out *station.Out) {
+func (b *Feed) relay(live []units.Node, out *message.Effects) {
 	if !b.told {
 		return
 	}
@@ -135,7 +135,7 @@
 }
 
 // Behind is told that a neighbour's digest differs: the two exchange what each lacks.
-func (b *Bulletin) Behind(now units.Time, from units.Node) (out station.Out) {
+func (b *Feed) Behind(now units.Time, from units.Node) (out message.Effects) {
 	if t, ok := b.asked[from]; ok && now.Sub(t) < again {
 		return out
 	}
@@ -144,7 +144,7 @@
 	return out
 }
 
-func (b *Bulletin) nums() map[string]units.Num {
+func (b *Feed) nums() map[string]units.Num {
 	m := map[string]units.Num{}
 	for k, x := range b.Items {
 		m[k] = x.Num
@@ -152,22 +152,22 @@
 	return m
 }
 
-func (b *Bulletin) packNums(m map[string]units.Num) []byte {
+func (b *Feed) packNums(m map[string]units.Num) []byte {
 	var l [][]byte
-	for _, k := range station.Keys(m) {
-		l = append(l, station.Pack(newsHead{uint64(m[k])}, []byte(k)))
+	for _, k := range message.Keys(m) {
+		l = append(l, message.Pack(newsHead{uint64(m[k])}, []byte(k)))
 	}
-	return station.PackList(l)
+	return message.PackList(l)
 }
 
 func unpackNums(body []byte) (map[string]units.Num, error) {
-	l, err := station.UnpackList(body)
+	l, err := message.UnpackList(body)
 	m := map[string]units.Num{}
 	for _, t := range l {
 		var h newsHead
 		var k []byte
 		if err == nil {
-			err = station.Unpack(t, &h, &k)
+			err = message.Unpack(t, &h, &k)
 		}
 		m[string(k)] = units.Num(h.Num)
 	}
@@ -175,18 +175,18 @@
 }
 
 // Step takes one note.
-func (b *Bulletin) Step(now units.Time, n station.Note) (out station.Out) {
+func (b *Feed) Step(now units.Time, n message.Message) (out message.Effects) {
 	var h newsHead
 	var key, data []byte
 	var err error
 	switch n.Kind {
 	case Push:
-		if err = station.Unpack(n.Body, &h, &key, &data); err == nil {
+		if err = message.Unpack(n.Body, &h, &key, &data); err == nil {
 			b.told = b.Take(Item{Key: string(key), Num: units.Num(h.Num), Data: data}) || b.told
-			out.Send(n.From, Ackn, station.Pack(h, key))
+			out.Send(n.From, Ack, message.Pack(h, key))
 		}
-	case Ackn:
-		if err = station.Unpack(n.Body, &h, &key); err == nil {
+	case Ack:
+		if err = message.Unpack(n.Body, &h, &key); err == nil {
 			b.acked(n.From, string(key), units.Num(h.Num))
 		}
 	case Pull:
@@ -201,7 +201,7 @@
 				m[k] = max(m[k], x)
 			}
 		}
-		out.Later(n.From, Vouched, b.packNums(m))
+		out.SendAfterSync(n.From, Vouched, b.packNums(m))
 	case Vouched:
 		var m map[string]units.Num
 		if m, err = unpackNums(n.Body); err == nil {
@@ -212,7 +212,7 @@
 	return out
 }
 
-func (b *Bulletin) acked(from units.Node, key string, num units.Num) {
+func (b *Feed) acked(from units.Node, key string, num units.Num) {
 	m := b.Acks[key]
 	if m == nil {
 		m = map[units.Node]units.Num{}
@@ -225,8 +225,8 @@
 }
 
 // pulled sends what the neighbour lacks, and asks back when it is ahead.
-func (b *Bulletin) pulled(now units.Time, from units.Node, theirs map[string]units.Num, out *station.Out) {
-	for _, k := range station.Keys(b.Items) {
+func (b *Feed) pulled(now units.Time, from units.Node, theirs map[string]units.Num, out *message.Effects) {
+	for _, k := range message.Keys(b.Items) {
 		it := b.Items[k]
 		if theirs[k] < it.Num {
 			out.Send(from, Push, pack(*it))
--- a/internal/nephoscope/cold_test.go
+++ b/internal/cluster/discovery/cold_test.go
@@ -1,4 +1,4 @@
-package nephoscope
+package discovery
 
 import (
 	"testing"
@@ -67,7 +67,7 @@
 func TestTurnSleeps(t *testing.T) {
 	const gap = 500 * time.Millisecond
 	for _, share := range []float64{1, 0.5, 1.0 / 3, 0} {
-		turn := Turn{}
+		turn := Schedule{}
 		now := units.Time(gap)
 		asked, woke := 0, 0
 		for now < units.Time(100*time.Second) {
--- a/internal/nephoscope/nephoscope.go
+++ b/internal/cluster/discovery/discovery.go
@@ -1,6 +1,6 @@
-// Package nephoscope holds what the platform was seen to list: one sighting per pool and asker, no disk, no
+// Package discovery holds what the platform was seen to list: one sighting per pool and asker, no disk, no
 // majority (design 5).
-package nephoscope
+package discovery
 
 import (
 	"cmp"
@@ -11,8 +11,8 @@
 
 	"github.com/valyala/fastjson"
 
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/forecast"
-	"seamshunt/internal/station"
 	"seamshunt/internal/units"
 )
 
@@ -34,7 +34,7 @@
 }
 
 // Nephoscope merges the sightings.
-type Nephoscope struct {
+type Catalog struct {
 	pools map[string]map[string]*sighting
 	start map[string]units.Time // when each worker began, on this process's clock
 	life  map[string]uint64
@@ -42,15 +42,15 @@
 }
 
 // New has seen nothing.
-func New() *Nephoscope {
-	return &Nephoscope{pools: map[string]map[string]*sighting{}, start: map[string]units.Time{}, life: map[string]uint64{}, cold: map[string]units.Time{}}
+func New() *Catalog {
+	return &Catalog{pools: map[string]map[string]*sighting{}, start: map[string]units.Time{}, life: map[string]uint64{}, cold: map[string]units.Time{}}
 }
 
 // Key names an asker's sightings of a pool in the news.
 func Key(pool string, asker units.Node) string { return Prefix + pool + "/" + asker.String() }
 
 // Take takes a sighting from the news, and gives the pool that it is of.
-func (n *Nephoscope) Take(now units.Time, key string, num units.Num, data []byte) (string, error) {
+func (n *Catalog) Take(now units.Time, key string, num units.Num, data []byte) (string, error) {
 	pool, asker, _ := strings.Cut(strings.TrimPrefix(key, Prefix), "/")
 	l, err := forecast.ReadWorkers(data)
 	if err != nil {
@@ -82,9 +82,9 @@
 
 // List merges what stands: sightings that no later one replaced. Where two can't be ordered, a worker that either
 // marks as leaving is leaving, and one that either lists is listed.
-func (n *Nephoscope) List(pool string) []forecast.Worker {
+func (n *Catalog) List(pool string) []forecast.Worker {
 	by, got := n.pools[pool], map[string]forecast.Worker{}
-	for _, a := range station.Keys(by) {
+	for _, a := range message.Keys(by) {
 		s, old := by[a], false
 		for b, t := range by {
 			old = old || b != a && t.knew[a] >= s.num && !(s.knew[b] >= t.num)
@@ -105,17 +105,17 @@
 		}
 	}
 	l := make([]forecast.Worker, 0, len(got))
-	for _, id := range station.Keys(got) {
+	for _, id := range message.Keys(got) {
 		l = append(l, got[id])
 	}
 	return l
 }
 
 // Start says when each worker began, as far as is known.
-func (n *Nephoscope) Start() map[string]units.Time { return n.start }
+func (n *Catalog) Start() map[string]units.Time { return n.start }
 
 // Ask is one question to the platform: its number, and what its asker had heard of before.
-type Ask struct {
+type Query struct {
 	Pool  string
 	Num   units.Num
 	Began units.Time
@@ -124,8 +124,8 @@
 
 // Ask begins a question. Wall is the asker's calendar in milliseconds; a number also goes past every one that the
 // asker is known to have given, so a wrong calendar costs nothing.
-func (n *Nephoscope) Ask(now units.Time, pool string, self units.Node, wall int64) Ask {
-	a := Ask{Pool: pool, Num: units.Num(max(1, wall)), Began: now, knew: map[string]units.Num{}}
+func (n *Catalog) Ask(now units.Time, pool string, self units.Node, wall int64) Query {
+	a := Query{Pool: pool, Num: units.Num(max(1, wall)), Began: now, knew: map[string]units.Num{}}
 	for k, s := range n.pools[pool] {
 		a.knew[k] = s.num
 		if k == self.String() {
@@ -136,7 +136,7 @@
 }
 
 // Heard takes the platform's answer and gives the news that it makes; nothing when it says what is known already.
-func (n *Nephoscope) Heard(a Ask, l []forecast.Worker) ([]byte, bool) {
+func (n *Catalog) Heard(a Query, l []forecast.Worker) ([]byte, bool) {
 	l = slices.Clone(l)
 	slices.SortFunc(l, func(x, y forecast.Worker) int { return cmp.Compare(x.ID, y.ID) })
 	known := map[string]forecast.Worker{}
@@ -158,7 +158,7 @@
 	}
 	var r fastjson.Arena
 	v, knew := forecast.WorkersValue(&r, l), r.NewObject()
-	for _, k := range station.Keys(a.knew) {
+	for _, k := range message.Keys(a.knew) {
 		knew.Set(k, r.NewNumberString(fmt.Sprint(uint64(a.knew[k]))))
 	}
 	v.Set("knew", knew)
@@ -167,7 +167,7 @@
 
 // younger says whether a worker that is known looks as if it had been started again, or had turned cold again. Lists that
 // name a worker's service tell how much longer it is cold, others how old it is (design 13).
-func (n *Nephoscope) younger(now units.Time, w *forecast.Worker) bool {
+func (n *Catalog) younger(now units.Time, w *forecast.Worker) bool {
 	if w.Service != "" {
 		return w.Cold > 0 && now.Add(w.Cold).Sub(n.cold[w.ID]) > coldSlack
 	}
@@ -176,13 +176,13 @@
 
 // Turn paces one node's questions: a node may ask for its share of the fleet's rate, and shares never add up to
 // more than the whole (design 5).
-type Turn struct {
+type Schedule struct {
 	credit time.Duration
 	last   units.Time
 }
 
 // Due says whether a question may go out now; gap is the fleet's least gap between two.
-func (t *Turn) Due(now units.Time, share float64, gap time.Duration) bool {
+func (t *Schedule) Due(now units.Time, share float64, gap time.Duration) bool {
 	since := min(now.Sub(t.last), gap)
 	t.last = now
 	t.credit = min(gap, t.credit+time.Duration(share*float64(since)))
@@ -194,7 +194,7 @@
 }
 
 // Next says how long nothing can be due if the share stays as it is. Time is credited a gap at a time at the most.
-func (t *Turn) Next(now units.Time, share float64, gap time.Duration) time.Duration {
+func (t *Schedule) Next(now units.Time, share float64, gap time.Duration) time.Duration {
 	need := gap
 	if share > 0 {
 		need = min(gap, time.Duration(float64(gap-t.credit)/share))
--- a/internal/nephoscope/nephoscope_test.go
+++ b/internal/cluster/discovery/discovery_test.go
@@ -1,4 +1,4 @@
-package nephoscope
+package discovery
 
 import (
 	"fmt"
@@ -47,12 +47,12 @@
 // was heard, until a list whose asker knew of it takes it back.
 func TestOrdersOfSightings(t *testing.T) {
 	a, b := New(), New()
-	hear := func(n *Nephoscope, s told) {
+	hear := func(n *Catalog, s told) {
 		if _, err := n.Take(0, s.key, s.num, s.data); err != nil {
 			t.Fatal(err)
 		}
 	}
-	tell := func(n *Nephoscope, self units.Node, wall int64, l []forecast.Worker) told {
+	tell := func(n *Catalog, self units.Node, wall int64, l []forecast.Worker) told {
 		q := n.Ask(0, "main", self, wall)
 		data, news := n.Heard(q, l)
 		if !news {
@@ -103,7 +103,7 @@
 			t.Errorf("at %d s news %v", sec, news)
 		}
 		if news {
-			for i, x := range []*Nephoscope{n, v} {
+			for i, x := range []*Catalog{n, v} {
 				// The other hears of it four seconds late.
 				if _, err := x.Take(at(sec+4*i), Key("main", 1), q.Num, data); err != nil {
 					t.Fatal(err)
--- a/internal/mast/intro_test.go
+++ b/internal/cluster/membership/intro_test.go
@@ -1,10 +1,10 @@
-package mast
+package membership
 
 import (
 	"testing"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -12,7 +12,7 @@
 // whole table; and two sides of a cut, each of which gave the other up, still come to know all within a few seconds.
 func TestIntroductionsHealACut(t *testing.T) {
 	const n = 12
-	ms, at, now := map[units.Node]*Mast{}, map[string]units.Node{}, units.Time(1e10)
+	ms, at, now := map[units.Node]*Gossip{}, map[string]units.Node{}, units.Time(1e10)
 	var ids []units.Node
 	for i := units.Node(1); i <= n; i++ {
 		ids = append(ids, i)
@@ -34,9 +34,9 @@
 	}
 	now = now.Add(time.Minute)
 	intros, most := 0, 0
-	var deliver func(from units.Node, out station.Out)
-	deliver = func(from units.Node, out station.Out) {
-		for _, x := range out.Notes {
+	var deliver func(from units.Node, out message.Effects)
+	deliver = func(from units.Node, out message.Effects) {
+		for _, x := range out.Messages {
 			x.From = from
 			if x.Addr != "" {
 				x.To = at[x.Addr]
@@ -57,7 +57,7 @@
 		}
 		left = false
 		for _, m := range ms {
-			left = left || len(m.Live(Vane)) != n
+			left = left || len(m.Live(Router)) != n
 		}
 	}
 	if intros == 0 || most > 2 {
--- a/internal/mast/mast.go
+++ b/internal/cluster/membership/membership.go
@@ -1,12 +1,12 @@
-// Package mast is membership: probes in turn, second opinions, suspicion before removal (design 5).
-package mast
+// Package membership is membership: probes in turn, second opinions, suspicion before removal (design 5).
+package membership
 
 import (
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -26,8 +26,8 @@
 
 // The two programs.
 const (
-	Vane Role = 1 + iota
-	Barometer
+	Router Role = 1 + iota
+	Controller
 )
 
 // Flags a member says of itself.
@@ -74,7 +74,7 @@
 }
 
 // Mast is the step machine.
-type Mast struct {
+type Gossip struct {
 	Self    units.Node
 	News    uint64
 	all     map[units.Node]*Member
@@ -98,8 +98,8 @@
 }
 
 // New starts with oneself and the seeds.
-func New(self Member, seeds []string, rng *rand.Rand) *Mast {
-	m := &Mast{Self: self.Node, all: map[units.Node]*Member{}, seeds: seeds, rng: rng, relay: map[uint64]relay{}, fresh: map[units.Node]int{}}
+func New(self Member, seeds []string, rng *rand.Rand) *Gossip {
+	m := &Gossip{Self: self.Node, all: map[units.Node]*Member{}, seeds: seeds, rng: rng, relay: map[uint64]relay{}, fresh: map[units.Node]int{}}
 	m.all[self.Node] = &self
 	m.at = -units.Time(round)
 	m.intro = -units.Time(introAt)
@@ -107,10 +107,10 @@
 }
 
 // Seeds names other processes to talk to from now on.
-func (m *Mast) Seeds(l []string) { m.seeds = slices.Clone(l) }
+func (m *Gossip) Seeds(l []string) { m.seeds = slices.Clone(l) }
 
 // Flag sets or clears what this node says of itself.
-func (m *Mast) Flag(f uint16, on bool) {
+func (m *Gossip) Flag(f uint16, on bool) {
 	s := m.all[m.Self]
 	old := s.Flags
 	if on {
@@ -125,7 +125,7 @@
 }
 
 // Get finds a member.
-func (m *Mast) Get(n units.Node) (Member, bool) {
+func (m *Gossip) Get(n units.Node) (Member, bool) {
 	x, ok := m.all[n]
 	if !ok {
 		return Member{}, false
@@ -134,7 +134,7 @@
 }
 
 // Tick moves the probing on.
-func (m *Mast) Tick(now units.Time) (out station.Out) {
+func (m *Gossip) Tick(now units.Time) (out message.Effects) {
 	if m.open != 0 && !m.asked && now.Sub(m.at) >= askAt {
 		m.asked = true
 		for _, x := range m.pick(3, m.open) {
@@ -175,7 +175,7 @@
 }
 
 // introduce talks to seeds nobody lives at, and to one node given up on, so that cuts heal.
-func (m *Mast) introduce(out *station.Out) {
+func (m *Gossip) introduce(out *message.Effects) {
 	here := map[string]bool{}
 	var gone []string
 	for _, x := range m.all {
@@ -195,13 +195,13 @@
 	}
 	for _, a := range to {
 		if !here[a] {
-			out.Notes = append(out.Notes, station.Note{Addr: a, Kind: Probe, Body: m.packIntro(a)})
+			out.Messages = append(out.Messages, message.Message{Addr: a, Kind: Probe, Body: m.packIntro(a)})
 		}
 	}
 }
 
 // turn gives the next neighbour of a shuffled round.
-func (m *Mast) turn() units.Node {
+func (m *Gossip) turn() units.Node {
 	for range 2 {
 		for len(m.ring) > 0 {
 			n := m.ring[0]
@@ -216,7 +216,7 @@
 	return 0
 }
 
-func (m *Mast) others(but units.Node) []units.Node {
+func (m *Gossip) others(but units.Node) []units.Node {
 	var l []units.Node
 	for n, x := range m.all {
 		if n != m.Self && n != but && x.State <= Suspect {
@@ -227,13 +227,13 @@
 	return l
 }
 
-func (m *Mast) pick(k int, but units.Node) []units.Node {
+func (m *Gossip) pick(k int, but units.Node) []units.Node {
 	l := m.others(but)
 	m.rng.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
 	return l[:min(k, len(l))]
 }
 
-func (m *Mast) set(x *Member, s State, now units.Time) {
+func (m *Gossip) set(x *Member, s State, now units.Time) {
 	x.State, x.since = s, now
 	m.changed()
 	m.tell(x.Node)
--- a/internal/mast/mast_test.go
+++ b/internal/cluster/membership/membership_test.go
@@ -1,19 +1,19 @@
-package mast
+package membership
 
 import (
 	"math/rand/v2"
 	"testing"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
 func member(n units.Node) Member {
-	return Member{Node: n, Inc: 1, Role: Vane, Addr: "a" + n.String(), Zone: "z"}
+	return Member{Node: n, Inc: 1, Role: Router, Addr: "a" + n.String(), Zone: "z"}
 }
 
-func grown(self units.Node, others ...units.Node) *Mast {
+func grown(self units.Node, others ...units.Node) *Gossip {
 	m := New(member(self), nil, rand.New(rand.NewPCG(1, uint64(self))))
 	for _, n := range others {
 		x := member(n)
@@ -42,8 +42,8 @@
 	now := units.Time(1e10)
 	for i := range units.Node(3) {
 		fresh := New(member(20+i), nil, rand.New(rand.NewPCG(1, 9)))
-		out := a.Step(now, station.Note{From: 20 + i, Kind: Probe, Body: fresh.pack(0, 0, true)})
-		if n := count(out.Notes[0].Body); n != 6+int(i) {
+		out := a.Step(now, message.Message{From: 20 + i, Kind: Probe, Body: fresh.pack(0, 0, true)})
+		if n := count(out.Messages[0].Body); n != 6+int(i) {
 			t.Errorf("newcomer %d hears of %d members", i, n)
 		}
 	}
@@ -53,8 +53,8 @@
 	b := grown(2, 1, 3) // knows less
 	for i, want := range []bool{true, false, true} {
 		at := now.Add(5*time.Second + time.Duration(i)*600*time.Millisecond)
-		out := a.Step(at, station.Note{From: 2, Kind: Probe, Body: b.pack(7, 0, false)})
-		if got := count(out.Notes[0].Body) > 2; got != want {
+		out := a.Step(at, message.Message{From: 2, Kind: Probe, Body: b.pack(7, 0, false)})
+		if got := count(out.Messages[0].Body) > 2; got != want {
 			t.Errorf("answer %d is whole: %v", i, got)
 		}
 	}
@@ -77,7 +77,7 @@
 	m := New(Member{Node: 1, Addr: "a"}, []string{"s"}, rand.New(rand.NewPCG(1, 1)))
 	count := func(from, to time.Duration) (n int) {
 		for at := from; at < to; at += 50 * time.Millisecond {
-			for _, x := range m.Tick(units.Time(at)).Notes {
+			for _, x := range m.Tick(units.Time(at)).Messages {
 				if x.Addr == "s" {
 					n++
 				}
--- a/internal/mast/note.go
+++ b/internal/cluster/membership/messages.go
@@ -1,15 +1,15 @@
-package mast
+package membership
 
 import (
 	"math/bits"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
 // The notes of membership (design 5).
 const (
-	Probe = station.Mast + iota
+	Probe = message.KindMembership + iota
 	Ack
 	Second
 	SecondAck
@@ -31,7 +31,7 @@
 }
 
 // pack lays out what the neighbour should hear: this node itself and what changed lately, or the whole table.
-func (m *Mast) pack(seq uint64, target units.Node, whole bool) []byte {
+func (m *Gossip) pack(seq uint64, target units.Node, whole bool) []byte {
 	var items [][]byte
 	for _, n := range m.ids() {
 		x := m.all[n]
@@ -49,7 +49,7 @@
 // packIntro lays out a first word to an address: this node itself, and what whoever lived there is taken for, so that
 // it can refute that. The answer is the whole table, and the digest in it says whether this one's is due in return. The
 // whole table itself would mostly go where nobody hears it: into a cut, four times a second (docs/CAPACITY.md).
-func (m *Mast) packIntro(addr string) []byte {
+func (m *Gossip) packIntro(addr string) []byte {
 	items := [][]byte{m.all[m.Self].pack()}
 	for _, n := range m.ids() {
 		if x := m.all[n]; n != m.Self && x.Addr == addr {
@@ -59,20 +59,20 @@
 	return m.lay(0, 0, items)
 }
 
-func (m *Mast) lay(seq uint64, target units.Node, items [][]byte) []byte {
-	return station.Pack(probeHead{Seq: seq, News: m.News, Target: uint64(target), Sum: m.sum()}, station.PackList(items))
+func (m *Gossip) lay(seq uint64, target units.Node, items [][]byte) []byte {
+	return message.Pack(probeHead{Seq: seq, News: m.News, Target: uint64(target), Sum: m.sum()}, message.PackList(items))
 }
 
 func (x *Member) pack() []byte {
 	h := memberHead{Node: uint64(x.Node), Inc: x.Inc, Flags: x.Flags, State: uint8(x.State), Role: uint8(x.Role)}
-	return station.Pack(h, []byte(x.Addr), []byte(x.Web), []byte(x.Zone))
+	return message.Pack(h, []byte(x.Addr), []byte(x.Web), []byte(x.Zone))
 }
 
 // tell has a change ride on so many notes that all hear of it, as a rule; the digests find the exceptions.
-func (m *Mast) tell(n units.Node) { m.fresh[n] = bits.Len(uint(len(m.all))) + 4 }
+func (m *Gossip) tell(n units.Node) { m.fresh[n] = bits.Len(uint(len(m.all))) + 4 }
 
 // differs says whether the whole table is due, since the neighbour's digest is another: at most once in wholeGap.
-func (m *Mast) differs(now units.Time, sum uint64) bool {
+func (m *Gossip) differs(now units.Time, sum uint64) bool {
 	if sum == m.sum() || now.Sub(m.wholeAt) < wholeGap {
 		return false
 	}
@@ -83,10 +83,10 @@
 func unpack(b []byte) (probeHead, []Member, error) {
 	var h probeHead
 	var list []byte
-	if err := station.Unpack(b, &h, &list); err != nil {
+	if err := message.Unpack(b, &h, &list); err != nil {
 		return h, nil, err
 	}
-	items, err := station.UnpackList(list)
+	items, err := message.UnpackList(list)
 	if err != nil {
 		return h, nil, err
 	}
@@ -94,7 +94,7 @@
 	for _, t := range items {
 		var mh memberHead
 		var addr, web, zone []byte
-		if err := station.Unpack(t, &mh, &addr, &web, &zone); err != nil {
+		if err := message.Unpack(t, &mh, &addr, &web, &zone); err != nil {
 			return h, nil, err
 		}
 		ms = append(ms, Member{Node: units.Node(mh.Node), Inc: mh.Inc, Flags: mh.Flags, State: State(mh.State),
--- a/internal/mast/step.go
+++ b/internal/cluster/membership/step.go
@@ -1,12 +1,12 @@
-package mast
+package membership
 
 import (
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
 // Step takes one note.
-func (m *Mast) Step(now units.Time, n station.Note) (out station.Out) {
+func (m *Gossip) Step(now units.Time, n message.Message) (out message.Effects) {
 	h, list, err := unpack(n.Body)
 	if err != nil {
 		out.Fail(err)
@@ -41,7 +41,7 @@
 	return out
 }
 
-func (m *Mast) acked(now units.Time, from units.Node, seq uint64, out *station.Out) {
+func (m *Gossip) acked(now units.Time, from units.Node, seq uint64, out *message.Effects) {
 	if r, ok := m.relay[seq]; ok {
 		delete(m.relay, seq)
 		out.Send(r.to, SecondAck, m.pack(r.seq, from, false))
@@ -53,14 +53,14 @@
 }
 
 // hold takes back one's own suspicion after word from the node itself or from a witness.
-func (m *Mast) hold(now units.Time, n units.Node) {
+func (m *Gossip) hold(now units.Time, n units.Node) {
 	if x := m.all[n]; x != nil && x.State == Suspect {
 		m.set(x, Alive, now)
 	}
 }
 
 // merge takes another's view of one member: higher incarnation first, then the graver state.
-func (m *Mast) merge(now units.Time, y *Member) {
+func (m *Gossip) merge(now units.Time, y *Member) {
 	if y.Node == m.Self {
 		s := m.all[m.Self]
 		if y.Inc > s.Inc || y.Inc == s.Inc && y.State > s.State {
@@ -95,7 +95,7 @@
 
 // Refused takes evidence that nobody listens at addr: whoever lived there has ended, even where membership
 // had given it up before for its silence (design 6).
-func (m *Mast) Refused(now units.Time, addr string) []units.Node {
+func (m *Gossip) Refused(now units.Time, addr string) []units.Node {
 	var l []units.Node
 	for _, x := range m.All() {
 		if x.Addr != addr || x.Node == m.Self || x.State == Left {
@@ -110,7 +110,7 @@
 }
 
 // Leave says goodbye to everybody.
-func (m *Mast) Leave() (out station.Out) {
+func (m *Gossip) Leave() (out message.Effects) {
 	s := m.all[m.Self]
 	s.Inc++
 	s.State = Left
--- a/internal/mast/table.go
+++ b/internal/cluster/membership/table.go
@@ -1,34 +1,34 @@
-package mast
+package membership
 
 import (
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
 // changed is told of every change of what the digest is of, or of who there is: both are worked out anew when asked
 // for next. At 400 nodes a daemon asks for the table some 170 times a second (docs/CAPACITY.md).
-func (m *Mast) changed() { m.kept, m.summed, m.ver = nil, false, m.ver+1 }
+func (m *Gossip) changed() { m.kept, m.summed, m.ver = nil, false, m.ver+1 }
 
 // Version is another one whenever a member came, went or changed what it says of itself, its news apart.
-func (m *Mast) Version() uint64 { return m.ver }
+func (m *Gossip) Version() uint64 { return m.ver }
 
 // Asking says whether a probe has waited for its answer for longer than usual.
-func (m *Mast) Asking(now units.Time) bool { return m.open != 0 && now > m.at }
+func (m *Gossip) Asking(now units.Time) bool { return m.open != 0 && now > m.at }
 
 // heard is told that only a member's news was told anew, which the digest is not of.
-func (m *Mast) heard() { m.kept = nil }
+func (m *Gossip) heard() { m.kept = nil }
 
 // ids gives all nodes in order.
-func (m *Mast) ids() []units.Node {
+func (m *Gossip) ids() []units.Node {
 	if m.order == nil {
-		m.order = station.Keys(m.all)
+		m.order = message.Keys(m.all)
 	}
 	return m.order
 }
 
 // All lists every member that isn't forgotten, in order of id. The list is the same one till something changes: it
 // is never written to again, neither here nor by who asked.
-func (m *Mast) All() []Member {
+func (m *Gossip) All() []Member {
 	if m.kept == nil {
 		m.kept = make([]Member, 0, len(m.all))
 		for _, n := range m.ids() {
@@ -39,7 +39,7 @@
 }
 
 // Live lists the members of a role that are alive or only suspected.
-func (m *Mast) Live(r Role) (l []Member) {
+func (m *Gossip) Live(r Role) (l []Member) {
 	for _, n := range m.ids() {
 		if x := m.all[n]; x.Role == r && x.State <= Suspect {
 			l = append(l, *x)
@@ -49,7 +49,7 @@
 }
 
 // sum is a digest of the live members. Those that are gone are left out: each node forgets them at its own time.
-func (m *Mast) sum() uint64 {
+func (m *Gossip) sum() uint64 {
 	if !m.summed {
 		m.digest, m.summed = 0, true
 		for n, x := range m.all {
--- a/internal/mast/table_test.go
+++ b/internal/cluster/membership/table_test.go
@@ -1,4 +1,4 @@
-package mast
+package membership
 
 import (
 	"math/rand/v2"
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -14,17 +14,17 @@
 // that was given out never changes any more.
 func TestKeptIsTrue(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
-	ms, now := map[units.Node]*Mast{}, units.Time(1e9)
+	ms, now := map[units.Node]*Gossip{}, units.Time(1e9)
 	for n := units.Node(1); n <= 9; n++ {
 		ms[n] = New(member(n), []string{"a" + units.Node(1).String()}, rand.New(rand.NewPCG(1, uint64(n))))
 	}
 	type given struct{ list, copy []Member }
 	var old []given
-	check := func(m *Mast) {
+	check := func(m *Gossip) {
 		t.Helper()
 		want := uint64(0)
 		l := make([]Member, 0, len(m.all))
-		for _, n := range station.Keys(m.all) {
+		for _, n := range message.Keys(m.all) {
 			if x := m.all[n]; x.State <= Suspect {
 				want += units.Mix(n.String(), units.Hex(x.Inc))
 			}
@@ -39,9 +39,9 @@
 		}
 		old = append(old, given{all, slices.Clone(all)})
 	}
-	var wire []station.Note
-	send := func(from units.Node, out station.Out) {
-		for _, x := range out.Notes {
+	var wire []message.Message
+	send := func(from units.Node, out message.Effects) {
+		for _, x := range out.Messages {
 			x.From = from
 			if x.Addr != "" {
 				x.To = 1
--- a/internal/mast/version_test.go
+++ b/internal/cluster/membership/version_test.go
@@ -1,11 +1,11 @@
-package mast
+package membership
 
 import (
 	"math/rand/v2"
 	"testing"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -15,10 +15,10 @@
 	a := New(member(1), []string{"a" + units.Node(2).String()}, rand.New(rand.NewPCG(1, 1)))
 	b := New(member(2), nil, rand.New(rand.NewPCG(1, 2)))
 	v := a.Version()
-	hello := func(m *Mast, to *Mast) {
-		for _, n := range m.Tick(now).Notes {
+	hello := func(m *Gossip, to *Gossip) {
+		for _, n := range m.Tick(now).Messages {
 			n.From = m.Self
-			for _, r := range to.Step(now, n).Notes {
+			for _, r := range to.Step(now, n).Messages {
 				r.From = to.Self
 				m.Step(now, r)
 			}
@@ -39,17 +39,17 @@
 		t.Error("news and answers alone changed the version")
 	}
 	now = now.Add(round)
-	var sent []station.Note
+	var sent []message.Message
 	for len(sent) == 0 {
 		now = now.Add(50 * time.Millisecond)
-		sent = a.Tick(now).Notes
+		sent = a.Tick(now).Messages
 	}
 	if a.Asking(now) || !a.Asking(now.Add(50*time.Millisecond)) {
 		t.Error("a probe is under way once it has waited")
 	}
 	b.Flag(Draining, true)
 	sent[0].From = a.Self
-	for _, r := range b.Step(now, sent[0]).Notes {
+	for _, r := range b.Step(now, sent[0]).Messages {
 		r.From = b.Self
 		a.Step(now, r)
 	}
--- a/internal/station/station.go
+++ b/internal/cluster/message/message.go
@@ -1,5 +1,5 @@
-// Package station is what all step machines share: notes, disk records and what a step gives out (design 1).
-package station
+// Package message is what all step machines share: notes, disk records and what a step gives out (design 1).
+package message
 
 import (
 	"cmp"
@@ -15,18 +15,18 @@
 
 // First kind of each package's range.
 const (
-	Hello     Kind = 1
-	Mast      Kind = 16
-	Barograph Kind = 32
-	Bulletin  Kind = 48
-	Ballot    Kind = 64
-	Gauge     Kind = 80
-	Claim     Kind = 96
-	Isobar    Kind = 112
+	KindHello       Kind = 1
+	KindMembership  Kind = 16
+	KindRegister    Kind = 32
+	KindConfigPush  Kind = 48
+	KindLease       Kind = 64
+	KindCapacity    Kind = 80
+	KindClaim       Kind = 96
+	KindAntiEntropy Kind = 112
 )
 
 // Note is one message between two processes. Addr is set only for a first word to a seed.
-type Note struct {
+type Message struct {
 	From, To units.Node
 	Addr     string
 	Kind     Kind
@@ -41,35 +41,35 @@
 }
 
 // Out collects what one step gives out. After leaves only once Writes and all earlier ones are synced.
-type Out struct {
-	Notes  []Note
-	Writes []Record
-	After  []Note
-	Errs   []error
+type Effects struct {
+	Messages  []Message
+	Writes    []Record
+	AfterSync []Message
+	Errs      []error
 }
 
 // Send adds a note that may leave at once.
-func (o *Out) Send(to units.Node, k Kind, b []byte) {
-	o.Notes = append(o.Notes, Note{To: to, Kind: k, Body: b})
+func (o *Effects) Send(to units.Node, k Kind, b []byte) {
+	o.Messages = append(o.Messages, Message{To: to, Kind: k, Body: b})
 }
 
 // Later adds a note that waits for the disk.
-func (o *Out) Later(to units.Node, k Kind, b []byte) {
-	o.After = append(o.After, Note{To: to, Kind: k, Body: b})
+func (o *Effects) SendAfterSync(to units.Node, k Kind, b []byte) {
+	o.AfterSync = append(o.AfterSync, Message{To: to, Kind: k, Body: b})
 }
 
 // Fail collects an error; nil is passed over.
-func (o *Out) Fail(err error) {
+func (o *Effects) Fail(err error) {
 	if err != nil {
 		o.Errs = append(o.Errs, err)
 	}
 }
 
 // Join adds all of p behind o.
-func (o *Out) Join(p Out) {
-	o.Notes = append(o.Notes, p.Notes...)
+func (o *Effects) Join(p Effects) {
+	o.Messages = append(o.Messages, p.Messages...)
 	o.Writes = append(o.Writes, p.Writes...)
-	o.After = append(o.After, p.After...)
+	o.AfterSync = append(o.AfterSync, p.AfterSync...)
 	o.Errs = append(o.Errs, p.Errs...)
 }
 
@@ -77,7 +77,7 @@
 func Pack(head any, tails ...[]byte) []byte {
 	b, err := binary.Append(nil, binary.LittleEndian, head)
 	if err != nil {
-		panic(fmt.Errorf("station: not a fixed struct: %w", err))
+		panic(fmt.Errorf("message: not a fixed struct: %w", err))
 	}
 	for _, t := range tails {
 		b = binary.LittleEndian.AppendUint32(b, uint32(len(t)))
@@ -90,22 +90,22 @@
 func Unpack(b []byte, head any, tails ...*[]byte) error {
 	n, err := binary.Decode(b, binary.LittleEndian, head)
 	if err != nil {
-		return fmt.Errorf("station: short note: %w", err)
+		return fmt.Errorf("message: short note: %w", err)
 	}
 	b = b[n:]
 	for _, t := range tails {
 		if len(b) < 4 {
-			return fmt.Errorf("station: tail length missing")
+			return fmt.Errorf("message: tail length missing")
 		}
 		n := binary.LittleEndian.Uint32(b)
 		b = b[4:]
 		if uint64(n) > uint64(len(b)) {
-			return fmt.Errorf("station: tail of %d bytes in %d", n, len(b))
+			return fmt.Errorf("message: tail of %d bytes in %d", n, len(b))
 		}
 		*t, b = b[:n:n], b[n:]
 	}
 	if len(b) != 0 {
-		return fmt.Errorf("station: %d bytes too many", len(b))
+		return fmt.Errorf("message: %d bytes too many", len(b))
 	}
 	return nil
 }
@@ -125,12 +125,12 @@
 	var items [][]byte
 	for len(b) > 0 {
 		if len(b) < 4 {
-			return nil, fmt.Errorf("station: list cut short")
+			return nil, fmt.Errorf("message: list cut short")
 		}
 		n := binary.LittleEndian.Uint32(b)
 		b = b[4:]
 		if uint64(n) > uint64(len(b)) {
-			return nil, fmt.Errorf("station: item of %d bytes in %d", n, len(b))
+			return nil, fmt.Errorf("message: item of %d bytes in %d", n, len(b))
 		}
 		items = append(items, b[:n:n])
 		b = b[n:]
--- a/internal/telegraph/frame.go
+++ b/internal/cluster/transport/frame.go
@@ -1,5 +1,5 @@
-// Package telegraph carries notes between the system's own processes over gnet (design 1, 4).
-package telegraph
+// Package transport carries notes between the system's own processes over gnet (design 1, 4).
+package transport
 
 import (
 	"bytes"
@@ -8,7 +8,7 @@
 
 	"github.com/klauspost/compress/s2"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -33,7 +33,7 @@
 
 const headLen = 24
 
-func frame(n station.Note) []byte {
+func frame(n message.Message) []byte {
 	h := head{Len: uint32(len(n.Body)), Mark: mark, Kind: uint16(n.Kind), From: uint64(n.From), To: uint64(n.To)}
 	body := n.Body
 	if len(body) >= packFrom {
@@ -48,27 +48,27 @@
 func readHead(b []byte) (head, error) {
 	var h head
 	if _, err := binary.Decode(b, binary.LittleEndian, &h); err != nil {
-		return h, fmt.Errorf("telegraph: %w", err)
+		return h, fmt.Errorf("transport: %w", err)
 	}
 	if h.Mark != mark && h.Mark != packed {
-		return h, fmt.Errorf("telegraph: bad mark %#x", h.Mark)
+		return h, fmt.Errorf("transport: bad mark %#x", h.Mark)
 	}
 	if h.Len > MaxBody {
-		return h, fmt.Errorf("telegraph: frame of %d bytes", h.Len)
+		return h, fmt.Errorf("transport: frame of %d bytes", h.Len)
 	}
 	return h, nil
 }
 
 // note makes a note of a frame, whose bytes are not kept.
-func (h head) note(body []byte) (station.Note, error) {
-	n := station.Note{From: units.Node(h.From), To: units.Node(h.To), Kind: station.Kind(h.Kind)}
+func (h head) note(body []byte) (message.Message, error) {
+	n := message.Message{From: units.Node(h.From), To: units.Node(h.To), Kind: message.Kind(h.Kind)}
 	if h.Mark != packed {
 		n.Body = bytes.Clone(body)
 		return n, nil
 	}
 	size, err := s2.DecodedLen(body)
 	if err == nil && size > MaxBody {
-		err = fmt.Errorf("telegraph: a body of %d bytes", size)
+		err = fmt.Errorf("transport: a body of %d bytes", size)
 	}
 	if err == nil {
 		n.Body, err = s2.Decode(nil, body)
--- a/internal/telegraph/link.go
+++ b/internal/cluster/transport/link.go
@@ -1,4 +1,4 @@
-package telegraph
+package transport
 
 import (
 	"errors"
--- a/internal/telegraph/link_test.go
+++ b/internal/cluster/transport/link_test.go
@@ -1,4 +1,4 @@
-package telegraph
+package transport
 
 import (
 	"encoding/binary"
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 )
 
-// listen gives an address where the wires of a telegraph end, one after the other.
+// listen gives an address where the wires of a transport end, one after the other.
 func listen(t *testing.T) (string, chan net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -56,10 +56,10 @@
 // More than a wire holds while its reader does not read: all comes, whole and in order, whether its sender or the loop
 // wrote it; and afterwards the sender writes by itself again.
 func TestSlowReader(t *testing.T) {
-	x := pair(t, func(station.Note) {})
+	x := pair(t, func(message.Message) {})
 	addr, got := listen(t)
 	x.Learn(2, addr)
-	x.Send(station.Note{To: 2, Kind: 77, Body: make([]byte, 4)})
+	x.Send(message.Message{To: 2, Kind: 77, Body: make([]byte, 4)})
 	c := <-got
 	defer c.Close()
 	read(t, c)
@@ -73,7 +73,7 @@
 	}
 	const many = 400
 	for i := range many {
-		x.Send(station.Note{To: 2, Kind: 77, Body: body(i)})
+		x.Send(message.Message{To: 2, Kind: 77, Body: body(i)})
 	}
 	x.mu.Lock()
 	l := x.wires[addr].link
@@ -90,7 +90,7 @@
 		}
 	}
 	for i := 0; slow; i++ { // each note that the loop finds nothing before sets it right
-		x.Send(station.Note{To: 2, Kind: 77, Body: make([]byte, 8)})
+		x.Send(message.Message{To: 2, Kind: 77, Body: make([]byte, 8)})
 		read(t, c)
 		l.mu.Lock()
 		slow = l.slow && i < 1000
@@ -103,13 +103,13 @@
 
 // A wire that the neighbour closed is dialled anew, and nothing is written to a descriptor that is no longer its own.
 func TestClosedWireIsDialledAnew(t *testing.T) {
-	x := pair(t, func(station.Note) {})
+	x := pair(t, func(message.Message) {})
 	addr, got := listen(t)
 	x.Learn(2, addr)
 	for i := range 5 {
 		var c net.Conn
 		for c == nil { // what is sent before the end is noticed is lost, as on any net
-			x.Send(station.Note{To: 2, Kind: 77, Body: []byte{byte(i)}})
+			x.Send(message.Message{To: 2, Kind: 77, Body: []byte{byte(i)}})
 			select {
 			case c = <-got:
 			case <-time.After(time.Millisecond):
--- a/internal/telegraph/packed_test.go
+++ b/internal/cluster/transport/packed_test.go
@@ -1,4 +1,4 @@
-package telegraph
+package transport
 
 import (
 	"bytes"
@@ -9,7 +9,7 @@
 
 	"github.com/klauspost/compress/s2"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 )
 
 // A long body that repeats itself goes packed and comes whole; a short one, or one that does not repeat, goes as it is.
@@ -29,7 +29,7 @@
 		"noise":   {noise, false},
 		"workers": {[]byte(strings.Repeat(worker, 65)), true},
 	} {
-		b := frame(station.Note{From: 9, To: 1, Kind: 77, Body: x.body})
+		b := frame(message.Message{From: 9, To: 1, Kind: 77, Body: x.body})
 		h, err := readHead(b[:headLen])
 		if err != nil || int(h.Len) != len(b)-headLen {
 			t.Fatalf("%s: %v, %d of %d bytes", name, err, h.Len, len(b))
@@ -46,18 +46,18 @@
 
 // A packed body that can't be unpacked, or is larger than any note, is counted and dropped; its wire goes on.
 func TestBadPacked(t *testing.T) {
-	got := make(chan station.Note, 16)
-	x := pair(t, func(n station.Note) { got <- n })
+	got := make(chan message.Message, 16)
+	x := pair(t, func(n message.Message) { got <- n })
 	c, err := net.Dial("tcp", x.addrs[1])
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
-	good := frame(station.Note{From: 9, To: 1, Kind: 77, Body: bytes.Repeat([]byte("ab"), 500)})
+	good := frame(message.Message{From: 9, To: 1, Kind: 77, Body: bytes.Repeat([]byte("ab"), 500)})
 	broken := bytes.Clone(good)
 	broken[len(broken)-1] ^= 0xff
 	broken[headLen+3] ^= 0x55
-	large := frame(station.Note{From: 9, To: 1, Kind: 77, Body: make([]byte, MaxBody+1)})
+	large := frame(message.Message{From: 9, To: 1, Kind: 77, Body: make([]byte, MaxBody+1)})
 	if _, err := c.Write(bytes.Join([][]byte{broken, large, good}, nil)); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/telegraph/telegraph.go
+++ b/internal/cluster/transport/transport.go
@@ -1,4 +1,4 @@
-package telegraph
+package transport
 
 import (
 	"context"
@@ -12,9 +12,9 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/panjf2000/gnet/v2/pkg/logging"
 
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/crew"
 	"seamshunt/internal/shield"
-	"seamshunt/internal/station"
 	"seamshunt/internal/units"
 )
 
@@ -38,11 +38,11 @@
 )
 
 // Telegraph holds a process's wires.
-type Telegraph struct {
+type Transport struct {
 	gnet.BuiltinEventEngine
 	Self    units.Node
 	crew    *crew.Crew
-	take    func(station.Note)
+	take    func(message.Message)
 	refused func(addr string)
 	eng     gnet.Engine
 	cli     *gnet.Client
@@ -57,7 +57,7 @@
 
 type outSide struct {
 	gnet.BuiltinEventEngine
-	t *Telegraph
+	t *Transport
 }
 
 // quiet keeps gnet's own log out of the process's.
@@ -72,15 +72,15 @@
 var _ logging.Logger = quiet{}
 
 // Open listens on addr and gives notes to take, which must not block.
-func Open(self units.Node, addr string, c *crew.Crew, take func(station.Note), refused func(string)) (*Telegraph, error) {
-	t := &Telegraph{Self: self, crew: c, take: take, refused: refused, up: make(chan error, 2),
+func Open(self units.Node, addr string, c *crew.Crew, take func(message.Message), refused func(string)) (*Transport, error) {
+	t := &Transport{Self: self, crew: c, take: take, refused: refused, up: make(chan error, 2),
 		wires: map[string]*wire{}, addrs: map[units.Node]string{}}
 	cli, err := gnet.NewClient(&outSide{t: t}, gnet.WithLogger(quiet{}), gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
 	if err != nil {
-		return nil, fmt.Errorf("telegraph: %w", err)
+		return nil, fmt.Errorf("transport: %w", err)
 	}
 	if err := cli.Start(); err != nil {
-		return nil, fmt.Errorf("telegraph: %w", err)
+		return nil, fmt.Errorf("transport: %w", err)
 	}
 	t.cli = cli
 	c.Go(func() {
@@ -88,20 +88,20 @@
 		t.up <- err
 	})
 	if err := <-t.up; err != nil {
-		return nil, fmt.Errorf("telegraph: listen on %s: %w", addr, err)
+		return nil, fmt.Errorf("transport: listen on %s: %w", addr, err)
 	}
 	return t, nil
 }
 
 // OnBoot tells Open that the listener stands.
-func (t *Telegraph) OnBoot(eng gnet.Engine) gnet.Action {
+func (t *Transport) OnBoot(eng gnet.Engine) gnet.Action {
 	t.eng = eng
 	t.up <- nil
 	return gnet.None
 }
 
 // OnTraffic takes whole frames off a neighbour's wire; a bad one closes it.
-func (t *Telegraph) OnTraffic(c gnet.Conn) gnet.Action {
+func (t *Transport) OnTraffic(c gnet.Conn) gnet.Action {
 	for c.InboundBuffered() >= headLen {
 		b, err := c.Peek(headLen)
 		if err != nil {
@@ -152,14 +152,14 @@
 }
 
 // Learn notes where a node can be reached.
-func (t *Telegraph) Learn(n units.Node, addr string) {
+func (t *Transport) Learn(n units.Node, addr string) {
 	t.mu.Lock()
 	t.addrs[n] = addr
 	t.mu.Unlock()
 }
 
 // Send puts a note on its wire, dialling when there is none; what can't be sent is lost, as on any net.
-func (t *Telegraph) Send(n station.Note) {
+func (t *Transport) Send(n message.Message) {
 	n.From = t.Self
 	if n.To == t.Self {
 		t.take(n)
@@ -205,7 +205,7 @@
 	}
 }
 
-func (t *Telegraph) dial(addr string, w *wire) {
+func (t *Transport) dial(addr string, w *wire) {
 	nc, err := shield.Dial(addr, dialFor)
 	l := &link{}
 	if err == nil {
@@ -234,7 +234,7 @@
 }
 
 // Close ends all wires.
-func (t *Telegraph) Close() {
+func (t *Transport) Close() {
 	_ = t.cli.Stop()
 	done := t.eng
 	_ = done.Stop(context.Background())
--- a/internal/telegraph/telegraph_test.go
+++ b/internal/cluster/transport/transport_test.go
@@ -1,4 +1,4 @@
-package telegraph
+package transport
 
 import (
 	"bytes"
@@ -10,12 +10,12 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/crew"
 	"seamshunt/internal/standin"
-	"seamshunt/internal/station"
 )
 
-func pair(t *testing.T, take func(station.Note)) *Telegraph {
+func pair(t *testing.T, take func(message.Message)) *Transport {
 	t.Helper()
 	addr, err := standin.FreeAddr()
 	if err != nil {
@@ -33,10 +33,10 @@
 
 // Bad frames close their wire and are counted; the process lives, and good wires go on (design 1).
 func TestBadFrames(t *testing.T) {
-	got := make(chan station.Note, 16)
-	x := pair(t, func(n station.Note) { got <- n })
+	got := make(chan message.Message, 16)
+	x := pair(t, func(n message.Message) { got <- n })
 	addr := x.addrs[1]
-	good := frame(station.Note{From: 9, To: 1, Kind: 77, Body: []byte("hello")})
+	good := frame(message.Message{From: 9, To: 1, Kind: 77, Body: []byte("hello")})
 	huge := append([]byte(nil), good...)
 	huge[3] = 0xff
 	mark := append([]byte(nil), good...)
@@ -70,7 +70,7 @@
 			t.Fatal(err)
 		}
 	}
-	other := frame(station.Note{From: 9, To: 2, Kind: 78})
+	other := frame(message.Message{From: 9, To: 2, Kind: 78})
 	if _, err := c.Write(append(append(append([]byte(nil), other...), good...), good...)); err != nil {
 		t.Fatal(err)
 	}
@@ -87,10 +87,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	x := pair(t, func(station.Note) {})
+	x := pair(t, func(message.Message) {})
 	said := make(chan string, 1)
 	x.refused = func(a string) { said <- a }
-	x.Send(station.Note{Addr: free, Kind: 77})
+	x.Send(message.Message{Addr: free, Kind: 77})
 	select {
 	case a := <-said:
 		if a != free {
@@ -107,16 +107,16 @@
 		A uint64
 		B uint16
 	}
-	f.Add(station.Pack(h{1, 2}, []byte("x"), []byte("yy")))
+	f.Add(message.Pack(h{1, 2}, []byte("x"), []byte("yy")))
 	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var x h
 		var p, q []byte
-		if station.Unpack(b, &x, &p, &q) == nil {
-			if again := station.Pack(x, p, q); !bytes.Equal(again, b) {
+		if message.Unpack(b, &x, &p, &q) == nil {
+			if again := message.Pack(x, p, q); !bytes.Equal(again, b) {
 				t.Errorf("%v packs to other bytes", fmt.Sprint(x, p, q))
 			}
 		}
-		_, _ = station.UnpackList(b)
+		_, _ = message.UnpackList(b)
 	})
 }
--- a/internal/isobar/isobar.go
+++ b/internal/control/antientropy/antientropy.go
@@ -1,20 +1,20 @@
-// Package isobar compares copies of the control state by digests over ranges, and has them mended from the newer
+// Package antientropy compares copies of the control state by digests over ranges, and has them mended from the newer
 // (design 2).
-package isobar
+package antientropy
 
 import (
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"seamshunt/internal/barograph"
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/units"
 )
 
 // The notes of repair. Mending itself is the owner's last Accept once more, so a voter's promises guard it.
 const (
-	Digests = station.Isobar + iota
+	Digests = message.KindAntiEntropy + iota
 	Ranges
 )
 
@@ -34,7 +34,7 @@
 type keyHead struct{ N, By, Seq uint64 }
 
 // Isobar is the step machine.
-type Isobar struct {
+type Syncer struct {
 	self   units.Node
 	rng    *rand.Rand
 	next   units.Time
@@ -42,40 +42,40 @@
 }
 
 // New gives one that begins after a random part of the gap.
-func New(self units.Node, now units.Time, rng *rand.Rand) *Isobar {
-	return &Isobar{self: self, rng: rng, next: now.Add(time.Duration(rng.Int64N(int64(Gap))))}
+func New(self units.Node, now units.Time, rng *rand.Rand) *Syncer {
+	return &Syncer{self: self, rng: rng, next: now.Add(time.Duration(rng.Int64N(int64(Gap))))}
 }
 
 func part(key string) int { return int(units.Mix(key) % Parts) }
 
-func sums(slots map[string]*barograph.Slot) (d digests) {
-	for _, k := range station.Keys(slots) {
+func sums(slots map[string]*register.State) (d digests) {
+	for _, k := range message.Keys(slots) {
 		s := slots[k]
-		d.Sum[part(k)] += units.Mix(k, units.Hex(s.Acc.N), s.Acc.By.String(), units.Hex(s.Seq))
+		d.Sum[part(k)] += units.Mix(k, units.Hex(s.Accepted.N), s.Accepted.By.String(), units.Hex(s.Seq))
 	}
 	return d
 }
 
 // Tick compares with one other voter, a random one each time. Who has no vote holds no copy: it would be told of every
 // key again and again.
-func (i *Isobar) Tick(now units.Time, voters []units.Node, slots map[string]*barograph.Slot) (out station.Out) {
+func (i *Syncer) Tick(now units.Time, voters []units.Node, slots map[string]*register.State) (out message.Effects) {
 	if now < i.next || len(voters) < 2 || !slices.Contains(voters, i.self) {
 		return out
 	}
 	i.next = now.Add(Gap)
 	n := voters[i.rng.IntN(len(voters))]
 	if n != i.self {
-		out.Send(n, Digests, station.Pack(sums(slots)))
+		out.Send(n, Digests, message.Pack(sums(slots)))
 	}
 	return out
 }
 
 // Step takes one note; mend sends a key's accepted value to another voter.
-func (i *Isobar) Step(n station.Note, slots map[string]*barograph.Slot, mend func(to units.Node, key string) station.Out) (out station.Out) {
+func (i *Syncer) Step(n message.Message, slots map[string]*register.State, mend func(to units.Node, key string) message.Effects) (out message.Effects) {
 	switch n.Kind {
 	case Digests:
 		var d digests
-		if err := station.Unpack(n.Body, &d); err != nil {
+		if err := message.Unpack(n.Body, &d); err != nil {
 			out.Fail(err)
 			return out
 		}
@@ -94,24 +94,24 @@
 	return out
 }
 
-func list(h rangeHead, slots map[string]*barograph.Slot) []byte {
+func list(h rangeHead, slots map[string]*register.State) []byte {
 	var l [][]byte
-	for _, k := range station.Keys(slots) {
+	for _, k := range message.Keys(slots) {
 		if s := slots[k]; h.Mask>>part(k)&1 == 1 {
-			l = append(l, station.Pack(keyHead{s.Acc.N, uint64(s.Acc.By), s.Seq}, []byte(k)))
+			l = append(l, message.Pack(keyHead{s.Accepted.N, uint64(s.Accepted.By), s.Seq}, []byte(k)))
 		}
 	}
-	return station.Pack(h, station.PackList(l))
+	return message.Pack(h, message.PackList(l))
 }
 
 // ranges mends what is older there, and shows its own part back when something is older here.
-func (i *Isobar) ranges(n station.Note, slots map[string]*barograph.Slot, mend func(units.Node, string) station.Out, out *station.Out) error {
+func (i *Syncer) ranges(n message.Message, slots map[string]*register.State, mend func(units.Node, string) message.Effects, out *message.Effects) error {
 	var h rangeHead
 	var b []byte
-	if err := station.Unpack(n.Body, &h, &b); err != nil {
+	if err := message.Unpack(n.Body, &h, &b); err != nil {
 		return err
 	}
-	l, err := station.UnpackList(b)
+	l, err := message.UnpackList(b)
 	if err != nil {
 		return err
 	}
@@ -119,13 +119,13 @@
 	for _, t := range l {
 		var x keyHead
 		var k []byte
-		if err := station.Unpack(t, &x, &k); err != nil {
+		if err := message.Unpack(t, &x, &k); err != nil {
 			return err
 		}
 		theirs[string(k)] = x
 	}
 	behind := false
-	for _, k := range station.Keys(slots) {
+	for _, k := range message.Keys(slots) {
 		s := slots[k]
 		if h.Mask>>part(k)&1 == 0 {
 			continue
@@ -147,12 +147,12 @@
 	return nil
 }
 
-func order(s *barograph.Slot, x keyHead) int {
+func order(s *register.State, x keyHead) int {
 	e := units.Epoch{N: x.N, By: units.Node(x.By)}
 	switch {
-	case e.Less(s.Acc) || e == s.Acc && s.Seq > x.Seq:
+	case e.Less(s.Accepted) || e == s.Accepted && s.Seq > x.Seq:
 		return 1
-	case s.Acc.Less(e) || e == s.Acc && s.Seq < x.Seq:
+	case s.Accepted.Less(e) || e == s.Accepted && s.Seq < x.Seq:
 		return -1
 	}
 	return 0
--- a/internal/isobar/isobar_test.go
+++ b/internal/control/antientropy/antientropy_test.go
@@ -1,11 +1,11 @@
-package isobar
+package antientropy
 
 import (
 	"math/rand/v2"
 	"testing"
 	"time"
 
-	"seamshunt/internal/barograph"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/units"
 )
 
@@ -15,7 +15,7 @@
 	count := func(self units.Node) (n int) {
 		i := New(self, 0, rand.New(rand.NewPCG(1, 1)))
 		for s := range 60 {
-			n += len(i.Tick(units.Time(s)*units.Time(time.Second), voters, map[string]*barograph.Slot{}).Notes)
+			n += len(i.Tick(units.Time(s)*units.Time(time.Second), voters, map[string]*register.State{}).Messages)
 		}
 		return n
 	}
--- a/internal/heliograph/heliograph.go
+++ b/internal/control/changelog/changelog.go
@@ -1,6 +1,6 @@
-// Package heliograph records the operators' changes that this node acknowledged as a Merkle log with signed
+// Package changelog records the operators' changes that this node acknowledged as a Merkle log with signed
 // checkpoints, in the published tlog-checkpoint and signed-note formats (design 10).
-package heliograph
+package changelog
 
 import (
 	"bufio"
@@ -24,7 +24,7 @@
 )
 
 // Leaf is one acknowledged change.
-type Leaf struct {
+type Entry struct {
 	Unix   int64  `json:"unix"`
 	Key    string `json:"key"`
 	Number uint64 `json:"number"`
@@ -49,7 +49,7 @@
 	var l []tlog.Hash
 	for _, i := range at {
 		if i < 0 || i >= int64(len(*h)) {
-			return nil, fmt.Errorf("heliograph: no hash %d", i)
+			return nil, fmt.Errorf("changelog: no hash %d", i)
 		}
 		l = append(l, (*h)[i])
 	}
@@ -74,7 +74,7 @@
 		return nil, err
 	}
 	if l.f, err = os.OpenFile(filepath.Join(dir, leaves), os.O_CREATE|os.O_RDWR, 0o644); err != nil {
-		return nil, fmt.Errorf("heliograph: %w", err)
+		return nil, fmt.Errorf("changelog: %w", err)
 	}
 	size, n, tree, err := read(l.f)
 	if err != nil {
@@ -82,10 +82,10 @@
 	}
 	l.n, l.tree = n, tree
 	if err := l.f.Truncate(size); err != nil {
-		return nil, fmt.Errorf("heliograph: %w", err)
+		return nil, fmt.Errorf("changelog: %w", err)
 	}
 	if _, err := l.f.Seek(size, 0); err != nil {
-		return nil, fmt.Errorf("heliograph: %w", err)
+		return nil, fmt.Errorf("changelog: %w", err)
 	}
 	return l, nil
 }
@@ -99,7 +99,7 @@
 			return size, n, tree, nil
 		}
 		if err := tree.add(n, bytes.TrimSuffix(line, []byte("\n"))); err != nil {
-			return 0, 0, nil, fmt.Errorf("heliograph: %w", err)
+			return 0, 0, nil, fmt.Errorf("changelog: %w", err)
 		}
 		size += int64(len(line))
 		n++
@@ -107,31 +107,31 @@
 }
 
 // Add records a change, syncs it, and signs a new checkpoint.
-func (l *Log) Add(x Leaf) error {
+func (l *Log) Add(x Entry) error {
 	b, err := json.Marshal(x)
 	if err != nil {
-		return fmt.Errorf("heliograph: %w", err)
+		return fmt.Errorf("changelog: %w", err)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, err := l.f.Write(append(b, '\n')); err != nil {
-		return fmt.Errorf("heliograph: %w", err)
+		return fmt.Errorf("changelog: %w", err)
 	}
 	if err := l.f.Sync(); err != nil {
-		return fmt.Errorf("heliograph: %w", err)
+		return fmt.Errorf("changelog: %w", err)
 	}
 	if err := l.tree.add(l.n, b); err != nil {
-		return fmt.Errorf("heliograph: %w", err)
+		return fmt.Errorf("changelog: %w", err)
 	}
 	l.n++
 	root, err := tlog.TreeHash(l.n, &l.tree)
 	if err != nil {
-		return fmt.Errorf("heliograph: %w", err)
+		return fmt.Errorf("changelog: %w", err)
 	}
 	// The body of a checkpoint: origin, size, root hash, each on a line.
 	signed, err := note.Sign(&note.Note{Text: fmt.Sprintf("%s\n%d\n%s\n", l.signer.Name(), l.n, root)}, l.signer)
 	if err != nil {
-		return fmt.Errorf("heliograph: %w", err)
+		return fmt.Errorf("changelog: %w", err)
 	}
 	return write(l.dir, checkpoint, signed, 0o644)
 }
@@ -144,11 +144,11 @@
 func Verify(dir, vkey string, older []byte) (int64, error) {
 	v, err := note.NewVerifier(vkey)
 	if err != nil {
-		return 0, fmt.Errorf("heliograph: the verifier key: %w", err)
+		return 0, fmt.Errorf("changelog: the verifier key: %w", err)
 	}
 	b, err := os.ReadFile(filepath.Join(dir, checkpoint))
 	if err != nil {
-		return 0, fmt.Errorf("heliograph: %w", err)
+		return 0, fmt.Errorf("changelog: %w", err)
 	}
 	size, root, err := parse(b, v)
 	if err != nil {
@@ -156,7 +156,7 @@
 	}
 	f, err := os.Open(filepath.Join(dir, leaves))
 	if err != nil {
-		return 0, fmt.Errorf("heliograph: %w", err)
+		return 0, fmt.Errorf("changelog: %w", err)
 	}
 	defer f.Close()
 	_, n, tree, err := read(f)
@@ -164,12 +164,12 @@
 		return 0, err
 	}
 	if n < size {
-		return 0, fmt.Errorf("heliograph: %d entries, signed were %d", n, size)
+		return 0, fmt.Errorf("changelog: %d entries, signed were %d", n, size)
 	}
 	check := func(size int64, root tlog.Hash, what string) error {
 		h, err := tlog.TreeHash(size, &tree)
 		if err != nil || h != root {
-			return fmt.Errorf("heliograph: the first %d entries are not those that %s signs", size, what)
+			return fmt.Errorf("changelog: the first %d entries are not those that %s signs", size, what)
 		}
 		return nil
 	}
@@ -184,7 +184,7 @@
 		return 0, err
 	}
 	if was > size {
-		return 0, fmt.Errorf("heliograph: the older checkpoint signs %d entries, now there are %d", was, size)
+		return 0, fmt.Errorf("changelog: the older checkpoint signs %d entries, now there are %d", was, size)
 	}
 	return size, check(was, oldRoot, "the older checkpoint")
 }
@@ -192,16 +192,16 @@
 func parse(b []byte, v note.Verifier) (int64, tlog.Hash, error) {
 	x, err := note.Open(b, note.VerifierList(v))
 	if err != nil {
-		return 0, tlog.Hash{}, fmt.Errorf("heliograph: the checkpoint's signature: %w", err)
+		return 0, tlog.Hash{}, fmt.Errorf("changelog: the checkpoint's signature: %w", err)
 	}
 	var origin, hash string
 	var size int64
 	if _, err := fmt.Sscanf(x.Text, "%s\n%d\n%s\n", &origin, &size, &hash); err != nil || origin != v.Name() {
-		return 0, tlog.Hash{}, fmt.Errorf("heliograph: not a checkpoint of %s", v.Name())
+		return 0, tlog.Hash{}, fmt.Errorf("changelog: not a checkpoint of %s", v.Name())
 	}
 	h, err := tlog.ParseHash(hash)
 	if err != nil {
-		return 0, h, fmt.Errorf("heliograph: %w", err)
+		return 0, h, fmt.Errorf("changelog: %w", err)
 	}
 	return size, h, nil
 }
--- a/internal/heliograph/key.go
+++ b/internal/control/changelog/key.go
@@ -1,4 +1,4 @@
-package heliograph
+package changelog
 
 import (
 	"bytes"
@@ -23,11 +23,11 @@
 		err = setAside(dir)
 	}
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, fmt.Errorf("heliograph: %w", err)
+		return nil, fmt.Errorf("changelog: %w", err)
 	}
 	skey, vkey, err := note.GenerateKey(rand.Reader, name)
 	if err != nil {
-		return nil, fmt.Errorf("heliograph: %w", err)
+		return nil, fmt.Errorf("changelog: %w", err)
 	}
 	// The secret key comes last: where it stands, the public one does too.
 	if err := errors.Join(write(dir, public, []byte(vkey+"\n"), 0o644), write(dir, secret, []byte(skey), 0o600)); err != nil {
@@ -35,7 +35,7 @@
 	}
 	s, err := note.NewSigner(skey)
 	if err != nil {
-		return nil, fmt.Errorf("heliograph: %w", err)
+		return nil, fmt.Errorf("changelog: %w", err)
 	}
 	return s, nil
 }
@@ -56,19 +56,19 @@
 	tmp := filepath.Join(dir, name+".new")
 	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, mode)
 	if err != nil {
-		return fmt.Errorf("heliograph: %w", err)
+		return fmt.Errorf("changelog: %w", err)
 	}
 	_, err = f.Write(b)
 	if err := errors.Join(err, f.Sync(), f.Close()); err != nil {
-		return fmt.Errorf("heliograph: %w", err)
+		return fmt.Errorf("changelog: %w", err)
 	}
 	d, err := os.Open(dir)
 	if err != nil {
-		return fmt.Errorf("heliograph: %w", err)
+		return fmt.Errorf("changelog: %w", err)
 	}
 	defer d.Close()
 	if err := errors.Join(os.Rename(tmp, filepath.Join(dir, name)), d.Sync()); err != nil {
-		return fmt.Errorf("heliograph: %w", err)
+		return fmt.Errorf("changelog: %w", err)
 	}
 	return nil
 }
--- a/internal/heliograph/key_test.go
+++ b/internal/control/changelog/key_test.go
@@ -1,4 +1,4 @@
-package heliograph
+package changelog
 
 import (
 	"os"
--- a/internal/barod/control.go
+++ b/internal/control/controller/adapter_calls.go
@@ -1,4 +1,4 @@
-package barod
+package controller
 
 import (
 	"bytes"
@@ -9,22 +9,22 @@
 	"sync"
 	"time"
 
-	"seamshunt/internal/barograph"
 	"seamshunt/internal/codebook"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/forecast"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
 // Control is what an adapter's door does (design 13).
-func (c *Barometer) Control() codebook.Control {
+func (c *Controller) Control() codebook.Control {
 	return codebook.Control{Read: c.newest, Put: c.put, Change: c.alter, Zone: c.evacuate}
 }
 
 // compile reads a configuration in the format of the outside world.
-func (c *Barometer) compile(data []byte) (*forecast.Config, []*synop.Fault) {
-	if c.code != nil {
-		return c.code.Config(data)
+func (c *Controller) compile(data []byte) (*forecast.Config, []*synop.Fault) {
+	if c.adapter != nil {
+		return c.adapter.Config(data)
 	}
 	return forecast.Read(data)
 }
@@ -38,7 +38,7 @@
 }
 
 // versionOf gives a stored configuration's own version, and how long each service's workers stay cold.
-func (c *Barometer) versionOf(num units.Num, data []byte) (uint64, map[string]time.Duration) {
+func (c *Controller) versionOf(num units.Num, data []byte) (uint64, map[string]time.Duration) {
 	if num == 0 {
 		return 0, nil
 	}
@@ -70,18 +70,18 @@
 }
 
 // heard is the configuration that this node last had news of: it was chosen, but a newer one may stand.
-func (c *Barometer) heard() (units.Num, []byte) {
-	c.BullMu.Lock()
-	defer c.BullMu.Unlock()
-	if it := c.Bull.Items[keyConfig]; it != nil {
+func (c *Controller) heard() (units.Num, []byte) {
+	c.FeedMu.Lock()
+	defer c.FeedMu.Unlock()
+	if it := c.Feed.Items[keyConfig]; it != nil {
 		return it.Num, it.Data
 	}
 	return 0, nil
 }
 
 // newest is the configuration in force, confirmed with a majority.
-func (c *Barometer) newest() ([]byte, uint64, synop.Code) {
-	r := c.Ask(barograph.Ask{Key: keyConfig})
+func (c *Controller) newest() ([]byte, uint64, synop.Code) {
+	r := c.Submit(register.Request{Key: keyConfig})
 	if r.Code != synop.OK {
 		return nil, 0, r.Code
 	}
@@ -94,13 +94,13 @@
 
 // base finds the configuration that a change builds on. What this node has heard will do when it is that one or newer:
 // versions only rise, and the owner checks the number when it writes. Else the newest is asked for.
-func (c *Barometer) base(builds uint64) (num units.Num, data []byte, ver uint64, code synop.Code) {
+func (c *Controller) base(builds uint64) (num units.Num, data []byte, ver uint64, code synop.Code) {
 	num, data = c.heard()
 	ver, _ = c.versionOf(num, data)
 	if builds == 0 || num > 0 && ver >= builds {
 		return num, data, ver, synop.OK
 	}
-	r := c.Ask(barograph.Ask{Key: keyConfig})
+	r := c.Submit(register.Request{Key: keyConfig})
 	if r.Code != synop.OK {
 		return 0, nil, 0, r.Code
 	}
@@ -109,7 +109,7 @@
 }
 
 // put takes a whole configuration.
-func (c *Barometer) put(builds uint64, data []byte) (synop.Code, []*synop.Fault) {
+func (c *Controller) put(builds uint64, data []byte) (synop.Code, []*synop.Fault) {
 	next, fs := c.compile(data)
 	if len(fs) > 0 {
 		return fs[0].Code, fs
@@ -118,9 +118,9 @@
 }
 
 // alter takes a change by item; what is stored is the whole.
-func (c *Barometer) alter(builds uint64, change []byte) (synop.Code, []*synop.Fault) {
+func (c *Controller) alter(builds uint64, change []byte) (synop.Code, []*synop.Fault) {
 	return c.write(planID("change", builds, change), builds, func(old []byte) ([]byte, *forecast.Config, []*synop.Fault) {
-		data, fs := c.code.Change(old, change)
+		data, fs := c.adapter.Change(old, change)
 		if len(fs) > 0 {
 			return nil, nil, fs
 		}
@@ -136,17 +136,17 @@
 }
 
 // never is a number that no register reaches: a write that builds on it only finds out whether its plan was taken.
-const never = barograph.Any - 1
+const never = register.AnyNumber - 1
 
 // write makes a change under the version that it builds on. One that lost its race, or is refused, never comes into force:
 // it is written under the number whose version was looked at, or not at all.
-func (c *Barometer) write(plan string, builds uint64, whole func(old []byte) ([]byte, *forecast.Config, []*synop.Fault)) (synop.Code, []*synop.Fault) {
+func (c *Controller) write(plan string, builds uint64, whole func(old []byte) ([]byte, *forecast.Config, []*synop.Fault)) (synop.Code, []*synop.Fault) {
 	num, old, ver, code := c.base(builds)
 	if code != synop.OK {
 		return code, nil
 	}
 	if ver != builds {
-		r := c.Ask(barograph.Ask{Key: keyConfig, Write: true, Expect: never, Plan: plan})
+		r := c.Submit(register.Request{Key: keyConfig, Write: true, Expect: never, RequestID: plan})
 		return r.Code, nil
 	}
 	data, next, fs := whole(old)
@@ -159,7 +159,7 @@
 		}
 		return synop.BadConfig, []*synop.Fault{{Code: synop.BadConfig, Text: fmt.Sprintf("version %d is not above %d, which is in force", next.Version, ver)}}
 	}
-	r := c.record(barograph.Ask{Key: keyConfig, Expect: num, Plan: plan, Data: data})
+	r := c.record(register.Request{Key: keyConfig, Expect: num, RequestID: plan, Data: data})
 	if r.Code == synop.OK && r.Num == num+1 {
 		c.taken.note(r.Num, next)
 	}
@@ -168,19 +168,19 @@
 
 // evacuate sets a zone's state whatever it was. Each try builds on a number all the same, so that one which is late on
 // its way undoes nothing that came after it.
-func (c *Barometer) evacuate(zone string, out bool) synop.Code {
+func (c *Controller) evacuate(zone string, out bool) synop.Code {
 	if !c.knows(zone) {
 		return synop.BadZone
 	}
 	key := "zone/" + zone
-	c.BullMu.Lock()
+	c.FeedMu.Lock()
 	var num units.Num
-	if it := c.Bull.Items[key]; it != nil {
+	if it := c.Feed.Items[key]; it != nil {
 		num = it.Num
 	}
-	c.BullMu.Unlock()
+	c.FeedMu.Unlock()
 	for range 8 {
-		r := c.record(barograph.Ask{Key: key, Expect: num, Data: fmt.Appendf(nil, `{"evacuated":%v}`, out)})
+		r := c.record(register.Request{Key: key, Expect: num, Data: fmt.Appendf(nil, `{"evacuated":%v}`, out)})
 		if r.Code != synop.Conflict {
 			return r.Code
 		}
@@ -190,7 +190,7 @@
 }
 
 // knows says whether there is such a zone, as the boot file names them or, where it names none, as members are in.
-func (c *Barometer) knows(zone string) bool {
+func (c *Controller) knows(zone string) bool {
 	if len(c.Boot.Zones) > 0 {
 		return slices.Contains(c.Boot.Zones, zone)
 	}
--- a/internal/barod/control_test.go
+++ b/internal/control/controller/adapter_calls_test.go
@@ -1,4 +1,4 @@
-package barod
+package controller
 
 import (
 	"bytes"
@@ -47,7 +47,7 @@
 }
 
 // grownCore starts n barometers that are founded from seeds.
-func grownCore(t *testing.T, n int, book *codebook.Book) []*Barometer {
+func grownCore(t *testing.T, n int, book *codebook.Book) []*Controller {
 	t.Helper()
 	var bs []*boot.Boot
 	var seeds []string
@@ -59,7 +59,7 @@
 			seeds = append(seeds, b.Addr)
 		}
 	}
-	var cs []*Barometer
+	var cs []*Controller
 	for _, b := range bs {
 		b.Seeds = seeds
 		c, err := New(b, book)
@@ -74,7 +74,7 @@
 	}
 	weatherglass.Until(t, "all vote", func() bool {
 		for _, c := range cs {
-			if v := c.voters(); len(v.IDs) != n || !v.Has(c.Self) {
+			if v := c.voters(); len(v.Members) != n || !v.Has(c.Self) {
 				return false
 			}
 		}
--- a/internal/barod/audit.go
+++ b/internal/control/controller/audit.go
@@ -1,14 +1,14 @@
-package barod
+package controller
 
 import (
 	"time"
 
-	"seamshunt/internal/heliograph"
+	"seamshunt/internal/control/changelog"
 )
 
 // entry is one acknowledged change on its way into the audit record.
 type entry struct {
-	leaf heliograph.Leaf
+	leaf changelog.Entry
 	done chan struct{}
 }
 
@@ -18,7 +18,7 @@
 
 // note hands an entry over and waits a little. One that can't be recorded is counted and never turns a change that
 // stands into one that does not.
-func (c *Barometer) note(l heliograph.Leaf) {
+func (c *Controller) note(l changelog.Entry) {
 	e := entry{leaf: l, done: make(chan struct{})}
 	select {
 	case c.audit <- e:
@@ -35,8 +35,8 @@
 }
 
 // recorder is the record's only user. It opens it with the first entry, since a sick disk may hold that up.
-func (c *Barometer) recorder() {
-	var l *heliograph.Log
+func (c *Controller) recorder() {
+	var l *changelog.Log
 	for {
 		select {
 		case <-c.Crew.Stopped():
@@ -47,7 +47,7 @@
 		case e := <-c.audit:
 			var err error
 			if l == nil {
-				l, err = heliograph.Open(c.Boot.Data, c.Boot.Name)
+				l, err = changelog.Open(c.Boot.Data, c.Boot.Name)
 			}
 			if err == nil {
 				err = l.Add(e.leaf)
--- /dev/null
+++ b/internal/control/controller/controller.go
@@ -0,0 +1,236 @@
+// Package controller is the control plane: state on disk, operators, the platform, news (design 1, 2, 4, 5, 9).
+package controller
+
+import (
+	"fmt"
+	mrand "math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"seamshunt/internal/boot"
+	"seamshunt/internal/cluster/configpush"
+	"seamshunt/internal/cluster/discovery"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/codebook"
+	"seamshunt/internal/control/antientropy"
+	"seamshunt/internal/control/lease"
+	"seamshunt/internal/control/register"
+	"seamshunt/internal/screen"
+	"seamshunt/internal/tower"
+	"seamshunt/internal/units"
+)
+
+const recSelf uint8 = 1
+
+// Barometer is one process of the control plane.
+type Controller struct {
+	*tower.Tower
+	replicaMu sync.Mutex
+	replica   *register.Replica
+	roll      *screen.Roll // claims; under baroMu, as what it says goes through the same queue
+	waits     map[uint64]chan register.Result
+	disk      disk
+	leaseMu   sync.Mutex
+	lease     *lease.Lease
+	tag       atomic.Uint64
+	plans     sync.Map // plan id to *plan
+	leaving   atomic.Bool
+	web       *fasthttp.Server
+	polled    poll
+	catalogMu sync.Mutex // last in the lock order but for the disk queue
+	catalog   *discovery.Catalog
+	doctor    register.Doctor
+	seeds     register.Seeds // where voters are founded from seeds and grow
+	grower    register.Grower
+	born      []string            // the seeds that the disk bears
+	audit     chan entry          // to the one writer of the audit record
+	missed    atomic.Uint64       // acknowledged changes that the audit record lacks
+	syncer    *antientropy.Syncer // under baroMu
+	adapter   *codebook.Book      // the outside world's names and formats; nil for the product's own
+	door      fasthttp.RequestHandler
+	taken     versions
+	kept      kept // the wire to the platform
+}
+
+// New opens the disk, and with it learns who it is. The book, if any, is the outside world that it speaks with.
+func New(b *boot.Boot, book *codebook.Book) (*Controller, error) {
+	a, self, blank, err := openDisk(b)
+	if err != nil {
+		return nil, err
+	}
+	c := &Controller{Tower: tower.New(b, self, membership.Controller), waits: map[uint64]chan register.Result{}, doctor: register.Doctor{Founders: b.Founders}, catalog: discovery.New(), adapter: book}
+	c.audit = make(chan entry, 256)
+	c.disk.file = a
+	c.disk.wake = make(chan struct{}, 1)
+	c.replica = register.New(self, tower.Random())
+	if err := c.replica.Load(a.Live()); err != nil {
+		return nil, fmt.Errorf("barometer: %w", err)
+	}
+	c.seeds, c.born = founding(b, a.Live()), born(a.Live())
+	c.Flag(membership.Counts, b.Counts || !b.Grow)
+	c.Flag(membership.First, b.Grow && c.seeds.First)
+	if book != nil && book.Control != nil {
+		c.door = book.Control(c.Control())
+	}
+	c.roll = screen.LoadRoll(self, c.Crew.Now(), a.Live())
+	if blank {
+		c.Log.Warn("a blank disk: this node has no vote yet")
+	}
+	c.tag.Store(uint64(tower.Random()) >> 2)
+	c.lease = lease.New(self, "platform", func() []units.Node { return c.voters().Members }, c.Crew.Now(), mrand.New(mrand.NewPCG(uint64(tower.Random()), 1)))
+	c.syncer = antientropy.New(self, c.Crew.Now(), mrand.New(mrand.NewPCG(uint64(tower.Random()), 2)))
+	c.Later = c.later
+	c.Steps[message.KindAntiEntropy] = func(_ units.Time, n message.Message) {
+		c.replicaMu.Lock()
+		c.Deliver(c.syncer.Step(n, c.replica.States(), c.replica.Resend))
+		c.replicaMu.Unlock()
+	}
+	c.Woke = func(now units.Time) {
+		c.leaseMu.Lock()
+		c.lease.Drop()
+		c.leaseMu.Unlock()
+		c.replicaMu.Lock()
+		c.replica.Resume(now)
+		c.replicaMu.Unlock()
+	}
+	c.Refused = func(now units.Time, l []units.Node) {
+		c.leaseMu.Lock()
+		for _, n := range l {
+			c.lease.Gone(now, n)
+		}
+		c.leaseMu.Unlock()
+	}
+	c.Steps[message.KindRegister] = c.step
+	c.Steps[message.KindClaim] = func(now units.Time, n message.Message) {
+		c.replicaMu.Lock()
+		c.Deliver(c.roll.Step(now, n, c.replica.QuorumVersion()))
+		c.replicaMu.Unlock()
+	}
+	c.Steps[message.KindLease] = func(now units.Time, n message.Message) {
+		c.leaseMu.Lock()
+		out := c.lease.Step(now, n)
+		c.leaseMu.Unlock()
+		c.Deliver(out)
+	}
+	c.Feed.Stored = func() map[string]units.Num {
+		c.replicaMu.Lock()
+		defer c.replicaMu.Unlock()
+		return c.replica.StoredNumbers()
+	}
+	return c, nil
+}
+
+// Start opens everything and returns.
+func (c *Controller) Start() error {
+	ln, err := net.Listen("tcp", c.Boot.Web)
+	if err != nil {
+		return fmt.Errorf("barometer: %w", err)
+	}
+	if err := c.Tower.Start(); err != nil {
+		ln.Close()
+		return err
+	}
+	c.web = &fasthttp.Server{Handler: c.serve, Name: "barometer", MaxRequestBodySize: 16 << 20, NoDefaultDate: true, Logger: quiet{}}
+	c.Crew.Go(func() { _ = c.web.Serve(ln) })
+	c.Crew.Go(c.writer)
+	c.Crew.Go(c.recorder)
+	c.Crew.Every(50*time.Millisecond, c.beat)
+	for _, p := range c.Boot.Pools {
+		c.Crew.Go(func() { c.poller(p) })
+	}
+	return nil
+}
+
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+func (c *Controller) voters() register.QuorumSet {
+	c.replicaMu.Lock()
+	defer c.replicaMu.Unlock()
+	return c.replica.Quorum()
+}
+
+// step runs under the lock until its output is queued, so that the disk sees the order that the machine had.
+func (c *Controller) step(now units.Time, n message.Message) {
+	c.replicaMu.Lock()
+	out := c.replica.Step(now, n)
+	news := c.drain()
+	c.Deliver(out)
+	c.replicaMu.Unlock()
+	c.spread(now, news)
+}
+
+// drain passes results to those who wait and takes what was chosen; baroMu is held.
+func (c *Controller) drain() []register.ChosenValue {
+	for _, r := range c.replica.Results {
+		if ch := c.waits[r.Tag]; ch != nil {
+			delete(c.waits, r.Tag)
+			ch <- r
+		}
+	}
+	c.replica.Results = nil
+	news := c.replica.Chosen
+	c.replica.Chosen = nil
+	return news
+}
+
+func (c *Controller) spread(now units.Time, news []register.ChosenValue) {
+	if len(news) == 0 {
+		return
+	}
+	var to []units.Node
+	for _, m := range c.Members() {
+		if m.State <= membership.Suspect && m.Node != c.Self {
+			to = append(to, m.Node)
+		}
+	}
+	for _, x := range news {
+		c.FeedMu.Lock()
+		out := c.Feed.Spread(now, configpush.Item{Key: x.Key, Num: x.Num, Data: x.Data}, to)
+		c.FeedMu.Unlock()
+		c.Deliver(out)
+	}
+}
+
+// beat compares what is with what should be: owners, voters, founding, the duty.
+func (c *Controller) beat(now units.Time) {
+	all := c.Members()
+	unfit := c.disk.unfit(now)
+	low, full := c.tryRoom(now)
+	c.Flag(membership.Full, full)
+	c.Flag(membership.Draining, c.leaving.Load())
+	look := register.ViewCore(all)
+	c.FeedMu.Lock()
+	told, fresh := c.Feed.Items[register.KeyQuorum], c.Feed.Fresh
+	c.Feed.Fresh = nil
+	c.FeedMu.Unlock()
+	c.look(now, fresh)
+	c.replicaMu.Lock()
+	unfit = unfit || !c.replica.ReachesMajority(now)
+	if told != nil {
+		c.Deliver(c.replica.LearnQuorum(told.Data))
+	}
+	c.replica.SetEligible(look.Eligible)
+	c.voting(now, look)
+	out := c.replica.Tick(now)
+	c.roll.Low = low
+	out.Join(c.roll.Tick(now, c.replica.Quorum()))
+	out.Join(c.syncer.Tick(now, c.replica.Quorum().Members, c.replica.States()))
+	voter := c.replica.Quorum().Has(c.Self)
+	news := c.drain()
+	c.Deliver(out)
+	c.replicaMu.Unlock()
+	c.Flag(membership.Voter, voter)
+	c.Flag(membership.Unfit, unfit)
+	c.spread(now, news)
+	c.leaseMu.Lock()
+	d := c.lease.Tick(now, voter && !c.leaving.Load())
+	c.leaseMu.Unlock()
+	c.Deliver(d)
+}
--- a/internal/barod/disk.go
+++ b/internal/control/controller/disk.go
@@ -1,13 +1,13 @@
-package barod
+package controller
 
 import (
 	"errors"
 	"sync"
 	"time"
 
-	"seamshunt/internal/almanac"
-	"seamshunt/internal/mast"
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/storage/wal"
 	"seamshunt/internal/units"
 )
 
@@ -17,8 +17,8 @@
 // disk is the queue before the one writer of the file.
 type disk struct {
 	mu    sync.Mutex
-	file  *almanac.Almanac
-	queue []station.Out
+	file  *wal.Log
+	queue []message.Effects
 	wake  chan struct{}
 	since units.Time // when the write under way began; zero when idle
 	sick  bool
@@ -30,10 +30,10 @@
 }
 
 // later queues writes and what must wait for them. It never blocks.
-func (c *Barometer) later(out station.Out) {
+func (c *Controller) later(out message.Effects) {
 	d := &c.disk
 	d.mu.Lock()
-	d.queue = append(d.queue, station.Out{Writes: out.Writes, After: out.After})
+	d.queue = append(d.queue, message.Effects{Writes: out.Writes, AfterSync: out.AfterSync})
 	d.mu.Unlock()
 	select {
 	case d.wake <- struct{}{}:
@@ -42,7 +42,7 @@
 }
 
 // writer is the file's only user. It takes all that is queued, syncs once, and lets the replies go.
-func (c *Barometer) writer() {
+func (c *Controller) writer() {
 	d := &c.disk
 	for {
 		select {
@@ -60,7 +60,7 @@
 		if sick {
 			continue // no reply ever leaves again: the node must be restarted
 		}
-		var rs []station.Record
+		var rs []message.Record
 		for _, o := range batch {
 			rs = append(rs, o.Writes...)
 		}
@@ -74,9 +74,9 @@
 		d.low = d.file.Low()
 		d.slow = c.Crew.Now().Sub(d.since)
 		d.since = 0
-		d.sick = d.sick || err != nil && !errors.Is(err, almanac.ErrFull)
+		d.sick = d.sick || err != nil && !errors.Is(err, wal.ErrFull)
 		if len(rs) > 0 {
-			d.full = errors.Is(err, almanac.ErrFull)
+			d.full = errors.Is(err, wal.ErrFull)
 		}
 		d.mu.Unlock()
 		if err != nil {
@@ -85,16 +85,16 @@
 			continue
 		}
 		for _, o := range batch {
-			for _, n := range o.After {
-				c.Tel.Send(n)
+			for _, n := range o.AfterSync {
+				c.Transport.Send(n)
 			}
 		}
 	}
 }
 
 // diskFailed: what the machine believes is not what the disk holds. It is rebuilt from the disk alone.
-func (c *Barometer) diskFailed(err error) {
-	if errors.Is(err, almanac.ErrFull) {
+func (c *Controller) diskFailed(err error) {
+	if errors.Is(err, wal.ErrFull) {
 		c.reload(c.disk.file)
 		return
 	}
@@ -119,7 +119,7 @@
 
 // tryRoom says whether the disk gives no more room, and whether its reserve is used up too. While it is so, room is
 // asked for once a second: by a small record where the reserve is used up, since nothing else may come.
-func (c *Barometer) tryRoom(now units.Time) (low, full bool) {
+func (c *Controller) tryRoom(now units.Time) (low, full bool) {
 	d := &c.disk
 	d.mu.Lock()
 	low, full = d.low || d.full, d.full
@@ -129,26 +129,26 @@
 	}
 	d.mu.Unlock()
 	if try && full {
-		c.later(station.Out{Writes: []station.Record{self(c.Self, c.born)}})
+		c.later(message.Effects{Writes: []message.Record{self(c.Self, c.born)}})
 	} else if try {
-		c.later(station.Out{})
+		c.later(message.Effects{})
 	}
 	return low, full
 }
 
 // noRoom says whether so many voters' disks are full that no write can find a majority.
-func (c *Barometer) noRoom() bool {
+func (c *Controller) noRoom() bool {
 	v := c.voters()
 	room, full := 0, 0
 	for _, m := range c.Members() {
-		if !v.Has(m.Node) || m.State > mast.Suspect {
+		if !v.Has(m.Node) || m.State > membership.Suspect {
 			continue
 		}
-		if m.Flags&mast.Full != 0 {
+		if m.Flags&membership.Full != 0 {
 			full++
 		} else {
 			room++
 		}
 	}
-	return full > 0 && room <= len(v.IDs)/2
+	return full > 0 && room <= len(v.Members)/2
 }
--- a/internal/barod/disk_test.go
+++ b/internal/control/controller/disk_test.go
@@ -1,4 +1,4 @@
-package barod
+package controller
 
 import (
 	"bytes"
@@ -11,9 +11,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"seamshunt/internal/almanac"
 	"seamshunt/internal/boot"
-	"seamshunt/internal/heliograph"
+	"seamshunt/internal/control/changelog"
+	"seamshunt/internal/storage/wal"
 	"seamshunt/internal/weatherglass"
 )
 
@@ -21,7 +21,7 @@
 "layout":"mapping m { when path = \"/m\" to a promise p once }"}`
 
 // alone starts a core of one disk; edit may change it before it runs.
-func alone(t *testing.T, dir string, edit ...func(*Barometer)) *Barometer {
+func alone(t *testing.T, dir string, edit ...func(*Controller)) *Controller {
 	t.Helper()
 	b := &boot.Boot{Name: "c", Zone: "z", Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), Data: dir, Founders: 1, Platform: weatherglass.Addr(t), Pools: []string{"main"}, PollMs: 500, Reserve: 64 << 10}
 	b.Seeds = []string{b.Addr}
@@ -38,7 +38,7 @@
 	return c
 }
 
-func call(t *testing.T, c *Barometer, method, path, body string) (int, []byte) {
+func call(t *testing.T, c *Controller, method, path, body string) (int, []byte) {
 	t.Helper()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	req.SetRequestURI("http://" + c.Boot.Web + path)
@@ -127,7 +127,7 @@
 	} else {
 		a.Close()
 	}
-	path := filepath.Join(dir, "almanac")
+	path := filepath.Join(dir, "wal")
 	x, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
@@ -154,7 +154,7 @@
 	t.Cleanup(c.Drain)
 	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
 	c.disk.mu.Lock()
-	c.disk.fault = func() error { return fmt.Errorf("%w: planted", almanac.ErrFull) }
+	c.disk.fault = func() error { return fmt.Errorf("%w: planted", wal.ErrFull) }
 	c.disk.mu.Unlock()
 	if code, b := call(t, c, "PUT", "/v1/config?number=1", config+" "); code != 502 {
 		t.Errorf("the write that finds it full has an unknown outcome: %d %s", code, b)
@@ -186,7 +186,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if n, err := heliograph.Verify(dir, string(bytes.TrimSpace(key)), nil); n != 1 || err != nil {
+	if n, err := changelog.Verify(dir, string(bytes.TrimSpace(key)), nil); n != 1 || err != nil {
 		t.Errorf("%d entries, %v", n, err)
 	}
 }
--- a/internal/barod/grow_test.go
+++ b/internal/control/controller/grow_test.go
@@ -1,4 +1,4 @@
-package barod
+package controller
 
 import (
 	"fmt"
@@ -59,7 +59,7 @@
 		b := &boot.Boot{Name: fmt.Sprint("c", i), Zone: "z", Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), Data: t.TempDir(), Platform: weatherglass.Addr(t), PollMs: 500, Reserve: 64 << 10, Grow: true, First: true, Counts: true}
 		bs, seeds = append(bs, b), append(seeds, b.Addr)
 	}
-	start := func(b *boot.Boot) *Barometer {
+	start := func(b *boot.Boot) *Controller {
 		c, err := New(b, nil)
 		if err == nil {
 			err = c.Start()
@@ -85,7 +85,7 @@
 	t.Cleanup(one.Drain)
 	three := start(bs[2])
 	t.Cleanup(three.Drain)
-	weatherglass.Until(t, "all three vote", func() bool { v := three.voters(); return len(v.IDs) == 3 && v.Has(id) })
+	weatherglass.Until(t, "all three vote", func() bool { v := three.voters(); return len(v.Members) == 3 && v.Has(id) })
 }
 
 // One list for all services, over a wire that is held: pages that fail or an empty list change nothing and are counted; a
@@ -139,8 +139,8 @@
 		}
 		return l, nil
 	}
-	c := alone(t, t.TempDir(), func(c *Barometer) {
-		c.code, c.Boot.Platform, c.Boot.Pools, c.Boot.PollMs = book, ln.Addr().String(), []string{allPools}, 50
+	c := alone(t, t.TempDir(), func(c *Controller) {
+		c.adapter, c.Boot.Platform, c.Boot.Pools, c.Boot.PollMs = book, ln.Addr().String(), []string{allPools}, 50
 	})
 	t.Cleanup(c.Drain)
 	weatherglass.Until(t, "the first is taken", func() bool {
--- a/internal/barod/plan.go
+++ b/internal/control/controller/plan.go
@@ -1,4 +1,4 @@
-package barod
+package controller
 
 import (
 	"fmt"
@@ -8,11 +8,11 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
-	"seamshunt/internal/barograph"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/transport"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/forecast"
-	"seamshunt/internal/mast"
 	"seamshunt/internal/synop"
-	"seamshunt/internal/telegraph"
 	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
 )
@@ -28,7 +28,7 @@
 const planLife = 10 * time.Minute
 
 // propose works out what a configuration, or a zone's evacuation, would change; nothing is written.
-func (c *Barometer) propose(ctx *fasthttp.RequestCtx) {
+func (c *Controller) propose(ctx *fasthttp.RequestCtx) {
 	body := append([]byte(nil), ctx.PostBody()...)
 	p := &plan{key: keyConfig, data: body, made: c.Crew.Now()}
 	var next *forecast.Config
@@ -45,7 +45,7 @@
 			return
 		}
 	}
-	r := c.Ask(barograph.Ask{Key: p.key})
+	r := c.Submit(register.Request{Key: p.key})
 	if r.Code != synop.OK {
 		c.result(ctx, r)
 		return
@@ -74,7 +74,7 @@
 	c.showPlan(ctx, id, p, d)
 }
 
-func (c *Barometer) showPlan(ctx *fasthttp.RequestCtx, id string, p *plan, d forecast.Plan) {
+func (c *Controller) showPlan(ctx *fasthttp.RequestCtx, id string, p *plan, d forecast.Plan) {
 	var a fastjson.Arena
 	o := a.NewObject()
 	o.Set("code", a.NewNumberInt(int(synop.OK)))
@@ -96,7 +96,7 @@
 }
 
 // known counts a pool's workers that are listed and not leaving.
-func (c *Barometer) known(pool string) int {
+func (c *Controller) known(pool string) int {
 	k := 0
 	for _, w := range c.listed(pool) {
 		if !w.Leaving {
@@ -106,13 +106,13 @@
 	return k
 }
 
-func (c *Barometer) listed(pool string) []forecast.Worker {
-	c.skyMu.Lock()
-	defer c.skyMu.Unlock()
-	return c.sky.List(pool)
+func (c *Controller) listed(pool string) []forecast.Worker {
+	c.catalogMu.Lock()
+	defer c.catalogMu.Unlock()
+	return c.catalog.List(pool)
 }
 
-func (c *Barometer) compareZone(zone string, old, body []byte) (d forecast.Plan) {
+func (c *Controller) compareZone(zone string, old, body []byte) (d forecast.Plan) {
 	was, is := fastjson.GetBool(old, "evacuated"), fastjson.GetBool(body, "evacuated")
 	if was == is {
 		d.Warnings = append(d.Warnings, "zone "+zone+" is so already")
@@ -153,10 +153,10 @@
 }
 
 // config is the configuration that this node last heard of.
-func (c *Barometer) config() *forecast.Config {
-	c.BullMu.Lock()
-	it := c.Bull.Items[keyConfig]
-	c.BullMu.Unlock()
+func (c *Controller) config() *forecast.Config {
+	c.FeedMu.Lock()
+	it := c.Feed.Items[keyConfig]
+	c.FeedMu.Unlock()
 	if it == nil {
 		return nil
 	}
@@ -164,15 +164,15 @@
 	return x
 }
 
-func (c *Barometer) evacuated(zone string) bool {
-	c.BullMu.Lock()
-	defer c.BullMu.Unlock()
-	it := c.Bull.Items["zone/"+zone]
+func (c *Controller) evacuated(zone string) bool {
+	c.FeedMu.Lock()
+	defer c.FeedMu.Unlock()
+	it := c.Feed.Items["zone/"+zone]
 	return it != nil && fastjson.GetBool(it.Data, "evacuated")
 }
 
 // confirm applies a plan if its number still stands. The node that made the plan is asked where it was another.
-func (c *Barometer) confirm(ctx *fasthttp.RequestCtx) {
+func (c *Controller) confirm(ctx *fasthttp.RequestCtx) {
 	v, err := fastjson.ParseBytes(ctx.PostBody())
 	if err != nil || len(v.GetStringBytes("plan")) == 0 {
 		c.fail(ctx, &synop.Fault{Code: synop.BadCall, Place: "$.plan", Text: "the plan's id is wanted"})
@@ -181,12 +181,12 @@
 	id := string(v.GetStringBytes("plan"))
 	if x, ok := c.plans.Load(id); ok {
 		p := x.(*plan)
-		c.change(ctx, barograph.Ask{Key: p.key, Expect: p.num, Plan: id, Data: p.data})
+		c.change(ctx, register.Request{Key: p.key, Expect: p.num, RequestID: id, Data: p.data})
 		return
 	}
 	node, _, _ := strings.Cut(id, "-")
 	for _, m := range c.Members() {
-		if m.Node.String() == node && m.Node != c.Self && m.State <= mast.Suspect && len(ctx.Request.Header.Peek("Passed-On")) == 0 {
+		if m.Node.String() == node && m.Node != c.Self && m.State <= membership.Suspect && len(ctx.Request.Header.Peek("Passed-On")) == 0 {
 			c.passOn(ctx, m.Web)
 			return
 		}
@@ -195,8 +195,8 @@
 }
 
 // passOn gives an operator's call to the barometer it belongs to, once.
-func (c *Barometer) passOn(ctx *fasthttp.RequestCtx, web string) {
-	code, b, _, err := telegraph.HTTP("POST", web, string(ctx.Path()), ctx.PostBody(), map[string]string{"Passed-On": c.Self.String()}, patience)
+func (c *Controller) passOn(ctx *fasthttp.RequestCtx, web string) {
+	code, b, _, err := transport.HTTP("POST", web, string(ctx.Path()), ctx.PostBody(), map[string]string{"Passed-On": c.Self.String()}, patience)
 	if err != nil {
 		c.fail(ctx, &synop.Fault{Code: synop.Unsure, Text: texts[synop.Unsure]})
 		return
--- a/internal/barod/duty.go
+++ b/internal/control/controller/platform_poll.go
@@ -1,4 +1,4 @@
-package barod
+package controller
 
 import (
 	"fmt"
@@ -6,26 +6,26 @@
 	"sync"
 	"time"
 
-	"seamshunt/internal/almanac"
-	"seamshunt/internal/barograph"
-	"seamshunt/internal/bulletin"
-	"seamshunt/internal/nephoscope"
+	"seamshunt/internal/cluster/configpush"
+	"seamshunt/internal/cluster/discovery"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/screen"
-	"seamshunt/internal/station"
+	"seamshunt/internal/storage/wal"
 	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
 )
 
 // reload rebuilds the machine from what the disk holds, and drops what the old one still wanted to say.
-func (c *Barometer) reload(a *almanac.Almanac) {
-	b := barograph.New(c.Self, tower.Random())
+func (c *Controller) reload(a *wal.Log) {
+	b := register.New(c.Self, tower.Random())
 	if err := b.Load(a.Live()); err != nil {
 		c.Log.WithError(err).Error("the disk's records can't be read")
 		return
 	}
-	c.baroMu.Lock()
-	defer c.baroMu.Unlock()
-	c.baro, c.roll = b, screen.LoadRoll(c.Self, c.Crew.Now(), a.Live())
+	c.replicaMu.Lock()
+	defer c.replicaMu.Unlock()
+	c.replica, c.roll = b, screen.LoadRoll(c.Self, c.Crew.Now(), a.Live())
 	c.disk.mu.Lock()
 	c.disk.queue = nil // what the old machine said rests on writes that the disk has not
 	c.disk.mu.Unlock()
@@ -46,9 +46,9 @@
 
 // poller asks the platform for one pool's workers, at this node's share of the fleet's rate (design 5). It wakes when
 // the next question can be due, and once a gap at the least, since its share may have changed.
-func (c *Barometer) poller(pool string) {
+func (c *Controller) poller(pool string) {
 	gap := time.Duration(c.Boot.PollMs) * time.Millisecond
-	turn := nephoscope.Turn{}
+	turn := discovery.Schedule{}
 	t := time.NewTimer(firstAsk)
 	defer t.Stop()
 	for {
@@ -58,12 +58,12 @@
 		case <-t.C:
 		}
 		now := c.Crew.Now()
-		c.dutyMu.Lock()
-		share := c.duty.Share(now)
-		c.dutyMu.Unlock()
-		c.skyMu.Lock()
-		known := len(c.sky.List(pool)) > 0
-		c.skyMu.Unlock()
+		c.leaseMu.Lock()
+		share := c.lease.Share(now)
+		c.leaseMu.Unlock()
+		c.catalogMu.Lock()
+		known := len(c.catalog.List(pool)) > 0
+		c.catalogMu.Unlock()
 		if !c.leaving.Load() && (turn.Due(now, share, gap) || !known) {
 			c.ask(pool)
 		}
@@ -71,12 +71,12 @@
 	}
 }
 
-func (c *Barometer) ask(pool string) {
+func (c *Controller) ask(pool string) {
 	now := c.Crew.Now()
-	c.skyMu.Lock()
-	a := c.sky.Ask(now, pool, c.Self, time.Now().UnixMilli())
-	known := len(c.sky.List(pool))
-	c.skyMu.Unlock()
+	c.catalogMu.Lock()
+	a := c.catalog.Ask(now, pool, c.Self, time.Now().UnixMilli())
+	known := len(c.catalog.List(pool))
+	c.catalogMu.Unlock()
 	l, err := c.list(pool)
 	if err == nil && len(l) == 0 && known > 0 {
 		err = fmt.Errorf("an empty list is not believed")
@@ -93,35 +93,35 @@
 		c.Log.WithError(err).Warn("the platform gave no list")
 		return
 	}
-	c.skyMu.Lock()
-	data, news := c.sky.Heard(a, l)
-	c.skyMu.Unlock()
+	c.catalogMu.Lock()
+	data, news := c.catalog.Heard(a, l)
+	c.catalogMu.Unlock()
 	if news {
-		c.spread(c.Crew.Now(), []barograph.News{{Key: nephoscope.Key(pool, c.Self), Num: a.Num, Data: data}})
+		c.spread(c.Crew.Now(), []register.ChosenValue{{Key: discovery.Key(pool, c.Self), Num: a.Num, Data: data}})
 	}
 }
 
 // yield leaves the duty to others when this node can't reach the platform at all.
-func (c *Barometer) yield() {
+func (c *Controller) yield() {
 	now := c.Crew.Now()
-	c.dutyMu.Lock()
-	var out station.Out
-	if c.duty.Holds(now) {
-		out = c.duty.Yield(now)
+	c.leaseMu.Lock()
+	var out message.Effects
+	if c.lease.Holds(now) {
+		out = c.lease.Yield(now)
 	}
-	c.dutyMu.Unlock()
+	c.leaseMu.Unlock()
 	c.Deliver(out)
 }
 
 // look takes the news that is about workers.
-func (c *Barometer) look(now units.Time, fresh []bulletin.Item) {
-	c.skyMu.Lock()
-	defer c.skyMu.Unlock()
+func (c *Controller) look(now units.Time, fresh []configpush.Item) {
+	c.catalogMu.Lock()
+	defer c.catalogMu.Unlock()
 	for _, it := range fresh {
-		if !strings.HasPrefix(it.Key, nephoscope.Prefix) {
+		if !strings.HasPrefix(it.Key, discovery.Prefix) {
 			continue
 		}
-		if _, err := c.sky.Take(now, it.Key, it.Num, it.Data); err != nil {
+		if _, err := c.catalog.Take(now, it.Key, it.Num, it.Data); err != nil {
 			c.Errors.Add(1)
 			c.Log.WithError(err).Error("a worker list can't be read here")
 		}
--- a/internal/barod/promises.go
+++ b/internal/control/controller/promises.go
@@ -1,4 +1,4 @@
-package barod
+package controller
 
 import (
 	"time"
@@ -6,26 +6,26 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/cluster/transport"
 	"seamshunt/internal/forecast"
-	"seamshunt/internal/mast"
-	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
-	"seamshunt/internal/telegraph"
 )
 
 // seen asks every live vane how it kept its promises, all at once; it gives the sums and how many answered.
-func (c *Barometer) seen() (m map[string]forecast.Seen, asked, answered int) {
+func (c *Controller) seen() (m map[string]forecast.Seen, asked, answered int) {
 	type answer map[string]forecast.Seen
 	var webs []string
 	for _, x := range c.Members() {
-		if x.Role == mast.Vane && x.State <= mast.Suspect {
+		if x.Role == membership.Router && x.State <= membership.Suspect {
 			webs = append(webs, x.Web)
 		}
 	}
 	ch := make(chan answer, len(webs))
 	for _, w := range webs {
 		c.Crew.Go(func() {
-			code, b, _, err := telegraph.HTTP("GET", w, "/status", nil, nil, time.Second)
+			code, b, _, err := transport.HTTP("GET", w, "/status", nil, nil, time.Second)
 			if err != nil || code != 200 {
 				ch <- nil
 				return
@@ -72,14 +72,14 @@
 }
 
 // promises tells operators how each promise is kept over the whole fleet.
-func (c *Barometer) promises(ctx *fasthttp.RequestCtx) {
+func (c *Controller) promises(ctx *fasthttp.RequestCtx) {
 	m, asked, answered := c.seen()
 	var a fastjson.Arena
 	o, l := a.NewObject(), a.NewObject()
 	o.Set("code", a.NewNumberInt(int(synop.OK)))
 	o.Set("vanes", a.NewNumberInt(asked))
 	o.Set("vanes_answered", a.NewNumberInt(answered))
-	for _, k := range station.Keys(m) {
+	for _, k := range message.Keys(m) {
 		s := m[k]
 		x := a.NewObject()
 		x.Set("promise", a.NewString(s.Promise))
--- a/internal/barod/reserve_test.go
+++ b/internal/control/controller/reserve_test.go
@@ -1,4 +1,4 @@
-package barod
+package controller
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 	"syscall"
 	"testing"
 
-	"seamshunt/internal/mast"
+	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/weatherglass"
 )
 
@@ -20,7 +20,7 @@
 	t.Parallel()
 	dir := t.TempDir()
 	var full atomic.Bool
-	fill := func(c *Barometer) {
+	fill := func(c *Controller) {
 		room := c.disk.file.Room
 		c.disk.file.Room = func(f *os.File, off, n int64) error {
 			if full.Load() {
@@ -75,8 +75,8 @@
 func TestFoundingSaysWhatItWaitsFor(t *testing.T) {
 	t.Parallel()
 	var seed string
-	start := func(dir string) *Barometer {
-		return alone(t, dir, func(c *Barometer) {
+	start := func(dir string) *Controller {
+		return alone(t, dir, func(c *Controller) {
 			c.Boot.Founders, c.doctor.Founders = 2, 2
 			if seed == "" {
 				seed = c.Boot.Addr
@@ -95,9 +95,9 @@
 	if code, b := call(t, c, "PUT", "/v1/config?number=0", config); code != 503 || !bytes.Contains(b, []byte(`"code":514`)) {
 		t.Errorf("a change before the founding: %d %s", code, b)
 	}
-	late := alone(t, t.TempDir(), func(x *Barometer) {
+	late := alone(t, t.TempDir(), func(x *Controller) {
 		x.Boot.Founders, x.doctor.Founders = 2, 2
-		x.Mast = mast.New(mast.Member{Node: x.Self, Inc: 1, Role: mast.Barometer, Addr: x.Boot.Addr, Web: x.Boot.Web, Zone: "z"}, []string{seed}, rand.New(rand.NewPCG(1, 2)))
+		x.Gossip = membership.New(membership.Member{Node: x.Self, Inc: 1, Role: membership.Controller, Addr: x.Boot.Addr, Web: x.Boot.Web, Zone: "z"}, []string{seed}, rand.New(rand.NewPCG(1, 2)))
 	})
 	t.Cleanup(late.Drain)
 	weatherglass.Until(t, "both are voters", says(`"state":"voter"`))
--- a/internal/barod/stall_test.go
+++ b/internal/control/controller/stall_test.go
@@ -1,11 +1,11 @@
-package barod
+package controller
 
 import (
 	"encoding/json"
 	"fmt"
 	"testing"
 
-	"seamshunt/internal/almanac"
+	"seamshunt/internal/storage/wal"
 	"seamshunt/internal/weatherglass"
 )
 
@@ -65,7 +65,7 @@
 		c.disk.mu.Lock()
 		c.disk.fault = nil // once
 		c.disk.mu.Unlock()
-		return fmt.Errorf("%w: planted", almanac.ErrSick)
+		return fmt.Errorf("%w: planted", wal.ErrSick)
 	}
 	c.disk.mu.Unlock()
 	code, _ := call(t, c, "PUT", "/v1/config?number=1", config+"   ")
--- a/internal/barod/status.go
+++ b/internal/control/controller/status.go
@@ -1,4 +1,4 @@
-package barod
+package controller
 
 import (
 	"fmt"
@@ -7,49 +7,49 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
-	"seamshunt/internal/barograph"
-	"seamshunt/internal/mast"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/vaned"
 )
 
 // status tells operators all there is to know of this node.
-func (c *Barometer) status(ctx *fasthttp.RequestCtx) {
+func (c *Controller) status(ctx *fasthttp.RequestCtx) {
 	now := c.Crew.Now()
 	var a fastjson.Arena
 	o := a.NewObject()
 	o.Set("node", a.NewString(c.Self.String()))
 	o.Set("name", a.NewString(c.Boot.Name))
 	o.Set("zone", a.NewString(c.Boot.Zone))
-	c.baroMu.Lock()
-	v := c.baro.Voters()
+	c.replicaMu.Lock()
+	v := c.replica.Quorum()
 	vs := a.NewArray()
-	for i, n := range v.IDs {
+	for i, n := range v.Members {
 		vs.SetArrayItem(i, a.NewString(n.String()))
 	}
 	keys := a.NewObject()
-	for k, s := range c.baro.Slots() {
+	for k, s := range c.replica.States() {
 		x := a.NewObject()
-		x.Set("owner", a.NewString(c.baro.Owner(k).String()))
+		x.Set("owner", a.NewString(c.replica.Owner(k).String()))
 		x.Set("number_here", a.NewNumberInt(int(s.Num)))
-		x.Set("epoch", a.NewNumberInt(int(s.Prom.N)))
+		x.Set("epoch", a.NewNumberInt(int(s.Promised.N)))
 		keys.Set(k, x)
 	}
-	c.baroMu.Unlock()
+	c.replicaMu.Unlock()
 	members := c.Members()
 	o.Set("state", a.NewString(c.state(v, members)))
-	o.Set("voters_version", a.NewNumberInt(int(v.Ver)))
+	o.Set("voters_version", a.NewNumberInt(int(v.Version)))
 	o.Set("voters", vs)
 	o.Set("keys", keys)
 	news := a.NewObject()
-	c.BullMu.Lock()
-	for k, it := range c.Bull.Items {
+	c.FeedMu.Lock()
+	for k, it := range c.Feed.Items {
 		x := a.NewObject()
 		x.Set("number", a.NewNumberInt(int(it.Num)))
 		at, all := 0, 0
 		for _, m := range members {
-			if m.Role == mast.Vane && m.State <= mast.Suspect {
+			if m.Role == membership.Router && m.State <= membership.Suspect {
 				all++
-				if c.Bull.Acks[k][m.Node] >= it.Num || m.News == c.Bull.Sum {
+				if c.Feed.Acks[k][m.Node] >= it.Num || m.News == c.Feed.Sum {
 					at++
 				}
 			}
@@ -58,12 +58,12 @@
 		x.Set("vanes", a.NewNumberInt(all))
 		news.Set(k, x)
 	}
-	c.BullMu.Unlock()
+	c.FeedMu.Unlock()
 	o.Set("news", news)
-	c.dutyMu.Lock()
-	o.Set("platform_duty_here", jsonBool(&a, c.duty.Holds(now)))
-	o.Set("platform_duty", a.NewString(c.duty.Holder(now).String()))
-	c.dutyMu.Unlock()
+	c.leaseMu.Lock()
+	o.Set("platform_duty_here", jsonBool(&a, c.lease.Holds(now)))
+	o.Set("platform_duty", a.NewString(c.lease.Holder(now).String()))
+	c.leaseMu.Unlock()
 	c.polled.mu.Lock()
 	o.Set("platform_answers", a.NewNumberInt(int(c.polled.ok)))
 	o.Set("platform_failures", a.NewNumberInt(int(c.polled.bad)))
@@ -87,34 +87,34 @@
 }
 
 // state names what this node's disk is to the fleet, in words for operators.
-func (c *Barometer) state(v barograph.Voters, members []mast.Member) string {
-	look := barograph.LookAt(members)
+func (c *Controller) state(v register.QuorumSet, members []membership.Member) string {
+	look := register.ViewCore(members)
 	switch {
 	case v.Has(c.Self):
 		return "voter"
 	case c.Boot.Grow:
 		return c.grows(v, look)
-	case v.Ver > 0 || look.Fleet:
+	case v.Version > 0 || look.FleetExists:
 		return "learner: it joins once a voter has been gone for 5 s, or one is missing"
-	case len(look.Blanks) > c.Boot.Founders:
-		return fmt.Sprintf("founding: %d blank disks seen, %d wanted: end those that are too many", len(look.Blanks), c.Boot.Founders)
+	case len(look.Blank) > c.Boot.Founders:
+		return fmt.Sprintf("founding: %d blank disks seen, %d wanted: end those that are too many", len(look.Blank), c.Boot.Founders)
 	}
-	return fmt.Sprintf("founding: %d of %d blank disks seen; a blank one at any address will do", len(look.Blanks), c.Boot.Founders)
+	return fmt.Sprintf("founding: %d of %d blank disks seen; a blank one at any address will do", len(look.Blank), c.Boot.Founders)
 }
 
 // grows is the same where voters are founded from seeds (design 13).
-func (c *Barometer) grows(v barograph.Voters, look barograph.Look) string {
+func (c *Controller) grows(v register.QuorumSet, look register.CoreView) string {
 	switch {
 	case !c.Boot.Counts:
 		return "its disk does not count: it never votes"
-	case v.Ver > 0 || look.Fleet:
+	case v.Version > 0 || look.FleetExists:
 		return "learner: it joins the voters"
 	case !c.seeds.First:
 		return "blank, and not of the first start: it waits to hear of the fleet"
 	}
 	seen := 0
 	for _, a := range c.seeds.Addrs {
-		for _, m := range look.Cores {
+		for _, m := range look.Controllers {
 			if m.Addr == a {
 				seen++
 			}
@@ -131,13 +131,13 @@
 }
 
 // metrics writes Prometheus text.
-func (c *Barometer) metrics(ctx *fasthttp.RequestCtx) {
+func (c *Controller) metrics(ctx *fasthttp.RequestCtx) {
 	now := c.Crew.Now()
 	ctx.SetContentType("text/plain; version=0.0.4")
-	c.baroMu.Lock()
+	c.replicaMu.Lock()
 	fmt.Fprintf(ctx, "seamshunt_claims_kept %d\n", c.roll.Len())
-	fmt.Fprintf(ctx, "seamshunt_voters %d\nseamshunt_voters_version %d\n", len(c.baro.Voters().IDs), c.baro.Voters().Ver)
-	c.baroMu.Unlock()
+	fmt.Fprintf(ctx, "seamshunt_voters %d\nseamshunt_voters_version %d\n", len(c.replica.Quorum().Members), c.replica.Quorum().Version)
+	c.replicaMu.Unlock()
 	c.polled.mu.Lock()
 	fmt.Fprintf(ctx, "seamshunt_platform_answers_total %d\nseamshunt_platform_failures_total %d\n", c.polled.ok, c.polled.bad)
 	c.polled.mu.Unlock()
@@ -145,5 +145,5 @@
 	if c.disk.unfit(now) {
 		n = 1
 	}
-	fmt.Fprintf(ctx, "seamshunt_disk_unfit %d\nseamshunt_bad_frames_total %d\nseamshunt_bad_notes_total %d\nseamshunt_dropped_notes_total %d\nseamshunt_audit_missed_total %d\n", n, c.Tel.Bad.Load(), c.Errors.Load(), c.Dropped.Load(), c.missed.Load())
+	fmt.Fprintf(ctx, "seamshunt_disk_unfit %d\nseamshunt_bad_frames_total %d\nseamshunt_bad_notes_total %d\nseamshunt_dropped_notes_total %d\nseamshunt_audit_missed_total %d\n", n, c.Transport.Bad.Load(), c.Errors.Load(), c.Dropped.Load(), c.missed.Load())
 }
--- a/internal/barod/web.go
+++ b/internal/control/controller/web.go
@@ -1,4 +1,4 @@
-package barod
+package controller
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
-	"seamshunt/internal/barograph"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -17,7 +17,7 @@
 const keyConfig = "config"
 
 // serve is the operators' door (docs/operators.md).
-func (c *Barometer) serve(ctx *fasthttp.RequestCtx) {
+func (c *Controller) serve(ctx *fasthttp.RequestCtx) {
 	path, m := string(ctx.Path()), string(ctx.Method())
 	zone, isZone := strings.CutPrefix(path, "/v1/zones/")
 	switch {
@@ -49,7 +49,7 @@
 }
 
 // fail answers with all faults found; the first one's code gives the status.
-func (c *Barometer) fail(ctx *fasthttp.RequestCtx, fs ...*synop.Fault) {
+func (c *Controller) fail(ctx *fasthttp.RequestCtx, fs ...*synop.Fault) {
 	var a fastjson.Arena
 	l := a.NewArray()
 	for i, f := range fs {
@@ -76,7 +76,7 @@
 	synop.DiskFull:   "the disks are full; nothing was written by this call",
 }
 
-func (c *Barometer) result(ctx *fasthttp.RequestCtx, r barograph.Result) {
+func (c *Controller) result(ctx *fasthttp.RequestCtx, r register.Result) {
 	if r.Code != synop.OK {
 		f := &synop.Fault{Code: r.Code, Text: texts[r.Code]}
 		if r.Code == synop.Conflict {
@@ -94,8 +94,8 @@
 }
 
 // read gives the exact bytes of the newest acknowledged value, confirmed with a majority.
-func (c *Barometer) read(ctx *fasthttp.RequestCtx, key string) {
-	r := c.Ask(barograph.Ask{Key: key})
+func (c *Controller) read(ctx *fasthttp.RequestCtx, key string) {
+	r := c.Submit(register.Request{Key: key})
 	if r.Code != synop.OK {
 		c.result(ctx, r)
 		return
@@ -110,7 +110,7 @@
 }
 
 // expect reads the number that a change builds on.
-func (c *Barometer) expect(ctx *fasthttp.RequestCtx) (units.Num, bool) {
+func (c *Controller) expect(ctx *fasthttp.RequestCtx) (units.Num, bool) {
 	s := string(ctx.QueryArgs().Peek("number"))
 	n, err := strconv.ParseUint(s, 10, 62)
 	if err != nil {
@@ -121,7 +121,7 @@
 }
 
 // apply is the direct way for machines, under the same check as a plan.
-func (c *Barometer) apply(ctx *fasthttp.RequestCtx) {
+func (c *Controller) apply(ctx *fasthttp.RequestCtx) {
 	num, ok := c.expect(ctx)
 	if !ok {
 		return
@@ -131,11 +131,11 @@
 		c.fail(ctx, fs...)
 		return
 	}
-	c.change(ctx, barograph.Ask{Key: keyConfig, Expect: num, Plan: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
+	c.change(ctx, register.Request{Key: keyConfig, Expect: num, RequestID: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
 }
 
 // zone evacuates a zone or takes the evacuation back.
-func (c *Barometer) zone(ctx *fasthttp.RequestCtx, zone string) {
+func (c *Controller) zone(ctx *fasthttp.RequestCtx, zone string) {
 	num, ok := c.expect(ctx)
 	if !ok {
 		return
@@ -145,10 +145,10 @@
 		c.fail(ctx, f)
 		return
 	}
-	c.change(ctx, barograph.Ask{Key: "zone/" + zone, Expect: num, Plan: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
+	c.change(ctx, register.Request{Key: "zone/" + zone, Expect: num, RequestID: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
 }
 
-func (c *Barometer) checkZone(zone string, body []byte) *synop.Fault {
+func (c *Controller) checkZone(zone string, body []byte) *synop.Fault {
 	if !c.knows(zone) {
 		return &synop.Fault{Code: synop.BadZone, Text: "no member is in zone " + zone}
 	}
@@ -166,4 +166,4 @@
 func place(err error) string { return strings.TrimSpace(err.Error()) }
 
 // patience is how long an operator's call passed on to another node may take.
-const patience = barograph.Patience + 2*time.Second
+const patience = register.RequestTimeout + 2*time.Second
--- a/internal/barod/list.go
+++ b/internal/control/controller/worker_list.go
@@ -1,4 +1,4 @@
-package barod
+package controller
 
 import (
 	"errors"
@@ -11,9 +11,9 @@
 
 	"github.com/valyala/fasthttp"
 
+	"seamshunt/internal/cluster/transport"
 	"seamshunt/internal/forecast"
 	"seamshunt/internal/shield"
-	"seamshunt/internal/telegraph"
 )
 
 // allPools stands for one list of all services' workers, which a book reads.
@@ -23,11 +23,11 @@
 const longAgo = time.Hour
 
 // list asks for a pool's workers. A node that can't reach the platform at all gives the duty up.
-func (c *Barometer) list(pool string) ([]forecast.Worker, error) {
-	if c.code != nil && pool == allPools {
+func (c *Controller) list(pool string) ([]forecast.Worker, error) {
+	if c.adapter != nil && pool == allPools {
 		return c.listAll()
 	}
-	code, b, _, err := telegraph.HTTP("GET", c.Boot.Platform, "/v1/pools/"+pool+"/workers", nil, nil, time.Second)
+	code, b, _, err := transport.HTTP("GET", c.Boot.Platform, "/v1/pools/"+pool+"/workers", nil, nil, time.Second)
 	if err != nil {
 		c.yield()
 		return nil, err
@@ -44,9 +44,9 @@
 
 // listAll asks as the book wants it. Such a list says how much longer a worker is cold, not how old it is: its age comes
 // from how long its service's workers are cold, as the configuration has it (design 13).
-func (c *Barometer) listAll() ([]forecast.Worker, error) {
+func (c *Controller) listAll() ([]forecast.Worker, error) {
 	away := false
-	l, err := c.code.Workers(func(path string) (int, []byte, error) {
+	l, err := c.adapter.Workers(func(path string) (int, []byte, error) {
 		code, b, err := c.kept.get(c.Boot.Platform, path)
 		away = away || err != nil
 		return code, b, err
--- a/internal/ballot/ballot.go
+++ b/internal/control/lease/lease.go
@@ -1,18 +1,18 @@
-// Package ballot fills one-node duties by a round of ballots whenever they fall vacant (design 5).
-package ballot
+// Package lease fills one-node duties by a round of ballots whenever they fall vacant (design 5).
+package lease
 
 import (
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
 // The notes of ballots.
 const (
-	Stand = station.Ballot + iota
+	Stand = message.KindLease + iota
 	Vote
 	Release
 )
@@ -38,7 +38,7 @@
 }
 
 // Ballot is the step machine for one duty.
-type Ballot struct {
+type Lease struct {
 	self   units.Node
 	Duty   string
 	Voters func() []units.Node
@@ -55,15 +55,15 @@
 }
 
 // New gives a node that has voted for nobody; it abstains for a term, since it may have voted before it started.
-func New(self units.Node, duty string, voters func() []units.Node, now units.Time, rng *rand.Rand) *Ballot {
-	return &Ballot{self: self, Duty: duty, Voters: voters, born: now, rng: rng, next: now.Add(Term), lent: map[units.Node]units.Time{}}
+func New(self units.Node, duty string, voters func() []units.Node, now units.Time, rng *rand.Rand) *Lease {
+	return &Lease{self: self, Duty: duty, Voters: voters, born: now, rng: rng, next: now.Add(Term), lent: map[units.Node]units.Time{}}
 }
 
 // Holds says whether the duty is ours now.
-func (b *Ballot) Holds(now units.Time) bool { return now < b.until }
+func (b *Lease) Holds(now units.Time) bool { return now < b.until }
 
 // Holder names whom this node has voted for.
-func (b *Ballot) Holder(now units.Time) units.Node {
+func (b *Lease) Holder(now units.Time) units.Node {
 	if now < b.grant.until {
 		return b.grant.to
 	}
@@ -72,9 +72,9 @@
 
 // lost gives the votes of a lost round back; a late vote for it counts no more. Without this, two candidates
 // with half the votes each would renew them for ever.
-func (b *Ballot) lost(now units.Time, out *station.Out) {
+func (b *Lease) lost(now units.Time, out *message.Effects) {
 	for _, n := range b.Voters() {
-		out.Send(n, Release, station.Pack(head{Round: b.round}, []byte(b.Duty)))
+		out.Send(n, Release, message.Pack(head{Round: b.round}, []byte(b.Duty)))
 	}
 	b.round++
 	b.got = nil
@@ -83,7 +83,7 @@
 }
 
 // Tick stands for the duty when it is vacant, and renews it when it is ours. A node that leaves does not stand.
-func (b *Ballot) Tick(now units.Time, stand bool) (out station.Out) {
+func (b *Lease) Tick(now units.Time, stand bool) (out message.Effects) {
 	if b.got != nil && !b.Holds(now) && now.Sub(b.sent) >= count {
 		b.lost(now, &out)
 	}
@@ -97,16 +97,16 @@
 	b.round++
 	b.sent, b.got = now, map[units.Node]bool{}
 	for _, n := range b.Voters() {
-		out.Send(n, Stand, station.Pack(head{Round: b.round}, []byte(b.Duty)))
+		out.Send(n, Stand, message.Pack(head{Round: b.round}, []byte(b.Duty)))
 	}
 	return out
 }
 
 // Step takes one note; the note's duty must be this one.
-func (b *Ballot) Step(now units.Time, n station.Note) (out station.Out) {
+func (b *Lease) Step(now units.Time, n message.Message) (out message.Effects) {
 	var h head
 	var duty []byte
-	if err := station.Unpack(n.Body, &h, &duty); err != nil {
+	if err := message.Unpack(n.Body, &h, &duty); err != nil {
 		out.Fail(err)
 		return out
 	}
@@ -121,7 +121,7 @@
 			b.grant = grant{n.From, now.Add(Term)}
 			r.Ok = 1
 		}
-		out.Send(n.From, Vote, station.Pack(r, duty))
+		out.Send(n.From, Vote, message.Pack(r, duty))
 	case Release:
 		if b.grant.to == n.From {
 			b.grant.until = min(b.grant.until, now)
@@ -149,17 +149,17 @@
 }
 
 // Gone frees the vote for a holder whose process is known to have ended.
-func (b *Ballot) Gone(now units.Time, n units.Node) {
+func (b *Lease) Gone(now units.Time, n units.Node) {
 	if b.grant.to == n {
 		b.grant.until = min(b.grant.until, now)
 	}
 }
 
 // Drop gives the duty up.
-func (b *Ballot) Drop() { b.until = 0 }
+func (b *Lease) Drop() { b.until = 0 }
 
 // Yield gives the duty up for a while, since this node can't do it now; its votes go back at once.
-func (b *Ballot) Yield(now units.Time) (out station.Out) {
+func (b *Lease) Yield(now units.Time) (out message.Effects) {
 	b.until = 0
 	b.lost(now, &out)
 	b.next = now.Add(yieldFor)
@@ -169,7 +169,7 @@
 // Share is this node's part of a rate that all voters share: its own, unless it backs somebody else, and those of all
 // whose votes it has, who leave theirs unused as long as their votes stand. So the parts never add up to more than
 // one, however the voters are cut off from each other (design 5).
-func (b *Ballot) Share(now units.Time) float64 {
+func (b *Lease) Share(now units.Time) float64 {
 	vs := b.Voters()
 	if !slices.Contains(vs, b.self) || now < b.born.Add(Term) || now < b.grant.until && b.grant.to != b.self {
 		return 0
--- a/internal/ballot/ballot_test.go
+++ b/internal/control/lease/lease_test.go
@@ -1,11 +1,11 @@
-package ballot
+package lease
 
 import (
 	"math/rand/v2"
 	"testing"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -15,19 +15,19 @@
 	ids := []units.Node{1, 2, 3, 4}
 	for seed := range uint64(20) {
 		rng := rand.New(rand.NewPCG(seed, 1))
-		m := map[units.Node]*Ballot{}
+		m := map[units.Node]*Lease{}
 		for _, n := range ids {
 			m[n] = New(n, "d", func() []units.Node { return ids }, 0, rand.New(rand.NewPCG(seed, uint64(n))))
 		}
 		side := map[units.Node]int{}
 		type late struct {
 			at units.Time
-			n  station.Note
+			n  message.Message
 		}
 		var way []late
 		now := units.Time(0)
-		send := func(from units.Node, o station.Out) {
-			for _, n := range o.Notes {
+		send := func(from units.Node, o message.Effects) {
+			for _, n := range o.Messages {
 				if n.From = from; side[from] == side[n.To] && rng.IntN(50) > 0 {
 					way = append(way, late{now.Add(time.Duration(rng.Int64N(int64(20 * time.Millisecond)))), n})
 				}
--- /dev/null
+++ b/internal/control/register/acceptor.go
@@ -0,0 +1,127 @@
+package register
+
+import (
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/units"
+)
+
+// KeyVoters holds the set of voters itself.
+const KeyQuorum = "voters"
+
+func (b *Replica) state(key string) *State {
+	s := b.states[key]
+	if s == nil {
+		s = &State{}
+		b.states[key] = s
+	}
+	return s
+}
+
+// adopt takes a newer set of voters from any message and keeps it on disk.
+func (b *Replica) adopt(v QuorumSet, out *message.Effects) {
+	if v.Version <= b.quorum.Version {
+		return
+	}
+	b.quorum = v
+	b.reach.born, b.reach.sent = 0, 0 // whether it reaches these is to be seen
+	out.Writes = append(out.Writes, message.Record{Kind: RecordQuorum, Data: v.Pack()})
+	for _, o := range b.owned {
+		o.drop()
+	}
+}
+
+// Learn takes the set of voters from the news, as a learner must.
+func (b *Replica) LearnQuorum(body []byte) (out message.Effects) {
+	v, err := UnpackQuorumSet(body)
+	out.Fail(err)
+	if err == nil {
+		b.adopt(v, &out)
+	}
+	return out
+}
+
+// barred says whether a message under an older set of voters must not be served (design 2).
+func (b *Replica) barred(key string, ver units.Num) bool {
+	if ver < b.quorum.Version {
+		return true
+	}
+	return key != KeyQuorum && ver < b.state(KeyQuorum).Num
+}
+
+// Ver numbers the newest set of voters that this node knows of.
+func (b *Replica) QuorumVersion() units.Num { return max(b.quorum.Version, b.state(KeyQuorum).Num) }
+
+// voter serves Prepare, Accept and Confirm; every reply goes through the disk's queue, in order.
+func (b *Replica) voter(n message.Message, h head, key string, ver units.Num, body []byte, out *message.Effects) {
+	r := h
+	r.Ok = 0
+	if b.barred(key, ver) {
+		out.SendAfterSync(n.From, Stale, b.pack(r, key, nil))
+		return
+	}
+	if !b.mayVote(key, n.Kind) {
+		return
+	}
+	s := b.state(key)
+	e := h.epoch()
+	if e.Less(s.Promised) {
+		r.HN, r.HBy = s.Promised.N, uint64(s.Promised.By)
+		out.SendAfterSync(n.From, n.Kind+1, b.pack(r, key, nil))
+		return
+	}
+	r.Ok = 1
+	switch n.Kind {
+	case Prepare:
+		if s.Promised != e {
+			s.Promised = e
+			out.Writes = append(out.Writes, b.savePromise(key, s))
+		}
+		r.HN, r.HBy, r.Seq, r.Num = s.Accepted.N, uint64(s.Accepted.By), s.Seq, uint64(s.Num)
+		out.SendAfterSync(n.From, Promise, b.pack(r, key, s.Body))
+	case Accept:
+		x := State{Promised: e, Accepted: e, Seq: h.Seq, Num: units.Num(h.Num), Body: body}
+		if x.newer(s) {
+			*s = x
+			out.Writes = append(out.Writes, b.saveAccept(key, s))
+		} else if s.Accepted != e || s.Seq != h.Seq {
+			return // an older one of the same epoch, late: its write has long been answered or overtaken
+		}
+		out.SendAfterSync(n.From, Accepted, b.pack(r, key, nil))
+	case Confirm:
+		if s.Promised != e {
+			r.Ok = 0
+		}
+		out.SendAfterSync(n.From, Confirmed, b.pack(r, key, nil))
+	}
+}
+
+// mayVote: a member of the set votes; a learner only accepts the change of voters that takes it in.
+func (b *Replica) mayVote(key string, k message.Kind) bool {
+	return b.quorum.Has(b.self) || key == KeyQuorum && k == Accept
+}
+
+// stored gives this disk's accepted numbers, for a starting vane's vouching (design 4).
+func (b *Replica) StoredNumbers() map[string]units.Num {
+	m := map[string]units.Num{}
+	for k, s := range b.states {
+		if s.Num > 0 {
+			m[k] = s.Num
+		}
+	}
+	return m
+}
+
+// Mend sends a key's accepted value to another voter as its owner's Accept once more: a voter that has since
+// promised a higher epoch refuses it, as it would a late one.
+func (b *Replica) Resend(to units.Node, key string) (out message.Effects) {
+	s := b.states[key]
+	if s == nil || s.Num == 0 {
+		return out
+	}
+	h := head{N: s.Accepted.N, By: uint64(s.Accepted.By), Seq: s.Seq, Num: uint64(s.Num)}
+	out.SendAfterSync(to, Accept, b.pack(h, key, s.Body))
+	return out
+}
+
+// Slots gives the voter's state for repair and status; the caller must not change it.
+func (b *Replica) States() map[string]*State { return b.states }
--- a/internal/barograph/change.go
+++ b/internal/control/register/change.go
@@ -1,10 +1,10 @@
-package barograph
+package register
 
 import (
 	"slices"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -13,7 +13,7 @@
 // a majority of the disks knows of must have been confirmed under the present set; only then does any
 // majority of the next set meet each key's newest write.
 type change struct {
-	want  Voters
+	want  QuorumSet
 	since units.Time
 	seen  map[units.Node]bool
 	keys  map[string]uint64 // key to the tag of its confirmed read
@@ -27,23 +27,23 @@
 const changeTag = 1 << 63
 
 // Want asks the owner of the voters' key for a next set that differs by one disk. Only the owner minds.
-func (b *Barograph) Want(now units.Time, ids []units.Node) {
-	if diff(b.cfg.IDs, ids) == 1 {
-		b.WantSet(now, Voters{Size: b.cfg.Size, IDs: ids})
+func (b *Replica) Want(now units.Time, ids []units.Node) {
+	if diff(b.quorum.Members, ids) == 1 {
+		b.ChangeMembers(now, QuorumSet{Size: b.quorum.Size, Members: ids})
 	}
 }
 
 // WantSet asks for a next set that differs by one disk, or by the size that it is to have.
-func (b *Barograph) WantSet(now units.Time, v Voters) {
-	if b.cfg.Ver == 0 || b.Owner(KeyVoters) != b.self || b.change != nil || len(v.IDs) == 0 {
+func (b *Replica) ChangeMembers(now units.Time, v QuorumSet) {
+	if b.quorum.Version == 0 || b.Owner(KeyQuorum) != b.self || b.change != nil || len(v.Members) == 0 {
 		return
 	}
-	if k := diff(b.cfg.IDs, v.IDs); k > 1 || k == 0 && v.Size == b.cfg.Size {
+	if k := diff(b.quorum.Members, v.Members); k > 1 || k == 0 && v.Size == b.quorum.Size {
 		return
 	}
-	l := slices.Clone(v.IDs)
+	l := slices.Clone(v.Members)
 	slices.Sort(l)
-	b.change = &change{want: Voters{Ver: b.cfg.Ver + 1, Size: v.Size, IDs: l}, since: now, seen: map[units.Node]bool{},
+	b.change = &change{want: QuorumSet{Version: b.quorum.Version + 1, Size: v.Size, Members: l}, since: now, seen: map[units.Node]bool{},
 		keys: map[string]uint64{}, done: map[uint64]bool{}, asked: now.Add(-time.Second), read: now.Add(-time.Second)}
 }
 
@@ -62,13 +62,13 @@
 	return k
 }
 
-func (b *Barograph) changeTick(now units.Time, out *station.Out) {
+func (b *Replica) changeTick(now units.Time, out *message.Effects) {
 	c := b.change
 	if c == nil {
 		return
 	}
-	o := b.owns[KeyVoters]
-	if b.cfg.Ver >= c.want.Ver || now.Sub(c.since) > 10*time.Second || o == nil || b.Owner(KeyVoters) != b.self {
+	o := b.owned[KeyQuorum]
+	if b.quorum.Version >= c.want.Version || now.Sub(c.since) > 10*time.Second || o == nil || b.Owner(KeyQuorum) != b.self {
 		b.change = nil
 		return
 	}
@@ -79,21 +79,21 @@
 		b.change = nil // its write was fenced off, and what stands is the old set: begin again
 		return
 	}
-	if !b.cfg.Most(c.seen) {
+	if !b.quorum.Majority(c.seen) {
 		if now.Sub(c.asked) >= resend {
 			c.asked = now
-			for _, n := range b.cfg.IDs {
-				out.Send(n, Keys, b.pack(head{}, "", nil))
+			for _, n := range b.quorum.Members {
+				out.Send(n, ListKeys, b.pack(head{}, "", nil))
 			}
 		}
 		return
 	}
 	if now.Sub(c.read) >= resend {
 		c.read = now
-		for _, k := range station.Keys(c.keys) {
+		for _, k := range message.Keys(c.keys) {
 			tag := c.keys[k]
 			if !c.done[tag] {
-				out.Join(b.Ask(now, Ask{Tag: tag, Key: k}))
+				out.Join(b.Submit(now, Request{Tag: tag, Key: k}))
 			}
 		}
 	}
@@ -101,30 +101,30 @@
 		return
 	}
 	c.sent = true
-	b.write(now, o, Slot{Seq: o.best.Seq + 1, Num: c.want.Ver, Body: packBody(nil, c.want.Pack())}, nil, out)
+	b.write(now, o, State{Seq: o.best.Seq + 1, Num: c.want.Version, Body: packBody(nil, c.want.Pack())}, nil, out)
 }
 
 // listKeys answers with the keys on this disk, behind the disk's queue.
-func (b *Barograph) listKeys(n station.Note, out *station.Out) {
+func (b *Replica) listKeys(n message.Message, out *message.Effects) {
 	var l [][]byte
-	for _, k := range station.Keys(b.slots) {
+	for _, k := range message.Keys(b.states) {
 		l = append(l, []byte(k))
 	}
-	out.Later(n.From, KeysAre, b.pack(head{}, "", station.PackList(l)))
+	out.SendAfterSync(n.From, KeyList, b.pack(head{}, "", message.PackList(l)))
 }
 
-func (b *Barograph) keysAre(n station.Note, ver units.Num, body []byte) {
+func (b *Replica) keysAre(n message.Message, ver units.Num, body []byte) {
 	c := b.change
-	if c == nil || ver != b.cfg.Ver {
+	if c == nil || ver != b.quorum.Version {
 		return
 	}
-	l, err := station.UnpackList(body)
+	l, err := message.UnpackList(body)
 	if err != nil {
 		return
 	}
 	c.seen[n.From] = true
 	for _, k := range l {
-		if _, ok := c.keys[string(k)]; !ok && string(k) != KeyVoters {
+		if _, ok := c.keys[string(k)]; !ok && string(k) != KeyQuorum {
 			b.tag++
 			c.keys[string(k)] = changeTag | b.tag
 		}
@@ -132,7 +132,7 @@
 }
 
 // result keeps the change's own reads apart from operators' calls.
-func (b *Barograph) result(r Result) {
+func (b *Replica) result(r Result) {
 	if r.Tag&changeTag == 0 {
 		b.Results = append(b.Results, r)
 		return
--- a/internal/barograph/found_test.go
+++ b/internal/control/register/found_test.go
@@ -1,25 +1,25 @@
-package barograph
+package register
 
 import (
 	"slices"
 	"testing"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
 // The one that proposed is gone before all had voted: those that voted stay with their vote, whatever they see now, and
 // the lowest of them gathers the others' votes. A disk that voted for one set never votes for another (design 13).
 func TestVotesOutliveTheirProposer(t *testing.T) {
-	m := map[units.Node]*Barograph{}
+	m := map[units.Node]*Replica{}
 	for n := units.Node(1); n <= 4; n++ {
 		m[n] = New(n, n+100)
 	}
 	now := units.Time(time.Second)
-	var deliver func(from units.Node, out station.Out)
-	deliver = func(from units.Node, out station.Out) {
-		for _, n := range append(out.Notes, out.After...) {
+	var deliver func(from units.Node, out message.Effects)
+	deliver = func(from units.Node, out message.Effects) {
+		for _, n := range append(out.Messages, out.AfterSync...) {
 			if n.From = from; m[n.To] != nil {
 				deliver(n.To, m[n.To].Step(now, n))
 			}
@@ -34,29 +34,29 @@
 		}
 	}
 	set := []units.Node{2, 3, 4}
-	m[1].Propose(set, true) // it doesn't vote itself
-	m[2].Propose(set, false)
-	m[3].Propose(set, false)
-	m[4].Propose([]units.Node{2, 4}, false) // it doesn't see 3 yet
-	if tick(); m[2].vote == nil || m[4].vote != nil || m[1].cfg.Ver != 0 {
+	m[1].FoundFromSeeds(set, true) // it doesn't vote itself
+	m[2].FoundFromSeeds(set, false)
+	m[3].FoundFromSeeds(set, false)
+	m[4].FoundFromSeeds([]units.Node{2, 4}, false) // it doesn't see 3 yet
+	if tick(); m[2].vote == nil || m[4].vote != nil || m[1].quorum.Version != 0 {
 		t.Fatal("two see the set and vote; the third doesn't")
 	}
 	delete(m, 1)
 	again := New(2, 202) // started again from its disk
-	if err := again.Load([]station.Record{{Kind: RecFound, Data: m[2].vote}}); err != nil {
+	if err := again.Load([]message.Record{{Kind: RecordFoundingVote, Data: m[2].vote}}); err != nil {
 		t.Fatal(err)
 	}
 	m[2] = again
-	m[2].Propose([]units.Node{2, 4}, true)
-	m[3].Propose(nil, false)
-	m[4].Propose([]units.Node{2, 4}, false)
-	if tick(); m[2].cfg.Ver+m[3].cfg.Ver+m[4].cfg.Ver != 0 {
+	m[2].FoundFromSeeds([]units.Node{2, 4}, true)
+	m[3].FoundFromSeeds(nil, false)
+	m[4].FoundFromSeeds([]units.Node{2, 4}, false)
+	if tick(); m[2].quorum.Version+m[3].quorum.Version+m[4].quorum.Version != 0 {
 		t.Fatal("a set was founded that one of it has not voted for")
 	}
-	m[4].Propose(set, false)
+	m[4].FoundFromSeeds(set, false)
 	tick()
 	for n := units.Node(2); n <= 4; n++ {
-		if v := m[n].Voters(); v.Ver != 1 || v.Size != 3 || !slices.Equal(v.IDs, set) {
+		if v := m[n].Quorum(); v.Version != 1 || v.Size != 3 || !slices.Equal(v.Members, set) {
 			t.Errorf("%d knows %v", n, v)
 		}
 	}
--- a/internal/barograph/grower.go
+++ b/internal/control/register/grower.go
@@ -1,10 +1,10 @@
-package barograph
+package register
 
 import (
 	"slices"
 	"time"
 
-	"seamshunt/internal/mast"
+	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/units"
 )
 
@@ -23,20 +23,20 @@
 }
 
 // Next gives the set of voters that should come next; false when none should.
-func (g *Grower) Next(now units.Time, v Voters, l Look) (Voters, bool) {
+func (g *Grower) Next(now units.Time, v QuorumSet, l CoreView) (QuorumSet, bool) {
 	if g.away == nil {
 		g.away = map[units.Node]units.Time{}
 	}
-	if g.ver != v.Ver {
-		g.ver, g.calm = v.Ver, now
+	if g.ver != v.Version {
+		g.ver, g.calm = v.Version, now
 	}
-	if v.Ver == 0 {
-		return Voters{}, false
+	if v.Version == 0 {
+		return QuorumSet{}, false
 	}
 	var drop units.Node
 	all := true
-	for _, n := range v.IDs {
-		if slices.Contains(l.Fit, n) {
+	for _, n := range v.Members {
+		if slices.Contains(l.Eligible, n) {
 			delete(g.away, n)
 			continue
 		}
@@ -50,31 +50,33 @@
 	}
 	size, learner := v.Size, l.learner(v)
 	if size == 0 {
-		size = len(v.IDs)
+		size = len(v.Members)
 	}
 	switch {
-	case drop != 0 && len(v.IDs) > size: // another disk stands in for it already
-		ids := slices.DeleteFunc(slices.Clone(v.IDs), func(n units.Node) bool { return n == drop })
-		return Voters{Size: size, IDs: ids}, true
-	case learner != 0 && (all || len(v.IDs) <= size):
-		return Voters{Size: size, IDs: append(slices.Clone(v.IDs), learner)}, true
-	case all && len(v.IDs) > size && now.Sub(g.calm) >= calmFor:
-		return Voters{Size: len(v.IDs), IDs: v.IDs}, true // nobody is gone: it has grown
+	case drop != 0 && len(v.Members) > size: // another disk stands in for it already
+		ids := slices.DeleteFunc(slices.Clone(v.Members), func(n units.Node) bool { return n == drop })
+		return QuorumSet{Size: size, Members: ids}, true
+	case learner != 0 && (all || len(v.Members) <= size):
+		return QuorumSet{Size: size, Members: append(slices.Clone(v.Members), learner)}, true
+	case all && len(v.Members) > size && now.Sub(g.calm) >= calmFor:
+		return QuorumSet{Size: len(v.Members), Members: v.Members}, true // nobody is gone: it has grown
 	}
-	return Voters{}, false
+	return QuorumSet{}, false
 }
 
 // counts says whether a barometer's disk counts, or stands in for one where nobody's does.
-func (l Look) counts(m mast.Member) bool { return l.bare || m.Flags&mast.Counts != 0 }
+func (l CoreView) counts(m membership.Member) bool {
+	return l.diskless || m.Flags&membership.Counts != 0
+}
 
 // learner picks the disk that is to vote next: one that came in place of a lost voter's, or the lowest.
-func (l Look) learner(v Voters) (best units.Node) {
+func (l CoreView) learner(v QuorumSet) (best units.Node) {
 	place := false
-	for _, m := range l.Cores {
+	for _, m := range l.Controllers {
 		if v.Has(m.Node) || !l.counts(m) || !usable(m) {
 			continue
 		}
-		in := slices.ContainsFunc(l.gone, func(x mast.Member) bool { return v.Has(x.Node) && x.Addr == m.Addr })
+		in := slices.ContainsFunc(l.replaced, func(x membership.Member) bool { return v.Has(x.Node) && x.Addr == m.Addr })
 		if best == 0 || in && !place || in == place && m.Node < best {
 			best, place = m.Node, in
 		}
--- /dev/null
+++ b/internal/control/register/messages.go
@@ -0,0 +1,221 @@
+package register
+
+import (
+	"slices"
+
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// The notes of control state (design 2).
+const (
+	Prepare = message.KindRegister + iota
+	Promise
+	Accept
+	Accepted
+	Confirm
+	Confirmed
+	Stale
+	Forward
+	Reply
+	FoundingVote
+	FoundingVoted
+	ListKeys
+	KeyList
+	Ping
+	Pong
+)
+
+type head struct {
+	N, By   uint64
+	Seq     uint64
+	Num     uint64
+	Tag     uint64
+	HN, HBy uint64 // the higher epoch that a refusal names
+	Code    uint16
+	Ok      uint8
+	Write   uint8
+}
+
+func (h head) epoch() units.Epoch  { return units.Epoch{N: h.N, By: units.Node(h.By)} }
+func (h head) higher() units.Epoch { return units.Epoch{N: h.HN, By: units.Node(h.HBy)} }
+
+// Voters is the set of disks that vote, with its version.
+type QuorumSet struct {
+	Version units.Num
+	Size    int // how many it is to hold, where voters grow: what it has above that stands in for one that is gone (design 13)
+	Members []units.Node
+}
+
+type (
+	verHead  struct{ Ver uint64 }
+	sizeHead struct{ Ver, Size uint64 }
+)
+
+// Pack lays the set out.
+func (v QuorumSet) Pack() []byte {
+	items := make([][]byte, len(v.Members))
+	for i, n := range v.Members {
+		items[i] = message.Pack(verHead{uint64(n)})
+	}
+	return message.Pack(sizeHead{uint64(v.Version), uint64(v.Size)}, message.PackList(items))
+}
+
+// UnpackVoters is the inverse.
+func UnpackQuorumSet(b []byte) (QuorumSet, error) {
+	var h sizeHead
+	var list []byte
+	if err := message.Unpack(b, &h, &list); err != nil {
+		return QuorumSet{}, err
+	}
+	items, err := message.UnpackList(list)
+	v := QuorumSet{Version: units.Num(h.Ver), Size: int(h.Size)}
+	for _, t := range items {
+		var x verHead
+		if err == nil {
+			err = message.Unpack(t, &x)
+		}
+		v.Members = append(v.Members, units.Node(x.Ver))
+	}
+	return v, err
+}
+
+// Has says whether n votes.
+func (v QuorumSet) Has(n units.Node) bool { return slices.Contains(v.Members, n) }
+
+// Most says whether got holds a majority of the set.
+func (v QuorumSet) Majority(got map[units.Node]bool) bool {
+	k := 0
+	for _, n := range v.Members {
+		if got[n] {
+			k++
+		}
+	}
+	return len(v.Members) > 0 && k > len(v.Members)/2
+}
+
+// Slot is a voter's state of one key.
+type State struct {
+	Promised units.Epoch
+	Accepted units.Epoch
+	Seq      uint64
+	Num      units.Num
+	Body     []byte // as laid out by packBody; empty before the first write
+}
+
+func (s *State) newer(o *State) bool {
+	return o.Accepted.Less(s.Accepted) || s.Accepted == o.Accepted && s.Seq > o.Seq
+}
+
+// Records of the wal that belong to control state.
+const (
+	RecordPromise uint8 = 2 + iota
+	RecordAccept
+	RecordQuorum
+	RecordFoundingVote
+)
+
+type slotHead struct{ N, By, Seq, Num uint64 }
+
+func (b *Replica) savePromise(key string, s *State) message.Record {
+	return message.Record{Kind: RecordPromise, Key: key, Data: message.Pack(slotHead{N: s.Promised.N, By: uint64(s.Promised.By)})}
+}
+
+func (b *Replica) saveAccept(key string, s *State) message.Record {
+	h := slotHead{N: s.Accepted.N, By: uint64(s.Accepted.By), Seq: s.Seq, Num: uint64(s.Num)}
+	return message.Record{Kind: RecordAccept, Key: key, Data: message.Pack(h, s.Body)}
+}
+
+// Load takes the records read back from the disk.
+func (b *Replica) Load(rs []message.Record) error {
+	for _, r := range rs {
+		var h slotHead
+		var err error
+		switch r.Kind {
+		case RecordPromise:
+			err = message.Unpack(r.Data, &h)
+			b.state(r.Key).Promised = maxEpoch(b.state(r.Key).Promised, units.Epoch{N: h.N, By: units.Node(h.By)})
+		case RecordAccept:
+			s := b.state(r.Key)
+			err = message.Unpack(r.Data, &h, &s.Body)
+			s.Accepted, s.Seq, s.Num = units.Epoch{N: h.N, By: units.Node(h.By)}, h.Seq, units.Num(h.Num)
+			s.Promised = maxEpoch(s.Promised, s.Accepted)
+		case RecordQuorum:
+			b.quorum, err = UnpackQuorumSet(r.Data)
+		case RecordFoundingVote:
+			b.vote = r.Data
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func maxEpoch(a, b units.Epoch) units.Epoch {
+	if a.Less(b) {
+		return b
+	}
+	return a
+}
+
+// Ask is an operator's or a duty's wish on one key.
+type Request struct {
+	Tag       uint64
+	From      units.Node
+	Key       string
+	Write     bool
+	Expect    units.Num // the number it builds on; Any for whatever stands
+	RequestID string
+	Data      []byte
+	sure      bool // the owner has confirmed its epoch since this came
+}
+
+// Any stands for whatever number there is.
+const AnyNumber = ^units.Num(0)
+
+// Result answers an Ask.
+type Result struct {
+	Tag  uint64
+	Code synop.Code
+	Num  units.Num
+	Data []byte
+}
+
+type planHead struct{ Num uint64 }
+
+// packBody keeps the data with the last plans and the numbers they got, so that a resend finds its outcome.
+func packBody(plans [][]byte, data []byte) []byte {
+	return message.Pack(planHead{}, message.PackList(plans), data)
+}
+
+func unpackBody(b []byte) (plans [][]byte, data []byte) {
+	if len(b) == 0 {
+		return nil, nil
+	}
+	var h planHead
+	var list []byte
+	if message.Unpack(b, &h, &list, &data) != nil {
+		return nil, nil
+	}
+	plans, _ = message.UnpackList(list)
+	return plans, data
+}
+
+// Data gives the operator's bytes out of a stored body.
+func Data(body []byte) []byte {
+	_, d := unpackBody(body)
+	return d
+}
+
+func planOf(plans [][]byte, id string) (units.Num, bool) {
+	for _, p := range plans {
+		var h planHead
+		var name []byte
+		if message.Unpack(p, &h, &name) == nil && string(name) == id {
+			return units.Num(h.Num), true
+		}
+	}
+	return 0, false
+}
--- a/internal/barograph/owner.go
+++ b/internal/control/register/owner.go
@@ -1,7 +1,7 @@
-package barograph
+package register
 
 import (
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -17,27 +17,27 @@
 )
 
 // own is this node's ownership of one key.
-type own struct {
+type ownership struct {
 	key   string
 	phase phase
 	epoch units.Epoch
 	got   map[units.Node]bool
-	best  Slot // newest accepted value found while preparing, then the value in force
-	next  Slot // the value being written
-	by    *Ask // the wish that next belongs to; nil for an adopted one
-	asks  []Ask
+	best  State    // newest accepted value found while preparing, then the value in force
+	next  State    // the value being written
+	by    *Request // the wish that next belongs to; nil for an adopted one
+	asks  []Request
 	tag   uint64
 	sent  units.Time
 	fresh bool // has confirmed its epoch with a full acquisition
 }
 
 // drop starts the ownership over: a higher epoch or another set of voters was met.
-func (o *own) drop() {
+func (o *ownership) drop() {
 	o.phase, o.fresh = none, false
 }
 
 // push sends what the phase still lacks, or begins the next thing.
-func (b *Barograph) push(now units.Time, o *own, out *station.Out) {
+func (b *Replica) push(now units.Time, o *ownership, out *message.Effects) {
 	o.sent = now
 	switch o.phase {
 	case none:
@@ -46,9 +46,9 @@
 			b.reply(*o.by, synop.Unsure, 0, nil, out)
 			o.by = nil
 		}
-		b.high = max(b.high, b.slot(o.key).Prom.N) + 1
-		o.epoch = units.Epoch{N: b.high, By: b.run}
-		o.phase, o.got, o.best = preparing, map[units.Node]bool{}, Slot{}
+		b.highestEpoch = max(b.highestEpoch, b.state(o.key).Promised.N) + 1
+		o.epoch = units.Epoch{N: b.highestEpoch, By: b.run}
+		o.phase, o.got, o.best = preparing, map[units.Node]bool{}, State{}
 		b.spread(o, Prepare, head{}, nil, out)
 	case preparing:
 		b.spread(o, Prepare, head{}, nil, out)
@@ -61,7 +61,7 @@
 	}
 }
 
-func (b *Barograph) spread(o *own, k station.Kind, h head, body []byte, out *station.Out) {
+func (b *Replica) spread(o *ownership, k message.Kind, h head, body []byte, out *message.Effects) {
 	h.N, h.By = o.epoch.N, uint64(o.epoch.By)
 	for _, n := range b.targets(o) {
 		if !o.got[n] {
@@ -71,11 +71,11 @@
 }
 
 // targets are the voters; while voters change, those of both sets.
-func (b *Barograph) targets(o *own) []units.Node {
-	l := append([]units.Node(nil), b.cfg.IDs...)
-	if v, ok := b.pending(o); ok {
-		for _, n := range v.IDs {
-			if !b.cfg.Has(n) {
+func (b *Replica) targets(o *ownership) []units.Node {
+	l := append([]units.Node(nil), b.quorum.Members...)
+	if v, ok := b.pendingQuorum(o); ok {
+		for _, n := range v.Members {
+			if !b.quorum.Has(n) {
 				l = append(l, n)
 			}
 		}
@@ -84,25 +84,25 @@
 }
 
 // pending gives the next set of voters when o is writing one.
-func (b *Barograph) pending(o *own) (Voters, bool) {
-	if o.key != KeyVoters || o.phase != writing || o.next.Num <= b.cfg.Ver {
-		return Voters{}, false
+func (b *Replica) pendingQuorum(o *ownership) (QuorumSet, bool) {
+	if o.key != KeyQuorum || o.phase != writing || o.next.Num <= b.quorum.Version {
+		return QuorumSet{}, false
 	}
-	v, err := UnpackVoters(Data(o.next.Body))
-	v.Ver = o.next.Num
+	v, err := UnpackQuorumSet(Data(o.next.Body))
+	v.Version = o.next.Num
 	return v, err == nil
 }
 
-func (b *Barograph) enough(o *own) bool {
-	if !b.cfg.Most(o.got) {
+func (b *Replica) enough(o *ownership) bool {
+	if !b.quorum.Majority(o.got) {
 		return false
 	}
-	v, ok := b.pending(o)
-	return !ok || v.Most(o.got)
+	v, ok := b.pendingQuorum(o)
+	return !ok || v.Majority(o.got)
 }
 
 // counted takes a voter's reply.
-func (b *Barograph) counted(now units.Time, o *own, n station.Note, h head, body []byte, out *station.Out) {
+func (b *Replica) counted(now units.Time, o *ownership, n message.Message, h head, body []byte, out *message.Effects) {
 	if h.epoch() != o.epoch || o.phase == none || o.phase == holding {
 		return
 	}
@@ -118,7 +118,7 @@
 		if o.phase != preparing {
 			return
 		}
-		x := Slot{Acc: h.higher(), Seq: h.Seq, Num: units.Num(h.Num), Body: body}
+		x := State{Accepted: h.higher(), Seq: h.Seq, Num: units.Num(h.Num), Body: body}
 		if x.newer(&o.best) {
 			o.best = x
 		}
@@ -138,13 +138,13 @@
 }
 
 // reached moves on after a majority.
-func (b *Barograph) reached(now units.Time, o *own, out *station.Out) {
+func (b *Replica) reached(now units.Time, o *ownership, out *message.Effects) {
 	switch o.phase {
 	case preparing:
 		// Whatever was found is written again under the new epoch before anything is answered.
-		s := Slot{Seq: 1, Num: o.best.Num, Body: o.best.Body}
-		if o.key == KeyVoters && s.Num < b.cfg.Ver {
-			s.Num, s.Body = b.cfg.Ver, packBody(nil, b.cfg.Pack()) // the founders' set, or one learned since
+		s := State{Seq: 1, Num: o.best.Num, Body: o.best.Body}
+		if o.key == KeyQuorum && s.Num < b.quorum.Version {
+			s.Num, s.Body = b.quorum.Version, packBody(nil, b.quorum.Pack()) // the founders' set, or one learned since
 		}
 		b.write(now, o, s, nil, out)
 	case writing:
@@ -159,24 +159,24 @@
 	}
 }
 
-func (b *Barograph) write(now units.Time, o *own, s Slot, by *Ask, out *station.Out) {
+func (b *Replica) write(now units.Time, o *ownership, s State, by *Request, out *message.Effects) {
 	o.phase, o.next, o.by, o.got = writing, s, by, map[units.Node]bool{}
 	b.push(now, o, out)
 }
 
-func (b *Barograph) chosen(now units.Time, o *own, out *station.Out) {
-	v, joint := b.pending(o)
+func (b *Replica) chosen(now units.Time, o *ownership, out *message.Effects) {
+	v, joint := b.pendingQuorum(o)
 	o.best, o.phase, o.fresh = o.next, holding, true
 	a := o.by
 	o.by = nil
 	if joint {
 		b.adopt(v, out) // drops every ownership, this one too: all begin again under the new set
-		for _, n := range b.fit {
-			out.Send(n, Done, b.pack(head{}, "", nil)) // carries the new set
+		for _, n := range b.eligible {
+			out.Send(n, Reply, b.pack(head{}, "", nil)) // carries the new set
 		}
 	}
 	if o.best.Num > 0 {
-		b.Fresh = append(b.Fresh, News{Key: o.key, Num: o.best.Num, Data: Data(o.best.Body)})
+		b.Chosen = append(b.Chosen, ChosenValue{Key: o.key, Num: o.best.Num, Data: Data(o.best.Body)})
 	}
 	if a != nil {
 		b.reply(*a, synop.OK, o.best.Num, nil, out)
@@ -188,16 +188,16 @@
 
 // doubtful says whether a write builds on a number that this owner has not seen: another may have written it, under an
 // epoch that this one has not met yet. It is refused only once a majority has confirmed the epoch (design 2).
-func (b *Barograph) doubtful(o *own, a Ask, plans [][]byte) bool {
-	if a.sure || a.Expect == Any || a.Expect <= o.best.Num {
+func (b *Replica) doubtful(o *ownership, a Request, plans [][]byte) bool {
+	if a.sure || a.Expect == AnyNumber || a.Expect <= o.best.Num {
 		return false
 	}
-	_, known := planOf(plans, a.Plan)
-	return a.Plan == "" || !known
+	_, known := planOf(plans, a.RequestID)
+	return a.RequestID == "" || !known
 }
 
 // serve begins the next wish; one at a time for each key.
-func (b *Barograph) serve(now units.Time, o *own, out *station.Out) {
+func (b *Replica) serve(now units.Time, o *ownership, out *message.Effects) {
 	for len(o.asks) > 0 {
 		a := o.asks[0]
 		plans, _ := unpackBody(o.best.Body)
@@ -209,20 +209,20 @@
 			return
 		}
 		o.asks = o.asks[1:]
-		if num, ok := planOf(plans, a.Plan); ok && a.Plan != "" {
+		if num, ok := planOf(plans, a.RequestID); ok && a.RequestID != "" {
 			b.reply(a, synop.OK, num, nil, out)
 			continue
 		}
-		if a.Expect != Any && a.Expect != o.best.Num {
+		if a.Expect != AnyNumber && a.Expect != o.best.Num {
 			b.reply(a, synop.Conflict, o.best.Num, nil, out)
 			continue
 		}
 		num := o.best.Num + 1
-		if a.Plan != "" {
-			plans = append(plans, station.Pack(planHead{uint64(num)}, []byte(a.Plan)))
+		if a.RequestID != "" {
+			plans = append(plans, message.Pack(planHead{uint64(num)}, []byte(a.RequestID)))
 			plans = plans[max(0, len(plans)-16):]
 		}
-		b.write(now, o, Slot{Seq: o.best.Seq + 1, Num: num, Body: packBody(plans, a.Data)}, &a, out)
+		b.write(now, o, State{Seq: o.best.Seq + 1, Num: num, Body: packBody(plans, a.Data)}, &a, out)
 		return
 	}
 }
--- a/internal/barograph/reach.go
+++ b/internal/control/register/reachability.go
@@ -1,9 +1,9 @@
-package barograph
+package register
 
 import (
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -22,16 +22,16 @@
 }
 
 // reachStep takes a call or an answer between voters; they bear nothing.
-func (b *Barograph) reachStep(now units.Time, n station.Note, out *station.Out) {
-	if n.Kind == Here {
-		out.Send(n.From, HereToo, nil)
+func (b *Replica) reachStep(now units.Time, n message.Message, out *message.Effects) {
+	if n.Kind == Ping {
+		out.Send(n.From, Pong, nil)
 		return
 	}
 	b.reach.heard[n.From] = now
 }
 
-func (b *Barograph) reachTick(now units.Time, out *station.Out) {
-	if !b.cfg.Has(b.self) {
+func (b *Replica) reachTick(now units.Time, out *message.Effects) {
+	if !b.quorum.Has(b.self) {
 		b.reach.born = 0 // who comes to vote later has heard nobody yet
 		return
 	}
@@ -42,24 +42,24 @@
 		return
 	}
 	b.reach.sent = now
-	for _, n := range b.cfg.IDs {
+	for _, n := range b.quorum.Members {
 		if n != b.self {
-			out.Send(n, Here, nil)
+			out.Send(n, Ping, nil)
 		}
 	}
 }
 
 // Reaches says whether a majority of the voters, with this one, answered lately. Who has just started is believed.
-func (b *Barograph) Reaches(now units.Time) bool {
-	if !b.cfg.Has(b.self) || b.reach.born == 0 || now.Sub(b.reach.born) < reachFor {
+func (b *Replica) ReachesMajority(now units.Time) bool {
+	if !b.quorum.Has(b.self) || b.reach.born == 0 || now.Sub(b.reach.born) < reachFor {
 		return true
 	}
 	got := map[units.Node]bool{b.self: true}
 	for n, t := range b.reach.heard {
 		got[n] = now.Sub(t) < reachFor
 	}
-	return b.cfg.Most(got)
+	return b.quorum.Majority(got)
 }
 
 // Woke forgets who answered before a freeze, and believes again for a while.
-func (b *Barograph) Woke(now units.Time) { b.reach.born, b.reach.sent = max(now, 1), 0 }
+func (b *Replica) Resume(now units.Time) { b.reach.born, b.reach.sent = max(now, 1), 0 }
--- /dev/null
+++ b/internal/control/register/replica.go
@@ -0,0 +1,204 @@
+// Package register is the control state: each key owned by one node at a time under a rising epoch (design 2).
+package register
+
+import (
+	"slices"
+	"time"
+
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// News is a chosen value, for the configpush.
+type ChosenValue struct {
+	Key  string
+	Num  units.Num
+	Data []byte
+}
+
+const resend = 300 * time.Millisecond
+
+// idle is how long an owner goes without a round before it confirms itself. Another may have raised the epoch and
+// gone; then this one acquires the key anew, which also lets repair bring all copies to one epoch (design 2).
+const idle = 3 * time.Second
+
+// Register is the step machine: voter, owner and passer-on of operators' calls.
+type Replica struct {
+	self         units.Node
+	run          units.Node // a fresh name for each start, so that no epoch is ever used twice
+	quorum       QuorumSet
+	states       map[string]*State
+	owned        map[string]*ownership
+	requests     map[uint64]*pendingRequest
+	eligible     []units.Node // live barometers that may own keys, from membership
+	highestEpoch uint64
+	tag          uint64
+	vote         []byte
+	found        *founding
+	Chosen       []ChosenValue
+	Results      []Result
+	change       *change
+	reach        reach
+}
+
+// New gives a machine for the disk self; run is a random number of this start.
+func New(self, run units.Node) *Replica {
+	return &Replica{self: self, run: run, states: map[string]*State{KeyQuorum: {}}, owned: map[string]*ownership{}, requests: map[uint64]*pendingRequest{}, reach: reach{heard: map[units.Node]units.Time{}}}
+}
+
+// Voters gives the set this node knows.
+func (b *Replica) Quorum() QuorumSet { return b.quorum }
+
+// View takes membership's opinion of who may own keys.
+func (b *Replica) SetEligible(fit []units.Node) { b.eligible = fit }
+
+// Owner gives the node that should own a key: the same on all nodes with the same view.
+func (b *Replica) Owner(key string) units.Node {
+	var best units.Node
+	var top uint64
+	for _, n := range b.eligible {
+		if !b.quorum.Has(n) {
+			continue
+		}
+		if x := units.Mix(key, n.String()); best == 0 || x > top {
+			best, top = n, x
+		}
+	}
+	return best
+}
+
+func (b *Replica) pack(h head, key string, body []byte) []byte {
+	return message.Pack(h, b.quorum.Pack(), []byte(key), body)
+}
+
+// Step takes one note.
+func (b *Replica) Step(now units.Time, n message.Message) (out message.Effects) {
+	if n.Kind == Ping || n.Kind == Pong {
+		b.reachStep(now, n, &out)
+		return out
+	}
+	var h head
+	var cfg, key, body []byte
+	if err := message.Unpack(n.Body, &h, &cfg, &key, &body); err != nil {
+		out.Fail(err)
+		return out
+	}
+	v, err := UnpackQuorumSet(cfg)
+	if err != nil {
+		out.Fail(err)
+		return out
+	}
+	b.adopt(v, &out)
+	b.highestEpoch = max(b.highestEpoch, h.N, h.HN)
+	k := string(key)
+	switch n.Kind {
+	case Prepare, Accept, Confirm:
+		b.voter(n, h, k, v.Version, body, &out)
+	case Promise, Accepted, Confirmed, Stale:
+		if o := b.owned[k]; o != nil {
+			b.counted(now, o, n, h, body, &out)
+		}
+	case Forward:
+		b.call(now, n, h, k, body, &out)
+	case Reply:
+		c := synop.Code(h.Code)
+		if h.Tag != 0 && (c != synop.Unsure && c != synop.NoMajority || !b.again(h.Tag)) {
+			delete(b.requests, h.Tag)
+			b.result(Result{Tag: h.Tag, Code: synop.Code(h.Code), Num: units.Num(h.Num), Data: body})
+		}
+	case ListKeys:
+		b.listKeys(n, &out)
+	case KeyList:
+		b.keysAre(n, v.Version, body)
+	case FoundingVote:
+		b.foundVote(n, body, &out)
+	case FoundingVoted:
+		b.foundCount(n, body, &out)
+	}
+	return out
+}
+
+// Tick acquires what this node should own, lets go of what it should not, and sends again what stays unanswered.
+func (b *Replica) Tick(now units.Time) (out message.Effects) {
+	if b.quorum.Version == 0 {
+		b.foundTick(now, &out)
+		return out
+	}
+	b.reachTick(now, &out)
+	for key := range b.states {
+		if b.owned[key] == nil && b.Owner(key) == b.self {
+			b.own(key)
+		}
+	}
+	for _, o := range b.sorted() {
+		if b.Owner(o.key) != b.self {
+			for _, a := range o.asks {
+				b.reply(a, synop.Unsure, 0, nil, &out)
+			}
+			delete(b.owned, o.key)
+			continue
+		}
+		if o.phase == holding && now.Sub(o.sent) >= idle {
+			o.asks = append(o.asks, Request{From: b.self, Key: o.key}) // a read for nobody: is it still ours?
+			b.push(now, o, &out)
+			continue
+		}
+		if o.phase != holding && now.Sub(o.sent) >= resend || o.phase == none {
+			b.push(now, o, &out)
+		}
+	}
+	b.wishTick(now, &out)
+	b.changeTick(now, &out)
+	return out
+}
+
+func (b *Replica) sorted() []*ownership {
+	l := make([]*ownership, 0, len(b.owned))
+	for _, o := range b.owned {
+		l = append(l, o)
+	}
+	slices.SortFunc(l, func(x, y *ownership) int {
+		if x.key < y.key {
+			return -1
+		}
+		return 1
+	})
+	return l
+}
+
+func (b *Replica) own(key string) *ownership {
+	o := b.owned[key]
+	if o == nil {
+		o = &ownership{key: key}
+		b.owned[key] = o
+	}
+	return o
+}
+
+func (b *Replica) call(now units.Time, n message.Message, h head, key string, body []byte, out *message.Effects) {
+	a := Request{Tag: h.Tag, From: n.From, Key: key, Write: h.Write == 1, Expect: units.Num(h.Num)}
+	var plan []byte
+	if err := message.Unpack(body, &planHead{}, &plan, &a.Data); err != nil {
+		out.Fail(err)
+		return
+	}
+	a.RequestID = string(plan)
+	if b.Owner(key) != b.self {
+		b.reply(a, synop.NoMajority, 0, nil, out)
+		return
+	}
+	o := b.own(key)
+	if len(o.asks) >= 256 {
+		b.reply(a, synop.NoMajority, 0, nil, out)
+		return
+	}
+	o.asks = append(o.asks, a)
+	if o.phase == holding || o.phase == none {
+		b.push(now, o, out)
+	}
+}
+
+func (b *Replica) reply(a Request, c synop.Code, num units.Num, data []byte, out *message.Effects) {
+	out.Send(a.From, Reply, b.pack(head{Tag: a.Tag, Code: uint16(c), Num: uint64(num)}, a.Key, data))
+}
--- a/internal/barograph/seeds.go
+++ b/internal/control/register/seeds.go
@@ -1,10 +1,10 @@
-package barograph
+package register
 
 import (
 	"slices"
 	"time"
 
-	"seamshunt/internal/mast"
+	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/units"
 )
 
@@ -21,17 +21,17 @@
 }
 
 // Set gives the set that this node sees, nothing while it sees none, and whether this node is to propose it.
-func (s *Seeds) Set(now units.Time, l Look) (ids []units.Node, lead bool) {
-	if !s.First || l.Fleet || len(s.Addrs) == 0 {
+func (s *Seeds) Set(now units.Time, l CoreView) (ids []units.Node, lead bool) {
+	if !s.First || l.FleetExists || len(s.Addrs) == 0 {
 		return nil, false
 	}
 	for _, a := range s.Addrs {
-		i := slices.IndexFunc(l.Cores, func(m mast.Member) bool { return m.Addr == a && m.State == mast.Alive })
+		i := slices.IndexFunc(l.Controllers, func(m membership.Member) bool { return m.Addr == a && m.State == membership.Alive })
 		if i < 0 {
 			return nil, false
 		}
-		if m := l.Cores[i]; m.Flags&mast.Counts != 0 {
-			if m.Flags&mast.First == 0 {
+		if m := l.Controllers[i]; m.Flags&membership.Counts != 0 {
+			if m.Flags&membership.First == 0 {
 				return nil, false
 			}
 			ids = append(ids, m.Node)
@@ -42,8 +42,8 @@
 		ids = slices.Compact(ids)
 		return ids, ids[0] == l.at(s.Addr)
 	}
-	for _, m := range l.Cores {
-		if m.State == mast.Alive && l.counts(m) && m.Flags&mast.First != 0 {
+	for _, m := range l.Controllers {
+		if m.State == membership.Alive && l.counts(m) && m.Flags&membership.First != 0 {
 			ids = append(ids, m.Node)
 		}
 	}
@@ -52,15 +52,15 @@
 		s.view, s.since = ids, now
 	}
 	span := steady
-	if l.bare {
+	if l.diskless {
 		span *= 2 // one that counts may not have been heard of yet
 	}
 	return ids, s.Addr == slices.Min(s.Addrs) && now.Sub(s.since) >= span
 }
 
 // at gives the barometer that lives at an address.
-func (l Look) at(addr string) units.Node {
-	for _, m := range l.Cores {
+func (l CoreView) at(addr string) units.Node {
+	for _, m := range l.Controllers {
 		if m.Addr == addr {
 			return m.Node
 		}
--- a/internal/fleet/drill_judge.go
+++ b/internal/fleet/drill_judge.go
@@ -6,15 +6,15 @@
 	"slices"
 	"time"
 
+	"seamshunt/internal/cluster/transport"
 	"seamshunt/internal/observer"
 	"seamshunt/internal/standin"
-	"seamshunt/internal/telegraph"
 	"seamshunt/internal/units"
 )
 
 // config reads the configuration in force, as a mark.
 func (d *Drill) config() (string, error) {
-	code, b, num, err := telegraph.HTTP("GET", d.At, "/v1/config", nil, nil, 8*time.Second)
+	code, b, num, err := transport.HTTP("GET", d.At, "/v1/config", nil, nil, 8*time.Second)
 	if err != nil || code != 200 {
 		return "", fmt.Errorf("drill: no configuration can be read: %d %v", code, err)
 	}
--- a/internal/gauge/engine_test.go
+++ b/internal/gauge/engine_test.go
@@ -4,16 +4,16 @@
 	"testing"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 )
 
 // engineBench is a keeper of one engine.
 func engineBench() *bench { return newBench(Worker{Cap: 100, Bound: 200}) }
 
 // prompt asks for one that is read in a time, at an urgency, with its first words due in soon (0: whenever).
-func (b *bench) prompt(tag uint64, read time.Duration, urge uint8, soon time.Duration) station.Kind {
+func (b *bench) prompt(tag uint64, read time.Duration, urge uint8, soon time.Duration) message.Kind {
 	h := Head{Tag: tag, Left: 15000, Read: uint32(read / time.Microsecond), Urgent: urge, Soon: uint32(soon / ms)}
-	b.out(b.Step(b.now, station.Note{From: 2, Kind: Ask, Body: Pack(h, "s/w")}))
+	b.out(b.Step(b.now, message.Message{From: 2, Kind: Ask, Body: Pack(h, "s/w")}))
 	return b.kind[len(b.kind)-1]
 }
 
@@ -81,7 +81,7 @@
 func TestAWorkersSpeedIsLearnedFromPromptsThatFoundItFree(t *testing.T) {
 	b := engineBench()
 	back := func(tag uint64, words time.Duration) {
-		b.out(b.Step(b.now, station.Note{From: 2, Kind: Return, Body: Pack(Head{Tag: tag, Read: uint32(words / time.Microsecond)}, "s/w")}))
+		b.out(b.Step(b.now, message.Message{From: 2, Kind: Return, Body: Pack(Head{Tag: tag, Read: uint32(words / time.Microsecond)}, "s/w")}))
 	}
 	k := b.keeps["s/w"]
 	for i := uint64(1); i < 40; i++ {
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -114,10 +114,10 @@
 }
 
 // Tick takes over what fell to this node, gives up what did not, and ends what ran out.
-func (g *Gauge) Tick(now units.Time) (out station.Out) {
+func (g *Gauge) Tick(now units.Time) (out message.Effects) {
 	var names []string
 	if g.moved {
-		names = station.Keys(g.workers)
+		names = message.Keys(g.workers)
 	}
 	g.moved = false
 	for _, name := range names {
@@ -131,7 +131,7 @@
 			g.cede(name, k, &out)
 		}
 	}
-	for _, name := range station.Keys(g.keeps) {
+	for _, name := range message.Keys(g.keeps) {
 		k := g.keeps[name]
 		if _, ok := g.workers[name]; !ok {
 			g.cede(name, k, &out)
@@ -158,13 +158,13 @@
 }
 
 // Take begins the keeping of one worker, as Tick does when it falls to this node.
-func (g *Gauge) Take(now units.Time, name string) (out station.Out) {
+func (g *Gauge) Take(now units.Time, name string) (out message.Effects) {
 	g.begin(now, name, &out)
 	return out
 }
 
 // begin asks every live vane what it holds; until all have said so, nothing is lent.
-func (g *Gauge) begin(now units.Time, name string, out *station.Out) {
+func (g *Gauge) begin(now units.Time, name string, out *message.Effects) {
 	k := &keep{lent: map[permit]*loan{}, adapted: now, begun: now, silent: maps.Clone(g.holds), late: map[units.Node]bool{}}
 	g.keeps[name] = k
 	g.recollect(now, name, k, out)
@@ -173,7 +173,7 @@
 // recollect asks all nodes for their reports, and with them for their trust. A keeper also does so when it meets a
 // node that has last reported to another: while views differed, that one took the worker over, and no grant of
 // this keeper's would be taken there.
-func (g *Gauge) recollect(now units.Time, name string, k *keep, out *station.Out) {
+func (g *Gauge) recollect(now units.Time, name string, k *keep, out *message.Effects) {
 	k.open, k.need, k.sent, k.begun = false, map[units.Node]bool{}, now.Add(-reask), now
 	for _, n := range g.live(now) {
 		k.need[n] = true
@@ -187,7 +187,7 @@
 	for _, v := range g.vanes {
 		l = append(l, v.Node)
 	}
-	for _, n := range station.Keys(g.strange) {
+	for _, n := range message.Keys(g.strange) {
 		_, gone := g.holds[n]
 		switch {
 		case gone || slices.Contains(l, n) || now.Sub(g.strange[n]) > strangeFor:
@@ -199,7 +199,7 @@
 	return l
 }
 
-func (g *Gauge) collect(now units.Time, name string, k *keep, out *station.Out) {
+func (g *Gauge) collect(now units.Time, name string, k *keep, out *message.Effects) {
 	live := g.live(now)
 	for n := range k.need {
 		if slices.Contains(live, n) {
@@ -225,14 +225,14 @@
 	}
 	if now.Sub(k.sent) >= reask {
 		k.sent = now
-		for _, n := range station.Keys(k.need) {
+		for _, n := range message.Keys(k.need) {
 			out.Send(n, ReportAsk, Pack(Head{}, name))
 		}
 	}
 }
 
 // cede lets those that wait ask elsewhere.
-func (g *Gauge) cede(name string, k *keep, out *station.Out) {
+func (g *Gauge) cede(name string, k *keep, out *message.Effects) {
 	for _, a := range k.list {
 		out.Send(a.node, No, Pack(Head{Tag: a.tag, Reason: NotKeeper}, name))
 	}
--- a/internal/gauge/gauge_test.go
+++ b/internal/gauge/gauge_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -15,7 +15,7 @@
 	*Gauge
 	now   units.Time
 	sent  []Head
-	kind  []station.Kind
+	kind  []message.Kind
 	worth uint16
 }
 
@@ -24,12 +24,12 @@
 	b.Workers(map[string]Worker{"s/w": w})
 	b.View([]Peer{{Node: 1}}, nil)
 	b.out(b.Tick(b.now))
-	b.out(b.Step(b.now, station.Note{From: 1, Kind: Report, Body: PackReport("s/w", nil, 0)}))
+	b.out(b.Step(b.now, message.Message{From: 1, Kind: Report, Body: PackReport("s/w", nil, 0)}))
 	return b
 }
 
-func (b *bench) out(o station.Out) {
-	for _, n := range o.Notes {
+func (b *bench) out(o message.Effects) {
+	for _, n := range o.Messages {
 		if n.Kind == Grant || n.Kind == No || n.Kind == Waiting {
 			h, _, err := Unpack(n.Body)
 			if err != nil {
@@ -40,17 +40,17 @@
 	}
 }
 
-func (b *bench) ask(tag uint64, left time.Duration, wait bool) station.Kind {
+func (b *bench) ask(tag uint64, left time.Duration, wait bool) message.Kind {
 	h := Head{Tag: tag, Left: uint32(units.ToMillis(left)), Worth: b.worth}
 	if wait {
 		h.Wait = 1
 	}
-	b.out(b.Step(b.now, station.Note{From: 2, Kind: Ask, Body: Pack(h, "s/w")}))
+	b.out(b.Step(b.now, message.Message{From: 2, Kind: Ask, Body: Pack(h, "s/w")}))
 	return b.kind[len(b.kind)-1]
 }
 
 func (b *bench) back(tag uint64) {
-	b.out(b.Step(b.now, station.Note{From: 2, Kind: Return, Body: Pack(Head{Tag: tag}, "s/w")}))
+	b.out(b.Step(b.now, message.Message{From: 2, Kind: Return, Body: Pack(Head{Tag: tag}, "s/w")}))
 }
 
 func (b *bench) pass(d time.Duration) {
@@ -92,7 +92,7 @@
 		if !b.granted(tag) {
 			t.Fatalf("%d has the earliest deadline of those that wait", tag)
 		}
-		b.out(b.Step(b.now, station.Note{From: 2, Kind: Return, Body: Pack(Head{Tag: tag}, "s/w")}))
+		b.out(b.Step(b.now, message.Message{From: 2, Kind: Return, Body: Pack(Head{Tag: tag}, "s/w")}))
 	}
 }
 
@@ -150,7 +150,7 @@
 func TestUnsureKeepsItsSlot(t *testing.T) {
 	b := newBench(Worker{Cap: 1, Bound: 9})
 	b.ask(1, 2*time.Second, false)
-	b.out(b.Step(b.now, station.Note{From: 2, Kind: Return, Body: Pack(Head{Tag: 1, Wait: 1}, "s/w")}))
+	b.out(b.Step(b.now, message.Message{From: 2, Kind: Return, Body: Pack(Head{Tag: 1, Wait: 1}, "s/w")}))
 	b.ask(2, 9*time.Second, true)
 	b.pass(1900 * ms)
 	if b.granted(2) {
@@ -171,11 +171,11 @@
 		b.back(tag + 1)
 	}
 	h := Head{Tag: 9, Left: 2000, Wait: 1, Reason: NotKeeper}
-	b.out(b.Step(b.now, station.Note{From: 2, Kind: Ask, Body: Pack(h, "s/w")}))
+	b.out(b.Step(b.now, message.Message{From: 2, Kind: Ask, Body: Pack(h, "s/w")}))
 	if k := b.kind[len(b.kind)-1]; k != Waiting {
 		t.Fatalf("refused with reason %d", b.sent[len(b.sent)-1].Reason)
 	}
-	b.out(b.Step(b.now, station.Note{From: 1, Kind: Report, Body: PackReport("s/w", nil, 0)}))
+	b.out(b.Step(b.now, message.Message{From: 1, Kind: Report, Body: PackReport("s/w", nil, 0)}))
 	if !b.granted(9) {
 		t.Error("not lent once the reports are in")
 	}
@@ -233,12 +233,12 @@
 	g.Tick(now)
 	b := &bench{Gauge: g, now: now}
 	b.ask(1, 20*time.Second, true)
-	b.out(g.Step(now, station.Note{From: 1, Kind: Report, Body: PackReport("s/w", nil, 0)}))
+	b.out(g.Step(now, message.Message{From: 1, Kind: Report, Body: PackReport("s/w", nil, 0)}))
 	b.pass(5 * time.Second)
 	if b.granted(1) {
 		t.Fatal("lent before node 2 reported")
 	}
-	b.out(g.Step(b.now, station.Note{From: 2, Kind: Report, Body: PackReport("s/w", []Held{{Tag: 7, Left: 2000}}, 0)}))
+	b.out(g.Step(b.now, message.Message{From: 2, Kind: Report, Body: PackReport("s/w", []Held{{Tag: 7, Left: 2000}}, 0)}))
 	if !b.granted(1) {
 		t.Error("not lent after all have reported and the silent one's runs are over")
 	}
--- a/internal/gauge/late_test.go
+++ b/internal/gauge/late_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 )
 
 // A keeper that opened its book while it knew few others asks whoever comes into view later, and counts what that one
@@ -14,18 +14,18 @@
 	b.View([]Peer{{Node: 1}, {Node: 7}}, nil)
 	b.now = b.now.Add(time.Second)
 	asked := false
-	for _, n := range b.Tick(b.now).Notes {
+	for _, n := range b.Tick(b.now).Messages {
 		asked = asked || n.To == 7 && n.Kind == ReportAsk
 	}
 	if !asked {
 		t.Fatal("the latecomer is not asked")
 	}
 	held := []Held{{Tag: 71, Left: 5000}, {Tag: 72, Left: 5000}}
-	b.out(b.Step(b.now, station.Note{From: 7, Kind: Report, Body: PackReport("s/w", held, 0)}))
+	b.out(b.Step(b.now, message.Message{From: 7, Kind: Report, Body: PackReport("s/w", held, 0)}))
 	if k := b.ask(1, 10*time.Second, false); k != No || b.Kept(b.now)[0].Lent != 2 {
 		t.Errorf("lent %d, and one more: %v", b.Kept(b.now)[0].Lent, k == Grant)
 	}
-	b.out(b.Step(b.now, station.Note{From: 7, Kind: Report, Body: PackReport("s/w", []Held{{Tag: 73, Left: 5000}}, 0)}))
+	b.out(b.Step(b.now, message.Message{From: 7, Kind: Report, Body: PackReport("s/w", []Held{{Tag: 73, Left: 5000}}, 0)}))
 	if b.Kept(b.now)[0].Lent != 2 {
 		t.Error("a report that nobody asked for changes the book")
 	}
--- a/internal/gauge/note.go
+++ b/internal/gauge/note.go
@@ -4,13 +4,13 @@
 import (
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
 // The notes of permits.
 const (
-	Ask = station.Gauge + iota
+	Ask = message.KindCapacity + iota
 	Grant
 	No
 	Waiting
@@ -47,13 +47,13 @@
 )
 
 // Pack lays a note out.
-func Pack(h Head, worker string) []byte { return station.Pack(h, []byte(worker)) }
+func Pack(h Head, worker string) []byte { return message.Pack(h, []byte(worker)) }
 
 // Unpack is the inverse.
 func Unpack(b []byte) (Head, string, error) {
 	var h Head
 	var w []byte
-	err := station.Unpack(b, &h, &w)
+	err := message.Unpack(b, &h, &w)
 	return h, string(w), err
 }
 
@@ -68,24 +68,24 @@
 func PackReport(worker string, l []Held, sent int) []byte {
 	items := make([][]byte, len(l))
 	for i, x := range l {
-		items[i] = station.Pack(x)
+		items[i] = message.Pack(x)
 	}
-	return station.Pack(Head{Lent: uint16(min(sent, 65535))}, []byte(worker), station.PackList(items))
+	return message.Pack(Head{Lent: uint16(min(sent, 65535))}, []byte(worker), message.PackList(items))
 }
 
 // UnpackReport is the inverse; an audit has the same form.
 func UnpackReport(b []byte) (string, []Held, int, error) {
 	var h Head
 	var w, list []byte
-	if err := station.Unpack(b, &h, &w, &list); err != nil {
+	if err := message.Unpack(b, &h, &w, &list); err != nil {
 		return "", nil, 0, err
 	}
-	items, err := station.UnpackList(list)
+	items, err := message.UnpackList(list)
 	var l []Held
 	for _, t := range items {
 		var x Held
 		if err == nil {
-			err = station.Unpack(t, &x)
+			err = message.Unpack(t, &x)
 		}
 		l = append(l, x)
 	}
--- a/internal/gauge/rate_test.go
+++ b/internal/gauge/rate_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -23,21 +23,21 @@
 		g.Workers(map[string]Worker{"s/w": {Zone: "z", Cap: 1000, Bound: 2000, WarmRate: 20, Lax: true}})
 		g.View([]Peer{{Node: 1}}, nil)
 		var grants []units.Time
-		take := func(o station.Out) {
-			for _, n := range o.Notes {
+		take := func(o message.Effects) {
+			for _, n := range o.Messages {
 				if n.Kind == Grant {
 					grants = append(grants, now)
 				}
 			}
 		}
 		take(g.Tick(now))
-		take(g.Step(now, station.Note{From: 1, Kind: Report, Body: PackReport("s/w", nil, x.sent)}))
+		take(g.Step(now, message.Message{From: 1, Kind: Report, Body: PackReport("s/w", nil, x.sent)}))
 		begun := now
 		for i := range uint64(600) {
 			h := Head{Tag: i + 1, Left: 20000, Wait: uint8(i % 2)}
-			take(g.Step(now, station.Note{From: 1, Kind: Ask, Body: Pack(h, "s/w")}))
+			take(g.Step(now, message.Message{From: 1, Kind: Ask, Body: Pack(h, "s/w")}))
 			if i%3 == 0 {
-				take(g.Step(now, station.Note{From: 1, Kind: Return, Body: Pack(Head{Tag: i/2 + 1}, "s/w")}))
+				take(g.Step(now, message.Message{From: 1, Kind: Return, Body: Pack(Head{Tag: i/2 + 1}, "s/w")}))
 			}
 			now = now.Add(5 * time.Millisecond)
 			take(g.Tick(now))
--- a/internal/gauge/upkeep.go
+++ b/internal/gauge/upkeep.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -20,8 +20,8 @@
 }
 
 // audit asks holders about permits that have been out for a while; they return what they don't know.
-func (g *Gauge) audit(now units.Time, out *station.Out) {
-	for _, name := range station.Keys(g.keeps) {
+func (g *Gauge) audit(now units.Time, out *message.Effects) {
+	for _, name := range message.Keys(g.keeps) {
 		k := g.keeps[name]
 		by := map[units.Node][]Held{}
 		for _, p := range k.permits() {
@@ -29,7 +29,7 @@
 				by[p.node] = append(by[p.node], Held{Tag: p.tag})
 			}
 		}
-		for _, n := range station.Keys(by) {
+		for _, n := range message.Keys(by) {
 			out.Send(n, Audit, PackReport(name, by[n], 0))
 		}
 	}
@@ -55,13 +55,13 @@
 
 // latecomers asks vanes that came into view after the book was opened what they hold. A newcomer holds nothing; but
 // this node may be the newcomer, and have opened its book while it knew few of the others.
-func (g *Gauge) latecomers(now units.Time, name string, k *keep, out *station.Out) {
+func (g *Gauge) latecomers(now units.Time, name string, k *keep, out *message.Effects) {
 	if len(k.late) == 0 || now.Sub(k.sent) < reask {
 		return
 	}
 	k.sent = now
 	live := g.live(now)
-	for _, n := range station.Keys(k.late) {
+	for _, n := range message.Keys(k.late) {
 		if !slices.Contains(live, n) {
 			delete(k.late, n)
 			continue
--- a/internal/gauge/watch.go
+++ b/internal/gauge/watch.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"seamshunt/internal/mast"
+	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/units"
 )
 
@@ -29,25 +29,25 @@
 }
 
 // See takes membership's list. Changed says whether somebody fell silent since the last look.
-func (w *Watch) See(now units.Time, all []mast.Member) (peers []Peer, changed bool) {
+func (w *Watch) See(now units.Time, all []membership.Member) (peers []Peer, changed bool) {
 	here := map[string]bool{}
 	for _, m := range all {
-		if m.Role == mast.Vane && m.State <= mast.Suspect {
+		if m.Role == membership.Router && m.State <= membership.Suspect {
 			here[m.Addr] = true
 		}
 	}
 	for _, m := range all {
-		if m.Role != mast.Vane {
+		if m.Role != membership.Router {
 			continue
 		}
-		if m.State > mast.Suspect && here[m.Addr] {
+		if m.State > membership.Suspect && here[m.Addr] {
 			w.Void(now, m.Node) // its machine runs another process in its place
 		}
 		switch {
-		case m.State <= mast.Suspect:
+		case m.State <= membership.Suspect:
 			delete(w.lost, m.Node)
-			peers = append(peers, Peer{Node: m.Node, Zone: m.Zone, Leaves: m.Flags&mast.Draining != 0 || w.Lax && m.State == mast.Suspect})
-		case m.State == mast.Left:
+			peers = append(peers, Peer{Node: m.Node, Zone: m.Zone, Leaves: m.Flags&membership.Draining != 0 || w.Lax && m.State == membership.Suspect})
+		case m.State == membership.Left:
 			delete(w.lost, m.Node)
 		default:
 			_, void := w.void[m.Node]
--- a/internal/gauge/worth_test.go
+++ b/internal/gauge/worth_test.go
@@ -4,14 +4,14 @@
 	"testing"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 )
 
 // With all slots lent and the list full, a prompt of more worth takes the place of the least worth, in the order of
 // deadlines; among equals the list is as it always was; who has no more worth than any is refused.
 func TestWorth(t *testing.T) {
 	b := newBench(Worker{Cap: 1, Bound: 2, First: 50 * ms})
-	worth := func(tag uint64, left time.Duration, w uint16) (station.Kind, Head) {
+	worth := func(tag uint64, left time.Duration, w uint16) (message.Kind, Head) {
 		b.worth = w
 		k := b.ask(tag, left, true)
 		b.worth = 0
--- a/internal/hollow/core.go
+++ b/internal/hollow/core.go
@@ -5,14 +5,14 @@
 	"strings"
 	"time"
 
-	"seamshunt/internal/ballot"
-	"seamshunt/internal/barograph"
-	"seamshunt/internal/bulletin"
-	"seamshunt/internal/isobar"
-	"seamshunt/internal/mast"
-	"seamshunt/internal/nephoscope"
+	"seamshunt/internal/cluster/configpush"
+	"seamshunt/internal/cluster/discovery"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/antientropy"
+	"seamshunt/internal/control/lease"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/screen"
-	"seamshunt/internal/station"
 	"seamshunt/internal/units"
 )
 
@@ -23,38 +23,38 @@
 	pollGap  = 500 * time.Millisecond
 )
 
-// core is package barod without its web side, its locks and its file.
+// core is package controller without its web side, its locks and its file.
 type core struct {
 	n    *node
-	baro *barograph.Barograph
-	duty *ballot.Ballot
-	iso  *isobar.Isobar
+	baro *register.Replica
+	duty *lease.Lease
+	iso  *antientropy.Syncer
 	roll *screen.Roll
-	sky  *nephoscope.Nephoscope
-	turn map[string]*nephoscope.Turn
-	doc  barograph.Doctor
+	sky  *discovery.Catalog
+	turn map[string]*discovery.Schedule
+	doc  register.Doctor
 	tag  uint64
 }
 
 func newCore(n *node) *core {
 	w := n.w
-	c := &core{n: n, baro: barograph.New(n.self, units.Node(w.rng.Uint64())), roll: screen.LoadRoll(n.self, w.Now, nil), sky: nephoscope.New(),
-		turn: map[string]*nephoscope.Turn{}, doc: barograph.Doctor{Founders: Founders}}
-	c.duty = ballot.New(n.self, "platform", func() []units.Node { return c.baro.Voters().IDs }, w.Now, rand.New(rand.NewPCG(w.rng.Uint64(), 1)))
-	c.iso = isobar.New(n.self, w.Now, rand.New(rand.NewPCG(w.rng.Uint64(), 2)))
-	n.bull.Stored = func() map[string]units.Num { return c.baro.Stored() }
+	c := &core{n: n, baro: register.New(n.self, units.Node(w.rng.Uint64())), roll: screen.LoadRoll(n.self, w.Now, nil), sky: discovery.New(),
+		turn: map[string]*discovery.Schedule{}, doc: register.Doctor{Founders: Founders}}
+	c.duty = lease.New(n.self, "platform", func() []units.Node { return c.baro.Quorum().Members }, w.Now, rand.New(rand.NewPCG(w.rng.Uint64(), 1)))
+	c.iso = antientropy.New(n.self, w.Now, rand.New(rand.NewPCG(w.rng.Uint64(), 2)))
+	n.bull.Stored = func() map[string]units.Num { return c.baro.StoredNumbers() }
 	return c
 }
 
-func (c *core) step(now units.Time, n station.Note) (out station.Out) {
+func (c *core) step(now units.Time, n message.Message) (out message.Effects) {
 	switch n.Kind &^ 15 {
-	case station.Ballot:
+	case message.KindLease:
 		return c.duty.Step(now, n)
-	case station.Isobar:
-		return c.iso.Step(n, c.baro.Slots(), c.baro.Mend)
-	case station.Claim:
-		return c.roll.Step(now, n, c.baro.Ver())
-	case station.Barograph:
+	case message.KindAntiEntropy:
+		return c.iso.Step(n, c.baro.States(), c.baro.Resend)
+	case message.KindClaim:
+		return c.roll.Step(now, n, c.baro.QuorumVersion())
+	case message.KindRegister:
 		out = c.baro.Step(now, n)
 		c.drain(now, &out)
 	}
@@ -68,35 +68,35 @@
 }
 
 func (c *core) calm(units.Time) bool {
-	return c.baro.Voters().Ver > 0 && (c.roll.Whole() || !c.baro.Voters().Has(c.n.self))
+	return c.baro.Quorum().Version > 0 && (c.roll.Whole() || !c.baro.Quorum().Has(c.n.self))
 }
 
 // beat is the barometer's loop, and its poller's.
-func (c *core) beat(now units.Time, _ []mast.Member) station.Out {
-	m := c.n.mast
+func (c *core) beat(now units.Time, _ []membership.Member) message.Effects {
+	m := c.n.membership
 	all := m.All()
-	look := barograph.LookAt(all)
-	var out station.Out
-	if it := c.n.bull.Items[barograph.KeyVoters]; it != nil {
-		out.Join(c.baro.Learn(it.Data))
+	look := register.ViewCore(all)
+	var out message.Effects
+	if it := c.n.bull.Items[register.KeyQuorum]; it != nil {
+		out.Join(c.baro.LearnQuorum(it.Data))
 	}
 	for _, it := range c.n.bull.Fresh {
-		if strings.HasPrefix(it.Key, nephoscope.Prefix) {
+		if strings.HasPrefix(it.Key, discovery.Prefix) {
 			_, _ = c.sky.Take(now, it.Key, it.Num, it.Data)
 		}
 	}
 	c.n.bull.Fresh = nil
-	c.baro.View(look.Fit)
-	c.baro.Blank(Founders, look)
-	if ids := c.doc.Next(now, c.baro.Voters(), look); ids != nil {
+	c.baro.SetEligible(look.Eligible)
+	c.baro.FoundFixed(Founders, look)
+	if ids := c.doc.Next(now, c.baro.Quorum(), look); ids != nil {
 		c.baro.Want(now, ids)
 	}
 	out.Join(c.baro.Tick(now))
-	out.Join(c.roll.Tick(now, c.baro.Voters()))
-	out.Join(c.iso.Tick(now, c.baro.Voters().IDs, c.baro.Slots()))
-	voter := c.baro.Voters().Has(c.n.self)
-	m.Flag(mast.Voter, voter)
-	m.Flag(mast.Unfit, !c.baro.Reaches(now))
+	out.Join(c.roll.Tick(now, c.baro.Quorum()))
+	out.Join(c.iso.Tick(now, c.baro.Quorum().Members, c.baro.States()))
+	voter := c.baro.Quorum().Has(c.n.self)
+	m.Flag(membership.Voter, voter)
+	m.Flag(membership.Unfit, !c.baro.ReachesMajority(now))
 	c.drain(now, &out)
 	out.Join(c.duty.Tick(now, voter))
 	c.poll(now, &out)
@@ -104,12 +104,12 @@
 }
 
 // poll asks the world's platform for each pool, at this node's share of the fleet's rate.
-func (c *core) poll(now units.Time, out *station.Out) {
+func (c *core) poll(now units.Time, out *message.Effects) {
 	share := c.duty.Share(now)
 	for _, p := range c.n.w.poolNames {
 		t := c.turn[p]
 		if t == nil {
-			t = &nephoscope.Turn{}
+			t = &discovery.Schedule{}
 			c.turn[p] = t
 		}
 		if !t.Due(now, share, pollGap) {
@@ -118,27 +118,27 @@
 		c.n.w.Polls++
 		a := c.sky.Ask(now, p, c.n.self, int64(1e12)+int64(now)/1e6)
 		if data, news := c.sky.Heard(a, c.n.w.listed(p)); news {
-			c.spread(now, bulletin.Item{Key: nephoscope.Key(p, c.n.self), Num: a.Num, Data: data}, out)
+			c.spread(now, configpush.Item{Key: discovery.Key(p, c.n.self), Num: a.Num, Data: data}, out)
 		}
 	}
 }
 
-func (c *core) drain(now units.Time, out *station.Out) {
+func (c *core) drain(now units.Time, out *message.Effects) {
 	for _, r := range c.baro.Results {
 		c.n.w.Done[r.Code]++
 	}
 	c.baro.Results = nil
-	fresh := c.baro.Fresh
-	c.baro.Fresh = nil
+	fresh := c.baro.Chosen
+	c.baro.Chosen = nil
 	for _, x := range fresh {
-		c.spread(now, bulletin.Item{Key: x.Key, Num: x.Num, Data: x.Data}, out)
+		c.spread(now, configpush.Item{Key: x.Key, Num: x.Num, Data: x.Data}, out)
 	}
 }
 
-func (c *core) spread(now units.Time, it bulletin.Item, out *station.Out) {
+func (c *core) spread(now units.Time, it configpush.Item, out *message.Effects) {
 	var to []units.Node
-	for _, m := range c.n.mast.All() {
-		if m.State <= mast.Suspect && m.Node != c.n.self {
+	for _, m := range c.n.membership.All() {
+		if m.State <= membership.Suspect && m.Node != c.n.self {
 			to = append(to, m.Node)
 		}
 	}
@@ -148,9 +148,9 @@
 // change writes the configuration anew, as an operator's confirmed plan does.
 func (c *core) change(data []byte) {
 	c.tag++
-	a := barograph.Ask{Tag: c.tag, Key: "config", Write: true, Expect: barograph.Any, Plan: units.Hex(c.n.w.rng.Uint64()), Data: data}
-	c.n.timed(station.Barograph, func() station.Out {
-		out := c.baro.Ask(c.n.w.Now, a)
+	a := register.Request{Tag: c.tag, Key: "config", Write: true, Expect: register.AnyNumber, RequestID: units.Hex(c.n.w.rng.Uint64()), Data: data}
+	c.n.timed(message.KindRegister, func() message.Effects {
+		out := c.baro.Submit(c.n.w.Now, a)
 		c.drain(c.n.w.Now, &out)
 		return out
 	})
--- a/internal/hollow/frames.go
+++ b/internal/hollow/frames.go
@@ -9,9 +9,9 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/cluster/transport"
 	"seamshunt/internal/crew"
-	"seamshunt/internal/station"
-	"seamshunt/internal/telegraph"
 	"seamshunt/internal/units"
 )
 
@@ -31,12 +31,12 @@
 		addrs[i] = ln.Addr().String()
 		ln.Close()
 	}
-	a, err := telegraph.Open(1, addrs[0], c, func(station.Note) {}, nil)
+	a, err := transport.Open(1, addrs[0], c, func(message.Message) {}, nil)
 	if err != nil {
 		return 0, fmt.Errorf("hollow: %w", err)
 	}
 	defer a.Close()
-	b, err := telegraph.Open(2, addrs[1], c, func(station.Note) {
+	b, err := transport.Open(2, addrs[1], c, func(message.Message) {
 		c.Do(func() {
 			came.Add(1)
 			wake <- struct{}{}
@@ -53,7 +53,7 @@
 		if i == 100 { // the wire stands
 			from = cpu()
 		}
-		a.Send(station.Note{To: units.Node(2), Kind: station.Mast, Body: body})
+		a.Send(message.Message{To: units.Node(2), Kind: message.KindMembership, Body: body})
 		select {
 		case <-wake:
 		case <-time.After(5 * time.Second):
--- a/internal/hollow/load.go
+++ b/internal/hollow/load.go
@@ -5,11 +5,11 @@
 	"strings"
 	"time"
 
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/forecast"
 	"seamshunt/internal/hygrometer"
-	"seamshunt/internal/mast"
 	"seamshunt/internal/screen"
-	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -88,7 +88,7 @@
 	w.changes++
 	w.asked[units.Num(w.changes)] = w.Now
 	for _, n := range w.nodes {
-		if n.role == mast.Barometer {
+		if n.role == membership.Controller {
 			n.prog.(*core).change(Config(w.Models, w.Tenants, fmt.Sprintf("change %d", w.changes)))
 			return
 		}
@@ -111,17 +111,17 @@
 			return
 		}
 		if w.traffic && v.ready {
-			v.n.timed(station.Gauge, v.arrive)
+			v.n.timed(message.KindCapacity, v.arrive)
 		}
 		if w.claims && v.ready {
-			v.n.timed(station.Claim, v.claim)
+			v.n.timed(message.KindClaim, v.claim)
 		}
 		v.prompts()
 	})
 }
 
 // arrive takes one prompt to the desk; nothing runs behind it but the time that its stream would last.
-func (v *vane) arrive() station.Out {
+func (v *vane) arrive() message.Effects {
 	w, now := v.n.w, v.n.w.Now
 	s := v.config.Services[fmt.Sprintf("m%02d", w.rng.IntN(w.Models))]
 	cands, keepers := v.cands(now, s, units.Mix("prefix", fmt.Sprint(w.rng.IntN(prefixes))))
@@ -133,10 +133,10 @@
 }
 
 // claim claims one fresh key, as a prompt that may not repeat does first.
-func (v *vane) claim() station.Out {
+func (v *vane) claim() message.Effects {
 	v.tag++
 	key := "notice/" + units.Hex(v.tag)
-	return v.screen.Claim(v.n.w.Now, v.tag<<8^uint64(v.n.self), key, screen.Holders(v.n.mast.All(), key))
+	return v.screen.Claim(v.n.w.Now, v.tag<<8^uint64(v.n.self), key, screen.Holders(v.n.membership.All(), key))
 }
 
 // tell takes the desk's verdicts and the screen's results.
@@ -150,7 +150,7 @@
 		run := min(time.Duration(w.rng.ExpFloat64()*float64(meanRun)), deadline-time.Second)
 		w.After(run, func() {
 			if v.n.up && v.n.life == life {
-				v.n.timed(station.Gauge, func() station.Out { return v.desk.Done(w.Now, x.Tag, false) })
+				v.n.timed(message.KindCapacity, func() message.Effects { return v.desk.Done(w.Now, x.Tag, false) })
 			}
 		})
 	}
--- a/internal/hollow/measure.go
+++ b/internal/hollow/measure.go
@@ -8,8 +8,8 @@
 	"syscall"
 	"time"
 
-	"seamshunt/internal/mast"
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/synop"
 )
 
@@ -71,8 +71,8 @@
 	Disk       float64 // bytes of its records
 }
 
-var partNames = map[station.Kind]string{0: "loop", station.Mast: "membership", station.Barograph: "control state", station.Bulletin: "news",
-	station.Ballot: "ballot", station.Gauge: "permits", station.Claim: "claims", station.Isobar: "repair"}
+var partNames = map[message.Kind]string{0: "loop", message.KindMembership: "membership", message.KindRegister: "control state", message.KindConfigPush: "news",
+	message.KindLease: "ballot", message.KindCapacity: "permits", message.KindClaim: "claims", message.KindAntiEntropy: "repair"}
 
 // Result is one run: its rows, and what the page wants to know besides.
 type Result struct {
@@ -132,9 +132,9 @@
 		busy += c.Busy
 	}
 	share := r.Real.Seconds() / max(busy.Seconds(), 1e-9)
-	for _, role := range []mast.Role{mast.Vane, mast.Barometer} {
+	for _, role := range []membership.Role{membership.Router, membership.Controller} {
 		nodes, name := float64(w.Vanes), "vane"
-		if role == mast.Barometer {
+		if role == membership.Controller {
 			nodes, name = Aside, "barometer"
 		}
 		all := Row{Experiment: e.Name, Size: w.Vanes, Role: name, Part: "all"}
@@ -143,7 +143,7 @@
 				all.Most = max(all.Most, float64(max(n.bytes, n.in))/secs)
 			}
 		}
-		for _, k := range []station.Kind{0, station.Mast, station.Bulletin, station.Gauge, station.Claim, station.Barograph, station.Ballot, station.Isobar} {
+		for _, k := range []message.Kind{0, message.KindMembership, message.KindConfigPush, message.KindCapacity, message.KindClaim, message.KindRegister, message.KindLease, message.KindAntiEntropy} {
 			c := w.counts[partKey{role, k}]
 			if c == nil {
 				continue
@@ -155,7 +155,7 @@
 			r.Rows = append(r.Rows, x)
 		}
 		all.HeapKB = held / 1024 / float64(w.Vanes+Aside) // of both roles alike: one heap holds them all
-		if role == mast.Barometer {
+		if role == membership.Controller {
 			all.Writes, all.Disk = float64(w.Writes)/secs/nodes, float64(w.Synced)/secs/nodes
 		}
 		r.Rows = append(r.Rows, all)
--- a/internal/hollow/net.go
+++ b/internal/hollow/net.go
@@ -7,25 +7,25 @@
 	"math/rand/v2"
 	"time"
 
-	"seamshunt/internal/mast"
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
-const headLen = 24 // of a frame, as package telegraph lays it out
+const headLen = 24 // of a frame, as package transport lays it out
 
 // event is a note that arrives, or a thing to do, at one millisecond of virtual time.
 type event struct {
 	to   *node
 	life int
-	note station.Note
+	note message.Message
 	do   func()
 }
 
 // program is what a node runs on top of membership and news.
 type program interface {
-	step(now units.Time, n station.Note) station.Out
-	beat(now units.Time, all []mast.Member) station.Out
+	step(now units.Time, n message.Message) message.Effects
+	beat(now units.Time, all []membership.Member) message.Effects
 	gone(now units.Time, l []units.Node)
 	calm(now units.Time) bool // it serves, or votes, or stands by
 }
@@ -37,8 +37,8 @@
 }
 
 type partKey struct {
-	role mast.Role
-	kind station.Kind // zero for ticks of the program, and for disk work
+	role membership.Role
+	kind message.Kind // zero for ticks of the program, and for disk work
 }
 
 // World is one site of hollow nodes, on a virtual clock.
@@ -95,7 +95,7 @@
 	}
 }
 
-func (w *World) part(r mast.Role, k station.Kind) *count {
+func (w *World) part(r membership.Role, k message.Kind) *count {
 	c := w.counts[partKey{r, k}]
 	if c == nil {
 		c = &count{}
@@ -105,7 +105,7 @@
 }
 
 // send counts one frame and brings it to where it goes.
-func (w *World) send(from *node, n station.Note) {
+func (w *World) send(from *node, n message.Message) {
 	n.From = from.self
 	to := w.byID[n.To]
 	if n.Addr != "" {
@@ -138,7 +138,7 @@
 	life := from.life
 	w.After(time.Millisecond, func() {
 		if from.up && from.life == life {
-			if l := from.mast.Refused(w.Now, addr); len(l) > 0 {
+			if l := from.membership.Refused(w.Now, addr); len(l) > 0 {
 				from.prog.gone(w.Now, l)
 			}
 		}
