--- a/internal/hollow/node.go
+++ b/internal/hollow/node.go
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
-	"seamshunt/internal/bulletin"
-	"seamshunt/internal/mast"
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/configpush"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -24,27 +24,27 @@
 
 // node is one hollow process: what package tower holds, and a program.
 type node struct {
-	w      *World
-	self   units.Node
-	addr   string
-	zone   string
-	region string
-	role   mast.Role
-	up     bool
-	life   int
-	mast   *mast.Mast
-	bull   *bulletin.Bulletin
-	prog   program
-	bytes  int // of frames sent, and taken
-	in     int
+	w          *World
+	self       units.Node
+	addr       string
+	zone       string
+	region     string
+	role       membership.Role
+	up         bool
+	life       int
+	membership *membership.Gossip
+	bull       *configpush.Feed
+	prog       program
+	bytes      int // of frames sent, and taken
+	in         int
 }
 
 // add puts a machine into the world; its process starts at once.
-func (w *World) add(i int, role mast.Role) *node {
+func (w *World) add(i int, role membership.Role) *node {
 	z := site[i%len(site)]
 	n := &node{w: w, zone: z.zone, region: z.region, role: role}
 	name := "v"
-	if role == mast.Barometer {
+	if role == membership.Controller {
 		name = "b"
 	}
 	n.addr = fmt.Sprintf("%s%03d.%s.site.example:7400", name, i, z.zone)
@@ -56,7 +56,7 @@
 
 func (w *World) seeds() (l []string) {
 	for _, n := range w.nodes {
-		if n.role == mast.Barometer && len(l) < 3 {
+		if n.role == membership.Controller && len(l) < 3 {
 			l = append(l, n.addr)
 		}
 	}
@@ -69,48 +69,48 @@
 	delete(w.byID, n.self)
 	n.life++
 	n.up = true
-	if n.self == 0 || n.role == mast.Vane { // a barometer is known by its disk
+	if n.self == 0 || n.role == membership.Router { // a barometer is known by its disk
 		n.self = units.Node(w.rng.Uint64() | 1)
 	}
 	w.byID[n.self] = n
 	web := n.addr[:len(n.addr)-2] + "80"
-	me := mast.Member{Node: n.self, Inc: uint64(1e12 + int64(w.Now)/1e6), Role: n.role, Addr: n.addr, Web: web, Zone: n.zone}
-	n.mast = mast.New(me, w.seeds(), rand.New(rand.NewPCG(w.rng.Uint64(), 0)))
-	n.bull = bulletin.New(n.self)
+	me := membership.Member{Node: n.self, Inc: uint64(1e12 + int64(w.Now)/1e6), Role: n.role, Addr: n.addr, Web: web, Zone: n.zone}
+	n.membership = membership.New(me, w.seeds(), rand.New(rand.NewPCG(w.rng.Uint64(), 0)))
+	n.bull = configpush.New(n.self)
 	gap := vaneGap
-	if n.role == mast.Vane {
+	if n.role == membership.Router {
 		n.prog = newVane(n)
 	} else {
 		n.prog = newCore(n)
 		gap = coreGap
 	}
-	n.every(towerGap, station.Mast, n.beat)
-	n.every(gap, 0, func(now units.Time) station.Out { return n.prog.beat(now, nil) })
+	n.every(towerGap, message.KindMembership, n.beat)
+	n.every(gap, 0, func(now units.Time) message.Effects { return n.prog.beat(now, nil) })
 }
 
 // every runs a loop of the process as long as it lives, and puts its time down to a part.
-func (n *node) every(gap time.Duration, kind station.Kind, f func(units.Time) station.Out) {
+func (n *node) every(gap time.Duration, kind message.Kind, f func(units.Time) message.Effects) {
 	life := n.life
 	var tick func()
 	tick = func() {
 		if !n.up || n.life != life {
 			return
 		}
-		n.timed(kind, func() station.Out { return f(n.w.Now) })
+		n.timed(kind, func() message.Effects { return f(n.w.Now) })
 		n.w.After(gap, tick)
 	}
 	n.w.After(time.Duration(n.w.rng.Int64N(int64(gap))), tick)
 }
 
 // beat is package tower's: membership, then news.
-func (n *node) beat(now units.Time) station.Out {
-	n.mast.News = n.bull.Sum
-	out := n.mast.Tick(now)
-	out.Join(n.bull.Beat(now, n.mast.All(), n.self))
+func (n *node) beat(now units.Time) message.Effects {
+	n.membership.News = n.bull.Sum
+	out := n.membership.Tick(now)
+	out.Join(n.bull.Beat(now, n.membership.All(), n.self))
 	return out
 }
 
-func (n *node) timed(kind station.Kind, f func() station.Out) {
+func (n *node) timed(kind message.Kind, f func() message.Effects) {
 	t := time.Now()
 	out := f()
 	n.w.part(n.role, kind).Busy += time.Since(t)
@@ -118,13 +118,13 @@
 }
 
 // take gives a note to its machine, as package tower does.
-func (n *node) take(x station.Note) {
+func (n *node) take(x message.Message) {
 	kind := x.Kind &^ 15
-	n.timed(kind, func() station.Out {
+	n.timed(kind, func() message.Effects {
 		switch kind {
-		case station.Mast:
-			return n.mast.Step(n.w.Now, x)
-		case station.Bulletin:
+		case message.KindMembership:
+			return n.membership.Step(n.w.Now, x)
+		case message.KindConfigPush:
 			return n.bull.Step(n.w.Now, x)
 		}
 		return n.prog.step(n.w.Now, x)
@@ -132,21 +132,21 @@
 }
 
 // deliver sends what a step gave out; a barometer's later notes wait for the disk.
-func (n *node) deliver(out station.Out) {
+func (n *node) deliver(out message.Effects) {
 	// The order of a step's notes may hang on a map; the world's must not.
-	slices.SortStableFunc(out.Notes, func(a, b station.Note) int {
+	slices.SortStableFunc(out.Messages, func(a, b message.Message) int {
 		return cmp.Or(cmp.Compare(a.To, b.To), cmp.Compare(a.Addr, b.Addr), cmp.Compare(a.Kind, b.Kind), bytes.Compare(a.Body, b.Body))
 	})
-	for _, x := range out.Notes {
+	for _, x := range out.Messages {
 		n.w.send(n, x)
 	}
-	if n.role == mast.Vane {
-		for _, x := range out.After {
+	if n.role == membership.Router {
+		for _, x := range out.AfterSync {
 			n.w.send(n, x)
 		}
 		return
 	}
-	if len(out.Writes)+len(out.After) == 0 {
+	if len(out.Writes)+len(out.AfterSync) == 0 {
 		return
 	}
 	if len(out.Writes) > 0 {
@@ -158,7 +158,7 @@
 	life := n.life
 	n.w.After(syncTime, func() {
 		if n.up && n.life == life {
-			for _, x := range out.After {
+			for _, x := range out.AfterSync {
 				n.w.send(n, x)
 			}
 		}
@@ -167,7 +167,7 @@
 
 // stop ends the process after its goodbye; what was meant for it is refused from then on.
 func (n *node) stop() {
-	n.timed(station.Mast, n.mast.Leave)
+	n.timed(message.KindMembership, n.membership.Leave)
 	n.up = false
 	n.life++
 }
--- a/internal/hollow/vane.go
+++ b/internal/hollow/vane.go
@@ -5,15 +5,15 @@
 	"strings"
 	"time"
 
-	"seamshunt/internal/barograph"
-	"seamshunt/internal/bulletin"
+	"seamshunt/internal/cluster/configpush"
+	"seamshunt/internal/cluster/discovery"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/forecast"
 	"seamshunt/internal/gauge"
 	"seamshunt/internal/hygrometer"
-	"seamshunt/internal/mast"
-	"seamshunt/internal/nephoscope"
 	"seamshunt/internal/screen"
-	"seamshunt/internal/station"
 	"seamshunt/internal/units"
 	"seamshunt/internal/windvane"
 )
@@ -25,8 +25,8 @@
 	ready  bool
 	pools  map[string][]forecast.Worker
 	out    map[string]bool
-	sky    *nephoscope.Nephoscope
-	voters barograph.Voters
+	sky    *discovery.Catalog
+	voters register.QuorumSet
 	desk   *hygrometer.Hygrometer
 	gauge  *gauge.Gauge
 	watch  *gauge.Watch
@@ -39,13 +39,13 @@
 }
 
 func newVane(n *node) *vane {
-	return &vane{n: n, pools: map[string][]forecast.Worker{}, out: map[string]bool{}, sky: nephoscope.New(), desk: hygrometer.New(n.self),
+	return &vane{n: n, pools: map[string][]forecast.Worker{}, out: map[string]bool{}, sky: discovery.New(), desk: hygrometer.New(n.self),
 		gauge: gauge.New(n.self), watch: gauge.NewWatch(), screen: screen.New(n.self, n.w.Now), began: n.w.Now, tag: n.w.rng.Uint64() >> 1}
 }
 
-func (v *vane) step(now units.Time, n station.Note) (out station.Out) {
+func (v *vane) step(now units.Time, n message.Message) (out message.Effects) {
 	switch n.Kind &^ 15 {
-	case station.Gauge:
+	case message.KindCapacity:
 		if n.Kind != gauge.Ask && n.Kind != gauge.Return && n.Kind != gauge.Report {
 			out = v.desk.Step(now, n)
 			v.tell()
@@ -53,7 +53,7 @@
 		if n.Kind == gauge.Ask || n.Kind == gauge.Return || n.Kind == gauge.Report || n.Kind == gauge.ReportAsk {
 			out.Join(v.gauge.Step(now, n))
 		}
-	case station.Claim:
+	case message.KindClaim:
 		out = v.screen.Step(now, n)
 		v.tell()
 	}
@@ -71,7 +71,7 @@
 func (v *vane) calm(units.Time) bool { return v.ready }
 
 // beat is the vane's loop; like the daemon's it takes membership's table anew for each of its three looks.
-func (v *vane) beat(now units.Time, _ []mast.Member) station.Out {
+func (v *vane) beat(now units.Time, _ []membership.Member) message.Effects {
 	v.refresh(now)
 	out := v.desk.Tick(now)
 	v.tell()
@@ -81,8 +81,8 @@
 		longest = max(time.Second, v.config.Longest(true))
 	}
 	var peers []units.Node
-	for _, m := range v.n.mast.All() {
-		if m.Role == mast.Vane && m.State <= mast.Suspect && m.Node != v.n.self {
+	for _, m := range v.n.membership.All() {
+		if m.Role == membership.Router && m.State <= membership.Suspect && m.Node != v.n.self {
 			peers = append(peers, m.Node)
 		}
 	}
@@ -101,7 +101,7 @@
 		v.news(now, it)
 	}
 	v.fresh = v.fresh || len(fresh) > 0
-	peers, silent := v.watch.See(now, v.n.mast.All())
+	peers, silent := v.watch.See(now, v.n.membership.All())
 	v.fresh = v.fresh || silent
 	if !v.fresh && slices.Equal(peers, v.peers) {
 		return
@@ -114,7 +114,7 @@
 	v.gauge.View(peers, v.watch.Holds(v.config.Longest(false)))
 }
 
-func (v *vane) news(now units.Time, it bulletin.Item) {
+func (v *vane) news(now units.Time, it configpush.Item) {
 	switch kind, _, _ := strings.Cut(it.Key, "/"); kind {
 	case "config":
 		if c, faults := forecast.Read(it.Data); len(faults) == 0 {
@@ -125,23 +125,23 @@
 		if pool, err := v.sky.Take(now, it.Key, it.Num, it.Data); err == nil {
 			v.pools[pool] = v.sky.List(pool)
 		}
-	case barograph.KeyVoters:
-		if s, err := barograph.UnpackVoters(it.Data); err == nil {
+	case register.KeyQuorum:
+		if s, err := register.UnpackQuorumSet(it.Data); err == nil {
 			v.voters = s
 		}
 	}
 }
 
-func (v *vane) confirm(now units.Time, out *station.Out) {
-	all := v.n.mast.All()
-	bulletin.Neighbours(all, v.n.self)
+func (v *vane) confirm(now units.Time, out *message.Effects) {
+	all := v.n.membership.All()
+	configpush.Neighbours(all, v.n.self)
 	if v.ready || v.config == nil {
 		return
 	}
-	ok, asks := v.n.bull.Confirm(now, all, v.n.self, v.voters.IDs, v.began)
+	ok, asks := v.n.bull.Confirm(now, all, v.n.self, v.voters.Members, v.began)
 	if ok {
 		v.ready = true
-		v.n.mast.Flag(mast.Ready, true)
+		v.n.membership.Flag(membership.Ready, true)
 	}
 	out.Join(asks)
 }
--- a/internal/hollow/world.go
+++ b/internal/hollow/world.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"seamshunt/internal/mast"
+	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/units"
 )
 
@@ -24,13 +24,13 @@
 	w := &World{Shape: s, rng: rand.New(rand.NewPCG(s.Seed, 17)), byID: map[units.Node]*node{}, byAddr: map[string]*node{}, slots: map[int64][]event{},
 		counts: map[partKey]*count{}, load: newLoad(s)}
 	for i := range Founders {
-		w.add(i*3, mast.Barometer) // zones of all regions
+		w.add(i*3, membership.Controller) // zones of all regions
 	}
 	if !w.until(30*time.Second, w.calm) {
 		return nil, errors.New("hollow: the voters did not found a fleet")
 	}
 	for i := Founders; i < Aside; i++ {
-		w.add(i*3, mast.Barometer)
+		w.add(i*3, membership.Controller)
 	}
 	w.Run(3 * time.Second)
 	w.Change()
@@ -42,7 +42,7 @@
 func (w *World) Start() (time.Duration, error) {
 	from := w.Now
 	for i := range w.Vanes {
-		w.add(i, mast.Vane)
+		w.add(i, membership.Router)
 	}
 	if !w.until(2*time.Minute, func() bool { return w.calm() && w.agree() }) {
 		return 0, fmt.Errorf("hollow: %d vanes did not all come to serve in 2 minutes", w.Vanes)
@@ -77,7 +77,7 @@
 		}
 	}
 	for _, n := range w.nodes {
-		if n.up && len(n.mast.Live(mast.Vane))+len(n.mast.Live(mast.Barometer)) != up {
+		if n.up && len(n.membership.Live(membership.Router))+len(n.membership.Live(membership.Controller)) != up {
 			return false
 		}
 	}
--- a/internal/hygrometer/busy_test.go
+++ b/internal/hygrometer/busy_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/gauge"
-	"seamshunt/internal/station"
 	"seamshunt/internal/units"
 )
 
@@ -18,12 +18,12 @@
 	if !h.Busy() {
 		t.Error("an ask is under way")
 	}
-	h.Step(now, station.Note{From: 2, Kind: gauge.Grant, Body: gauge.Pack(gauge.Head{Tag: 7}, "s/w")})
+	h.Step(now, message.Message{From: 2, Kind: gauge.Grant, Body: gauge.Pack(gauge.Head{Tag: 7}, "s/w")})
 	if h.Busy() {
 		t.Error("the prompt is in")
 	}
-	if out := h.Tick(now.Add(time.Hour)); len(out.Notes)+len(h.Verdicts) != 1 {
-		t.Errorf("a tick with all prompts in said %v, %v", out.Notes, h.Verdicts)
+	if out := h.Tick(now.Add(time.Hour)); len(out.Messages)+len(h.Verdicts) != 1 {
+		t.Errorf("a tick with all prompts in said %v, %v", out.Messages, h.Verdicts)
 	}
 	h.Done(now, 7, true)
 	if !h.Busy() {
--- a/internal/hygrometer/hygrometer.go
+++ b/internal/hygrometer/hygrometer.go
@@ -4,15 +4,15 @@
 import (
 	"time"
 
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/gauge"
-	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
 // Policies by name. Knee is the paper's: a cap, a bounded waitlist by deadline, early shedding. Open is none,
 // for comparisons.
-var Policies = map[string]func(*Hygrometer, units.Time, *Req, *station.Out){
+var Policies = map[string]func(*Hygrometer, units.Time, *Req, *message.Effects){
 	"knee": (*Hygrometer).knee,
 	"open": (*Hygrometer).open,
 }
@@ -61,14 +61,14 @@
 }
 
 // Arrive takes a prompt in at the door.
-func (h *Hygrometer) Arrive(now units.Time, r Req) (out station.Out) {
+func (h *Hygrometer) Arrive(now units.Time, r Req) (out message.Effects) {
 	h.reqs[r.Tag] = &r
 	Policies[r.Policy](h, now, &r, &out)
 	return out
 }
 
 // open lets everything in at the first worker.
-func (h *Hygrometer) open(now units.Time, r *Req, out *station.Out) {
+func (h *Hygrometer) open(now units.Time, r *Req, out *message.Effects) {
 	if len(r.Cands) == 0 {
 		h.shed(r, synop.NoWorker)
 		return
@@ -78,7 +78,7 @@
 }
 
 // knee asks the candidates' keepers for a free slot in turn, then waits where the wait is shortest.
-func (h *Hygrometer) knee(now units.Time, r *Req, out *station.Out) {
+func (h *Hygrometer) knee(now units.Time, r *Req, out *message.Effects) {
 	for r.next < len(r.Cands) && r.next < r.Tries {
 		r.worker = r.Cands[r.next]
 		r.next++
@@ -96,7 +96,7 @@
 }
 
 // queue joins the waitlist with the shortest expected wait that still leaves time for an answer.
-func (h *Hygrometer) queue(now units.Time, r *Req, out *station.Out) {
+func (h *Hygrometer) queue(now units.Time, r *Req, out *message.Effects) {
 	best := -1
 	for i, o := range r.opts {
 		if best < 0 || o.due+o.away < r.opts[best].due+r.opts[best].away {
@@ -130,7 +130,7 @@
 	return synop.NoWorker
 }
 
-func (h *Hygrometer) ask(now units.Time, r *Req, wait bool, out *station.Out) {
+func (h *Hygrometer) ask(now units.Time, r *Req, wait bool, out *message.Effects) {
 	a := gauge.Head{Tag: r.Tag, Left: uint32(units.ToMillis(r.Until.Sub(now))), Worth: r.Worth, Mem: r.Mem, Urgent: r.Urge, Soon: uint32(units.ToMillis(r.Soon))}
 	a.Read = micros(r.Read)
 	if !r.home(r.worker) {
@@ -170,7 +170,7 @@
 
 // Done gives a prompt's slot back when its stream ended, or when its caller went away.
 // Unsure says that the run may still be going.
-func (h *Hygrometer) Done(now units.Time, tag uint64, unsure bool) (out station.Out) {
+func (h *Hygrometer) Done(now units.Time, tag uint64, unsure bool) (out message.Effects) {
 	r := h.reqs[tag]
 	if r == nil {
 		return out
@@ -192,7 +192,7 @@
 }
 
 // Cut is Done for a run whose wire this node broke off: its slot comes back once the worker had time to notice.
-func (h *Hygrometer) Cut(now units.Time, tag uint64) (out station.Out) {
+func (h *Hygrometer) Cut(now units.Time, tag uint64) (out message.Effects) {
 	if r := h.reqs[tag]; r != nil && r.stage == held {
 		r.Until = now.Add(notice - grace)
 		h.leave(r)
--- a/internal/hygrometer/step.go
+++ b/internal/hygrometer/step.go
@@ -4,14 +4,14 @@
 	"slices"
 	"time"
 
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/gauge"
-	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
 // Tick gives up what can't be met any more, and passes over keepers that say nothing.
-func (h *Hygrometer) Tick(now units.Time) (out station.Out) {
+func (h *Hygrometer) Tick(now units.Time) (out message.Effects) {
 	for _, r := range h.sorted() {
 		switch r.stage {
 		case asking:
@@ -58,7 +58,7 @@
 }
 
 // drop voids an ask, so that a late grant has nobody, or gives a ghost's slot back.
-func (h *Hygrometer) drop(r *Req, out *station.Out) {
+func (h *Hygrometer) drop(r *Req, out *message.Effects) {
 	to := r.keeper
 	if r.stage == ghost {
 		to = h.keeper(r)
@@ -69,7 +69,7 @@
 }
 
 // refused takes a keeper's no, or its silence, and goes on to the next worker.
-func (h *Hygrometer) refused(now units.Time, r *Req, reason uint8, due time.Duration, out *station.Out) {
+func (h *Hygrometer) refused(now units.Time, r *Req, reason uint8, due time.Duration, out *message.Effects) {
 	if r.why == 0 || reason == gauge.Full || reason == gauge.Late && r.why != gauge.Full {
 		r.why = reason
 	}
@@ -91,7 +91,7 @@
 }
 
 // Step takes one note for the node that asks.
-func (h *Hygrometer) Step(now units.Time, n station.Note) (out station.Out) {
+func (h *Hygrometer) Step(now units.Time, n message.Message) (out message.Effects) {
 	if n.Kind == gauge.Audit {
 		name, l, _, err := gauge.UnpackReport(n.Body)
 		out.Fail(err)
@@ -133,7 +133,7 @@
 	return out
 }
 
-func (h *Hygrometer) granted(now units.Time, from units.Node, r *Req, mine bool, b gauge.Head, name string, out *station.Out) {
+func (h *Hygrometer) granted(now units.Time, from units.Node, r *Req, mine bool, b gauge.Head, name string, out *message.Effects) {
 	if r != nil && r.stage >= held && r.worker == name {
 		return // the same grant again
 	}
@@ -154,7 +154,7 @@
 }
 
 // report tells a new keeper all that is held of a worker; from then on only its grants count (design 6).
-func (h *Hygrometer) report(now units.Time, from units.Node, name string, out *station.Out) {
+func (h *Hygrometer) report(now units.Time, from units.Node, name string, out *message.Effects) {
 	h.loyal[name] = from
 	var l []gauge.Held
 	for _, r := range h.sorted() {
--- /dev/null
+++ b/internal/rig/simulator/core.go
@@ -0,0 +1,214 @@
+package simulator
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"seamshunt/internal/cluster/configpush"
+	"seamshunt/internal/cluster/discovery"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/antientropy"
+	"seamshunt/internal/control/lease"
+	"seamshunt/internal/control/register"
+	"seamshunt/internal/screen"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// common is what both programs share, as package tower has it in the daemons.
+type common struct {
+	gossip *membership.Gossip
+	feed   *configpush.Feed
+}
+
+func (s *Sim) common(h *Host, self units.Node, role membership.Role, seeds []string) common {
+	me := membership.Member{Node: self, Inc: uint64(s.Now) + 1, Role: role, Addr: h.Addr, Zone: h.Zone}
+	return common{membership.New(me, seeds, rand.New(rand.NewPCG(s.Rng.Uint64(), 3))), configpush.New(self)}
+}
+
+func (c *common) beat(now units.Time, self units.Node) ([]membership.Member, message.Effects) {
+	c.gossip.News = c.feed.Sum
+	out := c.gossip.Tick(now)
+	all := c.gossip.All()
+	out.Join(c.feed.Beat(now, all, self))
+	return all, out
+}
+
+// Core is a simulated barometer.
+type Core struct {
+	common
+	*Proc
+	H            *Host
+	Replica      *register.Replica
+	Lease        *lease.Lease
+	doc          register.Doctor
+	seedFounder  register.Seeds
+	grow         register.Grower
+	Syncer       *antientropy.Syncer
+	Roll         *screen.Roll
+	catalog      *discovery.Catalog
+	turn         discovery.Schedule
+	pollPlatform func(*Core, units.Time) // asks the world's platform
+	waits        map[uint64]func(register.Result)
+	tag          uint64
+	Drain        bool
+}
+
+// Core adds a machine with a disk; cores finds the machine that runs there now. With grow, voters are founded from seeds.
+func (s *Sim) Core(addr, zone string, founders int, seeds []string, grow *Growth, cores map[*Host]*Core) *Host {
+	return s.Add(addr, zone, NewDisk(), func(h *Host) *Proc {
+		h.Grow = grow
+		if g := h.Grow; h.Disk.ID == 0 {
+			h.Disk.ID = units.Node(s.Rng.Uint64() | 1)
+			if g != nil && g.First && g.Counts {
+				h.Disk.Born = slices.Clone(g.Seeds)
+			}
+		}
+		self, seeds := h.Disk.ID, seeds
+		if h.Grow != nil {
+			seeds = h.Grow.Seeds
+		}
+		c := &Core{common: s.common(h, self, membership.Controller, seeds), H: h, doc: register.Doctor{Founders: founders}, catalog: discovery.New(), pollPlatform: s.Poll, waits: map[uint64]func(register.Result){}}
+		c.gossip.Flag(membership.Counts, h.Grow == nil || h.Grow.Counts)
+		if g := h.Grow; g != nil {
+			c.seedFounder = register.Seeds{Addr: h.Addr, Addrs: h.Disk.Born, First: h.Disk.Born != nil}
+			if !g.Counts {
+				c.seedFounder.Addrs, c.seedFounder.First = slices.Clone(g.Seeds), g.First
+			}
+			c.gossip.Flag(membership.First, c.seedFounder.First)
+			g.First = false
+		}
+		c.Proc = &Proc{Self: self, Step: c.step, Tick: c.tick, Refused: func(now units.Time, a string) {
+			for _, n := range c.gossip.Refused(now, a) {
+				c.Lease.Gone(now, n)
+			}
+		},
+			Woke: func(now units.Time) {
+				c.Lease.Drop()
+				c.Replica.Resume(now)
+			}}
+		c.Reload = func() {
+			c.Replica = register.New(self, units.Node(s.Rng.Uint64()))
+			if err := c.Replica.Load(h.Disk.Records()); err != nil {
+				panic(err)
+			}
+			c.Roll = screen.LoadRoll(self, s.Now, h.Disk.Records())
+		}
+		c.Reload()
+		c.Lease = lease.New(self, "platform", func() []units.Node { return c.Replica.Quorum().Members }, s.Now, rand.New(rand.NewPCG(s.Rng.Uint64(), 5)))
+		c.Syncer = antientropy.New(self, s.Now, rand.New(rand.NewPCG(s.Rng.Uint64(), 6)))
+		c.feed.Stored = func() map[string]units.Num { return c.Replica.StoredNumbers() }
+		cores[h] = c
+		return c.Proc
+	})
+}
+
+func (c *Core) step(now units.Time, n message.Message) message.Effects {
+	switch n.Kind &^ 15 {
+	case message.KindMembership:
+		return c.gossip.Step(now, n)
+	case message.KindConfigPush:
+		return c.feed.Step(now, n)
+	case message.KindLease:
+		return c.Lease.Step(now, n)
+	case message.KindAntiEntropy:
+		return c.Syncer.Step(n, c.Replica.States(), c.Replica.Resend)
+	case message.KindClaim:
+		return c.Roll.Step(now, n, c.Replica.QuorumVersion())
+	case message.KindRegister:
+		out := c.Replica.Step(now, n)
+		c.drain(now, &out)
+		return out
+	}
+	return message.Effects{}
+}
+
+func (c *Core) tick(now units.Time) message.Effects {
+	c.gossip.Flag(membership.Unfit, c.H.Disk.Unfit(now) || !c.Replica.ReachesMajority(now))
+	c.gossip.Flag(membership.Draining, c.Drain)
+	all, out := c.beat(now, c.Self)
+	look := register.ViewCore(all)
+	if it := c.feed.Items[register.KeyQuorum]; it != nil {
+		out.Join(c.Replica.LearnQuorum(it.Data))
+	}
+	c.Replica.SetEligible(look.Eligible)
+	if c.H.Grow != nil {
+		c.Replica.FoundFromSeeds(c.seedFounder.Set(now, look))
+		if v, ok := c.grow.Next(now, c.Replica.Quorum(), look); ok {
+			c.Replica.ChangeMembers(now, v)
+		}
+	} else {
+		c.Replica.FoundFixed(c.doc.Founders, look)
+		if ids := c.doc.Next(now, c.Replica.Quorum(), look); ids != nil {
+			c.Replica.Want(now, ids)
+		}
+	}
+	out.Join(c.Replica.Tick(now))
+	c.Roll.Low = c.H.Disk.Full
+	out.Join(c.Roll.Tick(now, c.Replica.Quorum()))
+	voter := c.Replica.Quorum().Has(c.Self)
+	c.gossip.Flag(membership.Voter, voter)
+	c.drain(now, &out)
+	out.Join(c.Lease.Tick(now, voter && !c.Drain))
+	out.Join(c.Syncer.Tick(now, c.Replica.Quorum().Members, c.Replica.States()))
+	for _, it := range c.feed.Fresh {
+		if strings.HasPrefix(it.Key, discovery.Prefix) {
+			_, _ = c.catalog.Take(now, it.Key, it.Num, it.Data)
+		}
+	}
+	c.feed.Fresh = nil
+	if c.pollPlatform != nil && !c.Drain && c.turn.Due(now, c.Lease.Share(now), pollGap) {
+		c.pollPlatform(c, now)
+	}
+	return out
+}
+
+func (c *Core) drain(now units.Time, out *message.Effects) {
+	for _, r := range c.Replica.Results {
+		if f := c.waits[r.Tag]; f != nil {
+			delete(c.waits, r.Tag)
+			f(r)
+		}
+	}
+	c.Replica.Results = nil
+	fresh := c.Replica.Chosen
+	c.Replica.Chosen = nil
+	for _, x := range fresh {
+		c.spread(now, configpush.Item{Key: x.Key, Num: x.Num, Data: slices.Clone(x.Data)}, out)
+	}
+}
+
+func (c *Core) spread(now units.Time, it configpush.Item, out *message.Effects) {
+	var to []units.Node
+	for _, m := range c.gossip.All() {
+		if m.State <= membership.Suspect && m.Node != c.Self {
+			to = append(to, m.Node)
+		}
+	}
+	out.Join(c.feed.Spread(now, it, to))
+}
+
+// Ask brings an operator's wish to this machine; done hears the result, or Unsure once patience is over.
+func (c *Core) Submit(s *Sim, a register.Request, done func(register.Result)) {
+	c.tag++
+	a.Tag = c.tag
+	tag := a.Tag
+	c.waits[tag] = done
+	s.Inject(c.H, func(now units.Time) message.Effects {
+		out := c.Replica.Submit(now, a)
+		c.drain(now, &out)
+		return out
+	})
+	s.After(register.RequestTimeout, func() {
+		if f := c.waits[tag]; f != nil {
+			delete(c.waits, tag)
+			r := register.Result{Code: synop.NoMajority}
+			if a.Write {
+				r.Code = synop.Unsure
+			}
+			f(r)
+		}
+	})
+}
--- a/internal/windtunnel/disk.go
+++ b/internal/rig/simulator/disk.go
@@ -1,9 +1,9 @@
-package windtunnel
+package simulator
 
 import (
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -15,20 +15,20 @@
 	Stalled bool
 	Full    bool // lives from the reserve
 	used    int  // records written to the reserve
-	live    map[string]station.Record
-	wait    []station.Out
+	live    map[string]message.Record
+	wait    []message.Effects
 	busy    bool
 	life    int
 	since   units.Time
 }
 
 // NewDisk gives a blank one.
-func NewDisk() *Disk { return &Disk{Delay: 2 * time.Millisecond, live: map[string]station.Record{}} }
+func NewDisk() *Disk { return &Disk{Delay: 2 * time.Millisecond, live: map[string]message.Record{}} }
 
 // Records gives what is synced.
-func (d *Disk) Records() []station.Record {
-	l := make([]station.Record, 0, len(d.live))
-	for _, k := range station.Keys(d.live) {
+func (d *Disk) Records() []message.Record {
+	l := make([]message.Record, 0, len(d.live))
+	for _, k := range message.Keys(d.live) {
 		l = append(l, d.live[k])
 	}
 	return l
@@ -42,7 +42,7 @@
 // Wipe loses everything, the identity too.
 func (d *Disk) Wipe() {
 	d.crash()
-	d.ID, d.Born, d.live, d.Stalled, d.Full = 0, nil, map[string]station.Record{}, false, false
+	d.ID, d.Born, d.live, d.Stalled, d.Full = 0, nil, map[string]message.Record{}, false, false
 }
 
 // reserve is how many records the reserve bears here.
@@ -56,7 +56,7 @@
 	return d.out() || d.busy && now.Sub(d.since) > 500*time.Millisecond
 }
 
-func (d *Disk) queue(s *Sim, h *Host, o station.Out) {
+func (d *Disk) queue(s *Sim, h *Host, o message.Effects) {
 	d.wait = append(d.wait, o)
 	if !d.busy {
 		d.write(s, h)
@@ -78,7 +78,7 @@
 			s.After(50*time.Millisecond, done)
 			return
 		}
-		var notes []station.Note
+		var notes []message.Message
 		for _, o := range batch {
 			if d.used += len(o.Writes); !d.Full {
 				d.used = 0
@@ -94,7 +94,7 @@
 					delete(d.live, string(rune(r.Kind))+r.Key)
 				}
 			}
-			notes = append(notes, o.After...)
+			notes = append(notes, o.AfterSync...)
 		}
 		d.busy = false
 		for _, n := range notes {
--- a/internal/windtunnel/edge.go
+++ b/internal/rig/simulator/edge.go
@@ -1,19 +1,19 @@
-package windtunnel
+package simulator
 
 import (
 	"strings"
 
 	"github.com/valyala/fastjson"
 
-	"seamshunt/internal/barograph"
-	"seamshunt/internal/bulletin"
+	"seamshunt/internal/cluster/configpush"
+	"seamshunt/internal/cluster/discovery"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/forecast"
 	"seamshunt/internal/gauge"
 	"seamshunt/internal/hygrometer"
-	"seamshunt/internal/mast"
-	"seamshunt/internal/nephoscope"
 	"seamshunt/internal/screen"
-	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 	"seamshunt/internal/windvane"
@@ -29,8 +29,8 @@
 	Ready   bool
 	Pools   map[string][]forecast.Worker
 	Out     map[string]bool
-	sky     *nephoscope.Nephoscope
-	voters  barograph.Voters
+	sky     *discovery.Catalog
+	voters  register.QuorumSet
 	desk    *hygrometer.Hygrometer
 	gauge   *gauge.Gauge
 	watch   *gauge.Watch
@@ -48,15 +48,15 @@
 func (s *Sim) Edge(addr, zone string, seeds []string, edges map[*Host]*Edge) *Host {
 	return s.Add(addr, zone, nil, func(h *Host) *Proc {
 		self := units.Node(s.Rng.Uint64() | 1)
-		e := &Edge{common: s.common(h, self, mast.Vane, seeds), H: h, Pools: map[string][]forecast.Worker{}, Out: map[string]bool{},
-			sky: nephoscope.New(), desk: hygrometer.New(self), gauge: gauge.New(self), watch: gauge.NewWatch(), screen: screen.New(self, s.Now), claims: map[uint64]func(synop.Code, bool){}, began: s.Now,
+		e := &Edge{common: s.common(h, self, membership.Router, seeds), H: h, Pools: map[string][]forecast.Worker{}, Out: map[string]bool{},
+			sky: discovery.New(), desk: hygrometer.New(self), gauge: gauge.New(self), watch: gauge.NewWatch(), screen: screen.New(self, s.Now), claims: map[uint64]func(synop.Code, bool){}, began: s.Now,
 			verdict: map[uint64]func(hygrometer.Verdict){}, tag: s.Rng.Uint64() >> 8}
 		e.Proc = &Proc{Self: self, Step: e.step, Tick: e.tick, Woke: func(now units.Time) {
 			e.unready()
 			e.desk.Woke(now)
 			e.gauge = gauge.New(self)
 		}, Refused: func(now units.Time, a string) {
-			for _, n := range e.mast.Refused(now, a) {
+			for _, n := range e.gossip.Refused(now, a) {
 				e.gauge.Gone(now, n)
 				e.watch.Void(now, n)
 			}
@@ -68,17 +68,17 @@
 
 func (e *Edge) unready() {
 	e.Ready = false
-	e.mast.Flag(mast.Ready, false)
-	clear(e.bull.Vouch)
+	e.gossip.Flag(membership.Ready, false)
+	clear(e.feed.Vouch)
 }
 
-func (e *Edge) step(now units.Time, n station.Note) (out station.Out) {
+func (e *Edge) step(now units.Time, n message.Message) (out message.Effects) {
 	switch n.Kind &^ 15 {
-	case station.Mast:
-		return e.mast.Step(now, n)
-	case station.Bulletin:
-		return e.bull.Step(now, n)
-	case station.Gauge:
+	case message.KindMembership:
+		return e.gossip.Step(now, n)
+	case message.KindConfigPush:
+		return e.feed.Step(now, n)
+	case message.KindCapacity:
 		if n.Kind != gauge.Ask && n.Kind != gauge.Return && n.Kind != gauge.Report {
 			out = e.desk.Step(now, n)
 		}
@@ -86,7 +86,7 @@
 			out.Join(e.gauge.Step(now, n))
 		}
 		e.tell()
-	case station.Claim:
+	case message.KindClaim:
 		out = e.screen.Step(now, n)
 		e.tell()
 	}
@@ -112,11 +112,11 @@
 	}
 }
 
-func (e *Edge) tick(now units.Time) station.Out {
+func (e *Edge) tick(now units.Time) message.Effects {
 	all, out := e.beat(now, e.Self)
-	e.mast.Flag(mast.Draining, e.Drain)
-	fresh := e.bull.Fresh
-	e.bull.Fresh = nil
+	e.gossip.Flag(membership.Draining, e.Drain)
+	fresh := e.feed.Fresh
+	e.feed.Fresh = nil
 	for _, it := range fresh {
 		e.news(now, it)
 	}
@@ -128,7 +128,7 @@
 	}
 	var others []units.Node
 	for _, m := range all {
-		if m.Role == mast.Vane && m.State <= mast.Suspect && m.Node != e.Self {
+		if m.Role == membership.Router && m.State <= membership.Suspect && m.Node != e.Self {
 			others = append(others, m.Node)
 		}
 	}
@@ -143,7 +143,7 @@
 	return out
 }
 
-func (e *Edge) news(now units.Time, it bulletin.Item) {
+func (e *Edge) news(now units.Time, it configpush.Item) {
 	kind, name, _ := strings.Cut(it.Key, "/")
 	switch kind {
 	case "config":
@@ -156,21 +156,21 @@
 		if pool, err := e.sky.Take(now, it.Key, it.Num, it.Data); err == nil {
 			e.Pools[pool] = e.sky.List(pool)
 		}
-	case barograph.KeyVoters:
-		if v, err := barograph.UnpackVoters(it.Data); err == nil {
+	case register.KeyQuorum:
+		if v, err := register.UnpackQuorumSet(it.Data); err == nil {
 			e.voters = v
 		}
 	}
 }
 
-func (e *Edge) confirm(now units.Time, all []mast.Member, out *station.Out) {
+func (e *Edge) confirm(now units.Time, all []membership.Member, out *message.Effects) {
 	if e.Ready || e.Drain || e.Config == nil {
 		return
 	}
-	ok, asks := e.bull.Confirm(now, all, e.Self, e.voters.IDs, e.began)
+	ok, asks := e.feed.Confirm(now, all, e.Self, e.voters.Members, e.began)
 	if ok {
 		e.Ready = true
-		e.mast.Flag(mast.Ready, true)
+		e.gossip.Flag(membership.Ready, true)
 	}
 	out.Join(asks)
 }
--- a/internal/windtunnel/full_test.go
+++ b/internal/rig/simulator/full_test.go
@@ -1,4 +1,4 @@
-package windtunnel
+package simulator
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"seamshunt/internal/barograph"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/forecast"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
@@ -34,7 +34,7 @@
 		w.Run(w.Now.Add(4 * time.Second))
 		for key, o := range got {
 			var back *Op
-			w.Call(barograph.Ask{Key: key}, func(r *Op) { back = r })
+			w.Call(register.Request{Key: key}, func(r *Op) { back = r })
 			w.Run(w.Now.Add(time.Second))
 			if back == nil || back.Code != synop.OK || back.Num != o.Num || back.Data != o.Data {
 				t.Errorf("seed %d: %s acknowledged as %d, read back %+v", seed, key, o.Num, back)
@@ -70,10 +70,10 @@
 					if j == i {
 						continue
 					}
-					var r, wr barograph.Result
-					w.cores[h].Ask(w.Sim, barograph.Ask{Key: key}, func(x barograph.Result) { r = x })
+					var r, wr register.Result
+					w.cores[h].Submit(w.Sim, register.Request{Key: key}, func(x register.Result) { r = x })
 					w.Run(w.Now.Add(time.Second))
-					w.cores[h].Ask(w.Sim, barograph.Ask{Key: key, Write: true, Expect: r.Num, Plan: h.Addr + key, Data: []byte(configText(j))}, func(x barograph.Result) { wr = x })
+					w.cores[h].Submit(w.Sim, register.Request{Key: key, Write: true, Expect: r.Num, RequestID: h.Addr + key, Data: []byte(configText(j))}, func(x register.Result) { wr = x })
 					w.Run(w.Now.Add(time.Second))
 					if r.Code != synop.OK || wr.Code != synop.OK {
 						t.Errorf("%s without %s: %s read at %s: %d, written: %d", p.Name, lone.Addr, key, h.Addr, r.Code, wr.Code)
--- a/internal/windtunnel/grow_loss_test.go
+++ b/internal/rig/simulator/grow_loss_test.go
@@ -1,11 +1,11 @@
-package windtunnel
+package simulator
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
-	"seamshunt/internal/barograph"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -31,15 +31,15 @@
 // filled says whether a machine's disk votes, those that are gone don't, and it has every key that is stored anywhere.
 func (w *World) filled(i int) bool {
 	h := w.coreH[i]
-	if h.Proc == nil || !w.voters().Has(h.Disk.ID) || len(w.voters().IDs) != len(w.coreH) {
+	if h.Proc == nil || !w.voters().Has(h.Disk.ID) || len(w.voters().Members) != len(w.coreH) {
 		return false
 	}
-	mine := w.cores[h].Baro.Stored()
+	mine := w.cores[h].Replica.StoredNumbers()
 	for _, o := range w.coreH {
 		if o.Proc == nil {
 			continue
 		}
-		for k, n := range w.cores[o].Baro.Stored() {
+		for k, n := range w.cores[o].Replica.StoredNumbers() {
 			if mine[k] < n {
 				return false
 			}
@@ -148,14 +148,14 @@
 			_, num := w.put(t, 0)
 			var owner, other *Core
 			for _, h := range w.coreH {
-				if c := w.cores[h]; c.Baro.Owner("config") == c.Self {
+				if c := w.cores[h]; c.Replica.Owner("config") == c.Self {
 					owner = c
 				} else {
 					other = c
 				}
 			}
 			write := func(c *Core, text string) {
-				w.callAt(c, barograph.Ask{Key: "config", Write: true, Expect: num, Plan: text, Data: []byte(text)}, nil)
+				w.callAt(c, register.Request{Key: "config", Write: true, Expect: num, RequestID: text, Data: []byte(text)}, nil)
 			}
 			write(owner, configText(1))
 			w.After(time.Duration(w.Rng.Int64N(int64(15*time.Millisecond))), func() { w.Freeze(owner.H) })
--- a/internal/windtunnel/grow_test.go
+++ b/internal/rig/simulator/grow_test.go
@@ -1,11 +1,11 @@
-package windtunnel
+package simulator
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
-	"seamshunt/internal/barograph"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -28,14 +28,14 @@
 		for _, l := range w.Lame {
 			lame = lame || l == i
 		}
-		if h.Proc == nil || w.cores[h].Baro.Voters().Ver != v.Ver || v.Has(h.Disk.ID) == lame {
+		if h.Proc == nil || w.cores[h].Replica.Quorum().Version != v.Version || v.Has(h.Disk.ID) == lame {
 			return false
 		}
 		if !lame {
 			k++
 		}
 	}
-	return v.Ver > 0 && len(v.IDs) == k
+	return v.Version > 0 && len(v.Members) == k
 }
 
 // until lets the world go on till f holds, and gives the time that it took.
@@ -69,7 +69,7 @@
 	t.Helper()
 	var got *Op
 	for range 12 {
-		w.Call(barograph.Ask{Key: "config"}, func(o *Op) { got = o })
+		w.Call(register.Request{Key: "config"}, func(o *Op) { got = o })
 		if w.Run(w.Now.Add(time.Second)); got != nil && got.Code == synop.OK {
 			break
 		}
@@ -103,7 +103,7 @@
 	w := grown(*from, 3, 0, 1, 2)
 	all := func() bool {
 		for _, h := range w.coreH {
-			if v := w.cores[h].Baro.Voters(); len(v.IDs) != 3 || v.Ver != w.voters().Ver {
+			if v := w.cores[h].Replica.Quorum(); len(v.Members) != 3 || v.Version != w.voters().Version {
 				return false
 			}
 		}
@@ -142,8 +142,8 @@
 			}
 			w.until(30*time.Second, func() bool {
 				for _, h := range w.coreH {
-					if v := w.cores[h].Baro.Voters(); v.Ver == 1 {
-						sets[fmt.Sprint(v.IDs)] = true
+					if v := w.cores[h].Replica.Quorum(); v.Version == 1 {
+						sets[fmt.Sprint(v.Members)] = true
 					}
 				}
 				return w.settled()
--- a/internal/windtunnel/load.go
+++ b/internal/rig/simulator/load.go
@@ -1,4 +1,4 @@
-package windtunnel
+package simulator
 
 import (
 	"fmt"
@@ -89,7 +89,7 @@
 	e.tag++
 	token := e.tag<<8 ^ uint64(e.Self)
 	until := w.Now.Add(4 * time.Second)
-	holders := screen.Holders(e.mast.All(), key)
+	holders := screen.Holders(e.gossip.All(), key)
 	e.claims[token] = func(c synop.Code, kept bool) {
 		if w.Figures.Claims++; c == synop.NoClaim {
 			w.Figures.NoClaims++
@@ -122,7 +122,7 @@
 		w.fault("%s was said not to run and had run", key)
 	}
 	w.never[key] = true
-	w.out(e.H, e.screen.Burn(key, screen.Holders(e.mast.All(), key)))
+	w.out(e.H, e.screen.Burn(key, screen.Holders(e.gossip.All(), key)))
 }
 
 func (w *World) admit(e *Edge, until units.Time, topic int, key string) {
--- a/internal/windtunnel/mishap.go
+++ b/internal/rig/simulator/mishap.go
@@ -1,12 +1,12 @@
-package windtunnel
+package simulator
 
 import (
 	"fmt"
 	"slices"
 	"time"
 
-	"seamshunt/internal/barograph"
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/units"
 )
 
@@ -19,8 +19,8 @@
 		disks[o.Disk.ID] = true
 	}
 	v := w.voters()
-	for _, n := range v.IDs {
-		if !disks[n] || len(v.IDs) != len(w.coreH) {
+	for _, n := range v.Members {
+		if !disks[n] || len(v.Members) != len(w.coreH) {
 			return
 		}
 	}
@@ -77,7 +77,7 @@
 	for _, h := range w.coreH {
 		disks[h.Disk.ID] = true
 	}
-	for _, n := range w.voters().IDs {
+	for _, n := range w.voters().Members {
 		if !disks[n] {
 			return false // one was lost before, and is not replaced yet
 		}
@@ -86,10 +86,10 @@
 }
 
 // voters is the newest set that any core machine knows.
-func (w *World) voters() (v barograph.Voters) {
+func (w *World) voters() (v register.QuorumSet) {
 	for _, h := range w.coreH {
-		if c := w.cores[h]; c != nil && c.Baro.Voters().Ver > v.Ver {
-			v = c.Baro.Voters()
+		if c := w.cores[h]; c != nil && c.Replica.Quorum().Version > v.Version {
+			v = c.Replica.Quorum()
 		}
 	}
 	return v
@@ -130,7 +130,7 @@
 			w.After(50*time.Millisecond, look)
 			return
 		}
-		w.Inject(h, func(units.Time) station.Out { return e.mast.Leave() })
+		w.Inject(h, func(units.Time) message.Effects { return e.gossip.Leave() })
 		w.After(100*time.Millisecond, func() { w.bounce(h, 500*time.Millisecond, true) })
 	}
 	look()
--- a/internal/windtunnel/net.go
+++ b/internal/rig/simulator/net.go
@@ -1,4 +1,4 @@
-package windtunnel
+package simulator
 
 import (
 	"bytes"
@@ -7,27 +7,27 @@
 	"slices"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 )
 
-func (s *Sim) out(h *Host, o station.Out) {
+func (s *Sim) out(h *Host, o message.Effects) {
 	// The order of a step's notes may hang on a map; the world's must not.
-	slices.SortStableFunc(o.Notes, func(a, b station.Note) int {
+	slices.SortStableFunc(o.Messages, func(a, b message.Message) int {
 		return cmp.Or(cmp.Compare(a.To, b.To), cmp.Compare(a.Addr, b.Addr), cmp.Compare(a.Kind, b.Kind), bytes.Compare(a.Body, b.Body))
 	})
-	for _, n := range o.Notes {
+	for _, n := range o.Messages {
 		s.send(h, n)
 	}
 	if h.Disk == nil {
-		for _, n := range o.After {
+		for _, n := range o.AfterSync {
 			s.send(h, n)
 		}
-	} else if len(o.Writes)+len(o.After) > 0 {
+	} else if len(o.Writes)+len(o.AfterSync) > 0 {
 		h.Disk.queue(s, h, o)
 	}
 }
 
-func (s *Sim) find(n station.Note) *Host {
+func (s *Sim) find(n message.Message) *Host {
 	for _, h := range s.Hosts {
 		if n.Addr != "" && h.Addr == n.Addr || n.Addr == "" && h.Proc != nil && h.Proc.Self == n.To {
 			return h
@@ -50,7 +50,7 @@
 	return d
 }
 
-func (s *Sim) send(h *Host, n station.Note) {
+func (s *Sim) send(h *Host, n message.Message) {
 	if h.Proc == nil {
 		return
 	}
--- a/internal/windtunnel/notes_test.go
+++ b/internal/rig/simulator/notes_test.go
@@ -1,11 +1,11 @@
-package windtunnel
+package simulator
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -36,14 +36,14 @@
 			clear(w.Between)
 			w.Run(w.Now.Add(20 * time.Second))
 			all := 0
-			for _, k := range station.Keys(w.Between) {
+			for _, k := range message.Keys(w.Between) {
 				all += w.Between[k]
 			}
 			line += fmt.Sprintf("; %v prompts a second: %.2f kB/s, of it membership %.2f, news %.2f, control %.2f, permits %.2f, claims %.2f", rate, float64(all)/20e3,
-				float64(w.Between[station.Mast])/20e3, float64(w.Between[station.Bulletin])/20e3, float64(w.Between[station.Barograph]+w.Between[station.Ballot]+w.Between[station.Isobar])/20e3,
-				float64(w.Between[station.Gauge])/20e3, float64(w.Between[station.Claim])/20e3)
+				float64(w.Between[message.KindMembership])/20e3, float64(w.Between[message.KindConfigPush])/20e3, float64(w.Between[message.KindRegister]+w.Between[message.KindLease]+w.Between[message.KindAntiEntropy])/20e3,
+				float64(w.Between[message.KindCapacity])/20e3, float64(w.Between[message.KindClaim])/20e3)
 			if rate == 0 {
-				quiet[size] = float64(w.Between[station.Mast]) / float64(size)
+				quiet[size] = float64(w.Between[message.KindMembership]) / float64(size)
 			}
 		}
 		t.Logf("%d nodes%s", size, line)
--- a/internal/windtunnel/operators.go
+++ b/internal/rig/simulator/operators.go
@@ -1,11 +1,11 @@
-package windtunnel
+package simulator
 
 import (
 	"fmt"
 	"strings"
 	"time"
 
-	"seamshunt/internal/barograph"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -52,15 +52,15 @@
 }
 
 // Call is one operator's call; its outcome goes into the history.
-func (w *World) Call(a barograph.Ask, done func(*Op)) { w.callAt(w.anyCore(), a, done) }
+func (w *World) Call(a register.Request, done func(*Op)) { w.callAt(w.anyCore(), a, done) }
 
-func (w *World) callAt(c *Core, a barograph.Ask, done func(*Op)) {
+func (w *World) callAt(c *Core, a register.Request, done func(*Op)) {
 	if c == nil {
 		return
 	}
 	i := len(w.History)
 	w.History = append(w.History, Op{Key: a.Key, Write: a.Write, From: w.Now, Expect: a.Expect, Data: string(a.Data), at: c.H.Addr})
-	c.Ask(w.Sim, a, func(r barograph.Result) {
+	c.Submit(w.Sim, a, func(r register.Result) {
 		o := &w.History[i]
 		o.To, o.Code, o.Num = w.Now, r.Code, r.Num
 		if !a.Write && r.Code == synop.OK {
@@ -77,11 +77,11 @@
 
 // change reads a key and writes on the number found.
 func (w *World) change(key, data string, done func(*Op)) {
-	w.Call(barograph.Ask{Key: key}, func(o *Op) {
+	w.Call(register.Request{Key: key}, func(o *Op) {
 		if o.Code != synop.OK {
 			return
 		}
-		w.Call(barograph.Ask{Key: key, Write: true, Expect: o.Num, Plan: fmt.Sprintf("p%d", w.Rng.Uint64()), Data: []byte(data)}, done)
+		w.Call(register.Request{Key: key, Write: true, Expect: o.Num, RequestID: fmt.Sprintf("p%d", w.Rng.Uint64()), Data: []byte(data)}, done)
 	})
 }
 
--- a/internal/windtunnel/orders_core_test.go
+++ b/internal/rig/simulator/orders_core_test.go
@@ -1,12 +1,12 @@
-package windtunnel
+package simulator
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
-	"seamshunt/internal/barograph"
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -15,10 +15,10 @@
 // acknowledged is what a third owner finds (design 2).
 func TestOrdersOwnership(t *testing.T) {
 	n := orders(6, func(choose func(int) int) {
-		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
+		b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
 		m := voted(b, map[units.Node]units.Node{1: 1, 2: 2, 3: 3})
 		for _, x := range []units.Node{1, 2} {
-			b.put(x, m[x].Ask(0, barograph.Ask{Tag: uint64(x), Key: "k", Write: true, Expect: 0, Data: []byte{byte(x)}}))
+			b.put(x, m[x].Submit(0, register.Request{Tag: uint64(x), Key: "k", Write: true, Expect: 0, Data: []byte{byte(x)}}))
 		}
 		b.run(choose, func() {})
 		// Both try again as their ticks would, then all is quiet.
@@ -42,7 +42,7 @@
 		}
 		m[3].Results = nil
 		b.now = 9 * units.Time(time.Second)
-		b.put(3, m[3].Ask(b.now, barograph.Ask{Tag: 9, Key: "k"}))
+		b.put(3, m[3].Submit(b.now, register.Request{Tag: 9, Key: "k"}))
 		for round := range 4 {
 			b.now = units.Time(10+round) * units.Time(time.Second)
 			b.put(3, m[3].Tick(b.now))
@@ -67,19 +67,19 @@
 func TestOrdersFounding(t *testing.T) {
 	views := [][]units.Node{{1, 2, 3}, {2, 3, 4}, {1, 2, 3}, {2, 3, 4}}
 	n := orders(7, func(choose func(int) int) {
-		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
-		m := map[units.Node]*barograph.Barograph{}
+		b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
+		m := map[units.Node]*register.Replica{}
 		for i := range views {
 			id := units.Node(i + 1)
-			x := barograph.New(id, id+100)
-			x.Blank(3, barograph.Look{Blanks: views[i]})
+			x := register.New(id, id+100)
+			x.FoundFixed(3, register.CoreView{Blank: views[i]})
 			m[id] = x
-			b.step[id] = func(k station.Note) station.Out { return x.Step(0, k) }
+			b.step[id] = func(k message.Message) message.Effects { return x.Step(0, k) }
 		}
 		for now := range 2 {
 			for id, x := range m {
 				if now == 0 || id != 1 {
-					x.Blank(3, barograph.Look{Blanks: views[min(1, int(id)/4+now)]}) // all but the first come to see others
+					x.FoundFixed(3, register.CoreView{Blank: views[min(1, int(id)/4+now)]}) // all but the first come to see others
 				}
 			}
 			for id := units.Node(1); id <= 4; id++ {
@@ -96,14 +96,14 @@
 		}
 		var set []units.Node
 		for id, x := range m {
-			v := x.Voters()
-			if v.Ver == 0 {
+			v := x.Quorum()
+			if v.Version == 0 {
 				continue
 			}
-			if set != nil && fmt.Sprint(set) != fmt.Sprint(v.IDs) {
-				t.Fatalf("two sets were founded: %v, and %v at %d", set, v.IDs, id)
+			if set != nil && fmt.Sprint(set) != fmt.Sprint(v.Members) {
+				t.Fatalf("two sets were founded: %v, and %v at %d", set, v.Members, id)
 			}
-			set = v.IDs
+			set = v.Members
 		}
 	})
 	if n < 30 {
@@ -116,11 +116,11 @@
 func TestOrdersVoterChange(t *testing.T) {
 	changed, acked := 0, 0
 	n := orders(6, func(choose func(int) int) {
-		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
+		b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
 		m := voted(b, map[units.Node]units.Node{1: 1, 2: 1, 3: 1})
-		four := barograph.New(4, 104)
+		four := register.New(4, 104)
 		m[4] = four
-		b.step[4] = func(k station.Note) station.Out { return four.Step(b.now, k) }
+		b.step[4] = func(k message.Message) message.Effects { return four.Step(b.now, k) }
 		at := func(ms int) units.Time { return units.Time(time.Duration(ms) * time.Millisecond) }
 		quiet := func(from, rounds int, who ...units.Node) {
 			for r := range rounds {
@@ -131,15 +131,15 @@
 				b.run(func(int) int { return 0 }, func() {})
 			}
 		}
-		b.put(1, m[1].Ask(0, barograph.Ask{Tag: 1, Key: "k", Write: true, Expect: 0, Data: []byte("one")}))
+		b.put(1, m[1].Submit(0, register.Request{Tag: 1, Key: "k", Write: true, Expect: 0, Data: []byte("one")}))
 		quiet(1000, 3, 1)
 		b.now = at(2200)
 		m[1].Want(b.now, []units.Node{1, 2, 3, 4})
 		b.put(1, m[1].Tick(b.now))
-		b.put(1, m[1].Ask(b.now, barograph.Ask{Tag: 2, Key: "k", Write: true, Expect: 1, Data: []byte("two")}))
+		b.put(1, m[1].Submit(b.now, register.Request{Tag: 2, Key: "k", Write: true, Expect: 1, Data: []byte("two")}))
 		b.run(choose, func() {})
 		quiet(2600, 5, 1)
-		if m[1].Voters().Ver == 2 {
+		if m[1].Quorum().Version == 2 {
 			changed++
 		}
 		two := false
@@ -152,15 +152,15 @@
 		// The old owner and one old disk are gone; the rest must know.
 		delete(b.step, 1)
 		for _, x := range []units.Node{2, 3, 4} {
-			m[x].View([]units.Node{4, 2})
+			m[x].SetEligible([]units.Node{4, 2})
 		}
 		owner := m[2].Owner("k")
 		quiet(20000, 3, 2, 3, 4)
 		m[owner].Results = nil
-		b.put(owner, m[owner].Ask(b.now, barograph.Ask{Tag: 3, Key: "k"}))
+		b.put(owner, m[owner].Submit(b.now, register.Request{Tag: 3, Key: "k"}))
 		quiet(21500, 3, owner)
 		if len(m[owner].Results) != 1 || m[owner].Results[0].Code != synop.OK {
-			t.Fatalf("owner %d of set %v reads %v", owner, m[owner].Voters(), m[owner].Results)
+			t.Fatalf("owner %d of set %v reads %v", owner, m[owner].Quorum(), m[owner].Results)
 		}
 		if got := string(m[owner].Results[0].Data); two && got != "two" || got != "one" && got != "two" {
 			t.Fatalf("acknowledged %v, read %q", two, got)
--- a/internal/windtunnel/orders_rig_test.go
+++ b/internal/rig/simulator/orders_rig_test.go
@@ -1,8 +1,8 @@
-package windtunnel
+package simulator
 
 import (
-	"seamshunt/internal/barograph"
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/units"
 )
 
@@ -38,17 +38,17 @@
 // bag is a small net: notes on their way, delivered in the order that the choices give.
 type bag struct {
 	now   units.Time
-	notes []station.Note
-	step  map[units.Node]func(station.Note) station.Out
+	notes []message.Message
+	step  map[units.Node]func(message.Message) message.Effects
 	hold  func() bool // whether the next note is held up till after this round; nil for never
-	late  []station.Note
+	late  []message.Message
 }
 
-func (b *bag) put(from units.Node, o station.Out) {
-	for _, n := range append(o.Notes, o.After...) {
+func (b *bag) put(from units.Node, o message.Effects) {
+	for _, n := range append(o.Messages, o.AfterSync...) {
 		n.From = from
 		// Calls between voters change nothing that these tests look at, and would multiply the orders.
-		if b.step[n.To] != nil && n.Kind != barograph.Here && n.Kind != barograph.HereToo {
+		if b.step[n.To] != nil && n.Kind != register.Ping && n.Kind != register.Pong {
 			b.notes = append(b.notes, n)
 		}
 	}
@@ -71,17 +71,17 @@
 var three = []units.Node{1, 2, 3}
 
 // voted gives three voters of one set, each believing the one it is told of to be the owner.
-func voted(b *bag, believe map[units.Node]units.Node) map[units.Node]*barograph.Barograph {
-	m := map[units.Node]*barograph.Barograph{}
-	set := barograph.Voters{Ver: 1, IDs: three}
+func voted(b *bag, believe map[units.Node]units.Node) map[units.Node]*register.Replica {
+	m := map[units.Node]*register.Replica{}
+	set := register.QuorumSet{Version: 1, Members: three}
 	for _, n := range three {
-		x := barograph.New(n, n+100)
-		if err := x.Load([]station.Record{{Kind: barograph.RecVoters, Data: set.Pack()}}); err != nil {
+		x := register.New(n, n+100)
+		if err := x.Load([]message.Record{{Kind: register.RecordQuorum, Data: set.Pack()}}); err != nil {
 			panic(err)
 		}
-		x.View([]units.Node{believe[n]})
+		x.SetEligible([]units.Node{believe[n]})
 		m[n] = x
-		b.step[n] = func(k station.Note) station.Out { return x.Step(b.now, k) }
+		b.step[n] = func(k message.Message) message.Effects { return x.Step(b.now, k) }
 	}
 	return m
 }
--- a/internal/windtunnel/orders_roll_test.go
+++ b/internal/rig/simulator/orders_roll_test.go
@@ -1,12 +1,12 @@
-package windtunnel
+package simulator
 
 import (
 	"testing"
 	"time"
 
-	"seamshunt/internal/barograph"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/screen"
-	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -19,21 +19,21 @@
 	n := orders(4, func(choose func(int) int) {
 		gone := disks[choose(3)]
 		now := units.Time(time.Minute)
-		v := barograph.Voters{Ver: 1, IDs: disks}
-		kept := map[units.Node][]station.Record{}
-		b := &bag{now: now, step: map[units.Node]func(station.Note) station.Out{}}
+		v := register.QuorumSet{Version: 1, Members: disks}
+		kept := map[units.Node][]message.Record{}
+		b := &bag{now: now, step: map[units.Node]func(message.Message) message.Effects{}}
 		rolls := map[units.Node]*screen.Roll{}
 		start := func() map[units.Node]*screen.Screen {
 			m := map[units.Node]*screen.Screen{}
 			for _, x := range three {
 				m[x] = screen.New(x, now)
 				m[x].Core(v)
-				b.step[x] = func(k station.Note) station.Out { return m[x].Step(b.now, k) }
+				b.step[x] = func(k message.Message) message.Effects { return m[x].Step(b.now, k) }
 			}
 			for _, d := range disks {
 				rolls[d] = screen.LoadRoll(d, now, kept[d])
-				b.step[d] = func(k station.Note) station.Out {
-					o := rolls[d].Step(b.now, k, v.Ver)
+				b.step[d] = func(k message.Message) message.Effects {
+					o := rolls[d].Step(b.now, k, v.Version)
 					kept[d] = append(kept[d], o.Writes...)
 					return o
 				}
--- a/internal/windtunnel/orders_test.go
+++ b/internal/rig/simulator/orders_test.go
@@ -1,16 +1,16 @@
-package windtunnel
+package simulator
 
 import (
 	"math/rand/v2"
 	"testing"
 	"time"
 
-	"seamshunt/internal/ballot"
-	"seamshunt/internal/bulletin"
+	"seamshunt/internal/cluster/configpush"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/lease"
 	"seamshunt/internal/gauge"
 	"seamshunt/internal/hygrometer"
 	"seamshunt/internal/screen"
-	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -19,13 +19,13 @@
 func TestOrdersBallot(t *testing.T) {
 	won := 0
 	n := orders(6, func(choose func(int) int) {
-		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
+		b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
 		now := units.Time(5 * time.Second)
-		m := map[units.Node]*ballot.Ballot{}
+		m := map[units.Node]*lease.Lease{}
 		for _, x := range three {
-			y := ballot.New(x, "d", func() []units.Node { return three }, 0, rand.New(rand.NewPCG(uint64(x), 1)))
+			y := lease.New(x, "d", func() []units.Node { return three }, 0, rand.New(rand.NewPCG(uint64(x), 1)))
 			m[x] = y
-			b.step[x] = func(k station.Note) station.Out { return y.Step(now, k) }
+			b.step[x] = func(k message.Message) message.Effects { return y.Step(now, k) }
 		}
 		b.put(1, m[1].Tick(now, true))
 		b.put(2, m[2].Tick(now, true))
@@ -47,20 +47,20 @@
 func TestSplitBallotEnds(t *testing.T) {
 	four := []units.Node{1, 2, 3, 4}
 	for seed := range uint64(50) {
-		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
+		b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
 		now := units.Time(5 * time.Second)
-		m := map[units.Node]*ballot.Ballot{}
+		m := map[units.Node]*lease.Lease{}
 		for _, x := range four {
-			y := ballot.New(x, "d", func() []units.Node { return four }, 0, rand.New(rand.NewPCG(seed, uint64(x))))
+			y := lease.New(x, "d", func() []units.Node { return four }, 0, rand.New(rand.NewPCG(seed, uint64(x))))
 			m[x] = y
-			b.step[x] = func(k station.Note) station.Out { return y.Step(now, k) }
+			b.step[x] = func(k message.Message) message.Effects { return y.Step(now, k) }
 		}
 		// The two stand at the same moment, and each reaches two voters first.
 		one, two := m[1].Tick(now, true), m[2].Tick(now, true)
-		b.put(1, station.Out{Notes: []station.Note{one.Notes[0], one.Notes[2]}})
-		b.put(2, station.Out{Notes: []station.Note{two.Notes[1], two.Notes[3]}})
-		b.put(1, station.Out{Notes: []station.Note{one.Notes[1], one.Notes[3]}})
-		b.put(2, station.Out{Notes: []station.Note{two.Notes[0], two.Notes[2]}})
+		b.put(1, message.Effects{Messages: []message.Message{one.Messages[0], one.Messages[2]}})
+		b.put(2, message.Effects{Messages: []message.Message{two.Messages[1], two.Messages[3]}})
+		b.put(1, message.Effects{Messages: []message.Message{one.Messages[1], one.Messages[3]}})
+		b.put(2, message.Effects{Messages: []message.Message{two.Messages[0], two.Messages[2]}})
 		b.run(func(int) int { return 0 }, func() {})
 		if m[1].Holds(now) || m[2].Holds(now) {
 			t.Fatal("this round was to be split")
@@ -84,13 +84,13 @@
 func TestOrdersClaims(t *testing.T) {
 	won := 0
 	n := orders(6, func(choose func(int) int) {
-		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
+		b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
 		m := map[units.Node]*screen.Screen{}
 		for _, x := range three {
 			y := screen.New(x, 0)
 			y.Tick(units.Time(time.Minute), nil, time.Second) // takes part
 			m[x] = y
-			b.step[x] = func(k station.Note) station.Out { return y.Step(0, k) }
+			b.step[x] = func(k message.Message) message.Effects { return y.Step(0, k) }
 		}
 		b.put(1, m[1].Claim(0, 11, "k", three))
 		b.put(2, m[2].Claim(0, 22, "k", three))
@@ -116,12 +116,12 @@
 // News never goes back, whatever order it comes in, and the newest is in force at the end.
 func TestOrdersNews(t *testing.T) {
 	n := orders(6, func(choose func(int) int) {
-		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
-		core, vane := bulletin.New(1), bulletin.New(2)
-		b.step[1] = func(k station.Note) station.Out { return core.Step(0, k) }
-		b.step[2] = func(k station.Note) station.Out { return vane.Step(0, k) }
+		b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
+		core, vane := configpush.New(1), configpush.New(2)
+		b.step[1] = func(k message.Message) message.Effects { return core.Step(0, k) }
+		b.step[2] = func(k message.Message) message.Effects { return vane.Step(0, k) }
 		for i := range 4 {
-			b.put(1, core.Spread(0, bulletin.Item{Key: "config", Num: units.Num(i + 1), Data: []byte{byte(i)}}, []units.Node{2}))
+			b.put(1, core.Spread(0, configpush.Item{Key: "config", Num: units.Num(i + 1), Data: []byte{byte(i)}}, []units.Node{2}))
 		}
 		last := units.Num(0)
 		b.run(choose, func() {
@@ -145,14 +145,14 @@
 func TestOrdersPermits(t *testing.T) {
 	most := 0
 	n := orders(6, func(choose func(int) int) {
-		b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
+		b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
 		peers := []gauge.Peer{{Node: 1, Zone: "z"}, {Node: 2, Zone: "z"}}
 		w := map[string]gauge.Worker{"s/w": {Zone: "z", Cap: 1, Bound: 2}}
 		desks, keeps := map[units.Node]*hygrometer.Hygrometer{}, map[units.Node]*gauge.Gauge{}
 		for _, x := range []units.Node{1, 2} {
 			d, g := hygrometer.New(x), gauge.New(x)
 			desks[x], keeps[x] = d, g
-			b.step[x] = func(k station.Note) (out station.Out) {
+			b.step[x] = func(k message.Message) (out message.Effects) {
 				if k.Kind != gauge.Ask && k.Kind != gauge.Return && k.Kind != gauge.Report {
 					out = d.Step(0, k)
 				}
@@ -193,14 +193,14 @@
 
 // A core machine that reaches only one vane: what that one hears goes on to the others, who ask for it by number.
 func TestNewsGoesRoundACut(t *testing.T) {
-	b := &bag{step: map[units.Node]func(station.Note) station.Out{}}
-	m := map[units.Node]*bulletin.Bulletin{}
+	b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
+	m := map[units.Node]*configpush.Feed{}
 	for n := units.Node(1); n <= 6; n++ {
-		x := bulletin.New(n)
+		x := configpush.New(n)
 		m[n] = x
-		b.step[n] = func(k station.Note) station.Out { return x.Step(b.now, k) }
+		b.step[n] = func(k message.Message) message.Effects { return x.Step(b.now, k) }
 	}
-	b.put(1, m[1].Spread(0, bulletin.Item{Key: "workers/main/1", Num: 7, Data: []byte("x")}, []units.Node{2}))
+	b.put(1, m[1].Spread(0, configpush.Item{Key: "workers/main/1", Num: 7, Data: []byte("x")}, []units.Node{2}))
 	for range 3 { // beats
 		b.run(func(int) int { return 0 }, func() {})
 		b.now = b.now.Add(400 * time.Millisecond)
--- a/internal/windtunnel/platform.go
+++ b/internal/rig/simulator/platform.go
@@ -1,13 +1,13 @@
-package windtunnel
+package simulator
 
 import (
 	"slices"
 	"time"
 
-	"seamshunt/internal/bulletin"
+	"seamshunt/internal/cluster/configpush"
+	"seamshunt/internal/cluster/discovery"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/forecast"
-	"seamshunt/internal/nephoscope"
-	"seamshunt/internal/station"
 	"seamshunt/internal/units"
 )
 
@@ -16,18 +16,18 @@
 // poll is one question of a core machine to the platform, which sees the world at the middle of its way. What comes
 // back to a frozen process waits for it; a process that was started again never hears of it.
 func (w *World) poll(c *Core, now units.Time) {
-	a := c.sky.Ask(now, "main", c.Self, int64(now)/int64(time.Millisecond))
+	a := c.catalog.Ask(now, "main", c.Self, int64(now)/int64(time.Millisecond))
 	w.judgeRate(now)
 	life := c.H.life
 	way := 2*time.Millisecond + time.Duration(w.Rng.Int64N(int64(8*time.Millisecond)))
 	switch {
 	case w.shut[c.H] || c.H.Dark || w.mood == "gone":
 		w.After(time.Second, func() { // no answer in time
-			w.Inject(c.H, func(now units.Time) station.Out {
-				if c.H.life == life && c.Duty.Holds(now) {
-					return c.Duty.Yield(now)
+			w.Inject(c.H, func(now units.Time) message.Effects {
+				if c.H.life == life && c.Lease.Holds(now) {
+					return c.Lease.Yield(now)
 				}
-				return station.Out{}
+				return message.Effects{}
 			})
 		})
 		return
@@ -48,7 +48,7 @@
 	})
 }
 
-func (w *World) answer(c *Core, life int, a nephoscope.Ask, l []forecast.Worker) {
+func (w *World) answer(c *Core, life int, a discovery.Query, l []forecast.Worker) {
 	if c.H.Frozen && c.H.life == life {
 		w.After(10*time.Millisecond, func() { w.answer(c, life, a, l) })
 		return
@@ -56,9 +56,9 @@
 	if c.H.life != life {
 		return
 	}
-	w.Inject(c.H, func(now units.Time) (out station.Out) {
-		if data, news := c.sky.Heard(a, l); news {
-			c.spread(now, bulletin.Item{Key: nephoscope.Key("main", c.Self), Num: a.Num, Data: data}, &out)
+	w.Inject(c.H, func(now units.Time) (out message.Effects) {
+		if data, news := c.catalog.Heard(a, l); news {
+			c.spread(now, configpush.Item{Key: discovery.Key("main", c.Self), Num: a.Num, Data: data}, &out)
 		}
 		return out
 	})
@@ -119,5 +119,5 @@
 
 // canAsk says whether a core machine may and can ask the platform: a voter that reaches it.
 func (w *World) canAsk(h *Host) bool {
-	return w.alive(h) && w.cores[h].Baro.Voters().Has(w.cores[h].Self) && !w.shut[h] && (w.mood == "" || w.mood == "slow")
+	return w.alive(h) && w.cores[h].Replica.Quorum().Has(w.cores[h].Self) && !w.shut[h] && (w.mood == "" || w.mood == "slow")
 }
--- a/internal/windtunnel/play.go
+++ b/internal/rig/simulator/play.go
@@ -1,14 +1,14 @@
-package windtunnel
+package simulator
 
 import (
 	"fmt"
 	"slices"
 	"time"
 
-	"seamshunt/internal/barograph"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/gauge"
 	"seamshunt/internal/hygrometer"
-	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -53,7 +53,7 @@
 		if !w.alive(h) {
 			continue
 		}
-		w.callAt(w.cores[h], barograph.Ask{Key: "config"}, func(o *Op) { last = o })
+		w.callAt(w.cores[h], register.Request{Key: "config"}, func(o *Op) { last = o })
 		if w.Run(w.Now.Add(6 * time.Second)); last != nil && last.Code == synop.OK {
 			break
 		}
@@ -72,7 +72,7 @@
 	case len(w.acked) == 0:
 		w.fault("no configuration was ever acknowledged")
 	}
-	for _, id := range station.Keys(w.workers) {
+	for _, id := range message.Keys(w.workers) {
 		if x := w.workers[id]; x.leaving > 0 {
 			w.Figures.Leaves = append(w.Figures.Leaves, x.late)
 		}
@@ -127,8 +127,8 @@
 		if !v.Has(h.Disk.ID) {
 			continue
 		}
-		for k, s := range w.cores[h].Baro.Slots() {
-			x := fmt.Sprint(s.Acc, s.Seq, s.Num)
+		for k, s := range w.cores[h].Replica.States() {
+			x := fmt.Sprint(s.Accepted, s.Seq, s.Num)
 			if y, ok := first[k]; ok && y != x {
 				w.fault("%s is %s on %s and %s elsewhere", k, x, h.Addr, y)
 			}
@@ -166,14 +166,14 @@
 			e.tag++
 			tags[name] = e.tag
 			e.verdict[e.tag] = func(v hygrometer.Verdict) { got[name] = v.Code }
-			w.Inject(h, func(now units.Time) station.Out {
+			w.Inject(h, func(now units.Time) message.Effects {
 				return e.desk.Arrive(now, hygrometer.Req{Tag: e.tag, Policy: "knee", Cands: []string{name}, Tries: 1, Until: now.Add(4 * time.Second),
 					Keeper: func(string) units.Node { return gauge.Keeper(e.peers, name, l.Zone) }})
 			})
 		}
 		w.Run(w.Now.Add(600 * time.Millisecond))
-		for _, name := range station.Keys(tags) {
-			w.Inject(h, func(now units.Time) station.Out { return e.desk.Done(now, tags[name], false) })
+		for _, name := range message.Keys(tags) {
+			w.Inject(h, func(now units.Time) message.Effects { return e.desk.Done(now, tags[name], false) })
 			if got[name] != synop.OK {
 				w.fault("%s gets no slot of %s: %d", h.Addr, name, got[name])
 			}
--- a/internal/windtunnel/play_test.go
+++ b/internal/rig/simulator/play_test.go
@@ -1,4 +1,4 @@
-package windtunnel
+package simulator
 
 import (
 	"flag"
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"seamshunt/internal/barograph"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -141,7 +141,7 @@
 				}
 				var got *Op
 				w.Run(w.Now.Add(4 * time.Second))
-				w.Call(barograph.Ask{Key: "config"}, func(o *Op) { got = o })
+				w.Call(register.Request{Key: "config"}, func(o *Op) { got = o })
 				w.Run(w.Now.Add(4 * time.Second))
 				if got == nil || got.Code != synop.OK || got.Num != acked || got.Data != text {
 					t.Fatalf("%s seed %d: acknowledged %d, after the power came back %+v", p.Name, seed, acked, got)
--- a/internal/windtunnel/sim.go
+++ b/internal/rig/simulator/sim.go
@@ -1,13 +1,13 @@
-// Package windtunnel is the seeded simulator: virtual clock, network, disks and processes, running the
+// Package simulator is the seeded simulator: virtual clock, network, disks and processes, running the
 // daemons' own step machines (design 1).
-package windtunnel
+package simulator
 
 import (
 	"container/heap"
 	"math/rand/v2"
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -35,8 +35,8 @@
 // Proc is one process: its step machines behind two functions.
 type Proc struct {
 	Self    units.Node
-	Step    func(units.Time, station.Note) station.Out
-	Tick    func(units.Time) station.Out
+	Step    func(units.Time, message.Message) message.Effects
+	Tick    func(units.Time) message.Effects
 	Refused func(units.Time, string)
 	Woke    func(units.Time)
 	Reload  func() // the disk refused a write: the machines begin again from what it holds
@@ -52,7 +52,7 @@
 	Frozen bool
 	life   int
 	Grow   *Growth // where voters grow: what its boot file says
-	held   []station.Note
+	held   []message.Message
 	start  func(h *Host) *Proc
 }
 
@@ -72,7 +72,7 @@
 	cuts  []*func(from, to *Host) bool
 	Sent  int
 	// Between counts the bytes of notes between zones, by range of kinds.
-	Between map[station.Kind]int
+	Between map[message.Kind]int
 	Poll    func(*Core, units.Time) // the world's platform, for cores that may ask it
 	Trace   uint64
 	queue   events
@@ -83,7 +83,7 @@
 
 // New gives an empty world for a seed.
 func New(seed uint64) *Sim {
-	return &Sim{Between: map[station.Kind]int{}, Rng: rand.New(rand.NewPCG(seed, 11))}
+	return &Sim{Between: map[message.Kind]int{}, Rng: rand.New(rand.NewPCG(seed, 11))}
 }
 
 // Cut says whether nothing gets from one machine to the other.
@@ -171,7 +171,7 @@
 }
 
 // Inject gives a host's machines something from outside the net, such as an operator's wish.
-func (s *Sim) Inject(h *Host, f func(now units.Time) station.Out) {
+func (s *Sim) Inject(h *Host, f func(now units.Time) message.Effects) {
 	if h.Proc != nil && !h.Frozen {
 		s.out(h, f(s.Now))
 	}
--- a/internal/windtunnel/words_test.go
+++ b/internal/rig/simulator/words_test.go
@@ -1,4 +1,4 @@
-package windtunnel
+package simulator
 
 import (
 	"strings"
--- a/internal/windtunnel/workers.go
+++ b/internal/rig/simulator/workers.go
@@ -1,4 +1,4 @@
-package windtunnel
+package simulator
 
 import (
 	"slices"
@@ -18,7 +18,7 @@
 // shutHolder takes the platform out of the reach of whoever asks it now.
 func (w *World) shutHolder(d time.Duration) {
 	for _, h := range w.coreH {
-		if w.alive(h) && w.cores[h].Duty.Holds(w.Now) {
+		if w.alive(h) && w.cores[h].Lease.Holds(w.Now) {
 			w.shut[h] = true
 			w.After(d, func() { delete(w.shut, h) })
 			w.After(100*time.Millisecond, w.leave)
--- a/internal/windtunnel/world.go
+++ b/internal/rig/simulator/world.go
@@ -1,4 +1,4 @@
-package windtunnel
+package simulator
 
 import (
 	"fmt"
@@ -134,10 +134,10 @@
 					reach++
 				}
 			}
-			ok[h.Disk.ID] = reach > len(v.IDs)/2
+			ok[h.Disk.ID] = reach > len(v.Members)/2
 		}
 	}
-	return v.Most(ok) && w.Loss < 0.2
+	return v.Majority(ok) && w.Loss < 0.2
 }
 
 // excused says whether control could not act for a time within the span: then a limit can't be kept (docs/promises.md).
@@ -166,7 +166,7 @@
 	}
 	holders := 0
 	for _, h := range w.coreH {
-		if h.Proc != nil && !h.Frozen && w.cores[h].Duty.Holds(w.Now) {
+		if h.Proc != nil && !h.Frozen && w.cores[h].Lease.Holds(w.Now) {
 			holders++
 		}
 	}
--- a/internal/screen/claimant.go
+++ b/internal/screen/claimant.go
@@ -3,40 +3,40 @@
 import (
 	"time"
 
-	"seamshunt/internal/barograph"
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
 // Claim asks the holders, and the core's disks, for a key under a token that is this node's own.
-func (s *Screen) Claim(now units.Time, token uint64, key string, holders []units.Node) (out station.Out) {
+func (s *Screen) Claim(now units.Time, token uint64, key string, holders []units.Node) (out message.Effects) {
 	p := &pending{key: key, holders: holders, core: s.core, got: map[units.Node]bool{}, since: now}
 	s.pends[token] = p
 	s.ask(now, token, p, &out)
 	return out
 }
 
-func (s *Screen) ask(now units.Time, token uint64, p *pending, out *station.Out) {
+func (s *Screen) ask(now units.Time, token uint64, p *pending, out *message.Effects) {
 	p.sent = now
 	for _, n := range p.holders {
 		if n != 0 && !p.got[n] && p.held == 0 {
-			out.Send(n, Claim, station.Pack(head{Token: token}, []byte(p.key)))
+			out.Send(n, Claim, message.Pack(head{Token: token}, []byte(p.key)))
 		}
 	}
-	for _, n := range p.core.IDs {
+	for _, n := range p.core.Members {
 		if !p.got[n] {
-			out.Send(n, Claim, station.Pack(head{Token: token, Ver: uint64(p.core.Ver)}, []byte(p.key)))
+			out.Send(n, Claim, message.Pack(head{Token: token, Ver: uint64(p.core.Version)}, []byte(p.key)))
 		}
 	}
 }
 
 // Burn makes a key useless for ever: the holder of its claim says that it did not run. Only a node whose claim
 // was granted may burn; to others the key's prompt may be running elsewhere.
-func (s *Screen) Burn(key string, holders []units.Node) (out station.Out) {
-	for _, n := range append(append([]units.Node(nil), holders...), s.core.IDs...) {
+func (s *Screen) Burn(key string, holders []units.Node) (out message.Effects) {
+	for _, n := range append(append([]units.Node(nil), holders...), s.core.Members...) {
 		if n != 0 {
-			out.Send(n, Burn, station.Pack(head{}, []byte(key)))
+			out.Send(n, Burn, message.Pack(head{}, []byte(key)))
 		}
 	}
 	return out
@@ -52,8 +52,8 @@
 	if p.held == 0 {
 		return
 	}
-	kept := p.core.Most(p.got)
-	waits := now >= s.away && len(p.core.IDs) > 0
+	kept := p.core.Majority(p.got)
+	waits := now >= s.away && len(p.core.Members) > 0
 	switch {
 	case kept:
 		s.away = 0
@@ -69,14 +69,14 @@
 }
 
 // tell lets the disks know of claims that were granted without them.
-func (s *Screen) tell(now units.Time, out *station.Out) {
-	for _, token := range station.Keys(s.late) {
+func (s *Screen) tell(now units.Time, out *message.Effects) {
+	for _, token := range message.Keys(s.late) {
 		p := s.late[token]
 		switch {
-		case now.Sub(p.since) > Keep || p.core.Most(p.got):
+		case now.Sub(p.since) > Keep || p.core.Majority(p.got):
 			delete(s.late, token)
 		case now.Sub(p.sent) >= time.Second:
-			if p.core.Ver != s.core.Ver {
+			if p.core.Version != s.core.Version {
 				p.core, p.got = s.core, map[units.Node]bool{}
 			}
 			s.ask(now, token, p, out)
@@ -89,7 +89,7 @@
 		if h.State == granted {
 			p.got[from] = true
 		}
-		if p.core.Most(p.got) {
+		if p.core.Majority(p.got) {
 			s.away = 0
 		}
 		return
@@ -105,7 +105,7 @@
 		s.end(h.Token, synop.Burned, false)
 	case granted:
 		p.got[from] = true
-		if p.held == 0 && (barograph.Voters{IDs: p.holders}).Most(p.got) {
+		if p.held == 0 && (register.QuorumSet{Members: p.holders}).Majority(p.got) {
 			p.held = max(now, 1)
 		}
 		s.settled(now, h.Token, p)
--- a/internal/screen/copy.go
+++ b/internal/screen/copy.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -25,32 +25,32 @@
 
 func pack(keys map[string]entry, whole bool, ver units.Num) []byte {
 	var l [][]byte
-	for _, k := range station.Keys(keys) {
+	for _, k := range message.Keys(keys) {
 		e := keys[k]
 		x := item{Token: e.token}
 		if e.burnt {
 			x.Burnt = 1
 		}
-		l = append(l, station.Pack(x, []byte(k)))
+		l = append(l, message.Pack(x, []byte(k)))
 	}
 	h := copyHead{Ver: uint64(ver)}
 	if whole {
 		h.Whole = 1
 	}
-	return station.Pack(h, station.PackList(l))
+	return message.Pack(h, message.PackList(l))
 }
 
 func unpackCopy(b []byte) (h copyHead, out []copied, err error) {
 	var list []byte
-	if err = station.Unpack(b, &h, &list); err != nil {
+	if err = message.Unpack(b, &h, &list); err != nil {
 		return h, nil, err
 	}
-	l, err := station.UnpackList(list)
+	l, err := message.UnpackList(list)
 	for _, t := range l {
 		var x item
 		var k []byte
 		if err == nil {
-			err = station.Unpack(t, &x, &k)
+			err = message.Unpack(t, &x, &k)
 		}
 		out = append(out, copied{string(k), x.Token, x.Burnt == 1})
 	}
@@ -59,7 +59,7 @@
 
 // take copies a neighbour's memory, or a voter's; a key that is known here already keeps what it has, burnt staying
 // burnt.
-func (s *Screen) take(now units.Time, n station.Note) error {
+func (s *Screen) take(now units.Time, n message.Message) error {
 	h, l, err := unpackCopy(n.Body)
 	if err != nil {
 		return err
@@ -79,19 +79,19 @@
 // recall brings back what others remember after a start. It is all there once every live vane has given a whole
 // memory; or, where some are as new as this one, once all have given what they have and so many voters theirs that
 // no claim on a majority of the disks can be missing.
-func (s *Screen) recall(now units.Time, peers []units.Node, out *station.Out) bool {
+func (s *Screen) recall(now units.Time, peers []units.Node, out *message.Effects) bool {
 	all, any := true, true
 	for _, n := range peers {
 		h, ok := s.heard[n]
 		all, any = all && h.whole, any && ok
 	}
 	whole := 0
-	for _, n := range s.core.IDs {
-		if h := s.heard[n]; h.whole && h.ver <= s.core.Ver {
+	for _, n := range s.core.Members {
+		if h := s.heard[n]; h.whole && h.ver <= s.core.Version {
 			whole++
 		}
 	}
-	kept := len(s.core.IDs) > 0 && whole >= enough(s.core)
+	kept := len(s.core.Members) > 0 && whole >= enough(s.core)
 	if now.Sub(s.born) >= settle && (len(peers) > 0 && all || any && kept) {
 		return true
 	}
@@ -101,9 +101,9 @@
 		if late {
 			s.askedParts = now
 		}
-		for _, n := range append(append([]units.Node(nil), peers...), s.core.IDs...) {
+		for _, n := range append(append([]units.Node(nil), peers...), s.core.Members...) {
 			if h, ok := s.heard[n]; !ok || late && !h.whole {
-				out.Send(n, CopyAsk, station.Pack(head{}))
+				out.Send(n, CopyAsk, message.Pack(head{}))
 			}
 		}
 	}
--- a/internal/screen/holders.go
+++ b/internal/screen/holders.go
@@ -4,14 +4,14 @@
 	"cmp"
 	"slices"
 
-	"seamshunt/internal/mast"
+	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/units"
 )
 
 // Holders gives the three machines that hold a key's claim: rendezvous order over all vanes' addresses that are
 // known, gone or not, from different zones as far as there are any. A machine that is gone stands as zero, so that
 // losing machines never moves a key to others that know nothing of it.
-func Holders(all []mast.Member, key string) []units.Node {
+func Holders(all []membership.Member, key string) []units.Node {
 	type slot struct {
 		addr, zone string
 		node       units.Node
@@ -19,7 +19,7 @@
 	}
 	by := map[string]*slot{}
 	for _, m := range all {
-		if m.Role != mast.Vane {
+		if m.Role != membership.Router {
 			continue
 		}
 		s := by[m.Addr]
@@ -27,7 +27,7 @@
 			s = &slot{addr: m.Addr, zone: m.Zone, rank: units.Mix(key, m.Addr)}
 			by[m.Addr] = s
 		}
-		if m.State <= mast.Suspect {
+		if m.State <= membership.Suspect {
 			s.node = m.Node
 		}
 	}
--- a/internal/screen/roll.go
+++ b/internal/screen/roll.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"seamshunt/internal/barograph"
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/units"
 )
 
@@ -27,26 +27,26 @@
 
 // LoadRoll builds the machine from what the disk holds. How old a claim is is not on the disk, so that no calendar
 // is trusted: after a start each counts as new.
-func LoadRoll(self units.Node, now units.Time, rs []station.Record) *Roll {
+func LoadRoll(self units.Node, now units.Time, rs []message.Record) *Roll {
 	r := &Roll{self: self, keys: map[string]entry{}, heard: map[units.Node]bool{}}
 	for _, x := range rs {
 		var it item
 		switch {
 		case x.Kind == RecWhole:
 			r.whole = true
-		case x.Kind == RecClaim && station.Unpack(x.Data, &it) == nil:
+		case x.Kind == RecClaim && message.Unpack(x.Data, &it) == nil:
 			r.keys[x.Key] = entry{token: it.Token, burnt: it.Burnt == 1, at: now}
 		}
 	}
 	return r
 }
 
-func record(key string, e entry) station.Record {
+func record(key string, e entry) message.Record {
 	it := item{Token: e.token}
 	if e.burnt {
 		it.Burnt = 1
 	}
-	return station.Record{Kind: RecClaim, Key: key, Data: station.Pack(it)}
+	return message.Record{Kind: RecClaim, Key: key, Data: message.Pack(it)}
 }
 
 // Whole says whether this voter knows all that a majority was ever told, and so may grant.
@@ -56,24 +56,24 @@
 func (r *Roll) Len() int { return len(r.keys) }
 
 // Step takes one note; ver is the newest set of voters that this node knows of.
-func (r *Roll) Step(now units.Time, n station.Note, ver units.Num) (out station.Out) {
+func (r *Roll) Step(now units.Time, n message.Message, ver units.Num) (out message.Effects) {
 	switch n.Kind {
 	case CopyAsk:
 		var h head
-		if err := station.Unpack(n.Body, &h); err != nil {
+		if err := message.Unpack(n.Body, &h); err != nil {
 			out.Fail(err)
 			return out
 		}
 		// Who asks under a newer set is answered once this node, too, serves no older one.
 		if units.Num(h.Ver) <= ver {
-			out.Later(n.From, Copy, pack(r.keys, r.whole, ver))
+			out.SendAfterSync(n.From, Copy, pack(r.keys, r.whole, ver))
 		}
 	case Copy:
 		r.copy(now, n, &out)
 	case Claim, Burn:
 		var h head
 		var key []byte
-		if err := station.Unpack(n.Body, &h, &key); err != nil {
+		if err := message.Unpack(n.Body, &h, &key); err != nil {
 			out.Fail(err)
 			return out
 		}
@@ -82,7 +82,7 @@
 	return out
 }
 
-func (r *Roll) claim(now units.Time, n station.Note, h head, key string, ver units.Num, out *station.Out) {
+func (r *Roll) claim(now units.Time, n message.Message, h head, key string, ver units.Num, out *message.Effects) {
 	e, ok := r.keys[key]
 	if n.Kind == Burn {
 		if !e.burnt && !r.Low {
@@ -103,16 +103,16 @@
 		r.set(key, entry{token: h.Token, at: now}, out)
 		h.State = granted
 	}
-	out.Later(n.From, Claimed, station.Pack(h, []byte(key)))
+	out.SendAfterSync(n.From, Claimed, message.Pack(h, []byte(key)))
 }
 
-func (r *Roll) set(key string, e entry, out *station.Out) {
+func (r *Roll) set(key string, e entry, out *message.Effects) {
 	r.keys[key] = e
 	out.Writes = append(out.Writes, record(key, e))
 }
 
 // copy takes another voter's claims, as a blank disk must before it may grant.
-func (r *Roll) copy(now units.Time, n station.Note, out *station.Out) {
+func (r *Roll) copy(now units.Time, n message.Message, out *message.Effects) {
 	if r.whole {
 		return
 	}
@@ -130,13 +130,13 @@
 }
 
 // Tick forgets old claims, and has a blank disk copy those of the other voters.
-func (r *Roll) Tick(now units.Time, v barograph.Voters) (out station.Out) {
+func (r *Roll) Tick(now units.Time, v register.QuorumSet) (out message.Effects) {
 	if now.Sub(r.swept) > time.Second && !r.Low {
 		r.swept = now
-		for _, k := range station.Keys(r.keys) {
+		for _, k := range message.Keys(r.keys) {
 			if now.Sub(r.keys[k].at) > Keep {
 				delete(r.keys, k)
-				out.Writes = append(out.Writes, station.Record{Kind: RecClaim, Key: k})
+				out.Writes = append(out.Writes, message.Record{Kind: RecClaim, Key: k})
 			}
 		}
 	}
@@ -144,7 +144,7 @@
 		return out
 	}
 	whole, blank := 0, 0
-	for _, n := range v.IDs {
+	for _, n := range v.Members {
 		w, ok := r.heard[n]
 		switch {
 		case n == r.self || ok && !w:
@@ -154,16 +154,16 @@
 		}
 	}
 	// So many meet every majority that a claim may stand on. Where no voter is whole, no claim was ever written.
-	if whole >= enough(v) || blank == len(v.IDs) {
+	if whole >= enough(v) || blank == len(v.Members) {
 		r.whole = true
-		out.Writes = append(out.Writes, station.Record{Kind: RecWhole, Data: []byte{1}})
+		out.Writes = append(out.Writes, message.Record{Kind: RecWhole, Data: []byte{1}})
 		return out
 	}
 	if now.Sub(r.asked) >= again {
 		r.asked = now
-		for _, n := range v.IDs {
+		for _, n := range v.Members {
 			if n != r.self && !r.heard[n] {
-				out.Send(n, CopyAsk, station.Pack(head{Ver: uint64(v.Ver)}))
+				out.Send(n, CopyAsk, message.Pack(head{Ver: uint64(v.Version)}))
 			}
 		}
 	}
@@ -171,4 +171,4 @@
 }
 
 // enough counts the voters that meet every majority.
-func enough(v barograph.Voters) int { return len(v.IDs) - len(v.IDs)/2 }
+func enough(v register.QuorumSet) int { return len(v.Members) - len(v.Members)/2 }
--- a/internal/screen/roll_test.go
+++ b/internal/screen/roll_test.go
@@ -4,27 +4,27 @@
 	"testing"
 	"time"
 
-	"seamshunt/internal/barograph"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/screen"
-	"seamshunt/internal/station"
 	"seamshunt/internal/units"
 )
 
 // A blank voter grants nothing before it has copied the others; an older set of voters, a full disk and a note
 // that can't be read change nothing.
 func TestRollAbstains(t *testing.T) {
-	v := barograph.Voters{Ver: 2, IDs: []units.Node{1, 2, 3}}
-	old := screen.LoadRoll(2, 0, []station.Record{{Kind: screen.RecWhole, Data: []byte{1}}})
+	v := register.QuorumSet{Version: 2, Members: []units.Node{1, 2, 3}}
+	old := screen.LoadRoll(2, 0, []message.Record{{Kind: screen.RecWhole, Data: []byte{1}}})
 	claim := func(r *screen.Roll, key string, token, ver uint64) int {
 		s := screen.New(9, 0)
-		s.Core(barograph.Voters{Ver: units.Num(ver), IDs: []units.Node{7}})
+		s.Core(register.QuorumSet{Version: units.Num(ver), Members: []units.Node{7}})
 		s.Tick(units.Time(time.Minute), nil, time.Second)
 		out := s.Claim(0, token, key, []units.Node{9})
 		wrote := 0
-		for _, n := range out.Notes {
+		for _, n := range out.Messages {
 			if n.To == 7 {
 				n.From = 9
-				wrote += len(r.Step(0, n, v.Ver).Writes)
+				wrote += len(r.Step(0, n, v.Version).Writes)
 			}
 		}
 		return wrote
@@ -40,17 +40,17 @@
 	if claim(blank, "d", 5, 2) != 0 || blank.Whole() {
 		t.Error("a blank voter grants")
 	}
-	if o := blank.Step(0, station.Note{From: 2, Kind: screen.Copy, Body: []byte{1, 2, 3}}, 2); len(o.Errs) != 1 || blank.Len() != 0 {
+	if o := blank.Step(0, message.Message{From: 2, Kind: screen.Copy, Body: []byte{1, 2, 3}}, 2); len(o.Errs) != 1 || blank.Len() != 0 {
 		t.Error("a copy that can't be read is not counted as a fault")
 	}
-	for _, from := range []*screen.Roll{old, screen.LoadRoll(1, 0, []station.Record{{Kind: screen.RecWhole, Data: []byte{1}}})} {
+	for _, from := range []*screen.Roll{old, screen.LoadRoll(1, 0, []message.Record{{Kind: screen.RecWhole, Data: []byte{1}}})} {
 		if blank.Tick(units.Time(time.Second), v); blank.Whole() {
 			t.Fatal("whole with too few copies")
 		}
-		for _, n := range from.Step(0, station.Note{From: 3, Kind: screen.CopyAsk, Body: station.Pack(struct {
+		for _, n := range from.Step(0, message.Message{From: 3, Kind: screen.CopyAsk, Body: message.Pack(struct {
 			Token, Ver uint64
 			State      uint8
-		}{Ver: 2})}, 2).After {
+		}{Ver: 2})}, 2).AfterSync {
 			n.From = units.Node(2)
 			if from != old {
 				n.From = 1
--- a/internal/screen/screen.go
+++ b/internal/screen/screen.go
@@ -5,15 +5,15 @@
 import (
 	"time"
 
-	"seamshunt/internal/barograph"
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
 // The notes of claims.
 const (
-	Claim = station.Claim + iota
+	Claim = message.KindClaim + iota
 	Claimed
 	Burn
 	CopyAsk
@@ -54,7 +54,7 @@
 type pending struct {
 	key     string
 	holders []units.Node
-	core    barograph.Voters
+	core    register.QuorumSet
 	got     map[units.Node]bool
 	since   units.Time
 	held    units.Time // when a majority of the holders had granted
@@ -80,7 +80,7 @@
 	keys       map[string]entry
 	pends      map[uint64]*pending
 	late       map[uint64]*pending // granted by the vanes alone; the disks are told as soon as they can be
-	core       barograph.Voters
+	core       register.QuorumSet
 	away       units.Time // till then the disks are not waited for
 	heard      map[units.Node]heard
 	whole      bool
@@ -96,11 +96,11 @@
 }
 
 // Core sets the voters, whose disks keep claims beyond the loss of all memory.
-func (s *Screen) Core(v barograph.Voters) { s.core = v }
+func (s *Screen) Core(v register.QuorumSet) { s.core = v }
 
 // Tick asks again, gives up, forgets old keys, and copies what others remember after a start.
-func (s *Screen) Tick(now units.Time, peers []units.Node, longest time.Duration) (out station.Out) {
-	for _, token := range station.Keys(s.pends) {
+func (s *Screen) Tick(now units.Time, peers []units.Node, longest time.Duration) (out message.Effects) {
+	for _, token := range message.Keys(s.pends) {
 		p := s.pends[token]
 		switch {
 		case p.held != 0:
@@ -131,7 +131,7 @@
 func (s *Screen) Whole() bool { return s.whole }
 
 // Step takes one note.
-func (s *Screen) Step(now units.Time, n station.Note) (out station.Out) {
+func (s *Screen) Step(now units.Time, n message.Message) (out message.Effects) {
 	var h head
 	var key []byte
 	switch n.Kind {
@@ -142,14 +142,14 @@
 		out.Fail(s.take(now, n))
 		return out
 	}
-	if err := station.Unpack(n.Body, &h, &key); err != nil {
+	if err := message.Unpack(n.Body, &h, &key); err != nil {
 		out.Fail(err)
 		return out
 	}
 	switch n.Kind {
 	case Claim:
 		h.State = s.hold(now, h.Token, string(key))
-		out.Send(n.From, Claimed, station.Pack(h, key))
+		out.Send(n.From, Claimed, message.Pack(h, key))
 	case Burn:
 		e := s.keys[string(key)]
 		e.burnt, e.at = true, now
--- a/internal/almanac/rewrite.go
+++ b/internal/storage/wal/rewrite.go
@@ -1,4 +1,4 @@
-package almanac
+package wal
 
 import (
 	"errors"
@@ -9,11 +9,11 @@
 	"strings"
 	"syscall"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 )
 
 // trim rewrites the file when it got long; the room kept in reserve makes that possible on a full disk.
-func (a *Almanac) trim() error {
+func (a *Log) trim() error {
 	if a.size < a.Long || a.size < 4*a.lives() {
 		return nil
 	}
@@ -21,22 +21,22 @@
 }
 
 // lives counts the bytes that a rewrite would keep.
-func (a *Almanac) lives() (n int64) {
+func (a *Log) lives() (n int64) {
 	for _, r := range a.live {
 		n += int64(headLen + len(r.Key) + len(r.Data))
 	}
 	return n
 }
 
-func (a *Almanac) rewrite() error {
+func (a *Log) rewrite() error {
 	_ = os.Remove(filepath.Join(a.dir, reserve))
 	tmp := filepath.Join(a.dir, name+".new")
 	f, err := os.Create(tmp)
 	if err != nil {
-		return fmt.Errorf("almanac: rewrite: %w", err)
+		return fmt.Errorf("wal: rewrite: %w", err)
 	}
 	rs := a.Live()
-	slices.SortFunc(rs, func(x, y station.Record) int { return strings.Compare(id(x), id(y)) })
+	slices.SortFunc(rs, func(x, y message.Record) int { return strings.Compare(id(x), id(y)) })
 	var b []byte
 	for i, r := range rs {
 		b = append(b, lay(r, uint32(i))...)
@@ -82,7 +82,7 @@
 
 // claim has room of its own up to need, and twice the reserve behind it while the disk gives any. What was claimed
 // before stays for the changes that come while the disk is full (design 3).
-func (a *Almanac) claim(need int64) error {
+func (a *Log) claim(need int64) error {
 	if a.spare == 0 || !a.low && a.end >= need+a.spare {
 		return nil
 	}
@@ -108,10 +108,10 @@
 }
 
 // Low says whether the disk gives no more room, so that only what must be written should be.
-func (a *Almanac) Low() bool { return a.low }
+func (a *Log) Low() bool { return a.low }
 
 // keepReserve holds room on the disk for one rewrite.
-func (a *Almanac) keepReserve() error {
+func (a *Log) keepReserve() error {
 	if a.spare == 0 {
 		return nil
 	}
@@ -127,11 +127,11 @@
 func syncDir(dir string) error {
 	d, err := os.Open(dir)
 	if err != nil {
-		return fmt.Errorf("almanac: %w", err)
+		return fmt.Errorf("wal: %w", err)
 	}
 	defer d.Close()
 	if err := d.Sync(); err != nil {
-		return fmt.Errorf("almanac: sync folder: %w", err)
+		return fmt.Errorf("wal: sync folder: %w", err)
 	}
 	return nil
 }
@@ -139,7 +139,7 @@
 // SetAside keeps a damaged file under another name; the disk is blank from then on.
 func SetAside(dir string) error {
 	if err := os.Rename(filepath.Join(dir, name), filepath.Join(dir, name+".damaged")); err != nil {
-		return fmt.Errorf("almanac: set aside: %w", err)
+		return fmt.Errorf("wal: set aside: %w", err)
 	}
 	return syncDir(dir)
 }
--- a/internal/almanac/almanac.go
+++ b/internal/storage/wal/wal.go
@@ -1,5 +1,5 @@
-// Package almanac is the append-only checksummed file of a process with a disk (design 3).
-package almanac
+// Package wal is the append-only checksummed file of a process with a disk (design 3).
+package wal
 
 import (
 	"encoding/binary"
@@ -10,18 +10,18 @@
 	"path/filepath"
 	"syscall"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 )
 
 // What went wrong with a disk.
 var (
-	ErrDamaged = errors.New("almanac: damaged before the tail")
-	ErrFull    = errors.New("almanac: disk full")
-	ErrSick    = errors.New("almanac: a sync failed; this file is not trusted any more")
+	ErrDamaged = errors.New("wal: damaged before the tail")
+	ErrFull    = errors.New("wal: disk full")
+	ErrSick    = errors.New("wal: a sync failed; this file is not trusted any more")
 )
 
 const (
-	name    = "almanac"
+	name    = "wal"
 	headLen = 16
 	most    = 32 << 20
 	reserve = "reserve"
@@ -39,11 +39,11 @@
 }
 
 // Almanac is one open file; one writer uses it.
-type Almanac struct {
+type Log struct {
 	dir   string
 	f     *os.File
 	size  int64
-	live  map[string]station.Record
+	live  map[string]message.Record
 	seq   uint32
 	sick  bool
 	Long  int64 // the file is rewritten when longer than this and than four times what lives
@@ -54,18 +54,18 @@
 	Room func(f *os.File, off, n int64) error
 }
 
-func id(r station.Record) string { return string(rune(r.Kind)) + r.Key }
+func id(r message.Record) string { return string(rune(r.Kind)) + r.Key }
 
 // Open reads the file back. The newest record of each kind and key lives. A torn tail is cut.
-func Open(dir string, spare int64) (*Almanac, error) {
+func Open(dir string, spare int64) (*Log, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return nil, fmt.Errorf("almanac: %w", err)
+		return nil, fmt.Errorf("wal: %w", err)
 	}
 	f, err := os.OpenFile(filepath.Join(dir, name), os.O_RDWR|os.O_CREATE, 0o644)
 	if err != nil {
-		return nil, fmt.Errorf("almanac: %w", err)
+		return nil, fmt.Errorf("wal: %w", err)
 	}
-	a := &Almanac{dir: dir, f: f, live: map[string]station.Record{}, Long: 4 << 20, spare: spare, Room: allocate}
+	a := &Log{dir: dir, f: f, live: map[string]message.Record{}, Long: 4 << 20, spare: spare, Room: allocate}
 	if err := a.load(); err != nil {
 		f.Close()
 		return nil, err
@@ -81,10 +81,10 @@
 	return a, syncDir(dir)
 }
 
-func (a *Almanac) load() error {
+func (a *Log) load() error {
 	b, err := os.ReadFile(a.f.Name())
 	if err != nil {
-		return fmt.Errorf("almanac: %w", err)
+		return fmt.Errorf("wal: %w", err)
 	}
 	at := 0
 	for at < len(b) {
@@ -102,10 +102,10 @@
 	a.size = int64(at)
 	if at < len(b) {
 		if err := a.f.Truncate(a.size); err != nil {
-			return fmt.Errorf("almanac: cut the tail: %w", err)
+			return fmt.Errorf("wal: cut the tail: %w", err)
 		}
 		if err := a.f.Sync(); err != nil {
-			return fmt.Errorf("almanac: cut the tail: %w", err)
+			return fmt.Errorf("wal: cut the tail: %w", err)
 		}
 	}
 	return nil
@@ -126,24 +126,24 @@
 	return false
 }
 
-func parse(b []byte, seq uint32) (station.Record, int, error) {
+func parse(b []byte, seq uint32) (message.Record, int, error) {
 	var h recHead
 	if len(b) < headLen {
-		return station.Record{}, 0, fmt.Errorf("short")
+		return message.Record{}, 0, fmt.Errorf("short")
 	}
 	_, _ = binary.Decode(b, binary.LittleEndian, &h)
 	n := headLen + int(h.Key) + int(h.Len)
 	if h.Len > most || n > len(b) || h.Seq != seq {
-		return station.Record{}, 0, fmt.Errorf("bad length or number")
+		return message.Record{}, 0, fmt.Errorf("bad length or number")
 	}
 	if crc32.Checksum(b[8:n], table) != h.Sum {
-		return station.Record{}, 0, fmt.Errorf("bad checksum")
+		return message.Record{}, 0, fmt.Errorf("bad checksum")
 	}
 	k := headLen + int(h.Key)
-	return station.Record{Kind: h.Kind, Key: string(b[headLen:k]), Data: append([]byte(nil), b[k:n]...)}, n, nil
+	return message.Record{Kind: h.Kind, Key: string(b[headLen:k]), Data: append([]byte(nil), b[k:n]...)}, n, nil
 }
 
-func lay(r station.Record, seq uint32) []byte {
+func lay(r message.Record, seq uint32) []byte {
 	h := recHead{Len: uint32(len(r.Data)), Kind: r.Kind, Key: uint16(len(r.Key)), Seq: seq}
 	b, _ := binary.Append(nil, binary.LittleEndian, h)
 	b = append(append(b, r.Key...), r.Data...)
@@ -152,8 +152,8 @@
 }
 
 // Live gives the newest record of each kind and key.
-func (a *Almanac) Live() []station.Record {
-	l := make([]station.Record, 0, len(a.live))
+func (a *Log) Live() []message.Record {
+	l := make([]message.Record, 0, len(a.live))
 	for _, r := range a.live {
 		l = append(l, r)
 	}
@@ -161,7 +161,7 @@
 }
 
 // Append writes records and syncs. After a failed sync the file is never written again.
-func (a *Almanac) Append(rs []station.Record) error {
+func (a *Log) Append(rs []message.Record) error {
 	if a.sick {
 		return ErrSick
 	}
@@ -203,7 +203,7 @@
 }
 
 // keep has the newest record of a key live; an empty one ends its key.
-func (a *Almanac) keep(r station.Record) {
+func (a *Log) keep(r message.Record) {
 	if len(r.Data) == 0 {
 		delete(a.live, id(r))
 		return
@@ -211,7 +211,7 @@
 	a.live[id(r)] = r
 }
 
-func (a *Almanac) lay(rs []station.Record) (b []byte) {
+func (a *Log) lay(rs []message.Record) (b []byte) {
 	for i, r := range rs {
 		b = append(b, lay(r, a.seq+uint32(i))...)
 	}
@@ -219,7 +219,7 @@
 }
 
 // Close closes the file.
-func (a *Almanac) Close() error { return a.f.Close() }
+func (a *Log) Close() error { return a.f.Close() }
 
 // Size gives the file's length.
-func (a *Almanac) Size() int64 { return a.size }
+func (a *Log) Size() int64 { return a.size }
--- a/internal/almanac/almanac_test.go
+++ b/internal/storage/wal/wal_test.go
@@ -1,4 +1,4 @@
-package almanac
+package wal
 
 import (
 	"errors"
@@ -8,14 +8,14 @@
 	"syscall"
 	"testing"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 )
 
-func rec(k string, n int) station.Record {
-	return station.Record{Kind: 3, Key: k, Data: fmt.Appendf(nil, "value %d of %s", n, k)}
+func rec(k string, n int) message.Record {
+	return message.Record{Kind: 3, Key: k, Data: fmt.Appendf(nil, "value %d of %s", n, k)}
 }
 
-func open(t *testing.T, dir string) *Almanac {
+func open(t *testing.T, dir string) *Log {
 	t.Helper()
 	a, err := Open(dir, 0)
 	if err != nil {
@@ -24,7 +24,7 @@
 	return a
 }
 
-func value(a *Almanac, k string) string {
+func value(a *Log, k string) string {
 	for _, r := range a.Live() {
 		if r.Key == k {
 			return string(r.Data)
@@ -37,7 +37,7 @@
 	t.Helper()
 	a := open(t, dir)
 	for i := range 3 {
-		if err := a.Append([]station.Record{rec("a", i), rec("b", i)}); err != nil {
+		if err := a.Append([]message.Record{rec("a", i), rec("b", i)}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -59,7 +59,7 @@
 		}
 		a := open(t, dir)
 		n := a.seq
-		if err := a.Append([]station.Record{rec("c", 9)}); err != nil {
+		if err := a.Append([]message.Record{rec("c", 9)}); err != nil {
 			t.Fatal(err)
 		}
 		a.Close()
@@ -94,7 +94,7 @@
 	a := open(t, dir)
 	a.Long = 2000
 	for i := range 500 {
-		if err := a.Append([]station.Record{rec("a", i), rec("b", i)}); err != nil {
+		if err := a.Append([]message.Record{rec("a", i), rec("b", i)}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -112,16 +112,16 @@
 func TestFailedWriteIsFinal(t *testing.T) {
 	dir := t.TempDir()
 	a := open(t, dir)
-	if err := a.Append([]station.Record{rec("a", 1)}); err != nil {
+	if err := a.Append([]message.Record{rec("a", 1)}); err != nil {
 		t.Fatal(err)
 	}
 	good := a.f
 	a.f.Close() // every use of the handle fails from here on
-	if err := a.Append([]station.Record{rec("a", 2)}); !errors.Is(err, ErrSick) {
+	if err := a.Append([]message.Record{rec("a", 2)}); !errors.Is(err, ErrSick) {
 		t.Fatalf("a failed write gives %v", err)
 	}
 	a.f, _ = os.OpenFile(good.Name(), os.O_RDWR, 0o644)
-	if err := a.Append([]station.Record{rec("a", 3)}); !errors.Is(err, ErrSick) {
+	if err := a.Append([]message.Record{rec("a", 3)}); !errors.Is(err, ErrSick) {
 		t.Errorf("a sick file takes a write: %v", err)
 	}
 	b := open(t, dir)
@@ -133,7 +133,7 @@
 // A full disk refuses with its own error, keeps what it had, and takes writes again once there is room.
 func TestFullDisk(t *testing.T) {
 	a := open(t, t.TempDir())
-	if err := a.Append([]station.Record{rec("a", 1)}); err != nil {
+	if err := a.Append([]message.Record{rec("a", 1)}); err != nil {
 		t.Fatal(err)
 	}
 	full, err := os.OpenFile("/dev/full", os.O_RDWR, 0)
@@ -142,13 +142,13 @@
 	}
 	good := a.f
 	a.f = full
-	err = a.Append([]station.Record{rec("a", 2)})
+	err = a.Append([]message.Record{rec("a", 2)})
 	if !errors.Is(err, ErrFull) && !errors.Is(err, ErrSick) {
 		t.Fatalf("a full disk gives %v", err)
 	}
 	a.f = good
 	if errors.Is(err, ErrFull) && !a.sick {
-		if err := a.Append([]station.Record{rec("a", 3)}); err != nil {
+		if err := a.Append([]message.Record{rec("a", 3)}); err != nil {
 			t.Errorf("with room again: %v", err)
 		}
 	}
@@ -173,16 +173,16 @@
 		}
 		return allocate(f, off, n)
 	}
-	big := func(k string, n int) station.Record {
-		return station.Record{Kind: 3, Key: k, Data: append(fmt.Appendf(nil, "%d ", n), make([]byte, 2000)...)}
+	big := func(k string, n int) message.Record {
+		return message.Record{Kind: 3, Key: k, Data: append(fmt.Appendf(nil, "%d ", n), make([]byte, 2000)...)}
 	}
-	if err := a.Append([]station.Record{big("a", 0)}); err != nil || a.Low() {
+	if err := a.Append([]message.Record{big("a", 0)}); err != nil || a.Low() {
 		t.Fatal(err, a.Low())
 	}
 	full = true
 	taken := 0
 	for i := 1; i <= 200; i++ {
-		if err := a.Append([]station.Record{big("a", i)}); err != nil {
+		if err := a.Append([]message.Record{big("a", i)}); err != nil {
 			if !errors.Is(err, ErrFull) || a.sick {
 				t.Fatal(err)
 			}
@@ -206,7 +206,7 @@
 	}
 	a.Room = func(*os.File, int64, int64) error { return syscall.ENOSPC }
 	a.end, a.low = a.size, true
-	if err := a.Append([]station.Record{big("b", 1)}); !errors.Is(err, ErrFull) {
+	if err := a.Append([]message.Record{big("b", 1)}); !errors.Is(err, ErrFull) {
 		t.Errorf("with the reserve used up: %v", err)
 	}
 	if a.size > 3000 {
@@ -216,7 +216,7 @@
 	if err := a.Append(nil); err != nil || a.Low() {
 		t.Errorf("with room again: %v, low %v", err, a.Low())
 	}
-	if err := a.Append([]station.Record{big("b", 2)}); err != nil || value(a, "b")[:2] != "2 " {
+	if err := a.Append([]message.Record{big("b", 2)}); err != nil || value(a, "b")[:2] != "2 " {
 		t.Errorf("with room again: %v", err)
 	}
 }
--- a/internal/tower/tower.go
+++ b/internal/tower/tower.go
@@ -15,35 +15,35 @@
 	"github.com/jonboulle/clockwork"
 
 	"seamshunt/internal/boot"
-	"seamshunt/internal/bulletin"
+	"seamshunt/internal/cluster/configpush"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/cluster/transport"
 	"seamshunt/internal/crew"
 	"seamshunt/internal/logbook"
-	"seamshunt/internal/mast"
-	"seamshunt/internal/station"
-	"seamshunt/internal/telegraph"
 	"seamshunt/internal/units"
 )
 
-// Tower holds the shared tables. Lock order: mast, bulletin, control state, rules, hygrometer, gauge,
+// Tower holds the shared tables. Lock order: membership, configpush, control state, rules, hygrometer, gauge,
 // screen, disk queue, wires.
 type Tower struct {
-	Boot *boot.Boot
-	Self units.Node
-	Crew *crew.Crew
-	Tel  *telegraph.Telegraph
-	Book *logbook.Book
-	Log  *log.Logger
-
-	MastMu sync.Mutex
-	Mast   *mast.Mast
-	BullMu sync.Mutex
-	Bull   *bulletin.Bulletin
-
-	Steps   map[station.Kind]func(units.Time, station.Note) // by range of kinds, for the program's own machines
-	Woke    func(units.Time)                                // after a freeze
-	Refused func(units.Time, []units.Node)                  // processes found to have ended
-	Moved   func()                                          // news came, or membership changed
-	Later   func(station.Out)                               // disk work; nil on a vane
+	Boot      *boot.Boot
+	Self      units.Node
+	Crew      *crew.Crew
+	Transport *transport.Transport
+	Book      *logbook.Book
+	Log       *log.Logger
+
+	GossipMu sync.Mutex
+	Gossip   *membership.Gossip
+	FeedMu   sync.Mutex
+	Feed     *configpush.Feed
+
+	Steps   map[message.Kind]func(units.Time, message.Message) // by range of kinds, for the program's own machines
+	Woke    func(units.Time)                                   // after a freeze
+	Refused func(units.Time, []units.Node)                     // processes found to have ended
+	Moved   func()                                             // news came, or membership changed
+	Later   func(message.Effects)                              // disk work; nil on a vane
 	Dropped atomic.Uint64
 	open    atomic.Bool // the wires stand
 	Errors  atomic.Uint64
@@ -61,22 +61,22 @@
 }
 
 // New builds the tables; Start brings them to life.
-func New(b *boot.Boot, self units.Node, role mast.Role) *Tower {
+func New(b *boot.Boot, self units.Node, role membership.Role) *Tower {
 	t := &Tower{Boot: b, Self: self, Crew: crew.New(clockwork.NewRealClock(), 4), Book: logbook.New(512, os.Stderr),
-		Bull: bulletin.New(self), Steps: map[station.Kind]func(units.Time, station.Note){}}
+		Feed: configpush.New(self), Steps: map[message.Kind]func(units.Time, message.Message){}}
 	t.Log = &log.Logger{Handler: t.Book, Level: log.DebugLevel}
-	me := mast.Member{Node: self, Inc: uint64(time.Now().UnixMilli()), Role: role, Addr: b.Addr, Web: b.Web, Zone: b.Zone}
-	t.Mast = mast.New(me, b.Seeds, mrand.New(mrand.NewPCG(uint64(Random()), 0)))
+	me := membership.Member{Node: self, Inc: uint64(time.Now().UnixMilli()), Role: role, Addr: b.Addr, Web: b.Web, Zone: b.Zone}
+	t.Gossip = membership.New(me, b.Seeds, mrand.New(mrand.NewPCG(uint64(Random()), 0)))
 	return t
 }
 
 // Start opens the wires and begins the common loops.
 func (t *Tower) Start() error {
-	tel, err := telegraph.Open(t.Self, t.Boot.Addr, t.Crew, t.take, t.refused)
+	tel, err := transport.Open(t.Self, t.Boot.Addr, t.Crew, t.take, t.refused)
 	if err != nil {
 		return fmt.Errorf("tower: %w", err)
 	}
-	t.Tel = tel
+	t.Transport = tel
 	t.last = t.Crew.Now()
 	t.open.Store(true)
 	t.pace.Start(t.Crew, often, t.beat)
@@ -90,22 +90,22 @@
 		t.Woke(now)
 	}
 	t.last = now
-	t.BullMu.Lock()
-	sum := t.Bull.Sum
-	t.BullMu.Unlock()
-	t.MastMu.Lock()
-	t.Mast.News = sum
-	out := t.Mast.Tick(now)
-	all, ver, asking := t.Mast.All(), t.Mast.Version(), t.Mast.Asking(now)
-	t.MastMu.Unlock()
+	t.FeedMu.Lock()
+	sum := t.Feed.Sum
+	t.FeedMu.Unlock()
+	t.GossipMu.Lock()
+	t.Gossip.News = sum
+	out := t.Gossip.Tick(now)
+	all, ver, asking := t.Gossip.All(), t.Gossip.Version(), t.Gossip.Asking(now)
+	t.GossipMu.Unlock()
 	if t.saw(now, ver) {
 		for _, m := range all {
-			t.Tel.Learn(m.Node, m.Addr)
+			t.Transport.Learn(m.Node, m.Addr)
 		}
 	}
-	t.BullMu.Lock()
-	out.Join(t.Bull.Beat(now, all, t.Self))
-	t.BullMu.Unlock()
+	t.FeedMu.Lock()
+	out.Join(t.Feed.Beat(now, all, t.Self))
+	t.FeedMu.Unlock()
 	t.Deliver(out)
 	if asking || !t.Calm(now) {
 		return often
@@ -115,33 +115,33 @@
 
 // take is called on the wires' loop and only passes the note to the crew. One that comes before the wires stand here is
 // lost, as on any net.
-func (t *Tower) take(n station.Note) {
+func (t *Tower) take(n message.Message) {
 	if !t.open.Load() || !t.Crew.Do(func() { t.step(n) }) {
 		t.Dropped.Add(1)
 	}
 }
 
-func (t *Tower) step(n station.Note) {
+func (t *Tower) step(n message.Message) {
 	now := t.Crew.Now()
 	switch n.Kind &^ 15 {
-	case station.Mast:
-		t.MastMu.Lock()
-		out := t.Mast.Step(now, n)
-		m, ok := t.Mast.Get(n.From)
-		ver := t.Mast.Version()
-		t.MastMu.Unlock()
+	case message.KindMembership:
+		t.GossipMu.Lock()
+		out := t.Gossip.Step(now, n)
+		m, ok := t.Gossip.Get(n.From)
+		ver := t.Gossip.Version()
+		t.GossipMu.Unlock()
 		if ok {
-			t.Tel.Learn(m.Node, m.Addr)
+			t.Transport.Learn(m.Node, m.Addr)
 		}
 		t.Deliver(out)
 		if ver != t.ver.Load() {
 			t.pace.By(often)
 		}
-	case station.Bulletin:
-		t.BullMu.Lock()
-		out := t.Bull.Step(now, n)
-		fresh := len(t.Bull.Fresh) > 0
-		t.BullMu.Unlock()
+	case message.KindConfigPush:
+		t.FeedMu.Lock()
+		out := t.Feed.Step(now, n)
+		fresh := len(t.Feed.Fresh) > 0
+		t.FeedMu.Unlock()
 		t.Deliver(out)
 		if fresh {
 			t.moved()
@@ -154,15 +154,15 @@
 }
 
 // Deliver sends what a step gave out and looks at its errors once.
-func (t *Tower) Deliver(out station.Out) {
-	for _, n := range out.Notes {
-		t.Tel.Send(n)
+func (t *Tower) Deliver(out message.Effects) {
+	for _, n := range out.Messages {
+		t.Transport.Send(n)
 	}
-	if t.Later != nil && len(out.Writes)+len(out.After) > 0 {
+	if t.Later != nil && len(out.Writes)+len(out.AfterSync) > 0 {
 		t.Later(out)
 	} else {
-		for _, n := range out.After {
-			t.Tel.Send(n)
+		for _, n := range out.AfterSync {
+			t.Transport.Send(n)
 		}
 	}
 	for _, err := range out.Errs {
@@ -173,9 +173,9 @@
 
 func (t *Tower) refused(addr string) {
 	now := t.Crew.Now()
-	t.MastMu.Lock()
-	l := t.Mast.Refused(now, addr)
-	t.MastMu.Unlock()
+	t.GossipMu.Lock()
+	l := t.Gossip.Refused(now, addr)
+	t.GossipMu.Unlock()
 	if len(l) > 0 && t.Refused != nil {
 		t.Refused(now, l)
 	}
@@ -183,32 +183,32 @@
 
 // Again takes a boot file that has changed: only the seeds may be others.
 func (t *Tower) Again(b *boot.Boot) {
-	t.MastMu.Lock()
-	t.Mast.Seeds(b.Seeds)
-	t.MastMu.Unlock()
+	t.GossipMu.Lock()
+	t.Gossip.Seeds(b.Seeds)
+	t.GossipMu.Unlock()
 }
 
 // Flag sets what this node says of itself.
 func (t *Tower) Flag(f uint16, on bool) {
-	t.MastMu.Lock()
-	t.Mast.Flag(f, on)
-	t.MastMu.Unlock()
+	t.GossipMu.Lock()
+	t.Gossip.Flag(f, on)
+	t.GossipMu.Unlock()
 }
 
 // Members lists all members.
-func (t *Tower) Members() []mast.Member {
-	t.MastMu.Lock()
-	defer t.MastMu.Unlock()
-	return t.Mast.All()
+func (t *Tower) Members() []membership.Member {
+	t.GossipMu.Lock()
+	defer t.GossipMu.Unlock()
+	return t.Gossip.All()
 }
 
 // Goodbye tells the others and closes the wires.
 func (t *Tower) Goodbye() {
-	t.MastMu.Lock()
-	out := t.Mast.Leave()
-	t.MastMu.Unlock()
+	t.GossipMu.Lock()
+	out := t.Gossip.Leave()
+	t.GossipMu.Unlock()
 	t.Deliver(out)
 	t.Crew.Sleep(100 * time.Millisecond) // lets the goodbye leave the machine
-	t.Tel.Close()
+	t.Transport.Close()
 	t.Crew.Stop(400 * time.Millisecond) // a dial under way may hang as the wires close; the grace does not wait for it
 }
--- a/internal/vaned/beat.go
+++ b/internal/vaned/beat.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"seamshunt/internal/station"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
 )
@@ -12,7 +12,7 @@
 func (v *Vane) beat(now units.Time) time.Duration {
 	v.refresh(now)
 	v.deskMu.Lock()
-	var out station.Out
+	var out message.Effects
 	busy := v.desk.Busy()
 	if busy {
 		out = v.desk.Tick(now)
--- a/internal/vaned/claim.go
+++ b/internal/vaned/claim.go
@@ -4,15 +4,15 @@
 	"time"
 
 	"seamshunt/internal/anemometer"
-	"seamshunt/internal/mast"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/screen"
-	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
 // screened does a thing under the screen's lock, and passes results to those who wait.
-func (v *Vane) screened(f func() station.Out) {
+func (v *Vane) screened(f func() message.Effects) {
 	v.screenMu.Lock()
 	out := f()
 	for _, r := range v.screen.Results {
@@ -34,14 +34,14 @@
 	}
 	var peers []units.Node
 	for _, m := range v.Members() {
-		if m.Role == mast.Vane && m.State <= mast.Suspect && m.Node != v.Self {
+		if m.Role == membership.Router && m.State <= membership.Suspect && m.Node != v.Self {
 			peers = append(peers, m.Node)
 		}
 	}
 	v.tableMu.Lock()
 	core := v.table.voters
 	v.tableMu.Unlock()
-	v.screened(func() station.Out {
+	v.screened(func() message.Effects {
 		v.screen.Core(core)
 		return v.screen.Tick(now, peers, longest)
 	})
@@ -57,7 +57,7 @@
 	token := v.tag.Add(1)<<8 ^ uint64(v.Self)
 	c := make(chan synop.Code, 1)
 	holders := screen.Holders(v.Members(), key)
-	v.screened(func() station.Out {
+	v.screened(func() message.Effects {
 		v.claims[token] = c
 		return v.screen.Claim(v.Crew.Now(), token, key, holders)
 	})
@@ -98,6 +98,6 @@
 // burn keeps "not run" true for a key whose copy may still be on its way.
 func (w *way) burn() {
 	if w.claimed != "" {
-		w.v.screened(func() station.Out { return w.v.screen.Burn(w.claimed, w.holders) })
+		w.v.screened(func() message.Effects { return w.v.screen.Burn(w.claimed, w.holders) })
 	}
 }
--- a/internal/vaned/dark_test.go
+++ b/internal/vaned/dark_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"seamshunt/internal/mast"
+	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/weatherglass"
 )
 
@@ -107,13 +107,13 @@
 	if !ready() {
 		t.Fatal("a fleet of one is ready")
 	}
-	other := mast.New(mast.Member{Node: 9, Inc: 1, Role: mast.Barometer, Addr: weatherglass.Addr(t), Zone: "z2"}, []string{v.Boot.Addr}, rand.New(rand.NewPCG(1, 1)))
-	v.MastMu.Lock()
-	for _, n := range other.Tick(0).Notes {
+	other := membership.New(membership.Member{Node: 9, Inc: 1, Role: membership.Controller, Addr: weatherglass.Addr(t), Zone: "z2"}, []string{v.Boot.Addr}, rand.New(rand.NewPCG(1, 1)))
+	v.GossipMu.Lock()
+	for _, n := range other.Tick(0).Messages {
 		n.From = 9
-		v.Mast.Step(v.Crew.Now(), n)
+		v.Gossip.Step(v.Crew.Now(), n)
 	}
-	v.MastMu.Unlock()
+	v.GossipMu.Unlock()
 	if !ready() {
 		t.Error("it sees another")
 	}
--- a/internal/vaned/rig_test.go
+++ b/internal/vaned/rig_test.go
@@ -14,7 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"seamshunt/internal/boot"
-	"seamshunt/internal/bulletin"
+	"seamshunt/internal/cluster/configpush"
 	"seamshunt/internal/forecast"
 	"seamshunt/internal/weatherglass"
 )
@@ -101,10 +101,10 @@
 	for i, a := range workers {
 		l = append(l, forecast.Worker{ID: fmt.Sprintf("w%d", i+1), Addr: a, Zone: "z1", Age: time.Hour})
 	}
-	v.BullMu.Lock()
-	v.Bull.Take(bulletin.Item{Key: "config", Num: 1, Data: []byte(config)})
-	v.Bull.Take(bulletin.Item{Key: "workers/main", Num: 1, Data: forecast.PackWorkers(l)})
-	v.BullMu.Unlock()
+	v.FeedMu.Lock()
+	v.Feed.Take(configpush.Item{Key: "config", Num: 1, Data: []byte(config)})
+	v.Feed.Take(configpush.Item{Key: "workers/main", Num: 1, Data: forecast.PackWorkers(l)})
+	v.FeedMu.Unlock()
 	v.ready.Store(true)
 	weatherglass.Until(t, "the vane keeps its workers", func() bool {
 		v.gaugeMu.Lock()
--- a/internal/vaned/rules.go
+++ b/internal/vaned/rules.go
@@ -6,12 +6,12 @@
 
 	"github.com/valyala/fastjson"
 
-	"seamshunt/internal/barograph"
-	"seamshunt/internal/bulletin"
+	"seamshunt/internal/cluster/configpush"
+	"seamshunt/internal/cluster/discovery"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/forecast"
 	"seamshunt/internal/gauge"
-	"seamshunt/internal/mast"
-	"seamshunt/internal/nephoscope"
 	"seamshunt/internal/units"
 )
 
@@ -24,25 +24,25 @@
 // table is what news and membership say, under tableMu.
 type table struct {
 	pools  map[string][]forecast.Worker
-	sky    *nephoscope.Nephoscope // what the platform was seen to list
-	out    map[string]bool        // zones evacuated
-	down   map[string]bad         // workers found dead or dark here
+	sky    *discovery.Catalog // what the platform was seen to list
+	out    map[string]bool    // zones evacuated
+	down   map[string]bad     // workers found dead or dark here
 	watch  *gauge.Watch
 	peers  []gauge.Peer
-	voters barograph.Voters
+	voters register.QuorumSet
 	fresh  bool
 }
 
 func newTable() table {
-	return table{pools: map[string][]forecast.Worker{}, sky: nephoscope.New(), out: map[string]bool{}, down: map[string]bad{}, watch: gauge.NewWatch()}
+	return table{pools: map[string][]forecast.Worker{}, sky: discovery.New(), out: map[string]bool{}, down: map[string]bad{}, watch: gauge.NewWatch()}
 }
 
 // refresh brings news and membership into the tables and from there to the keeper.
 func (v *Vane) refresh(now units.Time) {
-	v.BullMu.Lock()
-	fresh := v.Bull.Fresh
-	v.Bull.Fresh = nil
-	v.BullMu.Unlock()
+	v.FeedMu.Lock()
+	fresh := v.Feed.Fresh
+	v.Feed.Fresh = nil
+	v.FeedMu.Unlock()
 	for _, it := range fresh {
 		v.news(now, it)
 	}
@@ -70,7 +70,7 @@
 }
 
 // news applies one change whole.
-func (v *Vane) news(now units.Time, it bulletin.Item) {
+func (v *Vane) news(now units.Time, it configpush.Item) {
 	kind, name, _ := strings.Cut(it.Key, "/")
 	switch kind {
 	case "config":
@@ -94,7 +94,7 @@
 			v.Log.WithError(err).Error("a worker list can't be read here")
 		}
 	case "voters":
-		if s, err := barograph.UnpackVoters(it.Data); err == nil {
+		if s, err := register.UnpackQuorumSet(it.Data); err == nil {
 			v.tableMu.Lock()
 			v.table.voters = s
 			v.tableMu.Unlock()
@@ -105,7 +105,7 @@
 // confirm makes a starting or woken vane ready once nothing newer than its news stands anywhere (design 4).
 func (v *Vane) confirm(now units.Time) {
 	all := v.Members()
-	switch core, _ := bulletin.Neighbours(all, v.Self); {
+	switch core, _ := configpush.Neighbours(all, v.Self); {
 	case len(core) > 0:
 		v.static.Store(0)
 	case v.static.Load() == 0:
@@ -115,17 +115,17 @@
 		return
 	}
 	v.tableMu.Lock()
-	voters, known := v.table.voters.IDs, len(v.table.pools) > 0
+	voters, known := v.table.voters.Members, len(v.table.pools) > 0
 	v.tableMu.Unlock()
 	if v.Words != nil && !known {
 		return // no worker is known yet
 	}
-	v.BullMu.Lock()
-	ok, out := v.Bull.Confirm(now, all, v.Self, voters, v.began)
-	v.BullMu.Unlock()
+	v.FeedMu.Lock()
+	ok, out := v.Feed.Confirm(now, all, v.Self, voters, v.began)
+	v.FeedMu.Unlock()
 	if ok {
 		v.ready.Store(true)
-		v.Flag(mast.Ready, true)
+		v.Flag(membership.Ready, true)
 		v.Log.Info("news confirmed: serving")
 	}
 	v.Deliver(out)
@@ -133,8 +133,8 @@
 
 func (v *Vane) unready() {
 	v.ready.Store(false)
-	v.Flag(mast.Ready, false)
-	v.BullMu.Lock()
-	clear(v.Bull.Vouch)
-	v.BullMu.Unlock()
+	v.Flag(membership.Ready, false)
+	v.FeedMu.Lock()
+	clear(v.Feed.Vouch)
+	v.FeedMu.Unlock()
 }
--- a/internal/vaned/status.go
+++ b/internal/vaned/status.go
@@ -9,7 +9,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
-	"seamshunt/internal/mast"
+	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/synop"
 )
 
@@ -59,10 +59,10 @@
 func (v *Vane) alone() bool {
 	gone := false
 	for _, m := range v.Members() {
-		if m.Node == v.Self || m.State == mast.Left {
+		if m.Node == v.Self || m.State == membership.Left {
 			continue
 		}
-		if m.State <= mast.Suspect {
+		if m.State <= membership.Suspect {
 			return false
 		}
 		gone = true
@@ -85,11 +85,11 @@
 		o.Set("cut_from_control_ms", a.NewNumberInt(int((int64(now)-t)/int64(time.Millisecond))))
 	}
 	news := a.NewObject()
-	v.BullMu.Lock()
-	for k, it := range v.Bull.Items {
+	v.FeedMu.Lock()
+	for k, it := range v.Feed.Items {
 		news.Set(k, a.NewNumberInt(int(it.Num)))
 	}
-	v.BullMu.Unlock()
+	v.FeedMu.Unlock()
 	o.Set("news", news)
 	o.Set("in_force", v.inForce(&a))
 	kept := a.NewArray()
@@ -146,7 +146,7 @@
 }
 
 // Member lays a member out for status pages.
-func Member(a *fastjson.Arena, m mast.Member) *fastjson.Value {
+func Member(a *fastjson.Arena, m membership.Member) *fastjson.Value {
 	x := a.NewObject()
 	x.Set("node", a.NewString(m.Node.String()))
 	x.Set("role", a.NewString([]string{"", "vane", "barometer"}[m.Role%3]))
@@ -154,9 +154,9 @@
 	x.Set("addr", a.NewString(m.Addr))
 	x.Set("web", a.NewString(m.Web))
 	x.Set("state", a.NewString([]string{"alive", "suspect", "dead", "left"}[m.State%4]))
-	x.Set("draining", flag(a, m.Flags&mast.Draining != 0))
-	x.Set("unfit", flag(a, m.Flags&mast.Unfit != 0))
-	x.Set("ready", flag(a, m.Flags&mast.Ready != 0))
+	x.Set("draining", flag(a, m.Flags&membership.Draining != 0))
+	x.Set("unfit", flag(a, m.Flags&membership.Unfit != 0))
+	x.Set("ready", flag(a, m.Flags&membership.Ready != 0))
 	return x
 }
 
@@ -183,9 +183,9 @@
 	}
 	v.tallies.metrics(ctx)
 	fmt.Fprintf(ctx, "seamshunt_cross_zone_prompt_bytes_total %d\n", s.cross)
-	fmt.Fprintf(ctx, "seamshunt_wire_bytes_total %d\n", v.Tel.Out.Load())
+	fmt.Fprintf(ctx, "seamshunt_wire_bytes_total %d\n", v.Transport.Out.Load())
 	fmt.Fprintf(ctx, "seamshunt_in_flight %d\n", v.flight.Load())
-	fmt.Fprintf(ctx, "seamshunt_bad_frames_total %d\nseamshunt_bad_notes_total %d\n", v.Tel.Bad.Load(), v.Errors.Load())
+	fmt.Fprintf(ctx, "seamshunt_bad_frames_total %d\nseamshunt_bad_notes_total %d\n", v.Transport.Bad.Load(), v.Errors.Load())
 	fmt.Fprintf(ctx, "seamshunt_dropped_notes_total %d\n", v.Dropped.Load())
 	age := 0.0
 	if t := v.static.Load(); t > 0 {
--- a/internal/vaned/steps_test.go
+++ b/internal/vaned/steps_test.go
@@ -8,11 +8,11 @@
 
 	"github.com/valyala/fasthttp"
 
-	"seamshunt/internal/bulletin"
+	"seamshunt/internal/cluster/configpush"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/forecast"
 	"seamshunt/internal/gauge"
 	"seamshunt/internal/screen"
-	"seamshunt/internal/station"
 	"seamshunt/internal/weatherglass"
 )
 
@@ -24,17 +24,17 @@
 
 // take gives the vane a change, and waits until it has been looked at: news is applied in its order, so a marker
 // behind it shows that.
-func take(t *testing.T, v *Vane, its ...bulletin.Item) {
+func take(t *testing.T, v *Vane, its ...configpush.Item) {
 	t.Helper()
-	v.BullMu.Lock()
+	v.FeedMu.Lock()
 	for _, it := range its {
-		v.Bull.Take(it)
+		v.Feed.Take(it)
 	}
-	v.BullMu.Unlock()
+	v.FeedMu.Unlock()
 	marker := fmt.Sprintf("marker%d", markers.Add(1))
-	v.BullMu.Lock()
-	v.Bull.Take(bulletin.Item{Key: "zone/" + marker, Num: 1, Data: []byte(`{"evacuated":true}`)})
-	v.BullMu.Unlock()
+	v.FeedMu.Lock()
+	v.Feed.Take(configpush.Item{Key: "zone/" + marker, Num: 1, Data: []byte(`{"evacuated":true}`)})
+	v.FeedMu.Unlock()
 	weatherglass.Until(t, "the news is looked at", func() bool {
 		v.tableMu.Lock()
 		defer v.tableMu.Unlock()
@@ -49,8 +49,8 @@
 	a, big := scripted(t)
 	b, small := scripted(t)
 	v := rig(t, a)
-	take(t, v, bulletin.Item{Key: "config", Num: 2, Data: []byte(stepConfig)},
-		bulletin.Item{Key: "workers/side", Num: 1, Data: forecast.PackWorkers([]forecast.Worker{{ID: "s1", Addr: b, Zone: "z1", Age: 1 << 40}})})
+	take(t, v, configpush.Item{Key: "config", Num: 2, Data: []byte(stepConfig)},
+		configpush.Item{Key: "workers/side", Num: 1, Data: forecast.PackWorkers([]forecast.Worker{{ID: "s1", Addr: b, Zone: "z1", Age: 1 << 40}})})
 	weatherglass.Until(t, "both workers are kept", func() bool {
 		v.gaugeMu.Lock()
 		defer v.gaugeMu.Unlock()
@@ -93,7 +93,7 @@
 	if _, err := c.r.ReadString('}'); err != nil {
 		t.Fatal(err)
 	}
-	take(t, v, bulletin.Item{Key: "config", Num: 2, Data: []byte(stepConfig)}, bulletin.Item{Key: "zone/z1", Num: 1, Data: []byte(`{"evacuated":true}`)})
+	take(t, v, configpush.Item{Key: "config", Num: 2, Data: []byte(stepConfig)}, configpush.Item{Key: "zone/z1", Num: 1, Data: []byte(`{"evacuated":true}`)})
 	if status, body := ask(t, v, "/chat").reply(t); status != 404 || !strings.Contains(body, `"code":203`) {
 		t.Errorf("the mapping is gone: %d %s", status, body)
 	}
@@ -123,8 +123,8 @@
 	t.Parallel()
 	a, _ := scripted(t)
 	v := rig(t, a)
-	take(t, v, bulletin.Item{Key: "config", Num: 3, Data: []byte(stepConfig)})
-	take(t, v, bulletin.Item{Key: "config", Num: 2, Data: []byte(rigConfig)})
+	take(t, v, configpush.Item{Key: "config", Num: 3, Data: []byte(stepConfig)})
+	take(t, v, configpush.Item{Key: "config", Num: 2, Data: []byte(rigConfig)})
 	if n := v.rules.Load().num; n != 3 {
 		t.Errorf("number %d in force", n)
 	}
@@ -135,9 +135,9 @@
 	t.Parallel()
 	a, _ := scripted(t)
 	v := rig(t, a)
-	take(t, v, bulletin.Item{Key: "workers/main/ff", Num: 9, Data: []byte(`{"workers":[{"id":""}]}`)})
-	for _, k := range []station.Kind{gauge.Ask, gauge.Report, gauge.Grant, screen.Claim, screen.Copy} {
-		v.Steps[k&^15](v.Crew.Now(), station.Note{From: 77, Kind: k, Body: []byte{1}})
+	take(t, v, configpush.Item{Key: "workers/main/ff", Num: 9, Data: []byte(`{"workers":[{"id":""}]}`)})
+	for _, k := range []message.Kind{gauge.Ask, gauge.Report, gauge.Grant, screen.Claim, screen.Copy} {
+		v.Steps[k&^15](v.Crew.Now(), message.Message{From: 77, Kind: k, Body: []byte{1}})
 	}
 	v.gaugeMu.Lock()
 	kept := v.gauge.Kept(v.Crew.Now())
--- a/internal/vaned/tally.go
+++ b/internal/vaned/tally.go
@@ -9,8 +9,8 @@
 	"github.com/valyala/fastjson"
 
 	"seamshunt/internal/anemometer"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/forecast"
-	"seamshunt/internal/station"
 	"seamshunt/internal/units"
 )
 
@@ -92,7 +92,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := a.NewObject()
-	for _, name := range station.Keys(t.by) {
+	for _, name := range message.Keys(t.by) {
 		x := t.by[name]
 		y := a.NewObject()
 		y.Set("promise", a.NewString(x.promise))
@@ -119,7 +119,7 @@
 func (t *tallies) metrics(w io.Writer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, name := range station.Keys(t.by) {
+	for _, name := range message.Keys(t.by) {
 		x := t.by[name]
 		for _, c := range []struct {
 			name string
--- a/internal/vaned/vane.go
+++ b/internal/vaned/vane.go
@@ -13,13 +13,13 @@
 
 	"seamshunt/internal/anemometer"
 	"seamshunt/internal/boot"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/codebook"
 	"seamshunt/internal/crew"
 	"seamshunt/internal/gauge"
 	"seamshunt/internal/hygrometer"
-	"seamshunt/internal/mast"
 	"seamshunt/internal/screen"
-	"seamshunt/internal/station"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
@@ -70,7 +70,7 @@
 
 // New builds a vane; with a book it speaks that world's words to clients and workers (design 11).
 func New(b *boot.Boot, book *codebook.Book) *Vane {
-	v := &Vane{Tower: tower.New(b, tower.Random(), mast.Vane), doors: map[uint64]chan verdict{}, claims: map[uint64]chan synop.Code{}}
+	v := &Vane{Tower: tower.New(b, tower.Random(), membership.Router), doors: map[uint64]chan verdict{}, claims: map[uint64]chan synop.Code{}}
 	if v.Words = book; book != nil {
 		v.pool = anemometer.NewPool(book.Names)
 	}
@@ -83,9 +83,9 @@
 	v.Woke = v.woke
 	v.Refused = v.gone
 	v.Moved = v.soon
-	v.Steps[station.Gauge] = v.permits
-	v.Steps[station.Claim] = func(now units.Time, n station.Note) {
-		v.screened(func() station.Out { return v.screen.Step(now, n) })
+	v.Steps[message.KindCapacity] = v.permits
+	v.Steps[message.KindClaim] = func(now units.Time, n message.Message) {
+		v.screened(func() message.Effects { return v.screen.Step(now, n) })
 	}
 	return v
 }
@@ -120,7 +120,7 @@
 func (quiet) Printf(string, ...any) {}
 
 // permits goes to the asking side and to the keeping side.
-func (v *Vane) permits(now units.Time, n station.Note) {
+func (v *Vane) permits(now units.Time, n message.Message) {
 	if n.Kind != gauge.Ask && n.Kind != gauge.Return && n.Kind != gauge.Report {
 		v.deskMu.Lock()
 		out := v.desk.Step(now, n)
@@ -214,8 +214,8 @@
 // Drain takes nothing new, gives its duties away and lets streams end within the limit.
 func (v *Vane) Drain() {
 	v.leaving.Store(true)
-	v.Flag(mast.Draining, true)
-	v.Flag(mast.Ready, false)
+	v.Flag(membership.Draining, true)
+	v.Flag(membership.Ready, false)
 	least := v.Crew.Now()
 	if v.Words != nil {
 		least = least.Add(lingerFor)
--- a/internal/vaned/words_test.go
+++ b/internal/vaned/words_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"seamshunt/internal/bulletin"
+	"seamshunt/internal/cluster/configpush"
 	"seamshunt/internal/forecast"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/weatherglass"
@@ -26,9 +26,9 @@
 	a, big := scripted(t)
 	b, small := scripted(t)
 	v = rigOf(t, wordsConfig, a)
-	v.BullMu.Lock()
-	v.Bull.Take(bulletin.Item{Key: "workers/side", Num: 1, Data: forecast.PackWorkers([]forecast.Worker{{ID: "s1", Addr: b, Zone: "z1", Age: time.Hour}})})
-	v.BullMu.Unlock()
+	v.FeedMu.Lock()
+	v.Feed.Take(configpush.Item{Key: "workers/side", Num: 1, Data: forecast.PackWorkers([]forecast.Worker{{ID: "s1", Addr: b, Zone: "z1", Age: time.Hour}})})
+	v.FeedMu.Unlock()
 	weatherglass.Until(t, "the vane keeps both workers", func() bool {
 		v.gaugeMu.Lock()
 		defer v.gaugeMu.Unlock()
