Quorum changes are joint, and the set's size follows the disks instead of history

The set's size was a high-water mark, so a planned replacement (the new machine first) made a set of three one of four for good: the leaver stayed in it as a dead fourth, a majority was three, and the next loss left none. Changes went one disk at a time, decided by reads under the old set alone. Now: a change writes a joint set (majorities of the present and the wanted members), every key is acquired anew and written again on majorities of both, and only then the wanted members are the set. Planner: the largest odd number of disks that count, spread over the zones, at least 2f+1 for the losses that the settings name (tolerates is read now); a leaver's or a lost disk's seat goes to a stand-in at once; growth waits 3 s, so that nobody stands beside a dead member. A leaving controller waits for its stand-in. Messages of another system (founders' id in each set) and of non-members change nothing and are counted. Also: a disk that was slow once left its node unfit for good where nobody else wrote (seen on a loaded machine, 60 s and more): it is tried once a second.

--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -33,9 +33,13 @@
 	Counts   bool     // barometer: its disk counts among those that vote
 	Grow     bool     // barometer: founded by the seeds, voters grow to every disk that counts
 	Zones    []string // all zones there are; empty when nobody said
-	Memory   int      // MB that the process may use; 0 when nobody said
-	Files    int      // descriptors that it may use; 0 when nobody said
-	Bounds   Bounds
+
+	LostMachines int // how many machines whose disks count may be lost at once
+	LostZones    int // how many zones may be lost at once
+
+	Memory int // MB that the process may use; 0 when nobody said
+	Files  int // descriptors that it may use; 0 when nobody said
+	Bounds Bounds
 }
 
 // Bounds are what an operator's world allows, in its own time.
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -44,9 +44,8 @@
 	polled    poll
 	catalogMu sync.Mutex // last in the lock order but for the disk queue
 	catalog   *discovery.Catalog
-	doctor    register.Doctor
-	seeds     register.Seeds // where voters are founded from seeds and grow
-	grower    register.Grower
+	seeds     register.Seeds      // where voters are founded from seeds and grow
+	planner   register.Planner    // which replicas the quorum set is to have
 	born      []string            // the seeds that the disk bears
 	audit     chan entry          // to the one writer of the audit record
 	missed    atomic.Uint64       // acknowledged changes that the audit record lacks
@@ -63,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Controller{Tower: tower.New(b, self, membership.Controller), waits: map[uint64]chan register.Result{}, doctor: register.Doctor{Founders: b.Founders}, catalog: discovery.New(), adapter: book}
+	c := &Controller{Tower: tower.New(b, self, membership.Controller), waits: map[uint64]chan register.Result{}, planner: newPlanner(b), catalog: discovery.New(), adapter: book}
 	c.audit = make(chan entry, 256)
 	c.disk.file = a
 	c.disk.wake = make(chan struct{}, 1)
@@ -202,7 +201,7 @@
 func (c *Controller) beat(now units.Time) {
 	all := c.Members()
 	unfit := c.disk.unfit(now)
-	low, full := c.tryRoom(now)
+	low, full := c.tryDisk(now)
 	c.Flag(membership.Full, full)
 	c.Flag(membership.Draining, c.leaving.Load())
 	look := register.ViewCore(all)
@@ -221,7 +220,7 @@
 	out := c.replica.Tick(now)
 	c.roll.Low = low
 	out.Join(c.roll.Tick(now, c.replica.Quorum()))
-	out.Join(c.syncer.Tick(now, c.replica.Quorum().Members, c.replica.States()))
+	out.Join(c.syncer.Tick(now, c.replica.Quorum().All(), c.replica.States()))
 	voter := c.replica.Quorum().Has(c.Self)
 	news := c.drain()
 	c.Deliver(out)
--- a/internal/control/controller/disk.go
+++ b/internal/control/controller/disk.go
@@ -117,18 +117,20 @@
 	return d.sick || d.full || d.since > 0 && now.Sub(d.since) > stallAt || d.slow > stallAt
 }
 
-// tryRoom says whether the disk gives no more room, and whether its reserve is used up too. While it is so, room is
-// asked for once a second: by a small record where the reserve is used up, since nothing else may come.
-func (c *Controller) tryRoom(now units.Time) (low, full bool) {
+// tryDisk says whether the disk gives no more room, and whether its reserve is used up too. While it is so, or while the
+// last write was slow, the disk is tried once a second: by a small record where the reserve is used up or the disk was
+// slow, since nothing else may come (a core whose disks are all unfit has no owners, and so no writes).
+func (c *Controller) tryDisk(now units.Time) (low, full bool) {
 	d := &c.disk
 	d.mu.Lock()
 	low, full = d.low || d.full, d.full
-	try := low && now.Sub(d.tried) > time.Second
+	slow := d.slow > stallAt && d.since == 0
+	try := (low || slow) && now.Sub(d.tried) > time.Second
 	if try {
 		d.tried = now
 	}
 	d.mu.Unlock()
-	if try && full {
+	if try && (full || slow) {
 		c.later(message.Effects{Writes: []message.Record{self(c.Self, c.born)}})
 	} else if try {
 		c.later(message.Effects{})
--- a/internal/control/controller/quorum.go
+++ b/internal/control/controller/quorum.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"seamshunt/internal/boot"
 	"seamshunt/internal/control/register"
 	"seamshunt/internal/units"
 )
@@ -9,13 +10,16 @@
 func (c *Controller) voting(now units.Time, look register.CoreView) {
 	if c.Boot.Grow {
 		c.replica.FoundFromSeeds(c.seeds.Set(now, look))
-		if v, ok := c.grower.Next(now, c.replica.Quorum(), look); ok {
-			c.replica.ChangeMembers(now, v)
-		}
-		return
+	} else {
+		c.replica.FoundFixed(c.Boot.Founders, look)
 	}
-	c.replica.FoundFixed(c.Boot.Founders, look)
-	if ids := c.doctor.Next(now, c.replica.Quorum(), look); ids != nil {
-		c.replica.Want(now, ids)
+	c.replica.ChangeMembers(c.planner.Next(now, c.replica.Quorum(), look))
+}
+
+// newPlanner gives the planner of the quorum set that a boot file asks for.
+func newPlanner(b *boot.Boot) register.Planner {
+	if !b.Grow {
+		return register.Planner{FixedSize: b.Founders, ReplaceAfter: register.ReplaceFixedAfter}
 	}
+	return register.Planner{MinSize: 2*b.LostMachines + 1, ReplaceAfter: register.ReplaceAfter}
 }
--- a/internal/control/controller/submit.go
+++ b/internal/control/controller/submit.go
@@ -47,6 +47,28 @@
 	return register.Result{Code: synop.NoMajority}
 }
 
+// Spans of leaving (start values).
+const (
+	handOver      = 500 * time.Millisecond
+	leaveWithin   = 3 * time.Second // how long a leaving member waits until a stand-in has its seat
+	leaveLookEach = 50 * time.Millisecond
+)
+
+// leaveQuorum waits until another has this node's seat in the quorum set, where one stands by: what only this disk and few
+// others hold is on a majority of the next set before this one ends.
+func (c *Controller) leaveQuorum() {
+	until := c.Crew.Now().Add(min(leaveWithin, c.Boot.Bounds.Grace/2))
+	for c.Crew.Now() < until && c.hasStandIn() {
+		c.Crew.Sleep(leaveLookEach)
+	}
+}
+
+// hasStandIn says whether this node is a member of the quorum set and a replica that could take its seat is there.
+func (c *Controller) hasStandIn() bool {
+	q := c.voters()
+	return q.Has(c.Self) && (q.Joint() || register.ViewCore(c.Members()).StandsBy(q))
+}
+
 // Drain hands keys and duty over, then leaves.
 func (c *Controller) Drain() {
 	c.leaving.Store(true)
@@ -54,7 +76,8 @@
 	c.lease.Drop()
 	c.leaseMu.Unlock()
 	c.Flag(membership.Draining, true)
-	c.Crew.Sleep(500 * time.Millisecond) // the others take the keys over under higher epochs
+	c.Crew.Sleep(handOver) // the others take the keys over under higher epochs
+	c.leaveQuorum()
 	_ = c.web.Shutdown()
 	c.Goodbye()
 }
--- a/internal/control/register/acceptor.go
+++ b/internal/control/register/acceptor.go
@@ -1,6 +1,8 @@
 package register
 
 import (
+	"errors"
+
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
@@ -17,17 +19,29 @@
 	return s
 }
 
-// adopt takes a newer set of voters from any message and keeps it on disk.
-func (b *Replica) adopt(v QuorumSet, out *message.Effects) {
-	if v.Version <= b.quorum.Version {
-		return
+// errOtherSystem is a message of replicas that were founded apart from this one's.
+var errOtherSystem = errors.New("register: a message of another system")
+
+// errNotMember is a message that only a member of the quorum set may send.
+var errNotMember = errors.New("register: the sender is not a member of the quorum set")
+
+// adopt takes a newer quorum set from any message and keeps it on disk. It says whether the message is one of this
+// system; what is not changes nothing.
+func (b *Replica) adopt(q QuorumSet, out *message.Effects) bool {
+	if b.quorum.Version > 0 && q.Version > 0 && q.System != b.quorum.System {
+		out.Fail(errOtherSystem)
+		return false
 	}
-	b.quorum = v
+	if q.Version <= b.quorum.Version {
+		return true
+	}
+	b.quorum = q
 	b.reach.born, b.reach.sent = 0, 0 // whether it reaches these is to be seen
-	out.Writes = append(out.Writes, message.Record{Kind: RecordQuorum, Data: v.Pack()})
+	out.Writes = append(out.Writes, message.Record{Kind: RecordQuorum, Data: q.Pack()})
 	for _, o := range b.owned {
 		o.drop()
 	}
+	return true
 }
 
 // Learn takes the set of voters from the news, as a learner must.
@@ -35,7 +49,7 @@
 	v, err := UnpackQuorumSet(body)
 	out.Fail(err)
 	if err == nil {
-		b.adopt(v, &out)
+		b.adopt(v, &out) // what is of another system is counted and changes nothing
 	}
 	return out
 }
@@ -62,6 +76,10 @@
 	if !b.mayVote(key, n.Kind) {
 		return
 	}
+	if b.quorum.Version > 0 && !b.quorum.Has(n.From) {
+		out.Fail(errNotMember)
+		return
+	}
 	s := b.state(key)
 	e := h.epoch()
 	if e.Less(s.Promised) {
--- a/internal/control/register/change.go
+++ b/internal/control/register/change.go
@@ -2,142 +2,156 @@
 
 import (
 	"slices"
-	"time"
 
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
-// change is one step of the voters: one disk more or one fewer (design 2). Before the step, every key that
-// a majority of the disks knows of must have been confirmed under the present set; only then does any
-// majority of the next set meet each key's newest write.
-type change struct {
-	want  QuorumSet
-	since units.Time
-	seen  map[units.Node]bool
-	keys  map[string]uint64 // key to the tag of its confirmed read
-	done  map[uint64]bool
-	asked units.Time // the disks for their keys
-	read  units.Time // the keys for their values
-	sent  bool
+// A change of members takes two agreed steps (design 2). First the joint set of the present and the wanted members is
+// written, on majorities of both; it drops every ownership, so each key is acquired anew and written again on majorities
+// of both. Once every key that a majority knows of has been read back so, the wanted members are written as the set.
+
+// transfer watches that every key has been read back under a joint set.
+type transfer struct {
+	version  units.Num
+	listed   map[units.Node]bool // replicas that have listed their keys
+	readTags map[string]uint64   // by key, the tag of its read
+	done     map[uint64]bool     // by tag
+	listedAt units.Time
+	readAt   units.Time
 }
 
-// changeTag marks the reads that a change asks for itself.
-const changeTag = 1 << 63
+// transferTag marks the reads that a transfer asks for itself.
+const transferTag = 1 << 63
 
-// Want asks the owner of the voters' key for a next set that differs by one disk. Only the owner minds.
-func (b *Replica) Want(now units.Time, ids []units.Node) {
-	if diff(b.quorum.Members, ids) == 1 {
-		b.ChangeMembers(now, QuorumSet{Size: b.quorum.Size, Members: ids})
-	}
+// ChangeMembers names the members that the set is to have; nil leaves it as it is. Only the owner of the quorum key acts
+// on it, and only while no other change is under way.
+func (b *Replica) ChangeMembers(members []units.Node) {
+	b.wanted = slices.Clone(members)
+	slices.Sort(b.wanted)
 }
 
-// WantSet asks for a next set that differs by one disk, or by the size that it is to have.
-func (b *Replica) ChangeMembers(now units.Time, v QuorumSet) {
-	if b.quorum.Version == 0 || b.Owner(KeyQuorum) != b.self || b.change != nil || len(v.Members) == 0 {
+// changeTick begins the change that is wanted, or completes the one under way, whoever began it.
+func (b *Replica) changeTick(now units.Time, out *message.Effects) {
+	o := b.owned[KeyQuorum]
+	if o == nil || b.Owner(KeyQuorum) != b.self || o.phase != holding || !o.fresh {
 		return
 	}
-	if k := diff(b.quorum.Members, v.Members); k > 1 || k == 0 && v.Size == b.quorum.Size {
+	if b.quorum.Joint() {
+		b.completeChange(now, o, out)
 		return
 	}
-	l := slices.Clone(v.Members)
-	slices.Sort(l)
-	b.change = &change{want: QuorumSet{Version: b.quorum.Version + 1, Size: v.Size, Members: l}, since: now, seen: map[units.Node]bool{},
-		keys: map[string]uint64{}, done: map[uint64]bool{}, asked: now.Add(-time.Second), read: now.Add(-time.Second)}
+	b.transfer = nil
+	if len(b.wanted) > 0 && !slices.Equal(b.wanted, b.quorum.Members) {
+		b.writeQuorum(now, o, b.quorum.joint(b.wanted), out)
+	}
 }
 
-func diff(a, b []units.Node) int {
-	k := 0
-	for _, n := range a {
-		if !slices.Contains(b, n) {
-			k++
-		}
-	}
-	for _, n := range b {
-		if !slices.Contains(a, n) {
-			k++
-		}
-	}
-	return k
+func (b *Replica) writeQuorum(now units.Time, o *ownership, next QuorumSet, out *message.Effects) {
+	value := State{Seq: o.best.Seq + 1, Num: next.Version, Body: packBody(nil, next.Pack())}
+	b.write(now, o, value, nil, out)
 }
 
-func (b *Replica) changeTick(now units.Time, out *message.Effects) {
-	c := b.change
-	if c == nil {
+// completeChange ends a joint set once all keys stand under it.
+func (b *Replica) completeChange(now units.Time, o *ownership, out *message.Effects) {
+	t := b.transfer
+	if t == nil || t.version != b.quorum.Version {
+		before := now.Add(-resend)
+		t = &transfer{version: b.quorum.Version, listed: map[units.Node]bool{}, readTags: map[string]uint64{}, done: map[uint64]bool{}, listedAt: before, readAt: before}
+		b.transfer = t
+	}
+	if !b.quorum.Majority(t.listed) {
+		b.askForKeys(now, t, out)
 		return
 	}
-	o := b.owned[KeyQuorum]
-	if b.quorum.Version >= c.want.Version || now.Sub(c.since) > 10*time.Second || o == nil || b.Owner(KeyQuorum) != b.self {
-		b.change = nil
+	if len(t.done) < len(t.readTags) {
+		b.readKeys(now, t, out)
 		return
 	}
-	if o.phase != holding || !o.fresh {
-		return
-	}
-	if c.sent {
-		b.change = nil // its write was fenced off, and what stands is the old set: begin again
+	b.writeQuorum(now, o, b.quorum.completed(), out)
+}
+
+func (b *Replica) askForKeys(now units.Time, t *transfer, out *message.Effects) {
+	if now.Sub(t.listedAt) < resend {
 		return
 	}
-	if !b.quorum.Majority(c.seen) {
-		if now.Sub(c.asked) >= resend {
-			c.asked = now
-			for _, n := range b.quorum.Members {
-				out.Send(n, ListKeys, b.pack(head{}, "", nil))
-			}
+	t.listedAt = now
+	for _, n := range b.quorum.All() {
+		if !t.listed[n] {
+			out.Send(n, ListKeys, b.pack(head{}, "", nil))
 		}
+	}
+}
+
+func (b *Replica) readKeys(now units.Time, t *transfer, out *message.Effects) {
+	if now.Sub(t.readAt) < resend {
 		return
 	}
-	if now.Sub(c.read) >= resend {
-		c.read = now
-		for _, k := range message.Keys(c.keys) {
-			tag := c.keys[k]
-			if !c.done[tag] {
-				out.Join(b.Submit(now, Request{Tag: tag, Key: k}))
-			}
+	t.readAt = now
+	for _, key := range message.Keys(t.readTags) {
+		if tag := t.readTags[key]; !t.done[tag] {
+			out.Join(b.Submit(now, Request{Tag: tag, Key: key}))
 		}
 	}
-	if len(c.done) < len(c.keys) {
-		return
-	}
-	c.sent = true
-	b.write(now, o, State{Seq: o.best.Seq + 1, Num: c.want.Version, Body: packBody(nil, c.want.Pack())}, nil, out)
 }
 
 // listKeys answers with the keys on this disk, behind the disk's queue.
 func (b *Replica) listKeys(n message.Message, out *message.Effects) {
-	var l [][]byte
-	for _, k := range message.Keys(b.states) {
-		l = append(l, []byte(k))
+	var keys [][]byte
+	for _, key := range message.Keys(b.states) {
+		keys = append(keys, []byte(key))
 	}
-	out.SendAfterSync(n.From, KeyList, b.pack(head{}, "", message.PackList(l)))
+	out.SendAfterSync(n.From, KeyList, b.pack(head{}, "", message.PackList(keys)))
 }
 
-func (b *Replica) keysAre(n message.Message, ver units.Num, body []byte) {
-	c := b.change
-	if c == nil || ver != b.quorum.Version {
+// keysListed takes a replica's list of keys, if it was made under the joint set.
+func (b *Replica) keysListed(now units.Time, n message.Message, version units.Num, body []byte, out *message.Effects) {
+	t := b.transfer
+	if t == nil || version != t.version || version != b.quorum.Version {
 		return
 	}
-	l, err := message.UnpackList(body)
+	keys, err := message.UnpackList(body)
 	if err != nil {
+		out.Fail(err)
 		return
 	}
-	c.seen[n.From] = true
-	for _, k := range l {
-		if _, ok := c.keys[string(k)]; !ok && string(k) != KeyQuorum {
+	t.listed[n.From] = true
+	for _, key := range keys {
+		if _, known := t.readTags[string(key)]; !known && string(key) != KeyQuorum {
 			b.tag++
-			c.keys[string(k)] = changeTag | b.tag
+			t.readTags[string(key)] = transferTag | b.tag
 		}
 	}
+	b.changeTick(now, out)
+}
+
+// replied takes an owner's answer. A transfer's read counts only if it was served under the joint set.
+func (b *Replica) replied(now units.Time, version units.Num, r Result, out *message.Effects) {
+	if r.Tag&transferTag != 0 && version != b.quorum.Version {
+		return
+	}
+	b.result(now, r, out)
 }
 
-// result keeps the change's own reads apart from operators' calls.
-func (b *Replica) result(r Result) {
-	if r.Tag&changeTag == 0 {
+// result keeps a transfer's own reads apart from operators' requests.
+func (b *Replica) result(now units.Time, r Result, out *message.Effects) {
+	if r.Tag&transferTag == 0 {
 		b.Results = append(b.Results, r)
 		return
 	}
-	if c := b.change; c != nil && r.Code == synop.OK {
-		c.done[r.Tag] = true
+	if t := b.transfer; t != nil && r.Code == synop.OK && t.awaits(r.Tag) {
+		t.done[r.Tag] = true
+		b.changeTick(now, out)
+	}
+}
+
+// awaits says whether a read belongs to this transfer and not to an older one.
+func (t *transfer) awaits(tag uint64) bool {
+	for _, x := range t.readTags {
+		if x == tag {
+			return true
+		}
 	}
+	return false
 }
--- a/internal/control/register/coreview.go
+++ b/internal/control/register/coreview.go
@@ -1,36 +1,36 @@
 package register
 
 import (
-	"time"
+	"slices"
 
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/units"
 )
 
-// Look is what membership shows of the core, for owners, founders and the doctor.
+// CoreView is what membership shows of the controllers, for owners, founders and the planner.
 type CoreView struct {
 	Eligible    []units.Node        // may own keys: a suspect may not, since a change of owner costs a round and waiting costs seconds
 	Blank       []units.Node        // alive and without a vote
 	FleetExists bool                // somebody has heard of a fleet that stands
 	Controllers []membership.Member // the live barometers
 	Lost        map[units.Node]bool // barometers at whose address another one lives now: their disks were lost
-	replaced    []membership.Member // the same
+	departed    map[units.Node]bool // controllers that have said goodbye
 	diskless    bool                // no barometer has a disk that counts: then each one counts (design 13)
 }
 
-// LookAt reads membership.
+// ViewCore reads membership.
 func ViewCore(all []membership.Member) (l CoreView) {
-	l.Lost, l.diskless = replaced(all), true
+	l.Lost, l.departed, l.diskless = replaced(all), map[units.Node]bool{}, true
 	for _, m := range all {
 		live := m.State <= membership.Suspect && !l.Lost[m.Node]
 		if m.Role != membership.Controller {
 			l.FleetExists = l.FleetExists || live && m.Flags&membership.Ready != 0
 			continue
 		}
-		if l.diskless = l.diskless && m.Flags&membership.Counts == 0; live {
+		l.diskless = l.diskless && m.Flags&membership.Counts == 0
+		l.departed[m.Node] = m.State == membership.Left
+		if live {
 			l.Controllers = append(l.Controllers, m)
-		} else if l.Lost[m.Node] {
-			l.replaced = append(l.replaced, m)
 		}
 		if usable(m) && live {
 			l.Eligible = append(l.Eligible, m.Node)
@@ -67,53 +67,40 @@
 	return lost
 }
 
-// lostVoter is how long a voter must be gone before a learner takes its place (start).
-const lostVoter = 5 * time.Second
+// StandsBy says whether a replica outside of the set could take a seat in it.
+func (l CoreView) StandsBy(q QuorumSet) bool { return len(l.others(q)) > 0 }
 
-// Doctor replaces lost voters by learners, one step at a time (design 2).
-type Doctor struct {
-	Founders int
-	gone     map[units.Node]units.Time
+// others lists the replicas that are not of the set, whose disks count and can be used.
+func (l CoreView) others(q QuorumSet) []membership.Member {
+	return slices.DeleteFunc(slices.Clone(l.Controllers), func(m membership.Member) bool {
+		return q.Has(m.Node) || !l.counts(m) || !usable(m)
+	})
 }
 
-// Next gives the set of voters that should come next, or nothing.
-func (d *Doctor) Next(now units.Time, v QuorumSet, l CoreView) []units.Node {
-	if d.gone == nil {
-		d.gone = map[units.Node]units.Time{}
-	}
-	if v.Version == 0 {
-		return nil
-	}
-	live := map[units.Node]bool{}
-	var learner, gone units.Node
-	for _, n := range l.Eligible {
-		live[n] = true
-		if !v.Has(n) && (learner == 0 || n < learner) {
-			learner = n
+// counts says whether a controller's disk counts, or stands in for one where nobody's does.
+func (l CoreView) counts(m membership.Member) bool {
+	return l.diskless || m.Flags&membership.Counts != 0
+}
+
+// zone is where a controller is, as far as is known.
+func (l CoreView) zone(n units.Node) string {
+	for _, m := range l.Controllers {
+		if m.Node == n {
+			return m.Zone
 		}
 	}
-	for _, n := range v.Members {
-		if live[n] {
-			delete(d.gone, n)
-			continue
-		}
-		if _, ok := d.gone[n]; !ok {
-			d.gone[n] = now
-		}
-		if now.Sub(d.gone[n]) >= lostVoter && (gone == 0 || n < gone) {
-			gone = n
-		}
+	return ""
+}
+
+// leaving says whether a controller has said that it will end, or has ended.
+func (l CoreView) leaving(n units.Node) bool {
+	if l.departed[n] {
+		return true
 	}
-	var ids []units.Node
-	switch {
-	case learner != 0 && (gone != 0 && len(v.Members) <= d.Founders || len(v.Members) < d.Founders):
-		return append(append(ids, v.Members...), learner)
-	case gone != 0 && len(v.Members) > d.Founders:
-		for _, n := range v.Members {
-			if n != gone {
-				ids = append(ids, n)
-			}
+	for _, m := range l.Controllers {
+		if m.Node == n {
+			return m.Flags&membership.Draining != 0
 		}
 	}
-	return ids
+	return false
 }
--- a/internal/control/register/found.go
+++ b/internal/control/register/found.go
@@ -34,7 +34,7 @@
 		return
 	}
 	if !slices.Equal(ids, f.set.Members) {
-		f.set, f.got = QuorumSet{Version: 1, Members: ids}, map[units.Node]bool{}
+		f.set, f.got = foundingSet(ids), map[units.Node]bool{}
 	}
 	f.lead = ids[0] == b.self
 }
@@ -52,7 +52,7 @@
 	if v, err := UnpackQuorumSet(b.vote); b.vote != nil && err == nil {
 		set, lead = v, v.Members[0] == b.self
 	} else if len(ids) > 0 {
-		set = QuorumSet{Version: 1, Size: len(ids), Members: ids}
+		set = foundingSet(ids)
 	}
 	if f.lead = lead; !slices.Equal(set.Members, f.set.Members) {
 		f.set, f.got = set, map[units.Node]bool{}
@@ -100,7 +100,7 @@
 		}
 	}
 	v := f.set
-	b.adopt(v, out)
+	b.adopt(v, out) // the first set: no other system is known yet
 	for _, x := range v.Members {
 		if x != b.self {
 			out.SendAfterSync(x, Reply, b.pack(head{}, "", nil))
--- a/internal/control/register/messages.go
+++ b/internal/control/register/messages.go
@@ -1,8 +1,6 @@
 package register
 
 import (
-	"slices"
-
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
@@ -41,61 +39,7 @@
 func (h head) epoch() units.Epoch  { return units.Epoch{N: h.N, By: units.Node(h.By)} }
 func (h head) higher() units.Epoch { return units.Epoch{N: h.HN, By: units.Node(h.HBy)} }
 
-// Voters is the set of disks that vote, with its version.
-type QuorumSet struct {
-	Version units.Num
-	Size    int // how many it is to hold, where voters grow: what it has above that stands in for one that is gone (design 13)
-	Members []units.Node
-}
-
-type (
-	verHead  struct{ Ver uint64 }
-	sizeHead struct{ Ver, Size uint64 }
-)
-
-// Pack lays the set out.
-func (v QuorumSet) Pack() []byte {
-	items := make([][]byte, len(v.Members))
-	for i, n := range v.Members {
-		items[i] = message.Pack(verHead{uint64(n)})
-	}
-	return message.Pack(sizeHead{uint64(v.Version), uint64(v.Size)}, message.PackList(items))
-}
-
-// UnpackVoters is the inverse.
-func UnpackQuorumSet(b []byte) (QuorumSet, error) {
-	var h sizeHead
-	var list []byte
-	if err := message.Unpack(b, &h, &list); err != nil {
-		return QuorumSet{}, err
-	}
-	items, err := message.UnpackList(list)
-	v := QuorumSet{Version: units.Num(h.Ver), Size: int(h.Size)}
-	for _, t := range items {
-		var x verHead
-		if err == nil {
-			err = message.Unpack(t, &x)
-		}
-		v.Members = append(v.Members, units.Node(x.Ver))
-	}
-	return v, err
-}
-
-// Has says whether n votes.
-func (v QuorumSet) Has(n units.Node) bool { return slices.Contains(v.Members, n) }
-
-// Most says whether got holds a majority of the set.
-func (v QuorumSet) Majority(got map[units.Node]bool) bool {
-	k := 0
-	for _, n := range v.Members {
-		if got[n] {
-			k++
-		}
-	}
-	return len(v.Members) > 0 && k > len(v.Members)/2
-}
-
-// Slot is a voter's state of one key.
+// State is an acceptor's state of one key.
 type State struct {
 	Promised units.Epoch
 	Accepted units.Epoch
--- a/internal/control/register/owner.go
+++ b/internal/control/register/owner.go
@@ -1,6 +1,8 @@
 package register
 
 import (
+	"slices"
+
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
@@ -70,12 +72,12 @@
 	}
 }
 
-// targets are the voters; while voters change, those of both sets.
+// targets are the replicas of the set; while another is being written, those of both.
 func (b *Replica) targets(o *ownership) []units.Node {
-	l := append([]units.Node(nil), b.quorum.Members...)
-	if v, ok := b.pendingQuorum(o); ok {
-		for _, n := range v.Members {
-			if !b.quorum.Has(n) {
+	l := b.quorum.All()
+	if next, ok := b.pendingQuorum(o); ok {
+		for _, n := range next.All() {
+			if !slices.Contains(l, n) {
 				l = append(l, n)
 			}
 		}
@@ -165,11 +167,11 @@
 }
 
 func (b *Replica) chosen(now units.Time, o *ownership, out *message.Effects) {
-	v, joint := b.pendingQuorum(o)
+	v, changed := b.pendingQuorum(o)
 	o.best, o.phase, o.fresh = o.next, holding, true
 	a := o.by
 	o.by = nil
-	if joint {
+	if changed {
 		b.adopt(v, out) // drops every ownership, this one too: all begin again under the new set
 		for _, n := range b.eligible {
 			out.Send(n, Reply, b.pack(head{}, "", nil)) // carries the new set
--- a/internal/control/register/reachability.go
+++ b/internal/control/register/reachability.go
@@ -42,7 +42,7 @@
 		return
 	}
 	b.reach.sent = now
-	for _, n := range b.quorum.Members {
+	for _, n := range b.quorum.All() {
 		if n != b.self {
 			out.Send(n, Ping, nil)
 		}
--- a/internal/control/register/replica.go
+++ b/internal/control/register/replica.go
@@ -10,7 +10,7 @@
 	"seamshunt/internal/units"
 )
 
-// News is a chosen value, for the configpush.
+// ChosenValue is a value that a majority has accepted, to be pushed to all nodes.
 type ChosenValue struct {
 	Key  string
 	Num  units.Num
@@ -23,7 +23,7 @@
 // gone; then this one acquires the key anew, which also lets repair bring all copies to one epoch (design 2).
 const idle = 3 * time.Second
 
-// Register is the step machine: voter, owner and passer-on of operators' calls.
+// Replica is the step machine of one node: acceptor, owner of keys, and forwarder of requests to other owners.
 type Replica struct {
 	self         units.Node
 	run          units.Node // a fresh name for each start, so that no epoch is ever used twice
@@ -38,7 +38,8 @@
 	found        *founding
 	Chosen       []ChosenValue
 	Results      []Result
-	change       *change
+	wanted       []units.Node // the members that the set is to have; none: those it has
+	transfer     *transfer
 	reach        reach
 }
 
@@ -89,7 +90,9 @@
 		out.Fail(err)
 		return out
 	}
-	b.adopt(v, &out)
+	if !b.adopt(v, &out) {
+		return out
+	}
 	b.highestEpoch = max(b.highestEpoch, h.N, h.HN)
 	k := string(key)
 	switch n.Kind {
@@ -105,12 +108,12 @@
 		c := synop.Code(h.Code)
 		if h.Tag != 0 && (c != synop.Unsure && c != synop.NoMajority || !b.again(h.Tag)) {
 			delete(b.requests, h.Tag)
-			b.result(Result{Tag: h.Tag, Code: synop.Code(h.Code), Num: units.Num(h.Num), Data: body})
+			b.replied(now, v.Version, Result{Tag: h.Tag, Code: synop.Code(h.Code), Num: units.Num(h.Num), Data: body}, &out)
 		}
 	case ListKeys:
 		b.listKeys(n, &out)
 	case KeyList:
-		b.keysAre(n, v.Version, body)
+		b.keysListed(now, n, v.Version, body, &out)
 	case FoundingVote:
 		b.foundVote(n, body, &out)
 	case FoundingVoted:
--- a/internal/control/register/request.go
+++ b/internal/control/register/request.go
@@ -23,7 +23,7 @@
 	a.From = b.self
 	to := b.Owner(a.Key)
 	if b.quorum.Version == 0 || to == 0 {
-		b.result(Result{Tag: a.Tag, Code: synop.NoMajority})
+		b.result(now, Result{Tag: a.Tag, Code: synop.NoMajority}, &out)
 		return out
 	}
 	w := &pendingRequest{Request: a, to: to, at: now}
--- a/internal/hollow/core.go
+++ b/internal/hollow/core.go
@@ -25,21 +25,21 @@
 
 // core is package controller without its web side, its locks and its file.
 type core struct {
-	n    *node
-	baro *register.Replica
-	duty *lease.Lease
-	iso  *antientropy.Syncer
-	roll *screen.Roll
-	sky  *discovery.Catalog
-	turn map[string]*discovery.Schedule
-	doc  register.Doctor
-	tag  uint64
+	n       *node
+	baro    *register.Replica
+	duty    *lease.Lease
+	iso     *antientropy.Syncer
+	roll    *screen.Roll
+	sky     *discovery.Catalog
+	turn    map[string]*discovery.Schedule
+	planner register.Planner
+	tag     uint64
 }
 
 func newCore(n *node) *core {
 	w := n.w
 	c := &core{n: n, baro: register.New(n.self, units.Node(w.rng.Uint64())), roll: screen.LoadRoll(n.self, w.Now, nil), sky: discovery.New(),
-		turn: map[string]*discovery.Schedule{}, doc: register.Doctor{Founders: Founders}}
+		turn: map[string]*discovery.Schedule{}, planner: register.Planner{FixedSize: Founders, ReplaceAfter: register.ReplaceFixedAfter}}
 	c.duty = lease.New(n.self, "platform", func() []units.Node { return c.baro.Quorum().Members }, w.Now, rand.New(rand.NewPCG(w.rng.Uint64(), 1)))
 	c.iso = antientropy.New(n.self, w.Now, rand.New(rand.NewPCG(w.rng.Uint64(), 2)))
 	n.bull.Stored = func() map[string]units.Num { return c.baro.StoredNumbers() }
@@ -88,12 +88,10 @@
 	c.n.bull.Fresh = nil
 	c.baro.SetEligible(look.Eligible)
 	c.baro.FoundFixed(Founders, look)
-	if ids := c.doc.Next(now, c.baro.Quorum(), look); ids != nil {
-		c.baro.Want(now, ids)
-	}
+	c.baro.ChangeMembers(c.planner.Next(now, c.baro.Quorum(), look))
 	out.Join(c.baro.Tick(now))
 	out.Join(c.roll.Tick(now, c.baro.Quorum()))
-	out.Join(c.iso.Tick(now, c.baro.Quorum().Members, c.baro.States()))
+	out.Join(c.iso.Tick(now, c.baro.Quorum().All(), c.baro.States()))
 	voter := c.baro.Quorum().Has(c.n.self)
 	m.Flag(membership.Voter, voter)
 	m.Flag(membership.Unfit, !c.baro.ReachesMajority(now))
--- a/internal/rig/simulator/sim.go
+++ b/internal/rig/simulator/sim.go
@@ -61,6 +61,8 @@
 	Counts bool
 	First  bool
 	Seeds  []string
+	// Tolerates is how many machines with a disk may be lost at once.
+	Tolerates int
 }
 
 // Sim is one world.
