A voter that joins abstains for a term, as one that has just started does

Cause: with a member replaced in one step, a majority of the next set could grant the lease while a majority of the last set's still stood (TestNewVoterAbstains fails without it: two holders at 1.2 s). Order tests run beside others.

--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -1,4 +1,4 @@
-// Package lease fills one-node duties by a round of ballots whenever they fall vacant (design 5).
+// Package lease gives a duty to one node at a time, by the votes of a majority for a term (design 5).
 package lease
 
 import (
@@ -10,7 +10,7 @@
 	"seamshunt/internal/units"
 )
 
-// The notes of ballots.
+// The messages of leases.
 const (
 	Stand = message.KindLease + iota
 	Vote
@@ -37,12 +37,13 @@
 	until units.Time
 }
 
-// Ballot is the step machine for one duty.
+// Lease is the step machine for one duty.
 type Lease struct {
 	self   units.Node
 	Duty   string
 	Voters func() []units.Node
-	born   units.Time
+	born   units.Time // since when this node may have voted for somebody it doesn't remember
+	voter  bool       // it was one of the voters when last asked
 	grant  grant
 	round  uint64
 	sent   units.Time
@@ -82,8 +83,19 @@
 	b.next = now.Add(time.Duration(b.rng.Int64N(int64(renew))))
 }
 
+// joined notes when this node becomes a voter. It abstains for a term, as after a start: until then a lease may stand that
+// a majority of the voters without it has granted.
+func (b *Lease) joined(now units.Time) {
+	voter := slices.Contains(b.Voters(), b.self)
+	if voter && !b.voter {
+		b.born = max(b.born, now)
+	}
+	b.voter = voter
+}
+
 // Tick stands for the duty when it is vacant, and renews it when it is ours. A node that leaves does not stand.
 func (b *Lease) Tick(now units.Time, stand bool) (out message.Effects) {
+	b.joined(now)
 	if b.got != nil && !b.Holds(now) && now.Sub(b.sent) >= count {
 		b.lost(now, &out)
 	}
@@ -115,6 +127,7 @@
 	}
 	switch n.Kind {
 	case Stand:
+		b.joined(now)
 		ok := now >= b.born.Add(Term) && (now >= b.grant.until || b.grant.to == n.From)
 		r := head{Round: h.Round}
 		if ok {
--- a/internal/control/lease/lease_test.go
+++ b/internal/control/lease/lease_test.go
@@ -75,3 +75,54 @@
 		}
 	}
 }
+
+// A holder's voters are replaced while its term stands: nobody else holds the lease before that term is over.
+func TestNewVoterAbstains(t *testing.T) {
+	for seed := range uint64(50) {
+		voters := []units.Node{1, 2, 3}
+		nodes := map[units.Node]*Lease{}
+		for n := units.Node(1); n <= 4; n++ {
+			nodes[n] = New(n, "d", func() []units.Node { return voters }, 0, rand.New(rand.NewPCG(seed, uint64(n))))
+		}
+		now := units.Time(0)
+		silent := units.Node(0)
+		var deliver func(from units.Node, out message.Effects)
+		deliver = func(from units.Node, out message.Effects) {
+			for _, m := range out.Messages {
+				if m.From = from; m.To != silent && from != silent {
+					deliver(m.To, nodes[m.To].Step(now, m))
+				}
+			}
+		}
+		holders := func() (l []units.Node) {
+			for n := units.Node(1); n <= 4; n++ {
+				if nodes[n].Holds(now) {
+					l = append(l, n)
+				}
+			}
+			return l
+		}
+		silent = 1 // so that only two of the three vote for the holder
+		for len(holders()) == 0 {
+			now = now.Add(10 * time.Millisecond)
+			for n := units.Node(1); n <= 4; n++ {
+				deliver(n, nodes[n].Tick(now, n == 3))
+			}
+		}
+		voters, silent = []units.Node{1, 2, 4}, 3
+		second := false
+		for end := now.Add(4 * Term); now < end; now = now.Add(10 * time.Millisecond) {
+			for n := units.Node(1); n <= 4; n++ {
+				deliver(n, nodes[n].Tick(now, n == 1 || n == 4))
+			}
+			l := holders()
+			if len(l) > 1 {
+				t.Fatalf("seed %d at %v: %v hold the lease", seed, time.Duration(now), l)
+			}
+			second = second || len(l) == 1 && l[0] != 3
+		}
+		if !second {
+			t.Errorf("seed %d: nobody took the lease over", seed)
+		}
+	}
+}
--- a/internal/rig/simulator/orders_core_test.go
+++ b/internal/rig/simulator/orders_core_test.go
@@ -114,6 +114,7 @@
 // A voter is added while an owner under the old set writes: whatever is acknowledged, in any order, an owner under
 // the new set finds, also one whose majority holds the new disk.
 func TestOrdersVoterChange(t *testing.T) {
+	t.Parallel()
 	changed, acked := 0, 0
 	n := orders(6, func(choose func(int) int) {
 		b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
@@ -138,7 +139,10 @@
 		b.put(1, m[1].Tick(b.now))
 		b.put(1, m[1].Submit(b.now, register.Request{Tag: 2, Key: "k", Write: true, Expect: 1, Data: []byte("two")}))
 		b.run(choose, func() {})
-		quiet(2600, 8, 1)
+		for round := 0; round < 8 && (m[1].Quorum().Joint() || !m[1].Quorum().Has(4)); round++ {
+			quiet(2600+400*round, 1, 1)
+		}
+		quiet(5800, 1, 1)
 		if q := m[1].Quorum(); !q.Joint() && q.Has(4) {
 			changed++
 		}
