A leaving member waits until the set can do without it

The wait asked for a stand-in; it asks the planner's own wish now, so a set that shrinks is waited for as well. Test: TestOneOfTwoLeaves, TestPlannerShrinksForLeavers.

--- a/internal/control/controller/submit.go
+++ b/internal/control/controller/submit.go
@@ -50,23 +50,23 @@
 // Spans of leaving (start values).
 const (
 	handOver      = 500 * time.Millisecond
-	leaveWithin   = 3 * time.Second // how long a leaving member waits until a stand-in has its seat
+	leaveWithin   = 3 * time.Second // how long a leaving member waits until the set can do without it
 	leaveLookEach = 50 * time.Millisecond
 )
 
-// leaveQuorum waits until another has this node's seat in the quorum set, where one stands by: what only this disk and few
+// leaveQuorum waits until this node is out of the quorum set, where the set can do without it: what only this disk and few
 // others hold is on a majority of the next set before this one ends.
 func (c *Controller) leaveQuorum() {
 	until := c.Crew.Now().Add(min(leaveWithin, c.Boot.Bounds.Grace/2))
-	for c.Crew.Now() < until && c.hasStandIn() {
+	for c.Crew.Now() < until && c.givesUpSeat() {
 		c.Crew.Sleep(leaveLookEach)
 	}
 }
 
-// hasStandIn says whether this node is a member of the quorum set and a replica that could take its seat is there.
-func (c *Controller) hasStandIn() bool {
-	q := c.voters()
-	return q.Has(c.Self) && (q.Joint() || register.ViewCore(c.Members()).StandsBy(q))
+func (c *Controller) givesUpSeat() bool {
+	c.replicaMu.Lock()
+	defer c.replicaMu.Unlock()
+	return c.replica.GivesUpSeat()
 }
 
 // Drain hands keys and duty over, then leaves.
--- a/internal/control/register/change.go
+++ b/internal/control/register/change.go
@@ -32,6 +32,14 @@
 	slices.Sort(b.wanted)
 }
 
+// GivesUpSeat says whether this replica is a member still and the set is to go on without it.
+func (b *Replica) GivesUpSeat() bool {
+	if !b.quorum.Has(b.self) {
+		return false
+	}
+	return b.quorum.Joint() || len(b.wanted) > 0 && !slices.Contains(b.wanted, b.self)
+}
+
 // changeTick begins the change that is wanted, or completes the one under way, whoever began it.
 func (b *Replica) changeTick(now units.Time, out *message.Effects) {
 	o := b.owned[KeyQuorum]
--- a/internal/control/register/coreview.go
+++ b/internal/control/register/coreview.go
@@ -67,9 +67,6 @@
 	return lost
 }
 
-// StandsBy says whether a replica outside of the set could take a seat in it.
-func (l CoreView) StandsBy(q QuorumSet) bool { return len(l.others(q)) > 0 }
-
 // others lists the replicas that are not of the set, whose disks count and can be used.
 func (l CoreView) others(q QuorumSet) []membership.Member {
 	return slices.DeleteFunc(slices.Clone(l.Controllers), func(m membership.Member) bool {
--- /dev/null
+++ b/internal/control/register/planner_size_test.go
@@ -0,0 +1,43 @@
+package register
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/units"
+)
+
+// A set of a fixed size replaces members that are gone for long, and keeps the seats of others.
+func TestPlannerOfFixedSize(t *testing.T) {
+	all := []membership.Member{core(1, "a", membership.Counts), core(2, "b", membership.Counts), core(3, "c", membership.Counts), core(4, "d", membership.Counts), core(5, "e", membership.Counts)}
+	q := QuorumSet{Version: 1, Members: []units.Node{1, 2, 3, 4}}
+	p := &Planner{FixedSize: 4, ReplaceAfter: ReplaceFixedAfter}
+	now := units.Time(time.Second)
+	if got := p.Next(now, q, ViewCore(all)); got != nil {
+		t.Errorf("all are there: %v", got)
+	}
+	all[1].State = membership.Dead
+	_ = p.Next(now, q, ViewCore(all))
+	if got := p.Next(now.Add(4*time.Second), q, ViewCore(all)); got != nil {
+		t.Errorf("one is away for a while: %v", got)
+	}
+	if got := p.Next(now.Add(6*time.Second), q, ViewCore(all)); !slices.Equal(got, []units.Node{1, 3, 4, 5}) {
+		t.Errorf("one is gone: %v", got)
+	}
+}
+
+// Where no loss must be borne, the set shrinks to what is left once a member says that it leaves.
+func TestPlannerShrinksForLeavers(t *testing.T) {
+	all := []membership.Member{core(1, "a", membership.Counts), core(2, "b", membership.Counts|membership.Draining)}
+	p := &Planner{MinSize: 1, ReplaceAfter: ReplaceAfter}
+	q := QuorumSet{Version: 1, Members: []units.Node{1, 2}}
+	if got := p.Next(units.Time(time.Second), q, ViewCore(all)); !slices.Equal(got, []units.Node{1}) {
+		t.Errorf("one of two leaves: %v", got)
+	}
+	p = &Planner{MinSize: 3, ReplaceAfter: ReplaceAfter}
+	if got := p.Next(units.Time(time.Second), q, ViewCore(all)); got != nil {
+		t.Errorf("one of two leaves where a loss is to be borne: %v", got)
+	}
+}
--- a/internal/rig/simulator/replace_member_test.go
+++ b/internal/rig/simulator/replace_member_test.go
@@ -39,8 +39,7 @@
 		if h.life != life {
 			return
 		}
-		q := c.Replica.Quorum()
-		waits := q.Has(c.Self) && (q.Joint() || register.ViewCore(c.gossip.All()).StandsBy(q))
+		waits := c.Replica.GivesUpSeat()
 		if gone := w.Now.Sub(began); gone < 500*time.Millisecond || waits && gone < 3500*time.Millisecond {
 			w.After(50*time.Millisecond, look)
 			return
@@ -231,8 +230,7 @@
 	c.Drain = true
 	var look func()
 	look = func() {
-		q := c.Replica.Quorum()
-		waits := q.Has(c.Self) && (q.Joint() || register.ViewCore(c.gossip.All()).StandsBy(q))
+		waits := c.Replica.GivesUpSeat()
 		if gone := w.Now.Sub(began); h.life == life && (gone < 500*time.Millisecond || waits && gone < 3500*time.Millisecond) {
 			w.After(50*time.Millisecond, look)
 			return
@@ -245,3 +243,17 @@
 	}
 	look()
 }
+
+// Of two machines, of which none need be borne to be lost, one leaves for good: the other goes on alone.
+func TestOneOfTwoLeaves(t *testing.T) {
+	t.Parallel()
+	for seed := *from; seed < *from+20; seed++ {
+		w := grown(seed, 2)
+		w.Run(units.Time(5 * time.Second))
+		w.put(t, 0)
+		w.leaveCore(pick(w, w.coreH))
+		w.Run(w.Now.Add(4 * time.Second))
+		text, num := w.putAgain(t, 1)
+		w.readBack(t, text, num)
+	}
+}
