--- a/internal/rig/simulator/replace_member_test.go
+++ b/internal/rig/simulator/replace_member_test.go
@@ -31,25 +31,34 @@
 }
 
 // leaveCore stops a core machine in order, as Controller.Drain does, and removes it for good.
-func (w *World) leaveCore(h *Host) {
+func (w *World) leaveCore(h *Host) { w.leaveInOrder(h, func() { w.remove(h) }) }
+
+// leaveAndReturn stops a core machine in order and starts it again a second after it has ended.
+func (w *World) leaveAndReturn(h *Host) {
+	w.leaveInOrder(h, func() { w.bounce(h, time.Second, true) })
+}
+
+// leaveInOrder has a core machine hand over what it owns and its seat, and say goodbye; then it ends. One that is killed
+// meanwhile does not.
+func (w *World) leaveInOrder(h *Host, end func()) {
 	c, life, began := w.cores[h], h.life, w.Now
 	c.Drain = true
+	ifAlive := func(then func()) func() {
+		return func() {
+			if h.life == life {
+				then()
+			}
+		}
+	}
 	var look func()
 	look = func() {
-		if h.life != life {
-			return
-		}
-		waits := c.Replica.GivesUpSeat()
-		if gone := w.Now.Sub(began); gone < 500*time.Millisecond || waits && gone < 3500*time.Millisecond {
-			w.After(50*time.Millisecond, look)
+		gone := w.Now.Sub(began)
+		if gone < 500*time.Millisecond || c.Replica.GivesUpSeat() && gone < 3500*time.Millisecond {
+			w.After(50*time.Millisecond, ifAlive(look))
 			return
 		}
 		w.Inject(h, func(units.Time) message.Effects { return c.gossip.Leave() })
-		w.After(100*time.Millisecond, func() {
-			if h.life == life {
-				w.remove(h)
-			}
-		})
+		w.After(100*time.Millisecond, ifAlive(end))
 	}
 	look()
 }
@@ -224,26 +233,6 @@
 	return text, num
 }
 
-// leaveAndReturn stops a core machine in order and starts it again a second after it has ended.
-func (w *World) leaveAndReturn(h *Host) {
-	c, life, began := w.cores[h], h.life, w.Now
-	c.Drain = true
-	var look func()
-	look = func() {
-		waits := c.Replica.GivesUpSeat()
-		if gone := w.Now.Sub(began); h.life == life && (gone < 500*time.Millisecond || waits && gone < 3500*time.Millisecond) {
-			w.After(50*time.Millisecond, look)
-			return
-		}
-		if h.life != life {
-			return
-		}
-		w.Inject(h, func(units.Time) message.Effects { return c.gossip.Leave() })
-		w.After(100*time.Millisecond, func() { w.bounce(h, time.Second, true) })
-	}
-	look()
-}
-
 // Of two machines, of which none need be borne to be lost, one leaves for good: the other goes on alone.
 func TestOneOfTwoLeaves(t *testing.T) {
 	t.Parallel()
