--- a/internal/control/antientropy/antientropy.go
+++ b/internal/control/antientropy/antientropy.go
@@ -1,5 +1,6 @@
 // Package antientropy compares copies of the control state by digests over ranges, and has them mended from the newer
-// (design 2).
+// (design 2). A member that may have missed writes compares with every other member in turn, at once; one that has
+// nothing to catch up with compares with one other each Gap.
 package antientropy
 
 import (
@@ -12,148 +13,183 @@
 	"seamshunt/internal/units"
 )
 
-// The notes of repair. Mending itself is the owner's last Accept once more, so a voter's promises guard it.
+// The messages of a comparison. Root opens it; where the sums differ, Digests answers it, and Ranges answers those. Who
+// gets Ranges mends what is older there, shows its own part back if something is older here, and says in a Verdict
+// whether it held anything newer. Mending itself is the owner's last Accept once more, so an acceptor's promises guard it.
 const (
 	Digests = message.KindAntiEntropy + iota
 	Ranges
+	Root
+	Verdict
 )
 
-// Parts is how many ranges the keys fall into, by hash.
-const Parts = 16
+// Gap between two comparisons by one member that has nothing to catch up with (start).
+const Gap = 1500 * time.Millisecond
 
-// Gap between two comparisons by one node (start).
-const Gap = 2 * time.Second
+// Mend sends a key's accepted value to another member.
+type Mend func(to units.Node, key string) message.Effects
 
-type digests struct{ Sum [Parts]uint64 }
-
-type rangeHead struct {
-	Mask uint64
-	Back uint8 // shown in return: not to be returned once more
-}
-
-type keyHead struct{ N, By, Seq uint64 }
-
-// Isobar is the step machine.
+// Syncer is the step machine.
 type Syncer struct {
-	self   units.Node
-	rng    *rand.Rand
-	next   units.Time
-	Mended int
+	self    units.Node
+	next    units.Time
+	turn    int          // whom of the members to compare with next
+	others  []units.Node // the other members at the last tick; none while this node is no member itself
+	member  bool         // was in the quorum at the last tick
+	healthy bool         // could take part at the last tick
+	catchUp *catchUp
+	Mended  int // copies of others that were older than the ones here
+	Ignored int // messages of who is no member
 }
 
-// New gives one that begins after a random part of the gap.
+// New gives one that begins after a random part of the gap, with a random member. It was just started, so it catches up
+// first.
 func New(self units.Node, now units.Time, rng *rand.Rand) *Syncer {
-	return &Syncer{self: self, rng: rng, next: now.Add(time.Duration(rng.Int64N(int64(Gap))))}
+	s := &Syncer{self: self, next: now.Add(time.Duration(rng.Int64N(int64(Gap)))), turn: rng.IntN(1 << 16), healthy: true}
+	return s
 }
 
-func part(key string) int { return int(units.Mix(key) % Parts) }
-
-func sums(slots map[string]*register.State) (d digests) {
-	for _, k := range message.Keys(slots) {
-		s := slots[k]
-		d.Sum[part(k)] += units.Mix(k, units.Hex(s.Accepted.N), s.Accepted.By.String(), units.Hex(s.Seq))
+// SetHealthy tells whether this node reaches a majority and its disk takes writes. One that does not can't be mended and
+// asks nobody; it may miss writes meanwhile, and catches up afterwards.
+func (s *Syncer) SetHealthy(ok bool) {
+	if ok && !s.healthy {
+		s.CatchUp()
 	}
-	return d
+	s.healthy = ok
 }
 
-// Tick compares with one other voter, a random one each time. Who has no vote holds no copy: it would be told of every
-// key again and again.
-func (i *Syncer) Tick(now units.Time, voters []units.Node, slots map[string]*register.State) (out message.Effects) {
-	if now < i.next || len(voters) < 2 || !slices.Contains(voters, i.self) {
+// Tick compares with one other member. Who is not in the quorum holds no copy: it would be told of every key again and
+// again.
+func (s *Syncer) Tick(now units.Time, members []units.Node, states map[string]*register.State) (out message.Effects) {
+	if !slices.Contains(members, s.self) {
+		s.member, s.others = false, nil
 		return out
 	}
-	i.next = now.Add(Gap)
-	n := voters[i.rng.IntN(len(voters))]
-	if n != i.self {
-		out.Send(n, Digests, message.Pack(sums(slots)))
+	if !s.member {
+		s.member = true
+		s.CatchUp()
 	}
+	s.others = slices.DeleteFunc(slices.Clone(members), func(n units.Node) bool { return n == s.self })
+	if len(s.others) == 0 || !s.healthy {
+		return out
+	}
+	if s.catchUp != nil && s.catchUp.done(s.others) {
+		s.catchUp, s.next = nil, now.Add(Gap)
+	}
+	if !s.ready(now) {
+		return out
+	}
+	head := rootHead{Sum: sums(states).root()}
+	var to units.Node
+	if s.catchUp != nil {
+		var wait time.Duration
+		to, wait = s.catchUp.ask(s.others, &s.turn)
+		s.next, head.Answer = now.Add(wait), 1
+	} else {
+		to = s.others[s.turn%len(s.others)]
+		s.turn++
+		s.next = now.Add(Gap)
+	}
+	out.Send(to, Root, message.Pack(head))
 	return out
 }
 
-// Step takes one note; mend sends a key's accepted value to another voter.
-func (i *Syncer) Step(n message.Message, slots map[string]*register.State, mend func(to units.Node, key string) message.Effects) (out message.Effects) {
+// Step takes one message; of a node that is no member, none.
+func (s *Syncer) Step(n message.Message, states map[string]*register.State, mend Mend) (out message.Effects) {
+	if !slices.Contains(s.others, n.From) {
+		s.Ignored++
+		return out
+	}
+	var err error
 	switch n.Kind {
+	case Root:
+		err = compareRoot(n, states, &out)
 	case Digests:
-		var d digests
-		if err := message.Unpack(n.Body, &d); err != nil {
-			out.Fail(err)
-			return out
-		}
-		mine, mask := sums(slots), uint64(0)
-		for p := range Parts {
-			if mine.Sum[p] != d.Sum[p] {
-				mask |= 1 << p
-			}
-		}
-		if mask != 0 {
-			out.Send(n.From, Ranges, list(rangeHead{Mask: mask}, slots))
-		}
+		err = compareDigests(n, states, &out)
 	case Ranges:
-		out.Fail(i.ranges(n, slots, mend, &out))
+		err = s.compareRanges(n, states, mend, &out)
+	case Verdict:
+		err = s.judged(n)
 	}
+	out.Fail(err)
 	return out
 }
 
-func list(h rangeHead, slots map[string]*register.State) []byte {
-	var l [][]byte
-	for _, k := range message.Keys(slots) {
-		if s := slots[k]; h.Mask>>part(k)&1 == 1 {
-			l = append(l, message.Pack(keyHead{s.Accepted.N, uint64(s.Accepted.By), s.Seq}, []byte(k)))
-		}
+func compareRoot(n message.Message, states map[string]*register.State, out *message.Effects) error {
+	var h rootHead
+	if err := message.Unpack(n.Body, &h); err != nil {
+		return err
+	}
+	mine := sums(states)
+	switch {
+	case mine.root() != h.Sum:
+		out.Send(n.From, Digests, message.Pack(mine))
+	case h.Answer == 1:
+		out.Send(n.From, Verdict, message.Pack(verdictHead{}))
 	}
-	return message.Pack(h, message.PackList(l))
+	return nil
 }
 
-// ranges mends what is older there, and shows its own part back when something is older here.
-func (i *Syncer) ranges(n message.Message, slots map[string]*register.State, mend func(units.Node, string) message.Effects, out *message.Effects) error {
-	var h rangeHead
-	var b []byte
-	if err := message.Unpack(n.Body, &h, &b); err != nil {
+func compareDigests(n message.Message, states map[string]*register.State, out *message.Effects) error {
+	var theirs digests
+	if err := message.Unpack(n.Body, &theirs); err != nil {
 		return err
 	}
-	l, err := message.UnpackList(b)
+	// Where nothing differs any more, the list is empty and brings the verdict.
+	out.Send(n.From, Ranges, list(rangeHead{Mask: sums(states).differing(theirs)}, states))
+	return nil
+}
+
+// compareRanges mends what is older there, and shows its own part back when something is older here.
+func (s *Syncer) compareRanges(n message.Message, states map[string]*register.State, mend Mend, out *message.Effects) error {
+	h, theirs, err := unpackRanges(n.Body)
 	if err != nil {
 		return err
 	}
-	theirs := map[string]keyHead{}
-	for _, t := range l {
-		var x keyHead
-		var k []byte
-		if err := message.Unpack(t, &x, &k); err != nil {
-			return err
-		}
-		theirs[string(k)] = x
-	}
-	behind := false
-	for _, k := range message.Keys(slots) {
-		s := slots[k]
-		if h.Mask>>part(k)&1 == 0 {
+	ahead, behind := false, false
+	for _, key := range message.Keys(states) {
+		if !held(states[key]) || h.Mask>>part(key)&1 == 0 {
 			continue
 		}
-		switch c := order(s, theirs[k]); {
+		switch c := order(states[key], theirs[key]); {
 		case c > 0:
-			i.Mended++
-			out.Join(mend(n.From, k))
+			ahead = true
+			s.Mended++
+			out.Join(mend(n.From, key))
 		case c < 0:
 			behind = true
 		}
 	}
-	for k := range theirs {
-		behind = behind || slots[k] == nil
+	for key := range theirs {
+		behind = behind || !held(states[key])
+	}
+	if behind {
+		s.behind(n.From)
+	}
+	if h.Back == 1 {
+		return nil
+	}
+	if behind {
+		out.Send(n.From, Ranges, list(rangeHead{h.Mask, 1}, states))
 	}
-	if behind && h.Back == 0 {
-		out.Send(n.From, Ranges, list(rangeHead{h.Mask, 1}, slots))
+	verdict := verdictHead{}
+	if ahead {
+		verdict.Newer = 1
 	}
+	out.Send(n.From, Verdict, message.Pack(verdict))
 	return nil
 }
 
-func order(s *register.State, x keyHead) int {
-	e := units.Epoch{N: x.N, By: units.Node(x.By)}
-	switch {
-	case e.Less(s.Accepted) || e == s.Accepted && s.Seq > x.Seq:
-		return 1
-	case s.Accepted.Less(e) || e == s.Accepted && s.Seq < x.Seq:
-		return -1
+// judged takes what another member made of this one's copies.
+func (s *Syncer) judged(n message.Message) error {
+	var v verdictHead
+	if err := message.Unpack(n.Body, &v); err != nil {
+		return err
 	}
-	return 0
+	if v.Newer == 1 {
+		s.behind(n.From)
+	} else {
+		s.current(n.From)
+	}
+	return nil
 }
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -96,6 +96,7 @@
 		c.leaseMu.Unlock()
 		c.replicaMu.Lock()
 		c.replica.Resume(now)
+		c.syncer.CatchUp()
 		c.replicaMu.Unlock()
 	}
 	c.Refused = func(now units.Time, l []units.Node) {
@@ -221,6 +222,7 @@
 	out := c.replica.Tick(now)
 	c.roll.Low = low
 	out.Join(c.roll.Tick(now, c.replica.Quorum()))
+	c.syncer.SetHealthy(!unfit)
 	out.Join(c.syncer.Tick(now, c.replica.Quorum().Members, c.replica.States()))
 	voter := c.replica.Quorum().Has(c.Self)
 	news := c.drain()
--- a/internal/control/controller/platform_poll.go
+++ b/internal/control/controller/platform_poll.go
@@ -26,6 +26,7 @@
 	c.replicaMu.Lock()
 	defer c.replicaMu.Unlock()
 	c.replica, c.roll = b, screen.LoadRoll(c.Self, c.Crew.Now(), a.Live())
+	c.syncer.CatchUp()
 	c.disk.mu.Lock()
 	c.disk.queue = nil // what the old machine said rests on writes that the disk has not
 	c.disk.mu.Unlock()
--- a/internal/control/register/acceptor.go
+++ b/internal/control/register/acceptor.go
@@ -115,7 +115,7 @@
 // promised a higher epoch refuses it, as it would a late one.
 func (b *Replica) Resend(to units.Node, key string) (out message.Effects) {
 	s := b.states[key]
-	if s == nil || s.Num == 0 {
+	if s == nil || s.Accepted == (units.Epoch{}) {
 		return out
 	}
 	h := head{N: s.Accepted.N, By: uint64(s.Accepted.By), Seq: s.Seq, Num: uint64(s.Num)}
--- a/internal/hollow/core.go
+++ b/internal/hollow/core.go
@@ -93,6 +93,7 @@
 	}
 	out.Join(c.baro.Tick(now))
 	out.Join(c.roll.Tick(now, c.baro.Quorum()))
+	c.iso.SetHealthy(c.baro.ReachesMajority(now))
 	out.Join(c.iso.Tick(now, c.baro.Quorum().Members, c.baro.States()))
 	voter := c.baro.Quorum().Has(c.n.self)
 	m.Flag(membership.Voter, voter)
--- /dev/null
+++ b/internal/rig/simulator/catchup_test.go
@@ -0,0 +1,227 @@
+package simulator
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/control/register"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+var (
+	catchUpSeeds   = flag.Int("catch-up-seeds", 5, "seeds of each deployment and kind of loss in TestCatchUp")
+	catchUpChanges = flag.Int("catch-up-changes", 100, "changes of each such seed")
+	catchUpLong    = flag.Int("catch-up-long", 0, "seeds of each deployment with a thousand changes")
+)
+
+// catchUpBound is catch_up_s of the deployments: a lost member counts as lost for so long after its return.
+const catchUpBound = 4 * time.Second
+
+// A memberLoss takes one member away; heal brings it back.
+type memberLoss struct {
+	name string
+	lose func(w *World, i int)
+	heal func(w *World, i int)
+}
+
+func startAgain(w *World, i int) {
+	if h := w.coreH[i]; h.Proc == nil {
+		w.Start(h)
+	}
+}
+
+var memberLosses = []memberLoss{
+	{"down", func(w *World, i int) { w.Kill(w.coreH[i]); w.Refuse(w.coreH[i]) }, startAgain},
+	{"power lost", func(w *World, i int) { w.Kill(w.coreH[i]) }, startAgain},
+	{"wiped", func(w *World, i int) { w.Kill(w.coreH[i]); w.coreH[i].Disk.Wipe() }, startAgain},
+	{"replaced at another address", func(w *World, i int) {
+		w.loseDisk(i, time.Hour, true) // this test starts it
+	}, startAgain},
+	{"slow disk", func(w *World, i int) { w.coreH[i].Disk.Delay = 150 * time.Millisecond },
+		func(w *World, i int) { w.coreH[i].Disk.Delay = NewDisk().Delay }},
+	{"stalled disk", func(w *World, i int) { w.coreH[i].Disk.Stalled = true }, func(w *World, i int) { w.coreH[i].Disk.Stalled = false }},
+	{"full disk", func(w *World, i int) { w.coreH[i].Disk.Full, w.coreH[i].Disk.used = true, reserve+1 },
+		func(w *World, i int) { w.coreH[i].Disk.Full = false }},
+	{"frozen", func(w *World, i int) { w.Freeze(w.coreH[i]) }, func(w *World, i int) { w.Thaw(w.coreH[i]) }},
+	{"cut off", func(w *World, i int) { w.coreH[i].Dark = true }, func(w *World, i int) { w.coreH[i].Dark = false }},
+	{"restarted repeatedly", func(w *World, i int) {
+		for k := range 4 {
+			w.After(time.Duration(k)*250*time.Millisecond, func() { w.Kill(w.coreH[i]) })
+			w.After(time.Duration(k)*250*time.Millisecond+120*time.Millisecond, func() { startAgain(w, i) })
+		}
+	}, startAgain},
+}
+
+// A catchUpRun has operators change the configuration and the zones while members are lost and come back.
+type catchUpRun struct {
+	*World
+	changes int // how many are to be acknowledged
+	acked   int
+	paused  bool          // no change is begun: nobody writes again what the lost ones missed
+	most    time.Duration // the longest absence
+	took    []time.Duration
+}
+
+func newCatchUpRun(seed uint64, disks, changes int) *catchUpRun {
+	p := Place{Name: fmt.Sprintf("catch-up%d", disks), Grow: true}
+	for i := range disks {
+		p.Cores = append(p.Cores, fmt.Sprintf("z%d", i%4+1))
+	}
+	r := &catchUpRun{World: NewWorld(p, seed), changes: changes, most: 3 * time.Second}
+	if changes >= 1000 {
+		r.most = 20 * time.Second // hundreds of changes go by
+	}
+	r.Run(units.Time(6 * time.Second))
+	return r
+}
+
+// text gives bytes of mixed sizes: mostly small, some of a page, few of a large configuration.
+func (r *catchUpRun) text() string {
+	r.serial++
+	size := 50 + r.Rng.IntN(800)
+	switch x := r.Rng.IntN(100); {
+	case x == 0:
+		size = 100 << 10
+	case x < 10:
+		size = 4 << 10
+	}
+	return fmt.Sprintf("%d %s", r.serial, strings.Repeat("x", size))
+}
+
+func (r *catchUpRun) operate() {
+	if r.acked >= r.changes {
+		return
+	}
+	key := "config"
+	if x := r.Rng.IntN(8); x < 4 {
+		key = fmt.Sprintf("zone/z%d", x+1)
+	}
+	if !r.paused {
+		r.change(key, r.text(), func(o *Op) {
+			if o.Code == synop.OK {
+				r.acked++
+			}
+		})
+	}
+	r.After(20*time.Millisecond+time.Duration(r.Rng.Int64N(int64(60*time.Millisecond))), r.operate)
+}
+
+// ask has the member that came back answer a read, at once and a little later: from old state it must not.
+func (r *catchUpRun) ask(i int) {
+	for _, d := range []time.Duration{0, 20 * time.Millisecond, 200 * time.Millisecond, time.Second} {
+		r.After(d, func() {
+			if h := r.coreH[i]; r.alive(h) {
+				r.callAt(r.cores[h], register.Request{Key: "config"}, nil)
+			}
+		})
+	}
+}
+
+// round loses some members in one way, has them back, and measures until each holds all that anyone holds.
+func (r *catchUpRun) round(t *testing.T, l memberLoss) {
+	t.Helper()
+	lost := []int{r.Rng.IntN(len(r.coreH))}
+	if len(r.coreH) > 4 && r.Rng.IntN(2) == 0 {
+		lost = append(lost, (lost[0]+1+r.Rng.IntN(len(r.coreH)-1))%len(r.coreH))
+	}
+	for _, i := range lost {
+		l.lose(r.World, i)
+	}
+	r.Run(r.Now.Add(time.Second + time.Duration(r.Rng.Int64N(int64(r.most)))))
+	r.paused = r.Rng.IntN(2) == 0
+	for _, i := range lost {
+		l.heal(r.World, i)
+		r.ask(i)
+	}
+	d, ok := r.until(20*time.Second, func() bool {
+		for _, i := range lost {
+			if !r.filled(i) {
+				return false
+			}
+		}
+		return true
+	})
+	r.took = append(r.took, d)
+	if !ok || d > catchUpBound {
+		t.Errorf("%s: %s of %v at change %d: caught up after %v; voters %v", r.Name, l.name, lost, r.acked, d, r.voters())
+	}
+	r.Run(r.Now.Add(max(0, catchUpBound-d)))
+	r.paused = false
+}
+
+// play runs all changes, then judges the histories and what is kept.
+func (r *catchUpRun) play(t *testing.T, losses ...memberLoss) {
+	t.Helper()
+	r.operate()
+	for k := 0; r.acked < r.changes && k < r.changes; k++ {
+		r.round(t, losses[(k+r.Rng.IntN(len(losses)))%len(losses)])
+	}
+	r.Run(r.Now.Add(10 * time.Second))
+	r.alike()
+	for _, f := range append(r.Faults, Linear(r.History)...) {
+		t.Errorf("%s: %s", r.Name, f)
+	}
+	keys := len(message.Keys(r.cores[r.coreH[0]].Replica.States()))
+	for _, h := range r.coreH {
+		if n := controlRecords(h.Disk); n > 2*keys+2 { // a promise and a value of each, the set of voters, the founding vote
+			t.Errorf("%s: %s keeps %d records of %d keys after %d changes", r.Name, h.Addr, n, keys, r.acked)
+		}
+	}
+}
+
+// controlRecords counts the control state's records on a disk; claims have others.
+func controlRecords(d *Disk) (n int) {
+	for _, x := range d.Records() {
+		if x.Kind >= register.RecordPromise && x.Kind <= register.RecordFoundingVote {
+			n++
+		}
+	}
+	return n
+}
+
+// Members that are lost in any way while changes go on hold every key's newest value within catch_up_s of their return,
+// and no answer comes from old state (design 2).
+func TestCatchUp(t *testing.T) {
+	for _, disks := range []int{3, 4, 5, 6} {
+		for _, l := range memberLosses {
+			t.Run(fmt.Sprintf("%d disks %s", disks, l.name), func(t *testing.T) {
+				t.Parallel()
+				var took []time.Duration
+				for seed := range uint64(*catchUpSeeds) {
+					r := newCatchUpRun(*from+seed, disks, *catchUpChanges)
+					r.play(t, l)
+					took = append(took, r.took...)
+				}
+				t.Logf("%d disks, %s: caught up %s after the return", disks, l.name, Spread(took))
+			})
+		}
+	}
+}
+
+// The same with a thousand changes and every kind of loss, off the CI path: -catch-up-long with how many seeds.
+func TestCatchUpAfterAThousandChanges(t *testing.T) {
+	if *catchUpLong == 0 {
+		t.Skip("-catch-up-long 0")
+	}
+	for _, disks := range []int{3, 4, 5, 6} {
+		var mu sync.Mutex
+		var took []time.Duration
+		t.Cleanup(func() { t.Logf("%d disks, a thousand changes: caught up %s after the return", disks, Spread(took)) })
+		for seed := range uint64(*catchUpLong) {
+			t.Run(fmt.Sprintf("%d disks seed %d", disks, *from+seed), func(t *testing.T) {
+				t.Parallel()
+				r := newCatchUpRun(*from+seed, disks, 1000)
+				r.play(t, memberLosses...)
+				mu.Lock()
+				defer mu.Unlock()
+				took = append(took, r.took...)
+			})
+		}
+	}
+}
--- a/internal/rig/simulator/core.go
+++ b/internal/rig/simulator/core.go
@@ -88,6 +88,7 @@
 			Woke: func(now units.Time) {
 				c.Lease.Drop()
 				c.Replica.Resume(now)
+				c.Syncer.CatchUp()
 			}}
 		c.Reload = func() {
 			c.Replica = register.New(self, units.Node(s.Rng.Uint64()))
@@ -95,6 +96,9 @@
 				panic(err)
 			}
 			c.Roll = screen.LoadRoll(self, s.Now, h.Disk.Records())
+			if c.Syncer != nil {
+				c.Syncer.CatchUp()
+			}
 		}
 		c.Reload()
 		c.Lease = lease.New(self, "platform", func() []units.Node { return c.Replica.Quorum().Members }, s.Now, rand.New(rand.NewPCG(s.Rng.Uint64(), 5)))
@@ -126,7 +130,8 @@
 }
 
 func (c *Core) tick(now units.Time) message.Effects {
-	c.gossip.Flag(membership.Unfit, c.H.Disk.Unfit(now) || !c.Replica.ReachesMajority(now))
+	unfit := c.H.Disk.Unfit(now) || !c.Replica.ReachesMajority(now)
+	c.gossip.Flag(membership.Unfit, unfit)
 	c.gossip.Flag(membership.Draining, c.Drain)
 	all, out := c.beat(now, c.Self)
 	look := register.ViewCore(all)
@@ -152,6 +157,7 @@
 	c.gossip.Flag(membership.Voter, voter)
 	c.drain(now, &out)
 	out.Join(c.Lease.Tick(now, voter && !c.Drain))
+	c.Syncer.SetHealthy(!unfit)
 	out.Join(c.Syncer.Tick(now, c.Replica.Quorum().Members, c.Replica.States()))
 	for _, it := range c.feed.Fresh {
 		if strings.HasPrefix(it.Key, discovery.Prefix) {
