--- /dev/null
+++ b/internal/storage/wal/mark.go
@@ -0,0 +1,71 @@
+package wal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+)
+
+// markName is the file that says how much of the log was synced. It is written after each sync of the log and not synced
+// itself, so it may lag behind after a loss of power, but never runs ahead: a log that holds less has lost what it
+// once answered for, even where its end looks like a torn tail or its name is gone.
+const markName = "wal.mark"
+
+// mark is a lower bound of what the log must hold.
+type mark struct {
+	Generation uint64
+	Records    uint32
+}
+
+const markLen = 16
+
+func (m mark) bytes() []byte {
+	b, _ := binary.Append(nil, binary.LittleEndian, m)
+	return binary.LittleEndian.AppendUint32(b, crc32.Checksum(b, table))
+}
+
+// parseMark reads a mark; one that isn't whole says nothing.
+func parseMark(b []byte) (m mark, ok bool) {
+	if len(b) != markLen || binary.LittleEndian.Uint32(b[markLen-4:]) != crc32.Checksum(b[:markLen-4], table) {
+		return m, false
+	}
+	_, err := binary.Decode(b, binary.LittleEndian, &m)
+	return m, err == nil
+}
+
+// checkMark compares what a file holds with the mark in its folder.
+func checkMark(dir string, c contents) error {
+	b, err := os.ReadFile(filepath.Join(dir, markName))
+	if err != nil {
+		return nil // a folder of an earlier version, or the mark never reached the disk
+	}
+	m, ok := parseMark(b)
+	if ok && (m.Generation > c.generation || m.Generation == c.generation && m.Records > c.records) {
+		return fmt.Errorf("%w: %d records of generation %d are left of %d of generation %d",
+			ErrDamaged, c.records, c.generation, m.Records, m.Generation)
+	}
+	return nil
+}
+
+// writeMark says that all there is in the file was synced. Without it the older mark stands, which is a bound as well.
+func (a *Log) writeMark() {
+	if a.mark == nil {
+		f, err := os.OpenFile(filepath.Join(a.dir, markName), os.O_RDWR|os.O_CREATE, 0o644)
+		if err != nil {
+			return
+		}
+		a.mark = f
+	}
+	_, _ = a.mark.WriteAt(mark{Generation: a.generation, Records: a.seq}.bytes(), 0)
+}
+
+// closeMark syncs the mark: nothing more is written.
+func (a *Log) closeMark() {
+	if a.mark != nil {
+		_ = a.mark.Sync()
+		_ = a.mark.Close()
+		a.mark = nil
+	}
+}
--- a/internal/storage/wal/rewrite.go
+++ b/internal/storage/wal/rewrite.go
@@ -30,17 +30,14 @@
 
 func (a *Log) rewrite() error {
 	_ = os.Remove(filepath.Join(a.dir, reserve))
-	tmp := filepath.Join(a.dir, name+".new")
+	tmp := filepath.Join(a.dir, newName)
 	f, err := os.Create(tmp)
 	if err != nil {
-		return fmt.Errorf("wal: rewrite: %w", err)
+		return a.keepReserve() // no descriptor, or no room for a name: the old file still holds everything
 	}
 	rs := a.Live()
 	slices.SortFunc(rs, func(x, y message.Record) int { return strings.Compare(id(x), id(y)) })
-	var b []byte
-	for i, r := range rs {
-		b = append(b, lay(r, uint32(i))...)
-	}
+	b := laySnapshot(rs, a.generation+1)
 	_, err = f.Write(b)
 	if err == nil {
 		err = f.Sync()
@@ -60,7 +57,9 @@
 		return fmt.Errorf("%w: rename: %w", ErrSick, err)
 	}
 	a.f.Close()
-	a.f, a.size, a.seq, a.end = f, int64(len(b)), uint32(len(rs)), int64(len(b))
+	a.f, a.size, a.seq, a.end = f, int64(len(b)), uint32(len(rs))+1, int64(len(b))
+	a.generation++
+	a.writeMark()
 	if err := a.keepReserve(); err != nil {
 		return err
 	}
@@ -136,9 +135,28 @@
 	return nil
 }
 
-// SetAside keeps a damaged file under another name; the disk is blank from then on.
+// makeDir has a folder whose name outlives a loss of power.
+func makeDir(dir string) error {
+	if _, err := os.Stat(dir); err == nil {
+		return nil
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fmt.Errorf("wal: %w", err)
+	}
+	return syncDir(filepath.Dir(dir))
+}
+
+// SetAside keeps a damaged file under another name; the disk is blank from then on. The mark goes last: while it stands,
+// a folder without the file is damaged as well.
 func SetAside(dir string) error {
-	if err := os.Rename(filepath.Join(dir, name), filepath.Join(dir, name+".damaged")); err != nil {
+	err := os.Rename(filepath.Join(dir, name), filepath.Join(dir, name+".damaged"))
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return fmt.Errorf("wal: set aside: %w", err)
+	}
+	if err := syncDir(dir); err != nil {
+		return err
+	}
+	if err := os.Remove(filepath.Join(dir, markName)); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return fmt.Errorf("wal: set aside: %w", err)
 	}
 	return syncDir(dir)
