A damaged disk says so in log, metric and status, and never founds a fleet; pauses by rounds

Cause: a damaged disk was only logged as blank, and where the founders are counted it could found a fleet anew once all disks were blank or damaged. wal.damaged in the folder now bars it, also at later starts.

--- a/internal/control/antientropy/catchup.go
+++ b/internal/control/antientropy/catchup.go
@@ -8,7 +8,7 @@
 
 // Spans and counts of catching up (start values).
 const (
-	shortPause = 150 * time.Millisecond // between two questions, doubled while nothing good comes of them
+	shortPause = 150 * time.Millisecond // between two questions, doubled after each round that no good answer came in
 	longPause  = 2 * time.Second
 	maxSilent  = 3 // questions without an answer after which a member is passed over
 )
@@ -18,7 +18,7 @@
 	clean  map[units.Node]bool // holds nothing newer than what is here
 	silent map[units.Node]int  // questions since the last answer
 	pause  time.Duration
-	open   bool // the last question is not answered
+	asked  int  // questions since the last good answer, in this round
 	wait   bool // newer copies are on their way: the next question waits for them
 }
 
@@ -34,7 +34,7 @@
 	if c == nil {
 		return
 	}
-	c.clean[from], c.silent[from], c.open, c.pause = true, 0, false, shortPause
+	c.clean[from], c.silent[from], c.asked, c.pause = true, 0, 0, shortPause
 	if !c.wait {
 		s.next = 0
 	}
@@ -47,7 +47,7 @@
 	}
 	c := s.catchUp
 	clear(c.clean)
-	c.silent[from], c.open, c.wait = 0, false, true
+	c.silent[from], c.wait = 0, true
 }
 
 // ready says whether the next question is due; it is put off while newer copies may be on their way.
@@ -55,15 +55,14 @@
 	if c := s.catchUp; c != nil && c.wait {
 		c.wait = false
 		s.next = now.Add(c.pause)
-		c.pause = min(2*c.pause, longPause)
 	}
 	return now >= s.next
 }
 
 // ask picks the member to ask next, and how long to wait for its answer.
 func (c *catchUp) ask(others []units.Node, turn *int) (to units.Node, wait time.Duration) {
-	if c.open {
-		c.pause = min(2*c.pause, longPause)
+	if c.asked++; c.asked > len(others) {
+		c.asked, c.pause = 1, min(2*c.pause, longPause)
 	}
 	for range others {
 		to = others[*turn%len(others)]
@@ -72,7 +71,6 @@
 			break
 		}
 	}
-	c.open = true
 	c.silent[to]++
 	return to, c.pause
 }
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -48,6 +48,7 @@
 	seeds     register.Seeds // where voters are founded from seeds and grow
 	grower    register.Grower
 	born      []string            // the seeds that the disk bears
+	heir      bool                // a damaged file was set aside on this disk
 	audit     chan entry          // to the one writer of the audit record
 	missed    atomic.Uint64       // acknowledged changes that the audit record lacks
 	syncer    *antientropy.Syncer // under baroMu
@@ -59,12 +60,13 @@
 
 // New opens the disk, and with it learns who it is. The book, if any, is the outside world that it speaks with.
 func New(b *boot.Boot, book *codebook.Book) (*Controller, error) {
-	a, self, blank, err := openDisk(b)
+	o, err := openDisk(b)
 	if err != nil {
 		return nil, err
 	}
+	a, self := o.log, o.self
 	c := &Controller{Tower: tower.New(b, self, membership.Controller), waits: map[uint64]chan register.Result{}, doctor: register.Doctor{Founders: b.Founders}, catalog: discovery.New(), adapter: book}
-	c.audit = make(chan entry, 256)
+	c.audit, c.heir = make(chan entry, 256), o.heir
 	c.disk.file = a
 	c.disk.wake = make(chan struct{}, 1)
 	c.replica = register.New(self, tower.Random())
@@ -78,7 +80,10 @@
 		c.door = book.Control(c.Control())
 	}
 	c.roll = screen.LoadRoll(self, c.Crew.Now(), a.Live())
-	if blank {
+	if o.damage != nil {
+		c.sayDamage(o.damage)
+	}
+	if o.blank {
 		c.Log.Warn("a blank disk: this node has no vote yet")
 	}
 	c.tag.Store(uint64(tower.Random()) >> 2)
--- a/internal/control/controller/disk.go
+++ b/internal/control/controller/disk.go
@@ -22,11 +22,13 @@
 	wake  chan struct{}
 	since units.Time // when the write under way began; zero when idle
 	sick  bool
-	full  bool // a write found no room, not even in the reserve
-	low   bool // the disk gives no more room: the reserve is for operators' changes
-	tried units.Time
-	slow  time.Duration
-	fault func() error // planted by tests in place of the file's own
+	// damage is why the disk was set aside; nil for one that was whole
+	damage error
+	full   bool // a write found no room, not even in the reserve
+	low    bool // the disk gives no more room: the reserve is for operators' changes
+	tried  units.Time
+	slow   time.Duration
+	fault  func() error // planted by tests in place of the file's own
 }
 
 // later queues writes and what must wait for them. It never blocks.
@@ -99,14 +101,17 @@
 		return
 	}
 	c.disk.file.Close()
-	a, _, blank, err := openDisk(c.Boot)
-	if err != nil || blank {
+	o, err := openDisk(c.Boot)
+	if o.damage != nil {
+		c.sayDamage(o.damage)
+	}
+	if err != nil || o.blank {
 		c.Log.Error("the disk can't be opened again: this node stops voting")
 		return
 	}
-	c.reload(a)
+	c.reload(o.log)
 	c.disk.mu.Lock()
-	c.disk.file, c.disk.sick = a, false
+	c.disk.file, c.disk.sick = o.log, false
 	c.disk.mu.Unlock()
 }
 
--- a/internal/control/controller/disk_test.go
+++ b/internal/control/controller/disk_test.go
@@ -114,19 +114,19 @@
 func TestDamagedDiskIsBlank(t *testing.T) {
 	dir := t.TempDir()
 	b := &boot.Boot{Data: dir}
-	a, id, blank, err := openDisk(b)
-	if err != nil || !blank {
-		t.Fatal(blank, err)
+	o, err := openDisk(b)
+	if err != nil || !o.blank || o.damage != nil {
+		t.Fatal(o.blank, o.damage, err)
 	}
-	if err := a.Append(a.Live()); err != nil {
+	if err := o.log.Append(o.log.Live()); err != nil {
 		t.Fatal(err)
 	}
-	a.Close()
-	if a, again, blank, err := openDisk(b); err != nil || blank || again != id {
-		t.Fatal(again, blank, err)
-	} else {
-		a.Close()
+	o.log.Close()
+	again, err := openDisk(b)
+	if err != nil || again.blank || again.damage != nil || again.self != o.self {
+		t.Fatal(again.self, again.blank, again.damage, err)
 	}
+	again.log.Close()
 	path := filepath.Join(dir, "wal")
 	x, err := os.ReadFile(path)
 	if err != nil {
@@ -136,11 +136,11 @@
 	if err := os.WriteFile(path, x, 0o644); err != nil {
 		t.Fatal(err)
 	}
-	a, other, blank, err := openDisk(b)
-	if err != nil || !blank || other == id {
-		t.Fatalf("a damaged disk: %v blank %v, %v", other == id, blank, err)
+	other, err := openDisk(b)
+	if err != nil || !other.blank || other.damage == nil || other.self == o.self {
+		t.Fatalf("a damaged disk: %v blank %v, %v, %v", other.self == o.self, other.blank, other.damage, err)
 	}
-	a.Close()
+	other.log.Close()
 	if _, err := os.Stat(path + ".damaged"); err != nil {
 		t.Error(err)
 	}
--- a/internal/control/controller/grow_test.go
+++ b/internal/control/controller/grow_test.go
@@ -20,12 +20,12 @@
 func TestDiskOfTheFirstStart(t *testing.T) {
 	dir := t.TempDir()
 	look := func(b *boot.Boot) (bool, []string) {
-		a, _, _, err := openDisk(b)
+		o, err := openDisk(b)
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer a.Close()
-		f := founding(b, a.Live())
+		defer o.log.Close()
+		f := founding(b, o.log.Live())
 		return f.First, f.Addrs
 	}
 	first := []string{"a", "b", "c"}
--- a/internal/control/controller/open_disk.go
+++ b/internal/control/controller/open_disk.go
@@ -11,31 +11,49 @@
 	"seamshunt/internal/units"
 )
 
+// openedDisk is what a start found on the disk.
+type openedDisk struct {
+	log    *wal.Log
+	self   units.Node
+	blank  bool  // self is new: it has no vote
+	damage error // why what was there is not trusted; it is set aside
+	heir   bool  // a damaged file was set aside here, at this start or before: a fleet stood, and this disk founds none
+}
+
 // openDisk reads the wal; a blank or damaged one begins a new identity, which has no vote (design 2, 3).
-func openDisk(b *boot.Boot) (*wal.Log, units.Node, bool, error) {
-	a, err := wal.Open(b.Data, int64(b.Reserve))
-	damaged := errors.Is(err, wal.ErrDamaged)
-	if damaged {
+func openDisk(b *boot.Boot) (o openedDisk, err error) {
+	o.log, err = wal.Open(b.Data, int64(b.Reserve))
+	if errors.Is(err, wal.ErrDamaged) {
+		o.damage = err
 		if err = wal.SetAside(b.Data); err == nil {
-			a, err = wal.Open(b.Data, int64(b.Reserve))
+			o.log, err = wal.Open(b.Data, int64(b.Reserve))
 		}
 	}
 	if err != nil {
-		return nil, 0, false, err
+		return openedDisk{damage: o.damage}, err
 	}
-	for _, r := range a.Live() {
+	o.heir = wal.HasSetAside(b.Data)
+	for _, r := range o.log.Live() {
 		var h idHead
 		if r.Kind == recSelf && (message.Unpack(r.Data, &h, new([]byte)) == nil || message.Unpack(r.Data, &h) == nil) {
-			return a, units.Node(h.ID), false, nil
+			o.self = units.Node(h.ID)
+			return o, nil
 		}
 	}
-	id := tower.Random()
+	o.self, o.blank = tower.Random(), true
 	var seeds []string
-	if b.Grow && b.First && b.Counts && !damaged {
+	if b.Grow && b.First && b.Counts && !o.heir {
 		seeds = b.Seeds
 	}
-	err = a.Append([]message.Record{self(id, seeds)})
-	return a, id, true, err
+	return o, o.log.Append([]message.Record{self(o.self, seeds)})
+}
+
+// sayDamage tells operators that this disk begins anew as a learner.
+func (c *Controller) sayDamage(damage error) {
+	c.disk.mu.Lock()
+	c.disk.damage = damage
+	c.disk.mu.Unlock()
+	c.Log.WithError(damage).Error("the disk is damaged: it is set aside as wal.damaged, and this disk begins anew as a learner under a new identity")
 }
 
 type idHead struct{ ID uint64 }
--- a/internal/control/controller/quorum.go
+++ b/internal/control/controller/quorum.go
@@ -14,6 +14,7 @@
 		}
 		return
 	}
+	look.FleetExists = look.FleetExists || c.heir
 	c.replica.FoundFixed(c.Boot.Founders, look)
 	if ids := c.doctor.Next(now, c.replica.Quorum(), look); ids != nil {
 		c.replica.Want(now, ids)
--- a/internal/control/controller/status.go
+++ b/internal/control/controller/status.go
@@ -73,7 +73,11 @@
 	d := a.NewObject()
 	d.Set("sick", jsonBool(&a, c.disk.sick))
 	d.Set("full", jsonBool(&a, c.disk.full))
+	d.Set("set_aside", jsonBool(&a, c.heir))
 	d.Set("on_reserve", jsonBool(&a, c.disk.low))
+	if c.disk.damage != nil {
+		d.Set("damaged", a.NewString(c.disk.damage.Error()))
+	}
 	d.Set("last_sync_ms", a.NewNumberInt(int(c.disk.slow/time.Millisecond)))
 	c.disk.mu.Unlock()
 	o.Set("disk", d)
@@ -94,7 +98,7 @@
 		return "voter"
 	case c.Boot.Grow:
 		return c.grows(v, look)
-	case v.Version > 0 || look.FleetExists:
+	case v.Version > 0 || look.FleetExists || c.heir:
 		return "learner: it joins once a voter has been gone for 5 s, or one is missing"
 	case len(look.Blank) > c.Boot.Founders:
 		return fmt.Sprintf("founding: %d blank disks seen, %d wanted: end those that are too many", len(look.Blank), c.Boot.Founders)
@@ -141,9 +145,15 @@
 	c.polled.mu.Lock()
 	fmt.Fprintf(ctx, "seamshunt_platform_answers_total %d\nseamshunt_platform_failures_total %d\n", c.polled.ok, c.polled.bad)
 	c.polled.mu.Unlock()
-	n := 0
+	n, damaged := 0, 0
 	if c.disk.unfit(now) {
 		n = 1
 	}
+	c.disk.mu.Lock()
+	if c.disk.damage != nil {
+		damaged = 1
+	}
+	c.disk.mu.Unlock()
+	fmt.Fprintf(ctx, "seamshunt_disk_damaged %d\n", damaged)
 	fmt.Fprintf(ctx, "seamshunt_disk_unfit %d\nseamshunt_bad_frames_total %d\nseamshunt_bad_notes_total %d\nseamshunt_dropped_notes_total %d\nseamshunt_audit_missed_total %d\n", n, c.Transport.Bad.Load(), c.Errors.Load(), c.Dropped.Load(), c.missed.Load())
 }
--- a/internal/storage/wal/rewrite.go
+++ b/internal/storage/wal/rewrite.go
@@ -149,7 +149,7 @@
 // SetAside keeps a damaged file under another name; the disk is blank from then on. The mark goes last: while it stands,
 // a folder without the file is damaged as well.
 func SetAside(dir string) error {
-	err := os.Rename(filepath.Join(dir, name), filepath.Join(dir, name+".damaged"))
+	err := os.Rename(filepath.Join(dir, name), filepath.Join(dir, damagedName))
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return fmt.Errorf("wal: set aside: %w", err)
 	}
@@ -161,3 +161,9 @@
 	}
 	return syncDir(dir)
 }
+
+// HasSetAside says whether a damaged file lies in the folder.
+func HasSetAside(dir string) bool {
+	_, err := os.Stat(filepath.Join(dir, damagedName))
+	return err == nil
+}
--- a/internal/storage/wal/wal.go
+++ b/internal/storage/wal/wal.go
@@ -21,11 +21,12 @@
 )
 
 const (
-	name    = "wal"
-	newName = name + ".new" // a rewrite that has not got its name yet; never read
-	headLen = 16
-	most    = 32 << 20
-	reserve = "reserve"
+	name        = "wal"
+	newName     = name + ".new" // a rewrite that has not got its name yet; never read
+	damagedName = name + ".damaged"
+	headLen     = 16
+	most        = 32 << 20
+	reserve     = "reserve"
 )
 
 // Log is one open file; one writer uses it.
