--- a/internal/control/register/owner.go
+++ b/internal/control/register/owner.go
@@ -103,15 +103,15 @@
 
 // counted takes a voter's reply.
 func (b *Replica) counted(now units.Time, o *ownership, n message.Message, h head, body []byte, out *message.Effects) {
-	if h.epoch() != o.epoch || o.phase == none {
-		return
-	}
 	if o.phase == holding {
 		if h.Ok == 0 && o.epoch.Less(h.higher()) && n.Kind != Stale {
 			o.drop() // one member promised more: it takes no copy of this epoch, and could never be mended
 		}
 		return
 	}
+	if h.epoch() != o.epoch || o.phase == none {
+		return
+	}
 	if n.Kind == Stale {
 		return // the newer set came with it; a pending one is waited for
 	}
--- a/internal/control/register/stale_disk_test.go
+++ b/internal/control/register/stale_disk_test.go
@@ -213,3 +213,22 @@
 		t.Errorf("the member still holds number %d", n)
 	}
 }
+
+// The same where the owner is not aware that another owned the key in between: its copy bears the other's epoch, and the
+// refusal that one.
+func TestLateRefusalOfAnothersCopy(t *testing.T) {
+	g := newTrio()
+	g.believe(1)
+	g.write(t, 1, 1)
+	g.cut[3] = true
+	g.believe(2)
+	g.write(t, 2, 2)
+	g.believe(1)
+	g.replicas[3].state("config").Promised = units.Epoch{N: 1 << 20, By: 9}
+	g.cut[3] = false
+	g.deliver(1, g.replicas[1].Resend(3, "config"))
+	g.ticks(1, 2)
+	if n := g.replicas[3].StoredNumbers()["config"]; n != 2 {
+		t.Errorf("the member still holds number %d", n)
+	}
+}
