--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -47,6 +47,7 @@
 	seeds     register.Seeds      // where voters are founded from seeds and grow
 	planner   register.Planner    // which replicas the quorum set is to have
 	born      []string            // the seeds that the disk bears
+	heir      bool                // a damaged file was set aside on this disk
 	audit     chan entry          // to the one writer of the audit record
 	missed    atomic.Uint64       // acknowledged changes that the audit record lacks
 	syncer    *antientropy.Syncer // under baroMu
@@ -58,12 +59,13 @@
 
 // New opens the disk, and with it learns who it is. The book, if any, is the outside world that it speaks with.
 func New(b *boot.Boot, book *codebook.Book) (*Controller, error) {
-	a, self, blank, err := openDisk(b)
+	o, err := openDisk(b)
 	if err != nil {
 		return nil, err
 	}
+	a, self := o.log, o.self
 	c := &Controller{Tower: tower.New(b, self, membership.Controller), waits: map[uint64]chan register.Result{}, planner: newPlanner(b), catalog: discovery.New(), adapter: book}
-	c.audit = make(chan entry, 256)
+	c.audit, c.heir = make(chan entry, 256), o.heir
 	c.disk.file = a
 	c.disk.wake = make(chan struct{}, 1)
 	c.replica = register.New(self, tower.Random())
@@ -77,7 +79,10 @@
 		c.door = book.Control(c.Control())
 	}
 	c.roll = screen.LoadRoll(self, c.Crew.Now(), a.Live())
-	if blank {
+	if o.damage != nil {
+		c.sayDamage(o.damage)
+	}
+	if o.blank {
 		c.Log.Warn("a blank disk: this node has no vote yet")
 	}
 	c.tag.Store(uint64(tower.Random()) >> 2)
@@ -95,6 +100,7 @@
 		c.leaseMu.Unlock()
 		c.replicaMu.Lock()
 		c.replica.Resume(now)
+		c.syncer.CatchUp()
 		c.replicaMu.Unlock()
 	}
 	c.Refused = func(now units.Time, l []units.Node) {
@@ -220,6 +226,7 @@
 	out := c.replica.Tick(now)
 	c.roll.Low = low
 	out.Join(c.roll.Tick(now, c.replica.Quorum()))
+	c.syncer.SetHealthy(!unfit)
 	out.Join(c.syncer.Tick(now, c.replica.Quorum().All(), c.replica.States()))
 	voter := c.replica.Quorum().Has(c.Self)
 	news := c.drain()
--- a/internal/control/controller/quorum.go
+++ b/internal/control/controller/quorum.go
@@ -11,6 +11,7 @@
 	if c.Boot.Grow {
 		c.replica.FoundFromSeeds(c.seeds.Set(now, look))
 	} else {
+		look.FleetExists = look.FleetExists || c.heir
 		c.replica.FoundFixed(c.Boot.Founders, look)
 	}
 	c.replica.ChangeMembers(c.planner.Next(now, c.replica.Quorum(), look))
--- a/internal/hollow/core.go
+++ b/internal/hollow/core.go
@@ -91,6 +91,7 @@
 	c.baro.ChangeMembers(c.planner.Next(now, c.baro.Quorum(), look))
 	out.Join(c.baro.Tick(now))
 	out.Join(c.roll.Tick(now, c.baro.Quorum()))
+	c.iso.SetHealthy(c.baro.ReachesMajority(now))
 	out.Join(c.iso.Tick(now, c.baro.Quorum().All(), c.baro.States()))
 	voter := c.baro.Quorum().Has(c.n.self)
 	m.Flag(membership.Voter, voter)
