--- a/internal/control/controller/adapter_calls.go
+++ b/internal/control/controller/adapter_calls.go
@@ -69,16 +69,6 @@
 	return x.Version, warm
 }
 
-// heard is the configuration that this node last had news of: it was chosen, but a newer one may stand.
-func (c *Controller) heard() (units.Num, []byte) {
-	c.FeedMu.Lock()
-	defer c.FeedMu.Unlock()
-	if it := c.Feed.Items[keyConfig]; it != nil {
-		return it.Num, it.Data
-	}
-	return 0, nil
-}
-
 // newest is the configuration in force, confirmed with a majority.
 func (c *Controller) newest() ([]byte, uint64, synop.Code) {
 	r := c.Submit(register.Request{Key: keyConfig})
@@ -95,7 +85,7 @@
 // base finds the configuration that a change builds on. What this node has heard will do when it is that one or newer:
 // versions only rise, and the owner checks the number when it writes. Else the newest is asked for.
 func (c *Controller) base(builds uint64) (num units.Num, data []byte, ver uint64, code synop.Code) {
-	num, data = c.heard()
+	num, data = c.heardOf(keyConfig)
 	ver, _ = c.versionOf(num, data)
 	if builds == 0 || num > 0 && ver >= builds {
 		return num, data, ver, synop.OK
@@ -114,12 +104,12 @@
 	if len(fs) > 0 {
 		return fs[0].Code, fs
 	}
-	return c.write(planID("put", builds, data), builds, func([]byte) ([]byte, *forecast.Config, []*synop.Fault) { return data, next, nil })
+	return c.write(requestID("put", builds, data), builds, func([]byte) ([]byte, *forecast.Config, []*synop.Fault) { return data, next, nil })
 }
 
 // alter takes a change by item; what is stored is the whole.
 func (c *Controller) alter(builds uint64, change []byte) (synop.Code, []*synop.Fault) {
-	return c.write(planID("change", builds, change), builds, func(old []byte) ([]byte, *forecast.Config, []*synop.Fault) {
+	return c.write(requestID("change", builds, change), builds, func(old []byte) ([]byte, *forecast.Config, []*synop.Fault) {
 		data, fs := c.adapter.Change(old, change)
 		if len(fs) > 0 {
 			return nil, nil, fs
@@ -129,25 +119,21 @@
 	})
 }
 
-// planID names a change by what it says, so that it is known when it comes again, to whichever node.
-func planID(kind string, builds uint64, data []byte) string {
+// requestID names a change by what it says, so that it is known when it comes again, to whichever node.
+func requestID(kind string, builds uint64, data []byte) string {
 	sum := sha256.Sum256(fmt.Appendf(nil, "%s %d %s", kind, builds, data))
 	return hex.EncodeToString(sum[:16])
 }
 
-// never is a number that no register reaches: a write that builds on it only finds out whether its plan was taken.
-const never = register.AnyNumber - 1
-
 // write makes a change under the version that it builds on. One that lost its race, or is refused, never comes into force:
 // it is written under the number whose version was looked at, or not at all.
-func (c *Controller) write(plan string, builds uint64, whole func(old []byte) ([]byte, *forecast.Config, []*synop.Fault)) (synop.Code, []*synop.Fault) {
+func (c *Controller) write(requestID string, builds uint64, whole func(old []byte) ([]byte, *forecast.Config, []*synop.Fault)) (synop.Code, []*synop.Fault) {
 	num, old, ver, code := c.base(builds)
 	if code != synop.OK {
 		return code, nil
 	}
 	if ver != builds {
-		r := c.Submit(register.Request{Key: keyConfig, Write: true, Expect: never, RequestID: plan})
-		return r.Code, nil
+		return c.outcome(requestID, lowestNumber(num, ver, builds)), nil
 	}
 	data, next, fs := whole(old)
 	if len(fs) > 0 {
@@ -155,38 +141,40 @@
 	}
 	if next.Version <= ver {
 		if num > 0 && bytes.Equal(data, old) {
-			return synop.OK, nil
+			return c.unchanged(num), nil
 		}
 		return synop.BadConfig, []*synop.Fault{{Code: synop.BadConfig, Text: fmt.Sprintf("version %d is not above %d, which is in force", next.Version, ver)}}
 	}
-	r := c.record(register.Request{Key: keyConfig, Expect: num, RequestID: plan, Data: data})
+	r := c.record(register.Request{Key: keyConfig, Expect: num, RequestID: requestID, Data: data})
 	if r.Code == synop.OK && r.Num == num+1 {
 		c.taken.note(r.Num, next)
 	}
 	return r.Code, nil
 }
 
-// evacuate sets a zone's state whatever it was. Each try builds on a number all the same, so that one which is late on
-// its way undoes nothing that came after it.
-func (c *Controller) evacuate(zone string, out bool) synop.Code {
-	if !c.knows(zone) {
-		return synop.BadZone
-	}
-	key := "zone/" + zone
-	c.FeedMu.Lock()
-	var num units.Num
-	if it := c.Feed.Items[key]; it != nil {
-		num = it.Num
-	}
-	c.FeedMu.Unlock()
-	for range 8 {
-		r := c.record(register.Request{Key: key, Expect: num, Data: fmt.Appendf(nil, `{"evacuated":%v}`, out)})
-		if r.Code != synop.Conflict {
-			return r.Code
-		}
-		num = r.Num
+// lowestNumber bounds the number whose document bore the version builds, given that number num bears version ver: versions
+// rise by one at least with each number.
+func lowestNumber(num units.Num, ver, builds uint64) units.Num {
+	if builds >= ver {
+		return num
+	}
+	return num - min(num, units.Num(ver-builds))
+}
+
+// outcome asks whether a change was taken that builds on a version which is not in force: OK if it was; Conflict if it
+// was not; Forgotten if it may have been, but so many changes ago that its outcome is no longer kept.
+func (c *Controller) outcome(requestID string, lowest units.Num) synop.Code {
+	return c.Submit(register.Request{Key: keyConfig, Write: true, Lookup: true, Expect: lowest, RequestID: requestID}).Code
+}
+
+// unchanged acknowledges an order that would leave the configuration as it is under a number, once a majority has
+// confirmed that this number is still in force.
+func (c *Controller) unchanged(num units.Num) synop.Code {
+	r := c.Submit(register.Request{Key: keyConfig})
+	if r.Code == synop.OK && r.Num != num {
+		return synop.Conflict
 	}
-	return synop.Unsure
+	return r.Code
 }
 
 // knows says whether there is such a zone, as the boot file names them or, where it names none, as members are in.
--- a/internal/control/controller/adapter_calls_test.go
+++ b/internal/control/controller/adapter_calls_test.go
@@ -144,14 +144,22 @@
 			t.Errorf("read at %d: %d %d %s", i, code, v, data)
 		}
 	}
-	// Sixteen changes later the first is forgotten, and is refused as stale.
-	for v := 15; v < 32; v++ {
+	// What was taken is known still a hundred changes later, and what lost its race is refused still.
+	for v := 15; v < 115; v++ {
 		if code := sure(t, func() (synop.Code, []*synop.Fault) { return at(v).Change(uint64(v-1), doc(v, "")) }); code != synop.OK {
 			t.Fatalf("change to %d: %d", v, code)
 		}
 	}
-	if code := sure(t, func() (synop.Code, []*synop.Fault) { return at(0).Put(0, doc(5, "a")) }); code != synop.Conflict {
-		t.Errorf("forgotten: %d", code)
+	for i, x := range []struct {
+		builds uint64
+		data   []byte
+		want   synop.Code
+	}{{0, doc(5, "a"), synop.OK}, {5, doc(8, "b"), synop.OK}, {0, doc(6, "b"), synop.Conflict}, {5, doc(8, "c"), synop.Conflict}} {
+		for k := range 4 {
+			if code := sure(t, func() (synop.Code, []*synop.Fault) { return at(k).Put(x.builds, x.data) }); code != x.want {
+				t.Errorf("long ago %d, at node %d: %d, want %d", i, k, code, x.want)
+			}
+		}
 	}
 	for _, p := range []struct{ path, want string }{{"/config", "the door's /config"}, {"/healthz", "up\n"}, {"/v1/zones/z0", ""}} {
 		if _, b := call(t, cs[0], "GET", p.path, ""); p.want != "" && string(b) != p.want || p.want == "" && !bytes.Contains(b, []byte(`"code":208`)) {
--- a/internal/control/controller/submit.go
+++ b/internal/control/controller/submit.go
@@ -16,7 +16,7 @@
 
 // Ask carries a wish to a key's owner and waits for its result.
 func (c *Controller) Submit(a register.Request) register.Result {
-	if a.Write && c.noRoom() {
+	if a.Write && !a.Lookup && c.noRoom() {
 		return register.Result{Code: synop.DiskFull}
 	}
 	if a.Write && a.RequestID == "" {
--- a/internal/control/controller/web.go
+++ b/internal/control/controller/web.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"strconv"
 	"strings"
@@ -72,6 +74,7 @@
 var texts = map[synop.Code]string{
 	synop.Conflict:   "another change came first: read, and plan again",
 	synop.Unsure:     "the outcome is not known: send the same plan again to learn it",
+	synop.Forgotten:  "so many changes came since that the outcome is no longer kept: read what is in force",
 	synop.NoMajority: "no majority of the disks answers; nothing was written by this call",
 	synop.DiskFull:   "the disks are full; nothing was written by this call",
 }
@@ -109,6 +112,17 @@
 	ctx.SetBody(r.Data)
 }
 
+// operatorsID is the request id of a change that bears a Plan-Id of its sender's own. It covers the body, so that an id
+// which is used again for another body does not pass for the change that it was used for first.
+func operatorsID(ctx *fasthttp.RequestCtx, body []byte) string {
+	id := string(ctx.Request.Header.Peek("Plan-Id"))
+	if id == "" {
+		return ""
+	}
+	sum := sha256.Sum256(body)
+	return id + "." + hex.EncodeToString(sum[:8])
+}
+
 // expect reads the number that a change builds on.
 func (c *Controller) expect(ctx *fasthttp.RequestCtx) (units.Num, bool) {
 	s := string(ctx.QueryArgs().Peek("number"))
@@ -131,7 +145,7 @@
 		c.fail(ctx, fs...)
 		return
 	}
-	c.change(ctx, register.Request{Key: keyConfig, Expect: num, RequestID: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
+	c.change(ctx, register.Request{Key: keyConfig, Expect: num, RequestID: operatorsID(ctx, body), Data: body})
 }
 
 // zone evacuates a zone or takes the evacuation back.
@@ -145,7 +159,7 @@
 		c.fail(ctx, f)
 		return
 	}
-	c.change(ctx, register.Request{Key: "zone/" + zone, Expect: num, RequestID: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
+	c.change(ctx, register.Request{Key: "zone/" + zone, Expect: num, RequestID: operatorsID(ctx, body), Data: body})
 }
 
 func (c *Controller) checkZone(zone string, body []byte) *synop.Fault {
--- a/internal/control/controller/worker_list.go
+++ b/internal/control/controller/worker_list.go
@@ -59,7 +59,7 @@
 		w := &l[i]
 		if w.Age = longAgo; w.Cold > 0 {
 			if warm == nil {
-				num, data := c.heard()
+				num, data := c.heardOf(keyConfig)
 				_, warm = c.versionOf(num, data)
 			}
 			w.Age = max(0, warm[w.Service]-w.Cold)
--- a/internal/control/register/acceptor.go
+++ b/internal/control/register/acceptor.go
@@ -79,6 +79,10 @@
 		r.HN, r.HBy, r.Seq, r.Num = s.Accepted.N, uint64(s.Accepted.By), s.Seq, uint64(s.Num)
 		out.SendAfterSync(n.From, Promise, b.pack(r, key, s.Body))
 	case Accept:
+		if err := checkBody(units.Num(h.Num), body); err != nil {
+			out.Fail(err)
+			return
+		}
 		x := State{Promised: e, Accepted: e, Seq: h.Seq, Num: units.Num(h.Num), Body: body}
 		if x.newer(s) {
 			*s = x
--- a/internal/control/register/messages.go
+++ b/internal/control/register/messages.go
@@ -35,9 +35,18 @@
 	HN, HBy uint64 // the higher epoch that a refusal names
 	Code    uint16
 	Ok      uint8
-	Write   uint8
+	Write   operation
 }
 
+// operation is what a forwarded request does.
+type operation uint8
+
+const (
+	opRead operation = iota
+	opWrite
+	opLookup
+)
+
 func (h head) epoch() units.Epoch  { return units.Epoch{N: h.N, By: units.Node(h.By)} }
 func (h head) higher() units.Epoch { return units.Epoch{N: h.HN, By: units.Node(h.HBy)} }
 
@@ -138,7 +147,9 @@
 			b.state(r.Key).Promised = maxEpoch(b.state(r.Key).Promised, units.Epoch{N: h.N, By: units.Node(h.By)})
 		case RecordAccept:
 			s := b.state(r.Key)
-			err = message.Unpack(r.Data, &h, &s.Body)
+			if err = message.Unpack(r.Data, &h, &s.Body); err == nil {
+				err = checkBody(units.Num(h.Num), s.Body)
+			}
 			s.Accepted, s.Seq, s.Num = units.Epoch{N: h.N, By: units.Node(h.By)}, h.Seq, units.Num(h.Num)
 			s.Promised = maxEpoch(s.Promised, s.Accepted)
 		case RecordQuorum:
@@ -166,7 +177,8 @@
 	From      units.Node
 	Key       string
 	Write     bool
-	Expect    units.Num // the number it builds on; Any for whatever stands
+	Lookup    bool      // with Write: only asks for its outcome; it would have built on the number Expect or a later one
+	Expect    units.Num // the number it builds on; AnyNumber for whatever stands
 	RequestID string
 	Data      []byte
 	sure      bool // the owner has confirmed its epoch since this came
@@ -182,40 +194,3 @@
 	Num  units.Num
 	Data []byte
 }
-
-type planHead struct{ Num uint64 }
-
-// packBody keeps the data with the last plans and the numbers they got, so that a resend finds its outcome.
-func packBody(plans [][]byte, data []byte) []byte {
-	return message.Pack(planHead{}, message.PackList(plans), data)
-}
-
-func unpackBody(b []byte) (plans [][]byte, data []byte) {
-	if len(b) == 0 {
-		return nil, nil
-	}
-	var h planHead
-	var list []byte
-	if message.Unpack(b, &h, &list, &data) != nil {
-		return nil, nil
-	}
-	plans, _ = message.UnpackList(list)
-	return plans, data
-}
-
-// Data gives the operator's bytes out of a stored body.
-func Data(body []byte) []byte {
-	_, d := unpackBody(body)
-	return d
-}
-
-func planOf(plans [][]byte, id string) (units.Num, bool) {
-	for _, p := range plans {
-		var h planHead
-		var name []byte
-		if message.Unpack(p, &h, &name) == nil && string(name) == id {
-			return units.Num(h.Num), true
-		}
-	}
-	return 0, false
-}
--- a/internal/control/register/owner.go
+++ b/internal/control/register/owner.go
@@ -118,6 +118,10 @@
 		if o.phase != preparing {
 			return
 		}
+		if err := checkBody(units.Num(h.Num), body); err != nil {
+			out.Fail(err) // not a promise that can be counted: what it bears would be lost
+			return
+		}
 		x := State{Accepted: h.higher(), Seq: h.Seq, Num: units.Num(h.Num), Body: body}
 		if x.newer(&o.best) {
 			o.best = x
@@ -186,43 +190,54 @@
 	}
 }
 
-// doubtful says whether a write builds on a number that this owner has not seen: another may have written it, under an
-// epoch that this one has not met yet. It is refused only once a majority has confirmed the epoch (design 2).
-func (b *Replica) doubtful(o *ownership, a Request, plans [][]byte) bool {
-	if a.sure || a.Expect == AnyNumber || a.Expect <= o.best.Num {
+// doubtful says whether an owner that was superseded unaware could refuse this request wrongly: another may have written,
+// under an epoch that this owner has not met, the number that it builds on, or the request itself. Then a majority confirms
+// the epoch first. The other refusals need no such round: the number that the request would have got was chosen for another.
+// Nor does an OK out of the table: what stands in the table of a chosen value was chosen with it (design 2).
+func (a *Request) doubtful(newest units.Num, outcomes Outcomes) bool {
+	if a.sure || a.Expect == AnyNumber || !a.Lookup && a.Expect <= newest {
 		return false
 	}
-	_, known := planOf(plans, a.RequestID)
-	return a.RequestID == "" || !known
+	_, known := outcomes.find(fingerprintOf(a.RequestID), newest)
+	return !known
+}
+
+// settled answers a write that is not to be made: it was made before, or can't be made any more.
+func (a *Request) settled(newest units.Num, outcomes Outcomes) (synop.Code, units.Num, bool) {
+	if num, known := outcomes.find(fingerprintOf(a.RequestID), newest); known {
+		return synop.OK, num, true
+	}
+	if a.Lookup || a.Expect != AnyNumber && a.Expect != newest {
+		return outcomes.absent(a.Expect+1, newest), newest, true
+	}
+	return 0, 0, false
+}
+
+// confirm asks a majority whether the owner's epoch still stands.
+func (b *Replica) confirm(now units.Time, o *ownership, out *message.Effects) {
+	b.tag++
+	o.phase, o.tag, o.got, o.sent = confirming, b.tag, map[units.Node]bool{}, now
+	b.spread(o, Confirm, head{Tag: o.tag}, nil, out)
 }
 
 // serve begins the next wish; one at a time for each key.
 func (b *Replica) serve(now units.Time, o *ownership, out *message.Effects) {
 	for len(o.asks) > 0 {
 		a := o.asks[0]
-		plans, _ := unpackBody(o.best.Body)
-		if !a.Write || b.doubtful(o, a, plans) {
+		outcomes, _, err := unpackBody(o.best.Num, o.best.Body)
+		out.Fail(err) // never: it was checked when it came in
+		if !a.Write || a.doubtful(o.best.Num, outcomes) {
 			o.asks[0].sure = true
-			b.tag++
-			o.phase, o.tag, o.got, o.sent = confirming, b.tag, map[units.Node]bool{}, now
-			b.spread(o, Confirm, head{Tag: o.tag}, nil, out)
+			b.confirm(now, o, out)
 			return
 		}
 		o.asks = o.asks[1:]
-		if num, ok := planOf(plans, a.RequestID); ok && a.RequestID != "" {
-			b.reply(a, synop.OK, num, nil, out)
+		if code, num, ok := a.settled(o.best.Num, outcomes); ok {
+			b.reply(a, code, num, nil, out)
 			continue
 		}
-		if a.Expect != AnyNumber && a.Expect != o.best.Num {
-			b.reply(a, synop.Conflict, o.best.Num, nil, out)
-			continue
-		}
-		num := o.best.Num + 1
-		if a.RequestID != "" {
-			plans = append(plans, message.Pack(planHead{uint64(num)}, []byte(a.RequestID)))
-			plans = plans[max(0, len(plans)-16):]
-		}
-		b.write(now, o, State{Seq: o.best.Seq + 1, Num: num, Body: packBody(plans, a.Data)}, &a, out)
+		body := packBody(outcomes.with(fingerprintOf(a.RequestID)), a.Data)
+		b.write(now, o, State{Seq: o.best.Seq + 1, Num: o.best.Num + 1, Body: body}, &a, out)
 		return
 	}
 }
--- a/internal/control/register/replica.go
+++ b/internal/control/register/replica.go
@@ -177,9 +177,9 @@
 }
 
 func (b *Replica) call(now units.Time, n message.Message, h head, key string, body []byte, out *message.Effects) {
-	a := Request{Tag: h.Tag, From: n.From, Key: key, Write: h.Write == 1, Expect: units.Num(h.Num)}
+	a := Request{Tag: h.Tag, From: n.From, Key: key, Write: h.Write != opRead, Lookup: h.Write == opLookup, Expect: units.Num(h.Num)}
 	var plan []byte
-	if err := message.Unpack(body, &planHead{}, &plan, &a.Data); err != nil {
+	if err := message.Unpack(body, &struct{}{}, &plan, &a.Data); err != nil {
 		out.Fail(err)
 		return
 	}
--- a/internal/control/register/request.go
+++ b/internal/control/register/request.go
@@ -34,10 +34,13 @@
 
 func (b *Replica) send(w *pendingRequest, out *message.Effects) {
 	h := head{Tag: w.Tag, Num: uint64(w.Expect)}
-	if w.Write {
-		h.Write = 1
+	switch {
+	case w.Lookup:
+		h.Write = opLookup
+	case w.Write:
+		h.Write = opWrite
 	}
-	out.Send(w.to, Forward, b.pack(h, w.Key, message.Pack(planHead{}, []byte(w.RequestID), w.Data)))
+	out.Send(w.to, Forward, b.pack(h, w.Key, message.Pack(struct{}{}, []byte(w.RequestID), w.Data)))
 }
 
 // wishTick sends wishes on when their key has another owner: reads, and writes whose plan id keeps them from being
--- a/internal/synop/synop.go
+++ b/internal/synop/synop.go
@@ -44,6 +44,7 @@
 	DiskFull     Code = 515
 	BadZone      Code = 516
 	BadCall      Code = 517
+	Forgotten    Code = 518
 	BadBoot      Code = 601
 )
 
@@ -83,7 +84,7 @@
 		return 400
 	case c < 500:
 		return 503
-	case c == NoMajority || c == DiskFull:
+	case c == NoMajority || c == DiskFull || c == Forgotten:
 		return 503
 	}
 	return 400
