Vouching: a newer quorum set on a disk counts, and only answers of one time do

Cause 1: a starting router whose news held an old quorum set could be vouched for by former members of it, since the key of the set was left out of the comparison. Every change of the set is accepted by a majority of the set before, so one of any majority of an old set holds the newer number: it is compared now, with the newest set that the node knows of (Replica.VouchNumbers). Cause 2: answers were kept for ever, so one that was given before its voucher was cut off made a majority with one given 20 s later. Questions bear the asker's clock, answers repeat it, and count for 2 s from the question. Malformed questions and answers are errors, which are counted, and change nothing.

--- a/internal/cluster/configpush/confirm.go
+++ b/internal/cluster/configpush/confirm.go
@@ -14,18 +14,35 @@
 // freshFor is how long a digest heard from a neighbour counts: it may have moved on since (start).
 const freshFor = 2 * time.Second
 
+// vouchFresh is how long a voucher's answer counts, from when it was asked. A majority made of answers of different times
+// would prove nothing: a voucher that has been cut off since may have missed what the others took meanwhile (start).
+const vouchFresh = 2 * time.Second
+
+// vouchAgain is how often vouchers are asked (start).
+const vouchAgain = 100 * time.Millisecond
+
+// vouched is one voucher's answer: the newest numbers that it holds, as of a question of this node.
+type vouched struct {
+	asked   units.Time // when the question left, by this node's own clock
+	numbers map[string]units.Num
+}
+
 // Confirm says whether a starting or woken node may serve: a majority of the voters have vouched that nothing newer
 // than its news stands or, with the core away, a majority of the serving neighbours have. Until then it asks (design 4).
+//
+// The quorum set is part of the news that must not be older. Every change of it is accepted by a majority of the set
+// before, so among any majority of an old set there is one whose disk holds a newer set's number.
 func (b *Feed) Confirm(now units.Time, all []membership.Member, self units.Node, voters []units.Node, began units.Time) (ok bool, out message.Effects) {
 	core, peers := Neighbours(all, self)
-	ok = len(voters) > 0 && b.confirmed(voters)
+	ok = len(voters) > 0 && b.confirmed(now, voters)
 	if !ok && len(core) == 0 && now.Sub(began) > alone && len(peers) > 0 {
-		ok = b.confirmed(peers)
+		ok = b.confirmed(now, peers)
 	}
-	if !ok && now.Sub(b.vouchAsked) > 100*time.Millisecond {
+	if !ok && now.Sub(b.vouchAsked) > vouchAgain {
 		b.vouchAsked = now
+		question := message.Pack(vouchHead{uint64(now)})
 		for _, n := range append(core, peers...) {
-			out.Send(n, Vouch, nil)
+			out.Send(n, Vouch, question)
 		}
 	}
 	return ok, out
@@ -45,22 +62,56 @@
 	return core, peers
 }
 
-// confirmed says whether a majority of voters have vouched and nothing they hold is newer than the news here.
-func (b *Feed) confirmed(voters []units.Node) bool {
-	k := 0
+// confirmed says whether a majority of voters have vouched lately and nothing they hold is newer than the news here.
+func (b *Feed) confirmed(now units.Time, voters []units.Node) bool {
+	vouchers := 0
 	for _, n := range voters {
-		m, ok := b.Vouch[n]
-		if !ok {
+		answer, ok := b.Vouch[n]
+		if !ok || now.Sub(answer.asked) > vouchFresh {
 			continue
 		}
-		k++
-		for key, x := range m {
-			if it := b.Items[key]; key != "voters" && (it == nil || it.Num < x) {
+		vouchers++
+		for key, number := range answer.numbers {
+			if it := b.Items[key]; it == nil || it.Num < number {
 				return false
 			}
 		}
 	}
-	return k > len(voters)/2
+	return vouchers > len(voters)/2
+}
+
+// vouch answers a starting node's question with the newest numbers here, behind whatever the disk still has to sync.
+func (b *Feed) vouch(n message.Message, out *message.Effects) error {
+	var question vouchHead
+	if err := message.Unpack(n.Body, &question); err != nil {
+		return err
+	}
+	numbers := b.nums()
+	if b.Stored != nil {
+		for key, number := range b.Stored() {
+			numbers[key] = max(numbers[key], number)
+		}
+	}
+	out.SendAfterSync(n.From, Vouched, message.Pack(question, b.packNums(numbers)))
+	return nil
+}
+
+// vouchedBy takes a voucher's answer. One to an older question than the last that it answered is late.
+func (b *Feed) vouchedBy(n message.Message) error {
+	var question vouchHead
+	var list []byte
+	if err := message.Unpack(n.Body, &question, &list); err != nil {
+		return err
+	}
+	numbers, err := unpackNums(list)
+	if err != nil {
+		return err
+	}
+	asked := units.Time(question.Asked)
+	if last, ok := b.Vouch[n.From]; !ok || last.asked <= asked {
+		b.Vouch[n.From] = vouched{asked, numbers}
+	}
+	return nil
 }
 
 // Beat pushes on what is on its way, and asks neighbours whose digest differs for what is lacking (design 4). A digest
--- a/internal/cluster/configpush/feed.go
+++ b/internal/cluster/configpush/feed.go
@@ -26,6 +26,9 @@
 
 type newsHead struct{ Num uint64 }
 
+// vouchHead marks a question to vouchers, and its answers, with the time by the asker's clock.
+type vouchHead struct{ Asked uint64 }
+
 // Item is one key's newest news.
 type Item struct {
 	Key  string
@@ -47,19 +50,19 @@
 	Acks       map[string]map[units.Node]units.Num // who has acknowledged what, on the pushing side
 	asked      map[units.Node]units.Time           // when a neighbour was last asked for its news
 	vouchAsked units.Time
-	me         string                              // salt for drawing whom to relay to
-	out        map[string]*pushed                  // news on its way
-	Vouch      map[units.Node]map[string]units.Num // a starting node's confirmations
-	Stored     func() map[string]units.Num         // a barometer's numbers on disk; nil on a vane
-	seen       uint64                              // the digest at the last beat
-	moved      units.Time                          // when that was found changed
-	told       bool                                // something new came from a neighbour since the last tick
+	me         string                      // salt for drawing whom to relay to
+	out        map[string]*pushed          // news on its way
+	Vouch      map[units.Node]vouched      // a starting node's confirmations
+	Stored     func() map[string]units.Num // a barometer's numbers on disk; nil on a vane
+	seen       uint64                      // the digest at the last beat
+	moved      units.Time                  // when that was found changed
+	told       bool                        // something new came from a neighbour since the last tick
 }
 
 // New gives an empty one.
 func New(self units.Node) *Feed {
 	return &Feed{me: self.String(), Items: map[string]*Item{}, Acks: map[string]map[units.Node]units.Num{}, asked: map[units.Node]units.Time{},
-		out: map[string]*pushed{}, Vouch: map[units.Node]map[string]units.Num{}}
+		out: map[string]*pushed{}, Vouch: map[units.Node]vouched{}}
 }
 
 // Take sets a key's news if it is newer; it never goes back.
@@ -195,18 +198,9 @@
 			b.pulled(now, n.From, theirs, &out)
 		}
 	case Vouch:
-		m := b.nums()
-		if b.Stored != nil {
-			for k, x := range b.Stored() {
-				m[k] = max(m[k], x)
-			}
-		}
-		out.SendAfterSync(n.From, Vouched, b.packNums(m))
+		err = b.vouch(n, &out)
 	case Vouched:
-		var m map[string]units.Num
-		if m, err = unpackNums(n.Body); err == nil {
-			b.Vouch[n.From] = m
-		}
+		err = b.vouchedBy(n)
 	}
 	out.Fail(err)
 	return out
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -120,7 +120,7 @@
 	c.Feed.Stored = func() map[string]units.Num {
 		c.replicaMu.Lock()
 		defer c.replicaMu.Unlock()
-		return c.replica.StoredNumbers()
+		return c.replica.VouchNumbers()
 	}
 	return c, nil
 }
--- a/internal/control/register/acceptor.go
+++ b/internal/control/register/acceptor.go
@@ -100,7 +100,7 @@
 	return b.quorum.Has(b.self) || key == KeyQuorum && k == Accept
 }
 
-// stored gives this disk's accepted numbers, for a starting vane's vouching (design 4).
+// StoredNumbers gives this disk's accepted numbers, for a starting vane's vouching (design 4).
 func (b *Replica) StoredNumbers() map[string]units.Num {
 	m := map[string]units.Num{}
 	for k, s := range b.states {
@@ -111,6 +111,16 @@
 	return m
 }
 
+// VouchNumbers gives what a vouching disk answers with: its stored numbers and, for the quorum's key, the newest quorum set
+// that this node knows of, which may have come with a message before its value was accepted here.
+func (b *Replica) VouchNumbers() map[string]units.Num {
+	numbers := b.StoredNumbers()
+	if v := b.QuorumVersion(); v > 0 {
+		numbers[KeyQuorum] = v
+	}
+	return numbers
+}
+
 // Mend sends a key's accepted value to another voter as its owner's Accept once more: a voter that has since
 // promised a higher epoch refuses it, as it would a late one.
 func (b *Replica) Resend(to units.Node, key string) (out message.Effects) {
--- a/internal/control/register/reachability.go
+++ b/internal/control/register/reachability.go
@@ -1,6 +1,7 @@
 package register
 
 import (
+	"slices"
 	"time"
 
 	"seamshunt/internal/cluster/message"
@@ -49,17 +50,34 @@
 	}
 }
 
-// Reaches says whether a majority of the voters, with this one, answered lately. Who has just started is believed.
+// ReachesMajority says whether a majority of the voters, with this one, answered lately. Who has just started is believed.
 func (b *Replica) ReachesMajority(now units.Time) bool {
 	if !b.quorum.Has(b.self) || b.reach.born == 0 || now.Sub(b.reach.born) < reachFor {
 		return true
 	}
-	got := map[units.Node]bool{b.self: true}
-	for n, t := range b.reach.heard {
-		got[n] = now.Sub(t) < reachFor
+	silence, known := b.MajoritySilence(now)
+	return known && silence < reachFor
+}
+
+// MajoritySilence gives how long ago a majority of the voters, with this one, had last answered. It is not known on a
+// node that does not vote, nor before so many have answered since its start.
+func (b *Replica) MajoritySilence(now units.Time) (silence time.Duration, known bool) {
+	if !b.quorum.Has(b.self) {
+		return 0, false
+	}
+	silences := []time.Duration{0}
+	for _, n := range b.quorum.Members {
+		if heard, ok := b.reach.heard[n]; ok && n != b.self {
+			silences = append(silences, now.Sub(heard))
+		}
+	}
+	majority := len(b.quorum.Members)/2 + 1
+	if len(silences) < majority {
+		return 0, false
 	}
-	return b.quorum.Majority(got)
+	slices.Sort(silences)
+	return silences[majority-1], true
 }
 
-// Woke forgets who answered before a freeze, and believes again for a while.
+// Resume forgets who answered before a freeze, and believes again for a while.
 func (b *Replica) Resume(now units.Time) { b.reach.born, b.reach.sent = max(now, 1), 0 }
--- a/internal/control/register/request.go
+++ b/internal/control/register/request.go
@@ -18,6 +18,18 @@
 // Patience is how long a wish may take before its asker is told that the outcome is unknown.
 const RequestTimeout = 5 * time.Second
 
+// AnswerTimeout bounds the whole of an operator's call, however many requests it makes: callers go on to another
+// controller after a second of silence. The request itself stays pending for RequestTimeout; its id makes it idempotent.
+const AnswerTimeout = 900 * time.Millisecond
+
+// TimeoutCode is what a request is answered with when its time is up: a read has no effect, a write may still have one.
+func (a Request) TimeoutCode() synop.Code {
+	if a.Write {
+		return synop.Unsure
+	}
+	return synop.NoMajority
+}
+
 // Ask starts a wish here; its Result turns up in Results. It goes to the owner this node believes in.
 func (b *Replica) Submit(now units.Time, a Request) (out message.Effects) {
 	a.From = b.self
--- a/internal/hollow/core.go
+++ b/internal/hollow/core.go
@@ -42,7 +42,7 @@
 		turn: map[string]*discovery.Schedule{}, doc: register.Doctor{Founders: Founders}}
 	c.duty = lease.New(n.self, "platform", func() []units.Node { return c.baro.Quorum().Members }, w.Now, rand.New(rand.NewPCG(w.rng.Uint64(), 1)))
 	c.iso = antientropy.New(n.self, w.Now, rand.New(rand.NewPCG(w.rng.Uint64(), 2)))
-	n.bull.Stored = func() map[string]units.Num { return c.baro.StoredNumbers() }
+	n.bull.Stored = func() map[string]units.Num { return c.baro.VouchNumbers() }
 	return c
 }
 
--- a/internal/rig/simulator/core.go
+++ b/internal/rig/simulator/core.go
@@ -13,7 +13,6 @@
 	"seamshunt/internal/control/lease"
 	"seamshunt/internal/control/register"
 	"seamshunt/internal/screen"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -99,7 +98,7 @@
 		c.Reload()
 		c.Lease = lease.New(self, "platform", func() []units.Node { return c.Replica.Quorum().Members }, s.Now, rand.New(rand.NewPCG(s.Rng.Uint64(), 5)))
 		c.Syncer = antientropy.New(self, s.Now, rand.New(rand.NewPCG(s.Rng.Uint64(), 6)))
-		c.feed.Stored = func() map[string]units.Num { return c.Replica.StoredNumbers() }
+		c.feed.Stored = func() map[string]units.Num { return c.Replica.VouchNumbers() }
 		cores[h] = c
 		return c.Proc
 	})
@@ -204,11 +203,7 @@
 	s.After(register.RequestTimeout, func() {
 		if f := c.waits[tag]; f != nil {
 			delete(c.waits, tag)
-			r := register.Result{Code: synop.NoMajority}
-			if a.Write {
-				r.Code = synop.Unsure
-			}
-			f(r)
+			f(register.Result{Code: a.TimeoutCode()})
 		}
 	})
 }
