--- a/internal/control/controller/adapter_calls.go
+++ b/internal/control/controller/adapter_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -9,6 +10,7 @@
 	"sync"
 	"time"
 
+	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/codebook"
 	"seamshunt/internal/control/register"
 	"seamshunt/internal/forecast"
@@ -81,7 +83,9 @@
 
 // newest is the configuration in force, confirmed with a majority.
 func (c *Controller) newest() ([]byte, uint64, synop.Code) {
-	r := c.Submit(register.Request{Key: keyConfig})
+	ctx, done := answerTime(register.AnswerTimeout)
+	defer done()
+	r := c.Submit(ctx, register.Request{Key: keyConfig})
 	if r.Code != synop.OK {
 		return nil, 0, r.Code
 	}
@@ -93,14 +97,15 @@
 }
 
 // base finds the configuration that a change builds on. What this node has heard will do when it is that one or newer:
-// versions only rise, and the owner checks the number when it writes. Else the newest is asked for.
-func (c *Controller) base(builds uint64) (num units.Num, data []byte, ver uint64, code synop.Code) {
+// versions only rise, and the owner checks the number when it writes. Else, and where nothing was heard of, the newest is
+// read with a majority.
+func (c *Controller) base(ctx context.Context, builds uint64) (num units.Num, data []byte, ver uint64, code synop.Code) {
 	num, data = c.heard()
 	ver, _ = c.versionOf(num, data)
-	if builds == 0 || num > 0 && ver >= builds {
+	if num > 0 && ver >= builds {
 		return num, data, ver, synop.OK
 	}
-	r := c.Submit(register.Request{Key: keyConfig})
+	r := c.Submit(ctx, register.Request{Key: keyConfig})
 	if r.Code != synop.OK {
 		return 0, nil, 0, r.Code
 	}
@@ -141,12 +146,14 @@
 // write makes a change under the version that it builds on. One that lost its race, or is refused, never comes into force:
 // it is written under the number whose version was looked at, or not at all.
 func (c *Controller) write(plan string, builds uint64, whole func(old []byte) ([]byte, *forecast.Config, []*synop.Fault)) (synop.Code, []*synop.Fault) {
-	num, old, ver, code := c.base(builds)
+	ctx, done := answerTime(register.AnswerTimeout)
+	defer done()
+	num, old, ver, code := c.base(ctx, builds)
 	if code != synop.OK {
 		return code, nil
 	}
 	if ver != builds {
-		r := c.Submit(register.Request{Key: keyConfig, Write: true, Expect: never, RequestID: plan})
+		r := c.Submit(ctx, register.Request{Key: keyConfig, Write: true, Expect: never, RequestID: plan})
 		return r.Code, nil
 	}
 	data, next, fs := whole(old)
@@ -155,22 +162,33 @@
 	}
 	if next.Version <= ver {
 		if num > 0 && bytes.Equal(data, old) {
-			return synop.OK, nil
+			return c.inForce(ctx, num), nil
 		}
 		return synop.BadConfig, []*synop.Fault{{Code: synop.BadConfig, Text: fmt.Sprintf("version %d is not above %d, which is in force", next.Version, ver)}}
 	}
-	r := c.record(register.Request{Key: keyConfig, Expect: num, RequestID: plan, Data: data})
+	r := c.record(ctx, register.Request{Key: keyConfig, Expect: num, RequestID: plan, Data: data})
 	if r.Code == synop.OK && r.Num == num+1 {
 		c.taken.note(r.Num, next)
 	}
 	return r.Code, nil
 }
 
+// inForce says whether the configuration of a number is the newest, confirmed with a majority.
+func (c *Controller) inForce(ctx context.Context, num units.Num) synop.Code {
+	r := c.Submit(ctx, register.Request{Key: keyConfig})
+	if r.Code == synop.OK && r.Num != num {
+		return synop.Conflict
+	}
+	return r.Code
+}
+
 // evacuate sets a zone's state whatever it was. Each try builds on a number all the same, so that one which is late on
 // its way undoes nothing that came after it.
 func (c *Controller) evacuate(zone string, out bool) synop.Code {
-	if !c.knows(zone) {
-		return synop.BadZone
+	ctx, done := answerTime(register.AnswerTimeout)
+	defer done()
+	if code := c.checkZoneExists(ctx, zone); code != synop.OK {
+		return code
 	}
 	key := "zone/" + zone
 	c.FeedMu.Lock()
@@ -180,7 +198,7 @@
 	}
 	c.FeedMu.Unlock()
 	for range 8 {
-		r := c.record(register.Request{Key: key, Expect: num, Data: fmt.Appendf(nil, `{"evacuated":%v}`, out)})
+		r := c.record(ctx, register.Request{Key: key, Expect: num, Data: fmt.Appendf(nil, `{"evacuated":%v}`, out)})
 		if r.Code != synop.Conflict {
 			return r.Code
 		}
@@ -189,15 +207,22 @@
 	return synop.Unsure
 }
 
-// knows says whether there is such a zone, as the boot file names them or, where it names none, as members are in.
-func (c *Controller) knows(zone string) bool {
+// checkZoneExists looks for a zone among those that the boot file names or, where it names none, that members are in. A
+// controller that is cut off, or has just started, may not know all members: it says that there is no such zone only while
+// a majority answers it.
+func (c *Controller) checkZoneExists(ctx context.Context, zone string) synop.Code {
 	if len(c.Boot.Zones) > 0 {
-		return slices.Contains(c.Boot.Zones, zone)
-	}
-	for _, m := range c.Members() {
-		if m.Zone == zone {
-			return true
+		if slices.Contains(c.Boot.Zones, zone) {
+			return synop.OK
 		}
+		return synop.BadZone
+	}
+	inZone := func(m membership.Member) bool { return m.Zone == zone }
+	if slices.ContainsFunc(c.Members(), inZone) {
+		return synop.OK
+	}
+	if r := c.Submit(ctx, register.Request{Key: keyConfig}); r.Code != synop.OK {
+		return r.Code
 	}
-	return false
+	return synop.BadZone
 }
--- a/internal/control/controller/adapter_calls_test.go
+++ b/internal/control/controller/adapter_calls_test.go
@@ -94,13 +94,20 @@
 	return code
 }
 
+// sureRead reads until a call gets through, as operators do after a 5xx.
+func sureRead(t *testing.T, c codebook.Control) (data []byte, version uint64, code synop.Code) {
+	t.Helper()
+	code = sure(t, func() (code synop.Code, _ []*synop.Fault) { data, version, code = c.Read(); return code, nil })
+	return data, version, code
+}
+
 // An adapter's calls, at any of four nodes: versions rise, what was taken is known wherever it comes again, and what is
 // refused never comes into force.
 func TestControl(t *testing.T) {
 	t.Parallel()
 	cs := grownCore(t, 4, toyBook())
 	at := func(i int) codebook.Control { return cs[i%4].Control() }
-	if _, _, code := at(0).Read(); code != synop.NotFound {
+	if _, _, code := sureRead(t, at(0)); code != synop.NotFound {
 		t.Errorf("read before anything was set: %d", code)
 	}
 	doc := func(v int, x string) []byte { return fmt.Appendf(nil, `{"v":%d,"x":%q}`, v, x) }
@@ -140,7 +147,7 @@
 		}
 	}
 	for i := range 4 {
-		if data, v, code := at(i).Read(); code != synop.OK || v != 14 || string(data) != `{"v":14,"x":"bcd"}` {
+		if data, v, code := sureRead(t, at(i)); code != synop.OK || v != 14 || string(data) != `{"v":14,"x":"bcd"}` {
 			t.Errorf("read at %d: %d %d %s", i, code, v, data)
 		}
 	}
@@ -186,7 +193,7 @@
 		if won < 0 {
 			t.Fatalf("round %d: nobody won: %v", round, codes)
 		}
-		got, v, code := cs[round%3].Control().Read()
+		got, v, code := sureRead(t, cs[round%3].Control())
 		if code != synop.OK || !bytes.Equal(got, data[won]) {
 			t.Fatalf("round %d: %d won, read back %d %s", round, won, code, got)
 		}
--- a/internal/control/controller/audit.go
+++ b/internal/control/controller/audit.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"time"
 
 	"seamshunt/internal/control/changelog"
@@ -18,7 +19,7 @@
 
 // note hands an entry over and waits a little. One that can't be recorded is counted and never turns a change that
 // stands into one that does not.
-func (c *Controller) note(l changelog.Entry) {
+func (c *Controller) note(ctx context.Context, l changelog.Entry) {
 	e := entry{leaf: l, done: make(chan struct{})}
 	select {
 	case c.audit <- e:
@@ -31,6 +32,7 @@
 	select {
 	case <-e.done:
 	case <-t.C:
+	case <-ctx.Done(): // the answer's time is up
 	}
 }
 
--- a/internal/control/controller/plan.go
+++ b/internal/control/controller/plan.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"time"
@@ -27,13 +28,18 @@
 
 const planLife = 10 * time.Minute
 
+// passOnTimeout is how long an operator's call passed on to another node may take.
+const passOnTimeout = register.RequestTimeout + 2*time.Second
+
 // propose works out what a configuration, or a zone's evacuation, would change; nothing is written.
 func (c *Controller) propose(ctx *fasthttp.RequestCtx) {
+	within, done := answerTime(register.RequestTimeout)
+	defer done()
 	body := append([]byte(nil), ctx.PostBody()...)
 	p := &plan{key: keyConfig, data: body, made: c.Crew.Now()}
 	var next *forecast.Config
 	if zone := string(ctx.QueryArgs().Peek("zone")); zone != "" {
-		if f := c.checkZone(zone, body); f != nil {
+		if f := c.checkZone(within, zone, body); f != nil {
 			c.fail(ctx, f)
 			return
 		}
@@ -45,7 +51,7 @@
 			return
 		}
 	}
-	r := c.Submit(register.Request{Key: p.key})
+	r := c.Submit(within, register.Request{Key: p.key})
 	if r.Code != synop.OK {
 		c.result(ctx, r)
 		return
@@ -58,10 +64,10 @@
 			old, _ = c.compile(r.Data)
 		}
 		d = forecast.Compare(old, next, c.known)
-		m, _, _ := c.seen()
+		m, _, _ := c.seen(within)
 		d.Foresee(old, next, c.known, m)
 	} else {
-		d = c.compareZone(strings.TrimPrefix(p.key, "zone/"), r.Data, body)
+		d = c.compareZone(within, strings.TrimPrefix(p.key, "zone/"), r.Data, body)
 	}
 	c.plans.Range(func(k, v any) bool {
 		if p.made.Sub(v.(*plan).made) > planLife {
@@ -112,7 +118,7 @@
 	return c.catalog.List(pool)
 }
 
-func (c *Controller) compareZone(zone string, old, body []byte) (d forecast.Plan) {
+func (c *Controller) compareZone(within context.Context, zone string, old, body []byte) (d forecast.Plan) {
 	was, is := fastjson.GetBool(old, "evacuated"), fastjson.GetBool(body, "evacuated")
 	if was == is {
 		d.Warnings = append(d.Warnings, "zone "+zone+" is so already")
@@ -130,7 +136,7 @@
 		}
 	}
 	if cfg := c.config(); is && cfg != nil {
-		m, _, _ := c.seen()
+		m, _, _ := c.seen(within)
 		d.Foresee(cfg, cfg, func(pool string) (n int) {
 			for _, w := range c.listed(pool) {
 				if !w.Leaving && w.Zone != zone && !c.evacuated(w.Zone) {
@@ -181,22 +187,28 @@
 	id := string(v.GetStringBytes("plan"))
 	if x, ok := c.plans.Load(id); ok {
 		p := x.(*plan)
-		c.change(ctx, register.Request{Key: p.key, Expect: p.num, RequestID: id, Data: p.data})
+		within, done := answerTime(register.RequestTimeout)
+		defer done()
+		c.change(ctx, within, register.Request{Key: p.key, Expect: p.num, RequestID: id, Data: p.data})
 		return
 	}
-	node, _, _ := strings.Cut(id, "-")
+	node, _, named := strings.Cut(id, "-")
 	for _, m := range c.Members() {
 		if m.Node.String() == node && m.Node != c.Self && m.State <= membership.Suspect && len(ctx.Request.Header.Peek("Passed-On")) == 0 {
 			c.passOn(ctx, m.Web)
 			return
 		}
 	}
+	if named && node != c.Self.String() {
+		c.fail(ctx, &synop.Fault{Code: synop.Unsure, Text: "the node that made the plan is not in touch: send it again, or plan again if that node is gone"})
+		return
+	}
 	c.fail(ctx, &synop.Fault{Code: synop.NoPlan, Text: "no such plan here, or it is too old; plan again"})
 }
 
 // passOn gives an operator's call to the barometer it belongs to, once.
 func (c *Controller) passOn(ctx *fasthttp.RequestCtx, web string) {
-	code, b, _, err := transport.HTTP("POST", web, string(ctx.Path()), ctx.PostBody(), map[string]string{"Passed-On": c.Self.String()}, patience)
+	code, b, _, err := transport.HTTP("POST", web, string(ctx.Path()), ctx.PostBody(), map[string]string{"Passed-On": c.Self.String()}, passOnTimeout)
 	if err != nil {
 		c.fail(ctx, &synop.Fault{Code: synop.Unsure, Text: texts[synop.Unsure]})
 		return
--- a/internal/control/controller/promises.go
+++ b/internal/control/controller/promises.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -9,12 +10,17 @@
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/cluster/transport"
+	"seamshunt/internal/control/register"
 	"seamshunt/internal/forecast"
 	"seamshunt/internal/synop"
 )
 
-// seen asks every live vane how it kept its promises, all at once; it gives the sums and how many answered.
-func (c *Controller) seen() (m map[string]forecast.Seen, asked, answered int) {
+// statusTimeout is how long a router's status is waited for.
+const statusTimeout = time.Second
+
+// seen asks every live router how it kept its promises, all at once, while the call has time left; it gives the sums and
+// how many answered.
+func (c *Controller) seen(ctx context.Context) (m map[string]forecast.Seen, asked, answered int) {
 	type answer map[string]forecast.Seen
 	var webs []string
 	for _, x := range c.Members() {
@@ -23,9 +29,13 @@
 		}
 	}
 	ch := make(chan answer, len(webs))
+	limit := statusTimeout
+	if end, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(end))
+	}
 	for _, w := range webs {
 		c.Crew.Go(func() {
-			code, b, _, err := transport.HTTP("GET", w, "/status", nil, nil, time.Second)
+			code, b, _, err := transport.HTTP("GET", w, "/status", nil, nil, limit)
 			if err != nil || code != 200 {
 				ch <- nil
 				return
@@ -73,7 +83,9 @@
 
 // promises tells operators how each promise is kept over the whole fleet.
 func (c *Controller) promises(ctx *fasthttp.RequestCtx) {
-	m, asked, answered := c.seen()
+	within, done := answerTime(register.RequestTimeout)
+	defer done()
+	m, asked, answered := c.seen(within)
 	var a fastjson.Arena
 	o, l := a.NewObject(), a.NewObject()
 	o.Set("code", a.NewNumberInt(int(synop.OK)))
--- a/internal/control/controller/status.go
+++ b/internal/control/controller/status.go
@@ -9,6 +9,7 @@
 
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/control/register"
+	"seamshunt/internal/units"
 	"seamshunt/internal/vaned"
 )
 
@@ -35,6 +36,7 @@
 		keys.Set(k, x)
 	}
 	c.replicaMu.Unlock()
+	c.showContact(&a, o, now)
 	members := c.Members()
 	o.Set("state", a.NewString(c.state(v, members)))
 	o.Set("voters_version", a.NewNumberInt(int(v.Version)))
@@ -86,6 +88,19 @@
 	ctx.SetBody(append(o.MarshalTo(nil), '\n'))
 }
 
+// showContact says how long ago a majority of the voters last answered: all else in the status is what this node holds,
+// and no newer than that.
+func (c *Controller) showContact(a *fastjson.Arena, o *fastjson.Value, now units.Time) {
+	c.replicaMu.Lock()
+	reaches := c.replica.ReachesMajority(now)
+	silence, known := c.replica.MajoritySilence(now)
+	c.replicaMu.Unlock()
+	o.Set("majority_reached", jsonBool(a, reaches))
+	if known {
+		o.Set("majority_heard_ms_ago", a.NewNumberInt(int(silence/time.Millisecond)))
+	}
+}
+
 // state names what this node's disk is to the fleet, in words for operators.
 func (c *Controller) state(v register.QuorumSet, members []membership.Member) string {
 	look := register.ViewCore(members)
--- a/internal/control/controller/submit.go
+++ b/internal/control/controller/submit.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"time"
@@ -14,8 +15,16 @@
 	"seamshunt/internal/tower"
 )
 
-// Ask carries a wish to a key's owner and waits for its result.
-func (c *Controller) Submit(a register.Request) register.Result {
+// answerTime gives the time that one operator's call has, from now until its answer: register.AnswerTimeout through an
+// adapter, whose callers leave after a second, and register.RequestTimeout on the product's own interface, whose commands
+// wait for ten.
+func answerTime(limit time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), limit)
+}
+
+// Submit carries a request to its key's owner and waits for the result until the call's time is up. A controller that
+// knows that it does not reach a majority answers so at once, and sends nothing.
+func (c *Controller) Submit(ctx context.Context, a register.Request) register.Result {
 	if a.Write && c.noRoom() {
 		return register.Result{Code: synop.DiskFull}
 	}
@@ -26,25 +35,24 @@
 	ch := make(chan register.Result, 1)
 	now := c.Crew.Now()
 	c.replicaMu.Lock()
+	if !c.replica.ReachesMajority(now) {
+		c.replicaMu.Unlock()
+		return register.Result{Code: synop.NoMajority}
+	}
 	c.waits[a.Tag] = ch
 	out := c.replica.Submit(now, a)
 	c.drain()
 	c.Deliver(out)
 	c.replicaMu.Unlock()
-	t := time.NewTimer(register.RequestTimeout)
-	defer t.Stop()
 	select {
 	case r := <-ch:
 		return r
-	case <-t.C:
+	case <-ctx.Done():
 	}
 	c.replicaMu.Lock()
 	delete(c.waits, a.Tag)
 	c.replicaMu.Unlock()
-	if a.Write {
-		return register.Result{Code: synop.Unsure}
-	}
-	return register.Result{Code: synop.NoMajority}
+	return register.Result{Code: a.TimeoutCode()}
 }
 
 // Drain hands keys and duty over, then leaves.
@@ -60,17 +68,17 @@
 }
 
 // change makes an operator's change, and has it in the audit record before it is acknowledged (design 10).
-func (c *Controller) change(ctx *fasthttp.RequestCtx, a register.Request) {
-	c.result(ctx, c.record(a))
+func (c *Controller) change(ctx *fasthttp.RequestCtx, within context.Context, a register.Request) {
+	c.result(ctx, c.record(within, a))
 }
 
 // record is the same for whoever answers otherwise.
-func (c *Controller) record(a register.Request) register.Result {
+func (c *Controller) record(ctx context.Context, a register.Request) register.Result {
 	a.Write = true
-	r := c.Submit(a)
+	r := c.Submit(ctx, a)
 	if r.Code == synop.OK {
 		sum := sha256.Sum256(a.Data)
-		c.note(changelog.Entry{Unix: time.Now().Unix(), Key: a.Key, Number: uint64(r.Num), Plan: a.RequestID, SHA256: hex.EncodeToString(sum[:])})
+		c.note(ctx, changelog.Entry{Unix: time.Now().Unix(), Key: a.Key, Number: uint64(r.Num), Plan: a.RequestID, SHA256: hex.EncodeToString(sum[:])})
 	}
 	return r
 }
--- a/internal/control/controller/web.go
+++ b/internal/control/controller/web.go
@@ -1,10 +1,10 @@
 package controller
 
 import (
+	"context"
 	"fmt"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
@@ -95,7 +95,9 @@
 
 // read gives the exact bytes of the newest acknowledged value, confirmed with a majority.
 func (c *Controller) read(ctx *fasthttp.RequestCtx, key string) {
-	r := c.Submit(register.Request{Key: key})
+	within, done := answerTime(register.RequestTimeout)
+	defer done()
+	r := c.Submit(within, register.Request{Key: key})
 	if r.Code != synop.OK {
 		c.result(ctx, r)
 		return
@@ -131,7 +133,9 @@
 		c.fail(ctx, fs...)
 		return
 	}
-	c.change(ctx, register.Request{Key: keyConfig, Expect: num, RequestID: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
+	within, done := answerTime(register.RequestTimeout)
+	defer done()
+	c.change(ctx, within, register.Request{Key: keyConfig, Expect: num, RequestID: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
 }
 
 // zone evacuates a zone or takes the evacuation back.
@@ -141,16 +145,22 @@
 		return
 	}
 	body := append([]byte(nil), ctx.PostBody()...)
-	if f := c.checkZone(zone, body); f != nil {
+	within, done := answerTime(register.RequestTimeout)
+	defer done()
+	if f := c.checkZone(within, zone, body); f != nil {
 		c.fail(ctx, f)
 		return
 	}
-	c.change(ctx, register.Request{Key: "zone/" + zone, Expect: num, RequestID: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
+	c.change(ctx, within, register.Request{Key: "zone/" + zone, Expect: num, RequestID: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
 }
 
-func (c *Controller) checkZone(zone string, body []byte) *synop.Fault {
-	if !c.knows(zone) {
-		return &synop.Fault{Code: synop.BadZone, Text: "no member is in zone " + zone}
+func (c *Controller) checkZone(ctx context.Context, zone string, body []byte) *synop.Fault {
+	switch code := c.checkZoneExists(ctx, zone); code {
+	case synop.OK:
+	case synop.BadZone:
+		return &synop.Fault{Code: code, Text: "no member is in zone " + zone}
+	default:
+		return &synop.Fault{Code: code, Text: texts[code]}
 	}
 	v, err := fastjson.ParseBytes(body)
 	if err != nil {
@@ -164,6 +174,3 @@
 }
 
 func place(err error) string { return strings.TrimSpace(err.Error()) }
-
-// patience is how long an operator's call passed on to another node may take.
-const patience = register.RequestTimeout + 2*time.Second
