--- a/internal/control/controller/adapter_calls.go
+++ b/internal/control/controller/adapter_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -9,6 +10,7 @@
 	"sync"
 	"time"
 
+	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/codebook"
 	"seamshunt/internal/control/register"
 	"seamshunt/internal/forecast"
@@ -71,7 +73,9 @@
 
 // newest is the configuration in force, confirmed with a majority.
 func (c *Controller) newest() ([]byte, uint64, synop.Code) {
-	r := c.Submit(register.Request{Key: keyConfig})
+	ctx, done := answerTime(register.AnswerTimeout)
+	defer done()
+	r := c.Submit(ctx, register.Request{Key: keyConfig})
 	if r.Code != synop.OK {
 		return nil, 0, r.Code
 	}
@@ -83,14 +87,15 @@
 }
 
 // base finds the configuration that a change builds on. What this node has heard will do when it is that one or newer:
-// versions only rise, and the owner checks the number when it writes. Else the newest is asked for.
-func (c *Controller) base(builds uint64) (num units.Num, data []byte, ver uint64, code synop.Code) {
+// versions only rise, and the owner checks the number when it writes. Else, and where nothing was heard of, the newest is
+// read with a majority.
+func (c *Controller) base(ctx context.Context, builds uint64) (num units.Num, data []byte, ver uint64, code synop.Code) {
 	num, data = c.heardOf(keyConfig)
 	ver, _ = c.versionOf(num, data)
-	if builds == 0 || num > 0 && ver >= builds {
+	if num > 0 && ver >= builds {
 		return num, data, ver, synop.OK
 	}
-	r := c.Submit(register.Request{Key: keyConfig})
+	r := c.Submit(ctx, register.Request{Key: keyConfig})
 	if r.Code != synop.OK {
 		return 0, nil, 0, r.Code
 	}
@@ -128,12 +133,14 @@
 // write makes a change under the version that it builds on. One that lost its race, or is refused, never comes into force:
 // it is written under the number whose version was looked at, or not at all.
 func (c *Controller) write(requestID string, builds uint64, whole func(old []byte) ([]byte, *forecast.Config, []*synop.Fault)) (synop.Code, []*synop.Fault) {
-	num, old, ver, code := c.base(builds)
+	ctx, done := answerTime(register.AnswerTimeout)
+	defer done()
+	num, old, ver, code := c.base(ctx, builds)
 	if code != synop.OK {
 		return code, nil
 	}
 	if ver != builds {
-		return c.outcome(requestID, lowestNumber(num, ver, builds)), nil
+		return c.outcome(ctx, requestID, lowestNumber(num, ver, builds)), nil
 	}
 	data, next, fs := whole(old)
 	if len(fs) > 0 {
@@ -141,11 +148,11 @@
 	}
 	if next.Version <= ver {
 		if num > 0 && bytes.Equal(data, old) {
-			return c.unchanged(num), nil
+			return c.unchanged(ctx, num), nil
 		}
 		return synop.BadConfig, []*synop.Fault{{Code: synop.BadConfig, Text: fmt.Sprintf("version %d is not above %d, which is in force", next.Version, ver)}}
 	}
-	r := c.record(register.Request{Key: keyConfig, Expect: num, RequestID: requestID, Data: data})
+	r := c.record(ctx, register.Request{Key: keyConfig, Expect: num, RequestID: requestID, Data: data})
 	if r.Code == synop.OK && r.Num == num+1 {
 		c.taken.note(r.Num, next)
 	}
@@ -163,29 +170,36 @@
 
 // outcome asks whether a change was taken that builds on a version which is not in force: OK if it was; Conflict if it
 // was not; Forgotten if it may have been, but so many changes ago that its outcome is no longer kept.
-func (c *Controller) outcome(requestID string, lowest units.Num) synop.Code {
-	return c.Submit(register.Request{Key: keyConfig, Write: true, Lookup: true, Expect: lowest, RequestID: requestID}).Code
+func (c *Controller) outcome(ctx context.Context, requestID string, lowest units.Num) synop.Code {
+	return c.Submit(ctx, register.Request{Key: keyConfig, Write: true, Lookup: true, Expect: lowest, RequestID: requestID}).Code
 }
 
 // unchanged acknowledges an order that would leave the configuration as it is under a number, once a majority has
 // confirmed that this number is still in force.
-func (c *Controller) unchanged(num units.Num) synop.Code {
-	r := c.Submit(register.Request{Key: keyConfig})
+func (c *Controller) unchanged(ctx context.Context, num units.Num) synop.Code {
+	r := c.Submit(ctx, register.Request{Key: keyConfig})
 	if r.Code == synop.OK && r.Num != num {
 		return synop.Conflict
 	}
 	return r.Code
 }
 
-// knows says whether there is such a zone, as the boot file names them or, where it names none, as members are in.
-func (c *Controller) knows(zone string) bool {
+// checkZoneExists looks for a zone among those that the boot file names or, where it names none, that members are in. A
+// controller that is cut off, or has just started, may not know all members: it says that there is no such zone only while
+// a majority answers it.
+func (c *Controller) checkZoneExists(ctx context.Context, zone string) synop.Code {
 	if len(c.Boot.Zones) > 0 {
-		return slices.Contains(c.Boot.Zones, zone)
-	}
-	for _, m := range c.Members() {
-		if m.Zone == zone {
-			return true
+		if slices.Contains(c.Boot.Zones, zone) {
+			return synop.OK
 		}
+		return synop.BadZone
+	}
+	inZone := func(m membership.Member) bool { return m.Zone == zone }
+	if slices.ContainsFunc(c.Members(), inZone) {
+		return synop.OK
+	}
+	if r := c.Submit(ctx, register.Request{Key: keyConfig}); r.Code != synop.OK {
+		return r.Code
 	}
-	return false
+	return synop.BadZone
 }
--- a/internal/control/controller/evacuation.go
+++ b/internal/control/controller/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 
 	"seamshunt/internal/control/register"
@@ -14,36 +15,38 @@
 // that came after it. A call that meets a newer number ends without a clear answer, unless the zone is as it wishes; it is
 // never refused. Its caller sends it again, as a new call.
 func (c *Controller) evacuate(zone string, out bool) synop.Code {
-	if !c.knows(zone) {
-		return synop.BadZone
+	ctx, done := answerTime(register.AnswerTimeout)
+	defer done()
+	if code := c.checkZoneExists(ctx, zone); code != synop.OK {
+		return code
 	}
 	key, wanted := "zone/"+zone, fmt.Appendf(nil, `{"evacuated":%v}`, out)
 	num, state := c.heardOf(key)
 	if num == 0 {
-		r := c.Submit(register.Request{Key: key})
+		r := c.Submit(ctx, register.Request{Key: key})
 		if r.Code != synop.OK {
 			return r.Code
 		}
 		num, state = r.Num, r.Data
 	}
-	return c.setFrom(num, state, key, wanted)
+	return c.setFrom(ctx, num, state, key, wanted)
 }
 
 // setFrom sets a key that held a state under a number, if it still does.
-func (c *Controller) setFrom(num units.Num, state []byte, key string, wanted []byte) synop.Code {
+func (c *Controller) setFrom(ctx context.Context, num units.Num, state []byte, key string, wanted []byte) synop.Code {
 	if bytes.Equal(state, wanted) {
-		return c.alreadySo(key, wanted)
+		return c.alreadySo(ctx, key, wanted)
 	}
-	r := c.record(register.Request{Key: key, Expect: num, Data: wanted})
+	r := c.record(ctx, register.Request{Key: key, Expect: num, Data: wanted})
 	if r.Code == synop.Conflict {
-		return c.alreadySo(key, wanted)
+		return c.alreadySo(ctx, key, wanted)
 	}
 	return r.Code
 }
 
 // alreadySo acknowledges a wish that a majority confirms to be fulfilled; else the outcome is left open.
-func (c *Controller) alreadySo(key string, wanted []byte) synop.Code {
-	r := c.Submit(register.Request{Key: key})
+func (c *Controller) alreadySo(ctx context.Context, key string, wanted []byte) synop.Code {
+	r := c.Submit(ctx, register.Request{Key: key})
 	if r.Code == synop.OK && !bytes.Equal(r.Data, wanted) {
 		return synop.Unsure
 	}
--- a/internal/control/controller/linear_test.go
+++ b/internal/control/controller/linear_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -126,7 +127,7 @@
 	on, off := []byte(`{"evacuated":true}`), []byte(`{"evacuated":false}`)
 	for _, state := range [][]byte{on, off} {
 		code := sure(t, func() (synop.Code, []*synop.Fault) {
-			code := cores[2].setFrom(1, state, "zone/z9", on)
+			code := cores[2].setFrom(context.Background(), 1, state, "zone/z9", on)
 			if code == synop.Unsure { // the clear answer that is wanted here
 				return 0, nil
 			}
