--- a/internal/control/register/outcomes_test.go
+++ b/internal/control/register/outcomes_test.go
@@ -125,3 +125,23 @@
 		})
 	}
 }
+
+// Repair hands the outcome table on with the value: a voter that lost it knows every change again.
+func TestRepairBearsOutcomes(t *testing.T) {
+	c := newCluster()
+	for by := range c.replicas {
+		c.believe(by, 1)
+	}
+	for n := range 20 {
+		c.want(t, "a change", 1, Request{Expect: units.Num(n), RequestID: fmt.Sprint(n)}, synop.OK, units.Num(n)+1)
+	}
+	c.replicas[3].states["config"] = &State{}
+	c.deliver(1, c.replicas[1].Resend(3, "config"))
+	if got, want := fmt.Sprint(*c.replicas[3].states["config"]), fmt.Sprint(*c.replicas[1].states["config"]); got != want {
+		t.Errorf("after the repair %s, want %s", got, want)
+	}
+	delete(c.replicas, 2) // 3 is needed for a majority, and owns the key
+	c.believe(1, 3)
+	c.believe(3, 3)
+	c.want(t, "the first again", 1, Request{Expect: 0, RequestID: "0"}, synop.OK, 1)
+}
