--- a/internal/control/register/model_actions_test.go
+++ b/internal/control/register/model_actions_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/units"
 )
 
@@ -189,6 +190,14 @@
 	return slices.Delete(members, dropped, dropped+1)
 }
 
+// learnAny tells a node of a set that has been in force, as the news does, perhaps late.
+func (r *randomRun) learnAny() {
+	sets := message.Keys(r.checker.sets)
+	set := r.checker.sets[sets[r.pick(len(sets))]]
+	r.perform(r.any(), 0, func(x *Replica) message.Effects { return x.LearnQuorum(set.Pack()) })
+}
+
+// resendAny has a node repeat a value to another, as repair does.
 func (r *randomRun) resendAny() {
 	from, to := r.any(), r.any()
 	r.resend(from, to, []string{"a", "b", KeyQuorum}[r.pick(3)])
--- a/internal/control/register/model_checker_test.go
+++ b/internal/control/register/model_checker_test.go
@@ -93,6 +93,33 @@
 	}
 }
 
+// prepared checks that an owner writes only in an epoch that its set has durably promised. A repeated value leaves after
+// a sync and isn't meant: it may be older than the set.
+func (k *modelChecker) prepared(m message.Message) {
+	if m.Kind != Accept {
+		return
+	}
+	d := decode(m)
+	promised := func(id units.Node) bool {
+		return k.everDurable(id, d.key, func(s State) bool { return !s.Promised.Less(d.head.epoch()) })
+	}
+	if !decides(d.set, promised) {
+		k.fail("a write on %q in epoch %v that set %d hasn't promised", d.key, d.head.epoch(), d.set.Version)
+	}
+}
+
+// everDurable says whether a node's durable state of a key, or that of its lost disk, is as asked for.
+func (k *modelChecker) everDurable(id units.Node, key string, is func(State) bool) bool {
+	n := k.cluster.node(id)
+	if n == nil {
+		return false
+	}
+	if n.lost {
+		return is(n.lostDisk.states[key])
+	}
+	return is(n.disk.states[key])
+}
+
 // voted checks an acceptor's positive reply: what it says is durable, and no reply that left earlier forbids it.
 func (k *modelChecker) voted(n *modelNode, kind message.Kind, d decoded, request units.Num) {
 	epoch := d.head.epoch()
@@ -184,8 +211,7 @@
 		k.fail("set %d was decided without set %d", set.Version, set.Version-1)
 	}
 	holds := func(id units.Node) bool { // or did so until its disk was lost
-		n := k.cluster.node(id)
-		return n != nil && max(n.disk.states[KeyQuorum].Num, n.lostDisk.states[KeyQuorum].Num) >= set.Version
+		return k.everDurable(id, KeyQuorum, func(s State) bool { return s.Num >= set.Version })
 	}
 	if !decides(previous, holds) || !decides(set, holds) {
 		k.fail("set %d is in force without majorities of %+v and %+v", set.Version, previous, set)
--- a/internal/control/register/model_cluster_test.go
+++ b/internal/control/register/model_cluster_test.go
@@ -126,6 +126,7 @@
 	}
 	c.checker.drain(n)
 	for _, m := range out.Messages {
+		c.checker.prepared(m)
 		c.leave(n, m, request)
 	}
 }
--- a/internal/control/register/model_random_test.go
+++ b/internal/control/register/model_random_test.go
@@ -58,6 +58,7 @@
 	{2, (*randomRun).rewriteAny},
 	{8, (*randomRun).changeAny},
 	{1, (*randomRun).resendAny},
+	{1, (*randomRun).learnAny},
 }
 
 // Random runs at several sizes keep the invariants, and a healed cluster answers.
