Register: strangers' votes, epochs and key lists, malformed values and old answers change nothing

Cause: replies were counted from any sender. A Promise of a node outside the set was taken as the newest accepted value, a refusal ended the ownership, an epoch of 2^64-1 used up all epochs, a key list had foreign keys read back. An Accept whose value can't be read was stored and later taken for an empty one. An answer was matched by its tag alone, and a restarted replica counts the tags of a transfer's reads from one again: an answer on another key marked a key as read back under the joint set. Ruled out: forged sets (UnpackQuorumSet refuses them), older sets, cut or overlong messages: they changed nothing.

--- a/internal/control/register/acceptor.go
+++ b/internal/control/register/acceptor.go
@@ -80,6 +80,12 @@
 		out.Fail(errNotMember)
 		return
 	}
+	if n.Kind == Accept {
+		if err := checkBody(key, body); err != nil {
+			out.Fail(err)
+			return
+		}
+	}
 	s := b.state(key)
 	e := h.epoch()
 	if e.Less(s.Promised) {
--- a/internal/control/register/messages.go
+++ b/internal/control/register/messages.go
@@ -82,7 +82,9 @@
 			b.state(r.Key).Promised = maxEpoch(b.state(r.Key).Promised, units.Epoch{N: h.N, By: units.Node(h.By)})
 		case RecordAccept:
 			s := b.state(r.Key)
-			err = message.Unpack(r.Data, &h, &s.Body)
+			if err = message.Unpack(r.Data, &h, &s.Body); err == nil {
+				err = checkBody(r.Key, s.Body)
+			}
 			s.Accepted, s.Seq, s.Num = units.Epoch{N: h.N, By: units.Node(h.By)}, h.Seq, units.Num(h.Num)
 			s.Promised = maxEpoch(s.Promised, s.Accepted)
 		case RecordQuorum:
@@ -147,6 +149,26 @@
 	return plans, data
 }
 
+// checkBody says why a body is none that a replica lays out.
+func checkBody(key string, b []byte) error {
+	if len(b) == 0 {
+		return nil // before the first write
+	}
+	var h planHead
+	var list, data []byte
+	if err := message.Unpack(b, &h, &list, &data); err != nil {
+		return err
+	}
+	if _, err := message.UnpackList(list); err != nil {
+		return err
+	}
+	if key != KeyQuorum {
+		return nil
+	}
+	_, err := UnpackQuorumSet(data)
+	return err
+}
+
 // Data gives the operator's bytes out of a stored body.
 func Data(body []byte) []byte {
 	_, d := unpackBody(body)
--- a/internal/control/register/owner.go
+++ b/internal/control/register/owner.go
@@ -108,6 +108,10 @@
 	if h.epoch() != o.epoch || o.phase == none || o.phase == holding {
 		return
 	}
+	if !slices.Contains(b.targets(o), n.From) {
+		out.Fail(errNotMember)
+		return
+	}
 	if n.Kind == Stale {
 		return // the newer set came with it; a pending one is waited for
 	}
--- a/internal/control/register/replica.go
+++ b/internal/control/register/replica.go
@@ -93,7 +93,9 @@
 	if !b.adopt(v, &out) {
 		return out
 	}
-	b.highestEpoch = max(b.highestEpoch, h.N, h.HN)
+	if b.quorum.Has(n.From) { // an epoch that a stranger names must not use up those of the set
+		b.highestEpoch = max(b.highestEpoch, h.N, h.HN)
+	}
 	k := string(key)
 	switch n.Kind {
 	case Prepare, Accept, Confirm:
@@ -105,15 +107,13 @@
 	case Forward:
 		b.call(now, n, h, k, body, &out)
 	case Reply:
-		c := synop.Code(h.Code)
-		if h.Tag != 0 && (c != synop.Unsure && c != synop.NoMajority || !b.again(h.Tag)) {
-			delete(b.requests, h.Tag)
-			b.replied(now, v.Version, Result{Tag: h.Tag, Code: synop.Code(h.Code), Num: units.Num(h.Num), Data: body}, &out)
-		}
+		b.answered(now, h, k, v.Version, body, &out)
 	case ListKeys:
 		b.listKeys(n, &out)
 	case KeyList:
-		b.keysListed(now, n, v.Version, body, &out)
+		if b.quorum.Has(n.From) {
+			b.keysListed(now, n, v.Version, body, &out)
+		}
 	case FoundingVote:
 		b.foundVote(n, body, &out)
 	case FoundingVoted:
--- a/internal/control/register/request.go
+++ b/internal/control/register/request.go
@@ -56,6 +56,21 @@
 	}
 }
 
+// answered takes an owner's answer to a request that is pending here. One on another key was meant for an earlier run of
+// this node, which used the same tag.
+func (b *Replica) answered(now units.Time, h head, key string, version units.Num, body []byte, out *message.Effects) {
+	w := b.requests[h.Tag]
+	if w == nil || w.Key != key {
+		return
+	}
+	code := synop.Code(h.Code)
+	if (code == synop.Unsure || code == synop.NoMajority) && b.again(h.Tag) {
+		return
+	}
+	delete(b.requests, h.Tag)
+	b.replied(now, version, Result{Tag: h.Tag, Code: code, Num: units.Num(h.Num), Data: body}, out)
+}
+
 // again says whether a wish that met an owner no longer one, or not yet one, will be sent once more: then its
 // asker need not be told yet.
 func (b *Replica) again(tag uint64) bool {
