--- a/internal/control/register/model_cluster_test.go
+++ b/internal/control/register/model_cluster_test.go
@@ -104,6 +104,9 @@
 
 // lose ends a process and destroys its disk.
 func (c *modelCluster) lose(n *modelNode) {
+	if n.lost {
+		return
+	}
 	c.crash(n, 0)
 	n.lost, n.lostDisk, n.disk = true, n.disk, newModelDisk()
 	c.record(modelEvent{action: "lose disk", node: n.id})
