--- a/internal/control/controller/outcome_test.go
+++ b/internal/control/controller/outcome_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -39,7 +40,7 @@
 	if a, b := put(0, 1), put(1, 1); a != synop.OK || b != synop.OK {
 		t.Fatalf("taken %d, again %d", a, b)
 	}
-	if code := c.unchanged(7); code != synop.Conflict {
+	if code := c.unchanged(context.Background(), 7); code != synop.Conflict {
 		t.Errorf("under another number: %d", code)
 	}
 	var once sync.Once
--- a/internal/control/register/messages.go
+++ b/internal/control/register/messages.go
@@ -92,7 +92,7 @@
 		case RecordAccept:
 			s := b.state(r.Key)
 			if err = message.Unpack(r.Data, &h, &s.Body); err == nil {
-				err = checkBody(units.Num(h.Num), s.Body)
+				err = checkBody(r.Key, units.Num(h.Num), s.Body)
 			}
 			s.Accepted, s.Seq, s.Num = units.Epoch{N: h.N, By: units.Node(h.By)}, h.Seq, units.Num(h.Num)
 			s.Promised = maxEpoch(s.Promised, s.Accepted)
--- a/internal/control/register/outcomes.go
+++ b/internal/control/register/outcomes.go
@@ -123,8 +123,11 @@
 }
 
 // checkBody says what is wrong with a body that came over the wire or from the disk.
-func checkBody(num units.Num, body []byte) error {
-	_, _, err := unpackBody(num, body)
+func checkBody(key string, num units.Num, body []byte) error {
+	_, data, err := unpackBody(num, body)
+	if err == nil && key == KeyQuorum && num > 0 {
+		_, err = UnpackQuorumSet(data)
+	}
 	return err
 }
 
--- a/internal/control/register/owner.go
+++ b/internal/control/register/owner.go
@@ -114,6 +114,10 @@
 	if h.epoch() != o.epoch || o.phase == none {
 		return
 	}
+	if !slices.Contains(b.targets(o), n.From) {
+		out.Fail(errNotMember)
+		return
+	}
 	if n.Kind == Stale {
 		return // the newer set came with it; a pending one is waited for
 	}
@@ -126,7 +130,7 @@
 		if o.phase != preparing {
 			return
 		}
-		if err := checkBody(units.Num(h.Num), body); err != nil {
+		if err := checkBody(o.key, units.Num(h.Num), body); err != nil {
 			out.Fail(err) // not a promise that can be counted: what it bears would be lost
 			return
 		}
