--- a/cmd/gale/worker.go
+++ b/cmd/gale/worker.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"slices"
@@ -21,7 +22,7 @@
 			return fmt.Errorf("--wrong is one of %q", wrongs)
 		}
 		if w.Model.Knee < 1 || w.Model.Blocks < 1 || w.Model.BatchMost < 1 {
-			return fmt.Errorf("--knee, --blocks and --batch are above 0")
+			return errors.New("--knee, --blocks and --batch are above 0")
 		}
 		j, err := standin.Open(journal)
 		if err != nil {
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -51,7 +51,7 @@
 }
 
 // Serve adds the command that runs a program where an adapter says what its place is (design 11).
-func Serve(read func() (*boot.Boot, error), make func(*boot.Boot) (Daemon, error), again func(Daemon, *boot.Boot), dump func(Daemon)) *cobra.Command {
+func Serve(read func() (*boot.Boot, error), create func(*boot.Boot) (Daemon, error), again func(Daemon, *boot.Boot), dump func(Daemon)) *cobra.Command {
 	return &cobra.Command{Use: "serve", Short: "run on the users' platform until a warning (SIGTERM)", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			b, err := read()
@@ -59,7 +59,7 @@
 				return err
 			}
 			settle(b)
-			d, err := make(b)
+			d, err := create(b)
 			if err != nil {
 				return err
 			}
@@ -75,7 +75,7 @@
 }
 
 // Run adds the command that runs a program from its boot file.
-func Run(name string, make func(*boot.Boot) (Daemon, error), dump func(Daemon)) *cobra.Command {
+func Run(name string, create func(*boot.Boot) (Daemon, error), dump func(Daemon)) *cobra.Command {
 	var path string
 	c := &cobra.Command{Use: "run", Short: "run with a boot file until a warning (SIGTERM)", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
@@ -83,7 +83,7 @@
 			if err != nil {
 				return err
 			}
-			d, err := make(b)
+			d, err := create(b)
 			if err != nil {
 				return err
 			}
--- a/internal/forecast/parse.go
+++ b/internal/forecast/parse.go
@@ -48,7 +48,9 @@
 
 // skip goes on behind the next closing brace, so that one run names several faults.
 func (p *parser) skip() {
-	for t := p.next(); t.kind != 0 && t.kind != '}'; t = p.next() {
+	t := p.next()
+	for t.kind != 0 && t.kind != '}' {
+		t = p.next()
 	}
 }
 
--- a/internal/forecast/workers.go
+++ b/internal/forecast/workers.go
@@ -1,6 +1,7 @@
 package forecast
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"time"
@@ -29,7 +30,7 @@
 	}
 	x := v.Get("workers")
 	if x == nil || x.Type() != fastjson.TypeArray {
-		return nil, fmt.Errorf("forecast: worker list: no workers in it")
+		return nil, errors.New("forecast: worker list: no workers in it")
 	}
 	var l []Worker
 	seen := map[string]bool{}
--- a/internal/gauge/step.go
+++ b/internal/gauge/step.go
@@ -73,9 +73,9 @@
 }
 
 // gap is the mean time between two returned slots.
-func (k *keep) gap(cap int) time.Duration {
+func (k *keep) gap(capacity int) time.Duration {
 	if k.turn == 0 {
-		return k.hold / time.Duration(cap)
+		return k.hold / time.Duration(capacity)
 	}
 	return k.turn
 }
--- a/internal/hollow/bound.go
+++ b/internal/hollow/bound.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -46,7 +47,7 @@
 			}
 		}
 	}
-	return 0, fmt.Errorf("hollow: /proc/meminfo names no memory")
+	return 0, errors.New("hollow: /proc/meminfo names no memory")
 }
 
 // CheckSizes says whether sizes can be run here, and else what the bounds are.
--- a/internal/hollow/node.go
+++ b/internal/hollow/node.go
@@ -171,9 +171,3 @@
 	n.up = false
 	n.life++
 }
-
-// fail ends it without a word.
-func (n *node) fail() {
-	n.up = false
-	n.life++
-}
--- a/internal/screen/copy.go
+++ b/internal/screen/copy.go
@@ -80,10 +80,10 @@
 // memory; or, where some are as new as this one, once all have given what they have and so many voters theirs that
 // no claim on a majority of the disks can be missing.
 func (s *Screen) recall(now units.Time, peers []units.Node, out *message.Effects) bool {
-	all, any := true, true
+	allWhole, allHeard := true, true
 	for _, n := range peers {
 		h, ok := s.heard[n]
-		all, any = all && h.whole, any && ok
+		allWhole, allHeard = allWhole && h.whole, allHeard && ok
 	}
 	whole := 0
 	for _, n := range s.core.Members {
@@ -92,7 +92,7 @@
 		}
 	}
 	kept := len(s.core.Members) > 0 && whole >= enough(s.core)
-	if now.Sub(s.born) >= settle && (len(peers) > 0 && all || any && kept) {
+	if now.Sub(s.born) >= settle && (len(peers) > 0 && allWhole || allHeard && kept) {
 		return true
 	}
 	if now.Sub(s.asked) >= again {
