Doc comments that name what they document, and the linters' other findings on the control side

Each now says in plain English what the item is, with units, limits and what happens outside of them; the step machines say that they aren't safe for concurrent use. Beside comments, single lines: four unused fields, fmt.Errorf without a verb, an error that wasn't the last result, a duration named Ms. No behaviour changes. Tests of anemometer, storage, cluster and vaned pass. control/controller: TestChangesOnAFullDisk is flaky at a load of 33 on 12 cores, before this commit (2 of 8 runs fail) and after it (3 of 8): "change N of 2 kB: 502" twice before and once after, "never: writes go on" twice after; cause not found, the test is left as it is.

--- a/internal/anemometer/exchange_test.go
+++ b/internal/anemometer/exchange_test.go
@@ -104,7 +104,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			p := NewPool(names)
 			addr := once(t, x.answer, false)
-			b, err, y := all(t, p, order(addr, "a"))
+			b, y, err := all(t, p, order(addr, "a"))
 			if y.Kind != x.kind || b != x.body || (err != nil) != (x.broken || x.kind != Piece) {
 				t.Fatalf("kind %d, body %q, error %v", y.Kind, b, err)
 			}
@@ -143,7 +143,7 @@
 	} {
 		p := NewPool(names)
 		addr := once(t, "HTTP/1.1 200 OK\nAttempt-Id: a\n"+s, true)
-		b, err, x := all(t, p, order(addr, "a"))
+		b, x, err := all(t, p, order(addr, "a"))
 		if x.Kind != Piece || b != "abc" || !errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
 			t.Fatalf("%q: kind %d, body %q, error %v", s, x.Kind, b, err)
 		}
@@ -168,7 +168,7 @@
 	addr := once(t, "HTTP/1.1 200 OK\nAttempt-Id: a\nContent-Length: 9\n\nabc", false)
 	o := order(addr, "a")
 	o.Due = time.Now().Add(200 * time.Millisecond)
-	b, err, _ := all(t, NewPool(names), o)
+	b, _, err := all(t, NewPool(names), o)
 	if b != "abc" || !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Fatal(b, err)
 	}
--- a/internal/anemometer/pool_test.go
+++ b/internal/anemometer/pool_test.go
@@ -223,7 +223,7 @@
 		g.Go(func() {
 			for j := range 50 {
 				id := fmt.Sprintf("r%d-%d", i, j)
-				if b, err, x := all(t, p, order(addr, id)); b != id || err != nil {
+				if b, x, err := all(t, p, order(addr, id)); b != id || err != nil {
 					t.Errorf("%s: %q %v kind %d", id, b, err, x.Kind)
 				}
 				p.Sweep()
--- a/internal/anemometer/seal.go
+++ b/internal/anemometer/seal.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"hash"
 
@@ -32,7 +33,7 @@
 // Line takes one line of the stream. It says whether the line was the seal; an error means the answer is not whole.
 func (s *Seal) Line(b []byte) (bool, error) {
 	if s.sealed {
-		return false, fmt.Errorf("anemometer: a line after the seal")
+		return false, errors.New("anemometer: a line after the seal")
 	}
 	v, err := s.p.ParseBytes(b)
 	if err != nil {
@@ -90,7 +91,7 @@
 		return fmt.Errorf("anemometer: sealed %d pieces of %d bytes, came %d of %d", n, l, s.next, s.bytes)
 	}
 	if d := string(x.GetStringBytes("digest")); d != hex.EncodeToString(s.sum.Sum(nil)) {
-		return fmt.Errorf("anemometer: the digest does not fit")
+		return errors.New("anemometer: the digest does not fit")
 	}
 	s.sealed = true
 	return nil
--- a/internal/anemometer/try.go
+++ b/internal/anemometer/try.go
@@ -190,7 +190,7 @@
 	if err == nil && status == fasthttp.StatusServiceUnavailable {
 		if v, err := fastjson.ParseBytes(b); err == nil && v.Exists("ran") && !v.GetBool("ran") &&
 			v.Get("ran").Type() == fastjson.TypeFalse && string(v.GetStringBytes("id")) == t.ID {
-			return Event{Kind: NotRun, Err: fmt.Errorf("anemometer: worker refused")}
+			return Event{Kind: NotRun, Err: errors.New("anemometer: worker refused")}
 		}
 	}
 	return Event{Kind: Unknown, Err: fmt.Errorf("anemometer: worker answered %d", status)}
--- a/internal/anemometer/worker_test.go
+++ b/internal/anemometer/worker_test.go
@@ -83,21 +83,21 @@
 }
 
 // all does one order, reads its body whole and ends it.
-func all(t *testing.T, p *Pool, o *Order) (body string, err error, x *Exchange) {
+func all(t *testing.T, p *Pool, o *Order) (body string, x *Exchange, err error) {
 	t.Helper()
 	x = p.Do(o)
 	defer x.End()
 	if x.Kind != Piece {
-		return "", x.Err, x
+		return "", x, x.Err
 	}
 	b, err := io.ReadAll(x.rest())
-	return string(b), err, x
+	return string(b), x, err
 }
 
 // want does one order that must go well.
 func want(t *testing.T, p *Pool, o *Order, body string) *Exchange {
 	t.Helper()
-	b, err, x := all(t, p, o)
+	b, x, err := all(t, p, o)
 	if b != body || err != nil || x.Kind != Piece {
 		t.Fatalf("%s: kind %d, body %q, error %v", o.ID, x.Kind, b, err)
 	}
@@ -107,7 +107,7 @@
 // wantKind does one order that must end so.
 func wantKind(t *testing.T, p *Pool, o *Order, k Kind) *Exchange {
 	t.Helper()
-	_, err, x := all(t, p, o)
+	_, x, err := all(t, p, o)
 	if x.Kind != k || err == nil {
 		t.Fatalf("%s: kind %d, error %v, want kind %d", o.ID, x.Kind, err, k)
 	}
--- a/internal/cluster/configpush/feed.go
+++ b/internal/cluster/configpush/feed.go
@@ -42,7 +42,8 @@
 	num  units.Num
 }
 
-// Bulletin is the step machine of both programs.
+// Feed is one node's state machine of the numbered values that are spread to all nodes: what it holds, what it pushes and
+// who has acknowledged it. It isn't safe for concurrent use.
 type Feed struct {
 	Items      map[string]*Item
 	Sum        uint64
--- a/internal/cluster/discovery/discovery.go
+++ b/internal/cluster/discovery/discovery.go
@@ -33,7 +33,7 @@
 	knew map[string]units.Num
 }
 
-// Nephoscope merges the sightings.
+// Catalog merges the sightings of all askers into one list of workers for each pool. It isn't safe for concurrent use.
 type Catalog struct {
 	pools map[string]map[string]*sighting
 	start map[string]units.Time // when each worker began, on this process's clock
@@ -114,7 +114,7 @@
 // Start says when each worker began, as far as is known.
 func (n *Catalog) Start() map[string]units.Time { return n.start }
 
-// Ask is one question to the platform: its number, and what its asker had heard of before.
+// Query is one question to the platform: its number, and which sightings its asker had heard of when it began.
 type Query struct {
 	Pool  string
 	Num   units.Num
@@ -174,8 +174,8 @@
 	return now.Add(-w.Age).Sub(n.start[w.ID]) > slack
 }
 
-// Turn paces one node's questions: a node may ask for its share of the fleet's rate, and shares never add up to
-// more than the whole (design 5).
+// Schedule paces one node's questions: a node may ask for its share of the fleet's rate, and shares never add up to more
+// than the whole (design 5).
 type Schedule struct {
 	credit time.Duration
 	last   units.Time
--- a/internal/cluster/membership/membership.go
+++ b/internal/cluster/membership/membership.go
@@ -73,7 +73,8 @@
 	at  units.Time
 }
 
-// Mast is the step machine.
+// Gossip is one node's state machine of membership: its table, its probes and the changes still to be told. It isn't safe
+// for concurrent use.
 type Gossip struct {
 	Self    units.Node
 	News    uint64
--- a/internal/cluster/message/message.go
+++ b/internal/cluster/message/message.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"slices"
 
@@ -25,7 +26,7 @@
 	KindAntiEntropy Kind = 112
 )
 
-// Note is one message between two processes. Addr is set only for a first word to a seed.
+// Message is one message between two processes. Addr is set only for a first message to a seed, whose node id isn't known.
 type Message struct {
 	From, To units.Node
 	Addr     string
@@ -40,7 +41,7 @@
 	Data []byte
 }
 
-// Out collects what one step gives out. After leaves only once Writes and all earlier ones are synced.
+// Effects collects what one step gives out. AfterSync may be sent only once Writes, and all earlier ones, are synced.
 type Effects struct {
 	Messages  []Message
 	Writes    []Record
@@ -53,7 +54,7 @@
 	o.Messages = append(o.Messages, Message{To: to, Kind: k, Body: b})
 }
 
-// Later adds a note that waits for the disk.
+// SendAfterSync adds a message that may be sent only once the step's writes are synced.
 func (o *Effects) SendAfterSync(to units.Node, k Kind, b []byte) {
 	o.AfterSync = append(o.AfterSync, Message{To: to, Kind: k, Body: b})
 }
@@ -95,7 +96,7 @@
 	b = b[n:]
 	for _, t := range tails {
 		if len(b) < 4 {
-			return fmt.Errorf("message: tail length missing")
+			return errors.New("message: tail length missing")
 		}
 		n := binary.LittleEndian.Uint32(b)
 		b = b[4:]
@@ -125,7 +126,7 @@
 	var items [][]byte
 	for len(b) > 0 {
 		if len(b) < 4 {
-			return nil, fmt.Errorf("message: list cut short")
+			return nil, errors.New("message: list cut short")
 		}
 		n := binary.LittleEndian.Uint32(b)
 		b = b[4:]
--- a/internal/cluster/transport/transport.go
+++ b/internal/cluster/transport/transport.go
@@ -20,12 +20,11 @@
 
 // wire is one held connection for sending; the way back is the neighbour's own wire.
 type wire struct {
-	link   *link
-	dial   bool
-	wait   [][]byte
-	next   units.Time
-	back   time.Duration
-	refuse units.Time
+	link *link
+	dial bool
+	wait [][]byte
+	next units.Time
+	back time.Duration
 }
 
 const waitMost = 512
@@ -37,7 +36,7 @@
 	backMost = 250 * time.Millisecond
 )
 
-// Telegraph holds a process's wires.
+// Transport holds a process's connections to its neighbours. It is safe for concurrent use.
 type Transport struct {
 	gnet.BuiltinEventEngine
 	Self    units.Node
--- a/internal/control/antientropy/antientropy.go
+++ b/internal/control/antientropy/antientropy.go
@@ -29,7 +29,7 @@
 // Mend sends a key's accepted value to another member.
 type Mend func(to units.Node, key string) message.Effects
 
-// Syncer is the step machine.
+// Syncer is one member's state machine of the comparison. It isn't safe for concurrent use.
 type Syncer struct {
 	self    units.Node
 	next    units.Time
--- a/internal/control/changelog/changelog.go
+++ b/internal/control/changelog/changelog.go
@@ -23,7 +23,7 @@
 	public     = "audit.pub"
 )
 
-// Leaf is one acknowledged change.
+// Entry is one acknowledged change, as a line of the log; Unix is the time of day in seconds.
 type Entry struct {
 	Unix   int64  `json:"unix"`
 	Key    string `json:"key"`
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -27,7 +27,7 @@
 
 const recSelf uint8 = 1
 
-// Barometer is one process of the control plane.
+// Controller is one process of the control plane.
 type Controller struct {
 	*tower.Tower
 	replicaMu sync.Mutex
--- a/internal/control/controller/grow_test.go
+++ b/internal/control/controller/grow_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -126,7 +127,7 @@
 				return nil, fmt.Errorf("status %d, %v", code, err)
 			}
 			if p == "/two" && string(b) != "end" {
-				return nil, fmt.Errorf("a broken page")
+				return nil, errors.New("a broken page")
 			}
 			for _, s := range strings.Split(string(b), "\n") {
 				var w forecast.Worker
--- a/internal/control/controller/platform_poll.go
+++ b/internal/control/controller/platform_poll.go
@@ -1,7 +1,7 @@
 package controller
 
 import (
-	"fmt"
+	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -80,7 +80,7 @@
 	c.catalogMu.Unlock()
 	l, err := c.list(pool)
 	if err == nil && len(l) == 0 && known > 0 {
-		err = fmt.Errorf("an empty list is not believed")
+		err = errors.New("an empty list is not believed")
 	}
 	c.polled.mu.Lock()
 	if c.polled.at, c.polled.last = c.Crew.Now(), ""; err == nil {
--- a/internal/control/controller/worker_list.go
+++ b/internal/control/controller/worker_list.go
@@ -37,7 +37,7 @@
 	}
 	l, err := forecast.ReadWorkers(b)
 	if err == nil && len(l) == 0 {
-		err = fmt.Errorf("an empty list is not believed")
+		err = errors.New("an empty list is not believed")
 	}
 	return l, err
 }
--- a/internal/control/register/acceptor.go
+++ b/internal/control/register/acceptor.go
@@ -7,7 +7,7 @@
 	"seamshunt/internal/units"
 )
 
-// KeyVoters holds the set of voters itself.
+// KeyQuorum is the key whose value is the set of voters itself.
 const KeyQuorum = "voters"
 
 func (b *Replica) state(key string) *State {
@@ -44,7 +44,7 @@
 	return true
 }
 
-// Learn takes the set of voters from the news, as a learner must.
+// LearnQuorum adopts a set of voters that was spread to all nodes, if it is newer; body is a packed QuorumSet.
 func (b *Replica) LearnQuorum(body []byte) (out message.Effects) {
 	v, err := UnpackQuorumSet(body)
 	out.Fail(err)
@@ -62,7 +62,7 @@
 	return key != KeyQuorum && ver < b.state(KeyQuorum).Num
 }
 
-// Ver numbers the newest set of voters that this node knows of.
+// QuorumVersion returns the version of the newest set of voters that this node knows of, adopted or only accepted.
 func (b *Replica) QuorumVersion() units.Num { return max(b.quorum.Version, b.state(KeyQuorum).Num) }
 
 // voter serves Prepare, Accept and Confirm; every reply goes through the disk's queue, in order.
@@ -155,5 +155,5 @@
 	return out
 }
 
-// Slots gives the voter's state for repair and status; the caller must not change it.
+// States returns the acceptor's state of each key, for repair and status; the caller must not change it.
 func (b *Replica) States() map[string]*State { return b.states }
--- a/internal/control/register/found.go
+++ b/internal/control/register/found.go
@@ -17,8 +17,8 @@
 	sent units.Time
 }
 
-// Blank tells the machine how many founding disks the boot file names, and which blank disks membership
-// shows now. Another number than want, or any word of a fleet that stands, and nobody founds.
+// FoundFixed founds the first set from the blank disks that membership shows. It does nothing unless there are exactly
+// want of them, this one included, and nobody has heard of a running fleet.
 func (b *Replica) FoundFixed(want int, l CoreView) {
 	if b.quorum.Version > 0 {
 		return
@@ -39,8 +39,8 @@
 	f.lead = ids[0] == b.self
 }
 
-// Propose tells the machine which set this node sees to found, none while it sees none, and whether it is this node that
-// asks for the votes. A disk that has voted stays with its vote, whatever is seen (design 13).
+// FoundFromSeeds sets the first set that this node would found, none if ids is empty, and whether this node collects the
+// votes. A disk that has voted keeps to its vote, whatever ids says (design 13).
 func (b *Replica) FoundFromSeeds(ids []units.Node, lead bool) {
 	if b.quorum.Version > 0 {
 		return
--- a/internal/control/register/messages.go
+++ b/internal/control/register/messages.go
@@ -115,7 +115,7 @@
 	return a
 }
 
-// Ask is an operator's or a duty's wish on one key.
+// Request is a read or a conditional write of one key, by an operator or a duty.
 type Request struct {
 	Tag       uint64
 	From      units.Node
@@ -128,10 +128,10 @@
 	sure      bool // the owner has confirmed its epoch since this came
 }
 
-// Any stands for whatever number there is.
+// AnyNumber as Request.Expect makes a write that doesn't depend on the current number.
 const AnyNumber = ^units.Num(0)
 
-// Result answers an Ask.
+// Result answers the Request of the same Tag.
 type Result struct {
 	Tag  uint64
 	Code synop.Code
--- a/internal/control/register/replica.go
+++ b/internal/control/register/replica.go
@@ -49,7 +49,7 @@
 	return &Replica{self: self, run: run, states: map[string]*State{KeyQuorum: {}}, owned: map[string]*ownership{}, requests: map[uint64]*pendingRequest{}, reach: reach{heard: map[units.Node]units.Time{}}}
 }
 
-// Voters gives the set this node knows.
+// Quorum returns the newest set of voters that this node has adopted; its version is 0 before the founding.
 func (b *Replica) Quorum() QuorumSet { return b.quorum }
 
 // SetEligible takes membership's opinion of who may own keys: the eligible nodes and, where none of those is a member, the
--- a/internal/rig/simulator/core.go
+++ b/internal/rig/simulator/core.go
@@ -198,7 +198,8 @@
 	out.Join(c.feed.Spread(now, it, to))
 }
 
-// Ask brings an operator's wish to this machine; done hears the result, or Unsure once patience is over.
+// Submit brings an operator's request to this machine. done gets the result, or after register.RequestTimeout Unsure for a
+// write and NoMajority for a read.
 func (c *Core) Submit(s *Sim, a register.Request, done func(register.Result)) {
 	c.tag++
 	a.Tag = c.tag
--- a/internal/rig/simulator/operators.go
+++ b/internal/rig/simulator/operators.go
@@ -12,15 +12,14 @@
 
 // Op is one operator's call, as its history has it.
 type Op struct {
-	Key        string
-	Write      bool
-	From, To   units.Time // To is zero while it is open
-	Expect     units.Num
-	Code       synop.Code
-	Num        units.Num
-	Data       string
-	at         string
-	unresolved bool
+	Key      string
+	Write    bool
+	From, To units.Time // To is zero while it is open
+	Expect   units.Num
+	Code     synop.Code
+	Num      units.Num
+	Data     string
+	at       string
 }
 
 type ackedConfig struct {
--- a/internal/storage/wal/wal.go
+++ b/internal/storage/wal/wal.go
@@ -29,7 +29,7 @@
 	reserve     = "reserve"
 )
 
-// Log is one open file; one writer uses it.
+// Log is one open log file. It isn't safe for concurrent use.
 type Log struct {
 	dir        string
 	f          *os.File
--- a/internal/vaned/reply.go
+++ b/internal/vaned/reply.go
@@ -70,7 +70,6 @@
 	events anemometer.Events
 	out    []byte // whole events that are not read yet
 	buf    []byte
-	got    bool // something of a stream came
 	ended  bool
 	closed bool
 	err    error
--- a/internal/vaned/tally.go
+++ b/internal/vaned/tally.go
@@ -18,7 +18,7 @@
 type tally struct {
 	promise string
 	service string
-	firstMs time.Duration
+	aim     time.Duration
 	asked   uint64
 	kept    uint64 // first words within the promise
 	missed  uint64
@@ -52,7 +52,7 @@
 		}
 		t.by[m.Name] = x
 	}
-	x.promise, x.service, x.firstMs = m.Promise.Name, m.To[0], m.Promise.First
+	x.promise, x.service, x.aim = m.Promise.Name, m.To[0], m.Promise.First
 	f(x)
 }
 
@@ -80,7 +80,7 @@
 
 func (x *tally) firstWords(d time.Duration) {
 	x.first.Add(d)
-	if d <= x.firstMs {
+	if d <= x.aim {
 		x.kept++
 	} else {
 		x.missed++
--- a/internal/vaned/vane.go
+++ b/internal/vaned/vane.go
@@ -57,7 +57,6 @@
 	leaving  atomic.Bool
 	ending   atomic.Bool  // the grace is nearly over: what has no answer yet gets its final one
 	static   atomic.Int64 // since when no barometer has been heard, zero while one is
-	asked    units.Time
 	began    units.Time
 	flight   atomic.Int64
 	web      *fasthttp.Server
