--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -46,7 +46,9 @@
 
 // Daemon is a program that runs until it is warned.
 type Daemon interface {
+	// Start binds the program's addresses and begins its work; on an error the process has to exit.
 	Start() error
+	// Drain hands the program's work to others and ends it; it returns when that is done.
 	Drain()
 }
 
