--- a/internal/control/controller/damage_test.go
+++ b/internal/control/controller/damage_test.go
@@ -59,15 +59,15 @@
 		var x struct {
 			State string
 			Disk  struct {
-				Damaged   string
-				Set_aside bool
+				Damaged  string
+				SetAside bool `json:"set_aside"`
 			}
 		}
 		_, b := call(t, c, "GET", "/status", "")
 		if err := json.Unmarshal(b, &x); err != nil {
 			t.Fatal(err)
 		}
-		if !strings.HasPrefix(x.State, "learner") || (x.Disk.Damaged != "") != damaged || !x.Disk.Set_aside {
+		if !strings.HasPrefix(x.State, "learner") || (x.Disk.Damaged != "") != damaged || !x.Disk.SetAside {
 			t.Errorf("the status says %+v", x)
 		}
 		want := "seamshunt_disk_damaged 0\n"
--- a/internal/control/controller/linear_test.go
+++ b/internal/control/controller/linear_test.go
@@ -60,7 +60,7 @@
 	for range 30 {
 		code, _ := d.at().Control().Put(builds, []byte(c.Data))
 		taken, refused = taken || code == synop.OK, refused || code == synop.Conflict
-		if clear := code == synop.OK || code == synop.Conflict; clear && d.rng.Float64() >= d.lost {
+		if isClear := code == synop.OK || code == synop.Conflict; isClear && d.rng.Float64() >= d.lost {
 			c.To, c.Outcome = d.now(), linearizability.Refused
 			if code == synop.OK {
 				c.Outcome = linearizability.Done
--- a/internal/control/register/acceptor.go
+++ b/internal/control/register/acceptor.go
@@ -143,8 +143,8 @@
 	return numbers
 }
 
-// Mend sends a key's accepted value to another voter as its owner's Accept once more: a voter that has since
-// promised a higher epoch refuses it, as it would a late one.
+// Resend sends a key's accepted value to another voter as its owner's Accept once more: a voter that has since promised a
+// higher epoch refuses it, as it would a late one.
 func (b *Replica) Resend(to units.Node, key string) (out message.Effects) {
 	s := b.states[key]
 	if s == nil || s.Accepted == (units.Epoch{}) {
--- a/internal/control/register/request.go
+++ b/internal/control/register/request.go
@@ -30,7 +30,8 @@
 	return synop.NoMajority
 }
 
-// Ask starts a wish here; its Result turns up in Results. It goes to the owner this node believes in.
+// Submit forwards a request to the owner that this node sees for its key. The Result is appended to Results; without a
+// founded set or an owner it is NoMajority at once.
 func (b *Replica) Submit(now units.Time, a Request) (out message.Effects) {
 	a.From = b.self
 	to := b.Owner(a.Key)
--- a/internal/rig/simulator/resend_test.go
+++ b/internal/rig/simulator/resend_test.go
@@ -30,7 +30,6 @@
 type operators struct {
 	w      *World
 	rng    *rand.Rand
-	lost   float64 // share of the answers that are lost on their way
 	until  units.Time
 	orders []*order
 	reads  []linearizability.Call
