--- a/internal/control/register/request.go
+++ b/internal/control/register/request.go
@@ -15,7 +15,7 @@
 	at units.Time
 }
 
-// Patience is how long a wish may take before its asker is told that the outcome is unknown.
+// RequestTimeout is how long a request may take before its caller is told that the outcome is unknown.
 const RequestTimeout = 5 * time.Second
 
 // AnswerTimeout bounds the whole of an operator's call, however many requests it makes: callers go on to another
@@ -30,7 +30,8 @@
 	return synop.NoMajority
 }
 
-// Ask starts a wish here; its Result turns up in Results. It goes to the owner this node believes in.
+// Submit forwards a request to the owner that this node sees for its key. The Result is appended to Results; without a
+// founded set or an owner it is NoMajority at once.
 func (b *Replica) Submit(now units.Time, a Request) (out message.Effects) {
 	a.From = b.self
 	to := b.Owner(a.Key)
