--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -46,6 +46,7 @@
 	catalog   *discovery.Catalog
 	seeds     register.Seeds      // where voters are founded from seeds and grow
 	planner   register.Planner    // which replicas the quorum set is to have
+	shortfall shortfall           // what the set does not bear of what the settings ask for; under replicaMu
 	born      []string            // the seeds that the disk bears
 	heir      bool                // a damaged file was set aside on this disk
 	audit     chan entry          // to the one writer of the audit record
--- a/internal/control/controller/status.go
+++ b/internal/control/controller/status.go
@@ -27,6 +27,7 @@
 	for i, n := range v.Members {
 		vs.SetArrayItem(i, a.NewString(n.String()))
 	}
+	short := c.shortfall.text
 	keys := a.NewObject()
 	for k, s := range c.replica.States() {
 		x := a.NewObject()
@@ -41,6 +42,7 @@
 	o.Set("state", a.NewString(c.state(v, members)))
 	o.Set("voters_version", a.NewNumberInt(int(v.Version)))
 	o.Set("voters", vs)
+	o.Set("voters_fall_short", a.NewString(short))
 	o.Set("keys", keys)
 	news := a.NewObject()
 	c.FeedMu.Lock()
@@ -156,6 +158,7 @@
 	c.replicaMu.Lock()
 	fmt.Fprintf(ctx, "seamshunt_claims_kept %d\n", c.roll.Len())
 	fmt.Fprintf(ctx, "seamshunt_voters %d\nseamshunt_voters_version %d\n", len(c.replica.Quorum().Members), c.replica.Quorum().Version)
+	fmt.Fprintf(ctx, "seamshunt_voters_fall_short %d\n", min(1, len(c.shortfall.text)))
 	c.replicaMu.Unlock()
 	c.polled.mu.Lock()
 	fmt.Fprintf(ctx, "seamshunt_platform_answers_total %d\nseamshunt_platform_failures_total %d\n", c.polled.ok, c.polled.bad)
--- a/internal/control/register/model_clients_test.go
+++ b/internal/control/register/model_clients_test.go
@@ -21,10 +21,10 @@
 type modelClients struct {
 	cluster    *modelCluster
 	operations map[uint64]*clientOperation
-	requests   map[string]Request    // the first call of each request id
+	requests   map[string]Request          // the first call of each request id
 	first      map[string]*clientOperation // the same
-	refused    map[string]bool       // request ids that were answered with a conflict
-	acked      map[string]units.Num  // the highest acknowledged number of each key
+	refused    map[string]bool             // request ids that were answered with a conflict
+	acked      map[string]units.Num        // the highest acknowledged number of each key
 	tag        uint64
 	writes     map[string]int
 	reads      int // that were answered
--- /dev/null
+++ b/internal/control/register/serve.go
@@ -0,0 +1,59 @@
+package register
+
+import (
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// doubtful says whether an owner that was superseded unaware could refuse this request wrongly: another may have written,
+// under an epoch that this owner has not met, the number that it builds on, or the request itself. Then a majority confirms
+// the epoch first. The other refusals need no such round: the number that the request would have got was chosen for another.
+// Nor does an OK out of the table: what stands in the table of a chosen value was chosen with it (design 2).
+func (a *Request) doubtful(newest units.Num, outcomes Outcomes) bool {
+	if a.sure || a.Expect == AnyNumber || !a.Lookup && a.Expect <= newest {
+		return false
+	}
+	_, known := outcomes.find(fingerprintOf(a.RequestID), newest)
+	return !known
+}
+
+// settled answers a write that is not to be made: it was made before, or can't be made any more.
+func (a *Request) settled(newest units.Num, outcomes Outcomes) (synop.Code, units.Num, bool) {
+	if num, known := outcomes.find(fingerprintOf(a.RequestID), newest); known {
+		return synop.OK, num, true
+	}
+	if a.Lookup || a.Expect != AnyNumber && a.Expect != newest {
+		return outcomes.absent(a.Expect+1, newest), newest, true
+	}
+	return 0, 0, false
+}
+
+// confirm asks a majority whether the owner's epoch still stands.
+func (b *Replica) confirm(now units.Time, o *ownership, out *message.Effects) {
+	b.tag++
+	o.phase, o.tag, o.got, o.sent = confirming, b.tag, map[units.Node]bool{}, now
+	b.spread(o, Confirm, head{Tag: o.tag}, nil, out)
+}
+
+// serve begins the next wish; one at a time for each key.
+func (b *Replica) serve(now units.Time, o *ownership, out *message.Effects) {
+	for len(o.asks) > 0 {
+		a := o.asks[0]
+		outcomes, _, err := unpackBody(o.best.Num, o.best.Body)
+		out.Fail(err) // never: it was checked when it came in
+		if !a.Write || a.doubtful(o.best.Num, outcomes) {
+			o.asks[0].sure = true
+			b.confirm(now, o, out)
+			return
+		}
+		o.asks = o.asks[1:]
+		if code, num, ok := a.settled(o.best.Num, outcomes); ok {
+			b.reply(a, code, num, nil, out)
+			continue
+		}
+		body := packBody(outcomes.with(fingerprintOf(a.RequestID)), a.Data)
+		b.write(now, o, State{Seq: o.best.Seq + 1, Num: o.best.Num + 1, Body: body}, &a, out)
+		return
+	}
+}
