Upstream pool: never an answer or a refusal that may be another request's

(2) A connection remembered only its last id; behind another request the same id went over it again, where its own surplus answer may lie. (3) HungUp failed on a client whose read deadline had passed, so a request held longer than the server's read time-out, or a stream taken up then, was dropped as if its client had gone. (4) What a worker said before it closed in the middle of the request's body was not read: a refusal with Not-Run became 502. The two looks at a socket are one (peek).

--- a/internal/anemometer/exchange.go
+++ b/internal/anemometer/exchange.go
@@ -57,6 +57,7 @@
 	body   body
 	length int
 	keep   bool // the worker allows that the connection is used again
+	early  bool // the worker closed before the whole request was written; an answer may lie there all the same
 	mu     sync.Mutex
 	cut    bool
 	done   bool
@@ -77,6 +78,10 @@
 			break
 		}
 		sent := x.c.sent > 0
+		if sent && refusedToRead(err) {
+			x.early = true
+			break
+		}
 		if retry := !sent && x.Reused && !again && x.c.check(time.Now()) == nil; !retry {
 			if sent {
 				return x.fail(Unknown, err)
@@ -85,6 +90,9 @@
 		}
 		x.shut()
 	}
+	if x.early {
+		x.c.due = earlier(x.c.due, time.Now().Add(drainFor))
+	}
 	x.c.hush()
 	x.r = readers.Get().(*bufio.Reader)
 	x.r.Reset(x.c)
@@ -121,32 +129,6 @@
 	}
 }
 
-var (
-	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufSize) }}
-	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufSize) }}
-)
-
-// send writes header and body by themselves: Request.Write would make path and host anew from a parsed URI.
-func (x *Exchange) send() error {
-	h, b := &x.o.Req.Header, x.o.Req.Body()
-	h.SetNoDefaultContentType(true)
-	if len(b) > 0 || !h.IsGet() && !h.IsHead() || h.ContentLength() > 0 || len(h.Peek(fasthttp.HeaderTransferEncoding)) > 0 {
-		h.SetContentLength(len(b))
-	}
-	w := writers.Get().(*bufio.Writer)
-	w.Reset(x.c)
-	err := h.Write(w)
-	if err == nil {
-		_, err = w.Write(b)
-	}
-	if err == nil {
-		err = w.Flush()
-	}
-	w.Reset(nil)
-	writers.Put(w)
-	return err
-}
-
 // await reads heads until one is this request's.
 func (x *Exchange) await(n codebook.Names) error {
 	surplus, interim := 0, 0
@@ -194,8 +176,10 @@
 		x.body.left = 0
 	}
 	x.length = x.body.left
-	x.keep = !h.ConnectionClose() && !head // a surplus answer to HEAD could not be measured
+	x.keep = !h.ConnectionClose() && !head && !x.early // a surplus answer to HEAD could not be measured
 	switch {
+	case !named && x.Reused: // it may be the surplus refusal of an earlier request
+		return fmt.Errorf("anemometer: an answer %d without an id on a connection that others used", s)
 	case s == fasthttp.StatusMisdirectedRequest:
 		x.Kind, x.keep = Moved, false
 		x.Err = errors.New("anemometer: another worker is there now")
--- /dev/null
+++ b/internal/anemometer/peek.go
@@ -0,0 +1,55 @@
+package anemometer
+
+import (
+	"net"
+	"syscall"
+)
+
+// socketState is what a look at a socket shows.
+type socketState uint8
+
+const (
+	socketQuiet    socketState = iota // open, and nothing to read
+	socketReadable                    // bytes wait to be read
+	socketClosed                      // closed or reset by the other side, or closed here
+	socketUnknown                     // no socket that can be looked at
+)
+
+// peek looks at a connection's socket without waiting and without taking bytes. Deadlines don't matter to it: a read
+// deadline that has passed says nothing about the other side.
+func peek(c net.Conn) socketState {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return socketUnknown
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return socketClosed
+	}
+	state := socketClosed
+	err = raw.Control(func(fd uintptr) { state = peekDescriptor(int(fd)) })
+	if err != nil {
+		return socketClosed
+	}
+	return state
+}
+
+func peekDescriptor(fd int) socketState {
+	var b [1]byte
+	for {
+		n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EINTR:
+			continue
+		case err == syscall.EAGAIN:
+			return socketQuiet
+		case err != nil || n == 0:
+			return socketClosed
+		}
+		return socketReadable
+	}
+}
+
+// HungUp looks, without waiting or taking anything, whether the other side has closed its connection. Closing the
+// write side alone looks the same.
+func HungUp(c net.Conn) bool { return peek(c) == socketClosed }
--- /dev/null
+++ b/internal/anemometer/peek_test.go
@@ -0,0 +1,67 @@
+package anemometer
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// pair gives both ends of a TCP connection.
+func pair(t *testing.T) (here, there *net.TCPConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	a, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { a.Close(); b.Close() })
+	return a.(*net.TCPConn), b.(*net.TCPConn)
+}
+
+// until waits for the other side's doing to arrive.
+func until(t *testing.T, c net.Conn, want socketState) {
+	t.Helper()
+	for end := time.Now().Add(soon); peek(c) != want; {
+		if time.Now().After(end) {
+			t.Fatalf("the socket shows %d, want %d", peek(c), want)
+		}
+	}
+}
+
+// A read deadline that has passed, as the one of a request that was read long ago, is no hang-up; bytes of a next
+// request are none; closing is one, of the write side alone, too, and so is a reset.
+func TestHungUp(t *testing.T) {
+	here, there := pair(t)
+	_ = here.SetReadDeadline(time.Now().Add(-time.Hour))
+	if HungUp(here) || peek(here) != socketQuiet {
+		t.Error("a passed deadline is taken for a hang-up")
+	}
+	_, _ = there.Write([]byte("POST"))
+	until(t, here, socketReadable)
+	if HungUp(here) {
+		t.Error("a next request is taken for a hang-up")
+	}
+	here, there = pair(t)
+	_ = there.CloseWrite()
+	until(t, here, socketClosed)
+	here, there = pair(t)
+	_ = there.SetLinger(0)
+	there.Close()
+	until(t, here, socketClosed)
+	here, _ = pair(t)
+	here.Close()
+	if !HungUp(here) {
+		t.Error("one that was closed here is open")
+	}
+	if c, _ := net.Pipe(); HungUp(c) {
+		t.Error("what is no socket can't be looked at")
+	}
+}
--- a/internal/anemometer/pool.go
+++ b/internal/anemometer/pool.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -117,7 +116,7 @@
 			return nil
 		}
 		h.idle[i], h.idle = nil, h.idle[:i]
-		if now.Before(c.until) && c.last != o.ID { // a surplus answer would bear the same id
+		if now.Before(c.until) && !c.ids.has(o.ID) { // a surplus answer would bear the same id
 			return c
 		}
 		h.close(c)
@@ -142,7 +141,7 @@
 		if !fresh {
 			if c = h.pop(o, now); c != nil {
 				p.mu.Unlock()
-				if !stirred(c.Conn) {
+				if peek(c.Conn) == socketQuiet {
 					return c, true, nil
 				}
 				p.drop(c)
@@ -215,23 +214,3 @@
 	c.host.close(c)
 	p.tidy(c.worker, c.host)
 }
-
-// stirred looks, without waiting or taking anything, whether an idle connection was closed by the other side or holds
-// bytes that nobody asked for.
-func stirred(c net.Conn) bool {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return true
-	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) { // Read would look at a deadline that is long past
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-	})
-	return !quiet || err != nil
-}
--- a/internal/anemometer/try.go
+++ b/internal/anemometer/try.go
@@ -195,23 +195,3 @@
 	}
 	return Event{Kind: Unknown, Err: fmt.Errorf("anemometer: worker answered %d", status)}
 }
-
-// HungUp looks, without waiting or taking anything, whether the other side has closed its wire.
-func HungUp(c net.Conn) bool {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return true
-	}
-	gone := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		gone = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
-		return true
-	})
-	return gone || err != nil
-}
--- a/internal/anemometer/wire.go
+++ b/internal/anemometer/wire.go
@@ -18,7 +18,7 @@
 	era    int
 	at     time.Time // when the last bytes came
 	until  time.Time // an idle one's time
-	last   string    // the id of its last request
+	ids    recentIDs // of its last requests
 	sent   int64     // bytes that left, of this request
 	err    error     // what ended its last read
 	due    time.Time
@@ -30,7 +30,8 @@
 
 // begin readies it for one order.
 func (c *conn) begin(o *Order) {
-	c.last, c.sent, c.err, c.due, c.gone = o.ID, 0, nil, o.Due, o.Gone
+	c.ids.add(o.ID)
+	c.sent, c.err, c.due, c.gone = 0, nil, o.Due, o.Gone
 	c.quiet, c.silent = o.Quiet, time.Time{}
 	c.watch(o.Gone != nil)
 }
