Router: no wrong end of an answer, and accepting outlasts a shortage of descriptors

Cause: (1) the server ended at the first accept that failed for want of descriptors and never accepted again. (2) A resumable stream of known length kept its first worker's length when another went on with it: cut off or broken. (3) A stream with events without ids was taken up, doubling them. (4) A worker's HTTP/1.0 went to the client as the answer's version, and clients of HTTP/1.0 got chunks; they are refused now. (5) A request whose client had gone was sent on to a second worker.

--- /dev/null
+++ b/internal/listener/listener_test.go
@@ -0,0 +1,77 @@
+package listener
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// scripted gives these errors in turn, and then a connection.
+type scripted struct {
+	net.Listener
+	errs []error
+}
+
+func (s *scripted) Accept() (net.Conn, error) {
+	if len(s.errs) == 0 {
+		c, _ := net.Pipe()
+		return c, nil
+	}
+	err := s.errs[0]
+	s.errs = s.errs[1:]
+	return nil, err
+}
+
+func (s *scripted) Close() error { return nil }
+
+func failed(e syscall.Errno) error {
+	return &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", e)}
+}
+
+// A shortage is waited out, longer each time up to a bound; the connection that comes behind it is taken.
+func TestAcceptOutlastsShortages(t *testing.T) {
+	var errs []error
+	for range 3 {
+		errs = append(errs, failed(syscall.EMFILE), failed(syscall.ENFILE), failed(syscall.ENOBUFS), failed(syscall.ENOMEM))
+	}
+	var waits []time.Duration
+	ready := make(chan time.Time)
+	close(ready)
+	l := retry(&scripted{errs: errs}, func(d time.Duration) <-chan time.Time {
+		waits = append(waits, d)
+		return ready
+	})
+	c, err := l.Accept()
+	if c == nil || err != nil {
+		t.Fatalf("no connection behind the shortage: %v", err)
+	}
+	if len(waits) != len(errs) || waits[0] != waitLeast || waits[1] != 2*waitLeast || waits[len(waits)-1] != waitMost {
+		t.Fatalf("waits %v", waits)
+	}
+}
+
+// Any other error ends it, and so does closing while it waits.
+func TestAcceptEnds(t *testing.T) {
+	l := retry(&scripted{errs: []error{net.ErrClosed}}, nil)
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Fatal(err)
+	}
+	waiting := make(chan struct{})
+	l = retry(&scripted{errs: []error{failed(syscall.EMFILE)}}, func(time.Duration) <-chan time.Time {
+		close(waiting)
+		return nil
+	})
+	ended := make(chan error)
+	go func() {
+		_, err := l.Accept()
+		ended <- err
+	}()
+	<-waiting
+	l.Close()
+	if err := <-ended; !errors.Is(err, net.ErrClosed) {
+		t.Fatal(err)
+	}
+}
--- a/internal/vaned/relay.go
+++ b/internal/vaned/relay.go
@@ -32,6 +32,7 @@
 	last   string // the id of the last whole event that the client has
 	sent   int    // workers that the request was sent to
 	ran    bool   // it may have run
+	gone   bool   // the client has closed its connection
 	broke  string // the worker that broke off last
 	why    synop.Code
 	due    time.Duration
--- /dev/null
+++ b/internal/vaned/relay_streams_test.go
@@ -0,0 +1,123 @@
+package vaned
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+const streamHead = "HTTP/1.1 200 OK\nAttempt-Id: %s\nWorker-Seal: s\nContent-Type: text/event-stream\n"
+
+// event is one event of a stream; its id is its number.
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", n, n) }
+
+func events(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		b.WriteString(event(n))
+	}
+	return b.String()
+}
+
+// chunk is text as one chunk; its lines end with LF alone, as say would otherwise change its length.
+func (c *workerConn) chunk(s string) { _, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s) }
+
+// streamBreaks are the ways in which a stream breaks behind its second event.
+var streamBreaks = map[string]func(c *workerConn){
+	"closed":            func(c *workerConn) { c.Close() },
+	"reset":             func(c *workerConn) { c.reset() },
+	"closed in a chunk": func(c *workerConn) { _, _ = c.Write([]byte("40\r\nid: 3\n")); c.Close() },
+	"garbled chunk":     func(c *workerConn) { _, _ = c.Write([]byte("zz\r\n")) },
+	"event doubled":     func(c *workerConn) { c.chunk(event(2)); _, _ = c.Write([]byte("0\r\n\r\n")) },
+	"ended in an event": func(c *workerConn) { c.chunk("id: 3\ndata"); _, _ = c.Write([]byte("0\r\n\r\n")) },
+	"no last line":      func(c *workerConn) { _, _ = c.Write([]byte("0\r\n")); c.Close() },
+}
+
+// A stream that may be resumed goes on at another worker, each event once and in its order; any other ends there,
+// does not look whole, and is not run again.
+func TestEveryBreakOfAStream(t *testing.T) {
+	t.Parallel()
+	for _, route := range []string{"resumable", "streaming"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			for name, breaks := range streamBreaks {
+				if route == "streaming" && (name == "event doubled" || name == "ended in an event") {
+					continue // only what may be resumed is read event by event
+				}
+				a, b := newScriptedWorker(t, "i-1"), newScriptedWorker(t, "i-2")
+				v := relayRig(t, a, b)
+				c := clientConn(t, v)
+				c.send(route, "s", "prompt")
+				k, other := next(a, b)
+				k.request()
+				k.say(streamHead+chunks, "s")
+				k.chunk(events(1, 2))
+				breaks(k)
+				want := clientAnswer{200, "s", events(1, 2), false, false}
+				if route == "resumable" {
+					k2 := <-other.conns
+					q := k2.request()
+					if after := q.Header.Get("Last-Event-Id"); after != "2" {
+						t.Errorf("%s: taken up behind %q", name, after)
+					}
+					k2.say(streamHead+chunks, "s")
+					k2.chunk(events(3, 4))
+					_, _ = k2.Write([]byte("0\r\n\r\n"))
+					want.body, want.whole = events(1, 4), true
+				}
+				if name == "closed in a chunk" && route == "streaming" {
+					want.body += "id: 3\n" // passed on as it came
+				}
+				if got := c.receive(); got != want {
+					t.Errorf("%s: %+v, want %+v", name, got, want)
+				}
+				if !none(a, b) {
+					t.Errorf("%s: it was sent on once more", name)
+				}
+			}
+		})
+	}
+}
+
+// A stream with a length may go on with any other: what the client gets is neither cut at the first length nor looks
+// whole before its last event.
+func TestResumedStreamOfKnownLength(t *testing.T) {
+	t.Parallel()
+	a, b := newScriptedWorker(t, "i-1"), newScriptedWorker(t, "i-2")
+	v := relayRig(t, a, b)
+	c := clientConn(t, v)
+	c.send("resumable", "s", "prompt")
+	k, other := next(a, b)
+	k.request()
+	k.say(streamHead+"Content-Length: %d\n\n", "s", len(events(1, 4)))
+	_, _ = k.Write([]byte(events(1, 2)))
+	k.Close()
+	k2 := <-other.conns
+	k2.request()
+	k2.say(streamHead+"Content-Length: %d\n\n", "s", len(events(3, 6)))
+	_, _ = k2.Write([]byte(events(3, 6)))
+	if got, want := c.receive(), (clientAnswer{200, "s", events(1, 6), true, false}); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
+
+// Where an event had data and no id, nobody knows what the client has: the stream is not taken up, and doesn't look
+// whole.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	t.Parallel()
+	a, b := newScriptedWorker(t, "i-1"), newScriptedWorker(t, "i-2")
+	v := relayRig(t, a, b)
+	c := clientConn(t, v)
+	c.send("resumable", "s", "prompt")
+	k, _ := next(a, b)
+	k.request()
+	k.say(streamHead+chunks, "s")
+	k.chunk(event(1) + "data: e2\n\n")
+	k.Close()
+	if got := c.receive(); got.whole || got.body != event(1)+"data: e2\n\n" {
+		t.Errorf("%+v", got)
+	}
+	if !none(a, b) {
+		t.Error("it was taken up")
+	}
+}
--- a/internal/vaned/relay_try.go
+++ b/internal/vaned/relay_try.go
@@ -1,6 +1,7 @@
 package vaned
 
 import (
+	"errors"
 	"strconv"
 	"time"
 
@@ -29,7 +30,7 @@
 	case w.v.ending.Load():
 		w.why = synop.Draining
 		return false
-	case w.sent >= w.most() || w.ran && w.m.Once:
+	case w.gone || w.sent >= w.most() || w.ran && w.m.Once:
 		return false
 	case !w.v.budgetOf(service).Again(now, w.v.slack()):
 		w.why = synop.Budget
@@ -196,6 +197,7 @@
 	default:
 		w.sent++
 		w.ran = true
+		w.gone = errors.Is(x.Err, anemometer.ErrGone)
 		w.why = synop.Unknown
 		v.done(tag, !x.Down)
 		v.passOver(name)
--- a/internal/vaned/reply.go
+++ b/internal/vaned/reply.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 
+	"github.com/valyala/fasthttp"
+
 	"seamshunt/internal/anemometer"
 	"seamshunt/internal/synop"
 )
@@ -26,7 +28,7 @@
 	if w.m.Stream || e.Length() < 0 || e.Length() > whole {
 		w.reply = r
 		w.ctx.Response.ImmediateHeaderFlush = true
-		w.ctx.SetBodyStream(r, e.Length())
+		w.ctx.SetBodyStream(r, r.length())
 		return
 	}
 	b, err := io.ReadAll(r)
@@ -52,6 +54,7 @@
 		out.Header.Del(h)
 	}
 	out.Header.ResetConnectionClose()
+	out.Header.SetProtocol([]byte("HTTP/1.1")) // the version, too, concerns the worker's connection only
 	out.Header.SetNoDefaultContentType(true)
 	if w.v.leaving.Load() {
 		w.ctx.SetConnectionClose()
@@ -73,12 +76,26 @@
 	err    error
 }
 
+// resumes says whether another worker may go on with this answer.
+func (r *reply) resumes() bool {
+	return r.w.m.Resume && r.Resp.StatusCode() == fasthttp.StatusOK
+}
+
+// length gives the length to announce, -1 for chunks. What another worker may go on with can have any length: its
+// first worker's would cut it off and have it look whole.
+func (r *reply) length() int {
+	if r.resumes() {
+		return -1
+	}
+	return r.Length()
+}
+
 // Read gives the next bytes as they come.
 func (r *reply) Read(p []byte) (int, error) {
 	if r.err != nil {
 		return 0, r.err
 	}
-	if !r.w.m.Resume || r.Resp.StatusCode() != 200 {
+	if !r.resumes() {
 		n, err := r.run.Read(p)
 		if err == io.EOF {
 			r.ended = true
@@ -138,6 +155,9 @@
 // resume takes the stream up at another worker behind the last whole event.
 func (r *reply) resume() bool {
 	w := r.w
+	if r.events.Bare {
+		return false // nobody knows behind which event it broke
+	}
 	w.last, w.broke = r.events.Last, r.worker
 	r.run.End()
 	w.v.cut(r.tag)
--- a/internal/vaned/speak.go
+++ b/internal/vaned/speak.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"seamshunt/internal/forecast"
+	"seamshunt/internal/listener"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -38,8 +38,8 @@
 // proper says whether a request may be passed on: none whose end two readers could see at different places, none of a
 // version or method that this node doesn't know.
 func proper(h *fasthttp.RequestHeader) bool {
-	if p := string(h.Protocol()); p != "HTTP/1.1" && p != "HTTP/1.0" {
-		return false
+	if string(h.Protocol()) != "HTTP/1.1" {
+		return false // HTTP/1.0 has no chunks: a broken answer would look whole
 	}
 	switch string(h.Method()) {
 	case "POST", "GET", "HEAD", "PUT", "PATCH", "DELETE", "OPTIONS":
@@ -69,7 +69,7 @@
 	if v.Boot.Ready == "" {
 		return nil
 	}
-	ln, err := net.Listen("tcp", v.Boot.Ready)
+	ln, err := listener.Listen(v.Boot.Ready)
 	if err != nil {
 		return fmt.Errorf("vane: %w", err)
 	}
--- a/internal/vaned/vane.go
+++ b/internal/vaned/vane.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +18,7 @@
 	"seamshunt/internal/crew"
 	"seamshunt/internal/gauge"
 	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/listener"
 	"seamshunt/internal/screen"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/tower"
@@ -92,7 +92,7 @@
 
 // Start opens everything and returns.
 func (v *Vane) Start() error {
-	ln, err := net.Listen("tcp", v.Boot.Web)
+	ln, err := listener.Listen(v.Boot.Web)
 	if err != nil {
 		return fmt.Errorf("vane: %w", err)
 	}
