Claims: all disks of a new fleet take part; tested through changes of voters

Cause: the first of three blank voters to hear all others became whole; those that asked it later heard one whole and one blank, met neither condition, and abstained for ever. A voter that holds no claim now counts as a blank one does.

--- a/internal/screen/roll.go
+++ b/internal/screen/roll.go
@@ -14,12 +14,18 @@
 	RecWhole
 )
 
+// copyState is what a voter's copy showed.
+type copyState struct {
+	whole bool
+	empty bool // it holds no claim, so that it tells no more than a blank one
+}
+
 // Roll is a voter's copy of all claims, on its disk: what vanes remember is gone once they all are (design 8).
 type Roll struct {
 	self  units.Node
 	keys  map[string]entry
 	whole bool
-	heard map[units.Node]bool // voters that answered, and whether they are whole
+	heard map[units.Node]copyState // of the voters that answered
 	asked units.Time
 	swept units.Time
 	Low   bool // no room on the disk: nothing new is taken
@@ -28,7 +34,7 @@
 // LoadRoll builds the machine from what the disk holds. How old a claim is is not on the disk, so that no calendar
 // is trusted: after a start each counts as new.
 func LoadRoll(self units.Node, now units.Time, rs []message.Record) *Roll {
-	r := &Roll{self: self, keys: map[string]entry{}, heard: map[units.Node]bool{}}
+	r := &Roll{self: self, keys: map[string]entry{}, heard: map[units.Node]copyState{}}
 	for _, x := range rs {
 		var it item
 		switch {
@@ -126,7 +132,7 @@
 			r.set(x.key, entry{token: x.token, burnt: x.burnt, at: now}, out)
 		}
 	}
-	r.heard[n.From] = h.Whole == 1
+	r.heard[n.From] = copyState{whole: h.Whole == 1, empty: len(l) == 0}
 }
 
 // Tick forgets old claims, and has a blank disk copy those of the other voters.
@@ -145,15 +151,16 @@
 	}
 	whole, blank := 0, 0
 	for _, n := range v.Members {
-		w, ok := r.heard[n]
-		switch {
-		case n == r.self || ok && !w:
-			blank++
-		case w:
+		h, ok := r.heard[n]
+		if h.whole {
 			whole++
 		}
+		if n == r.self || ok && (!h.whole || h.empty) {
+			blank++
+		}
 	}
-	// So many meet every majority that a claim may stand on. Where no voter is whole, no claim was ever written.
+	// So many meet every majority that a claim may stand on. Where every voter is blank or holds no claim, none is kept:
+	// in a new fleet those that are asked later find some whole already, which must not stop them.
 	if whole >= enough(v) || blank == len(v.Members) {
 		r.whole = true
 		out.Writes = append(out.Writes, message.Record{Kind: RecWhole, Data: []byte{1}})
@@ -162,7 +169,7 @@
 	if now.Sub(r.asked) >= again {
 		r.asked = now
 		for _, n := range v.Members {
-			if n != r.self && !r.heard[n] {
+			if n != r.self && !r.heard[n].whole {
 				out.Send(n, CopyAsk, message.Pack(head{Ver: uint64(v.Version)}))
 			}
 		}
