--- a/internal/control/controller/plan.go
+++ b/internal/control/controller/plan.go
@@ -189,7 +189,7 @@
 		p := x.(*plan)
 		within, done := answerTime(register.RequestTimeout)
 		defer done()
-		c.change(ctx, within, register.Request{Key: p.key, Expect: p.num, RequestID: id, Data: p.data})
+		c.change(within, ctx, register.Request{Key: p.key, Expect: p.num, RequestID: id, Data: p.data})
 		return
 	}
 	node, _, named := strings.Cut(id, "-")
--- a/internal/control/controller/submit.go
+++ b/internal/control/controller/submit.go
@@ -68,7 +68,7 @@
 }
 
 // change makes an operator's change, and has it in the audit record before it is acknowledged (design 10).
-func (c *Controller) change(ctx *fasthttp.RequestCtx, within context.Context, a register.Request) {
+func (c *Controller) change(within context.Context, ctx *fasthttp.RequestCtx, a register.Request) {
 	c.result(ctx, c.record(within, a))
 }
 
--- a/internal/control/controller/web.go
+++ b/internal/control/controller/web.go
@@ -135,7 +135,7 @@
 	}
 	within, done := answerTime(register.RequestTimeout)
 	defer done()
-	c.change(ctx, within, register.Request{Key: keyConfig, Expect: num, RequestID: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
+	c.change(within, ctx, register.Request{Key: keyConfig, Expect: num, RequestID: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
 }
 
 // zone evacuates a zone or takes the evacuation back.
@@ -151,7 +151,7 @@
 		c.fail(ctx, f)
 		return
 	}
-	c.change(ctx, within, register.Request{Key: "zone/" + zone, Expect: num, RequestID: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
+	c.change(within, ctx, register.Request{Key: "zone/" + zone, Expect: num, RequestID: string(ctx.Request.Header.Peek("Plan-Id")), Data: body})
 }
 
 func (c *Controller) checkZone(ctx context.Context, zone string, body []byte) *synop.Fault {
--- a/internal/control/register/request.go
+++ b/internal/control/register/request.go
@@ -15,7 +15,7 @@
 	at units.Time
 }
 
-// Patience is how long a wish may take before its asker is told that the outcome is unknown.
+// RequestTimeout is how long a request is sent on to whoever owns its key before it is given up.
 const RequestTimeout = 5 * time.Second
 
 // AnswerTimeout bounds the whole of an operator's call, however many requests it makes: callers go on to another
