A node whose last sync was slow tries its disk again although it owns nothing

Cause: a sync over 500 ms marks the node unfit until the next one. An unfit node owns no keys; where no other owner lives (one voter, or every disk slow at once) nothing is queued any more, and it stayed unfit for good. Now it writes its identity once more each second, with a sync, until one is quick.

--- a/internal/control/controller/disk.go
+++ b/internal/control/controller/disk.go
@@ -118,17 +118,19 @@
 }
 
 // tryRoom says whether the disk gives no more room, and whether its reserve is used up too. While it is so, room is
-// asked for once a second: by a small record where the reserve is used up, since nothing else may come.
+// asked for once a second: by a small record where the reserve is used up, since nothing else may come. So is a disk tried
+// whose last sync was slow: its node owns no keys, and might never write again by itself.
 func (c *Controller) tryRoom(now units.Time) (low, full bool) {
 	d := &c.disk
 	d.mu.Lock()
 	low, full = d.low || d.full, d.full
-	try := low && now.Sub(d.tried) > time.Second
+	slow := d.slow > stallAt && d.since == 0
+	try := (low || slow) && now.Sub(d.tried) > time.Second
 	if try {
 		d.tried = now
 	}
 	d.mu.Unlock()
-	if try && full {
+	if try && (full || slow) {
 		c.later(message.Effects{Writes: []message.Record{self(c.Self, c.born)}})
 	} else if try {
 		c.later(message.Effects{})
--- a/internal/control/controller/stall_test.go
+++ b/internal/control/controller/stall_test.go
@@ -75,3 +75,25 @@
 		t.Errorf("answered %d, read back %q", code, b)
 	}
 }
+
+// A node that is unfit because its last sync was slow owns no keys, so that nothing may come to be written. It tries its
+// disk all the same, and is fit again.
+func TestSlowSyncIsTriedAgain(t *testing.T) {
+	t.Parallel()
+	c := alone(t, t.TempDir())
+	t.Cleanup(c.Drain)
+	weatherglass.Until(t, "it founds itself", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 404 })
+	slow := func() {
+		c.disk.mu.Lock()
+		c.disk.slow = 2 * stallAt
+		c.disk.mu.Unlock()
+	}
+	weatherglass.Until(t, "it owns nothing", func() bool {
+		slow()
+		c.replicaMu.Lock()
+		defer c.replicaMu.Unlock()
+		return c.replica.Owner(keyConfig) == 0
+	})
+	slow()
+	weatherglass.Until(t, "it is fit again", func() bool { return !c.disk.unfit(c.Crew.Now()) })
+}
