--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -57,7 +57,7 @@
 
 // New gives a node that has voted for nobody; it abstains for a term, since it may have voted before it started.
 func New(self units.Node, duty string, voters func() []units.Node, now units.Time, rng *rand.Rand) *Lease {
-	return &Lease{self: self, Duty: duty, Voters: voters, born: now, rng: rng, next: now.Add(Term), lent: map[units.Node]units.Time{}}
+	return &Lease{self: self, Duty: duty, Voters: voters, voter: slices.Contains(voters(), self), born: now, rng: rng, next: now.Add(Term), lent: map[units.Node]units.Time{}}
 }
 
 // Holds says whether the duty is ours now.
--- a/internal/control/register/replica.go
+++ b/internal/control/register/replica.go
@@ -148,6 +148,9 @@
 	}
 	for _, o := range b.sorted() {
 		if b.Owner(o.key) != b.self {
+			if o.by != nil {
+				b.reply(*o.by, synop.Unsure, 0, nil, &out)
+			}
 			for _, a := range o.asks {
 				b.reply(a, synop.Unsure, 0, nil, &out)
 			}
