--- a/internal/rig/simulator/grow_test.go
+++ b/internal/rig/simulator/grow_test.go
@@ -42,14 +42,6 @@
 	return v.Version > 0 && members == quorumSize(counted) && len(v.Members) == members
 }
 
-// quorumSize is how many of so many disks are to decide.
-func quorumSize(disks int) int {
-	if disks > 2 && disks%2 == 0 {
-		return disks - 1
-	}
-	return disks
-}
-
 // until lets the world go on till f holds, and gives the time that it took.
 func (w *World) until(most time.Duration, f func() bool) (time.Duration, bool) {
 	began := w.Now
--- a/internal/rig/simulator/mishap.go
+++ b/internal/rig/simulator/mishap.go
@@ -19,8 +19,12 @@
 		disks[o.Disk.ID] = true
 	}
 	v := w.voters()
+	full := len(w.coreH)
+	if w.Grow {
+		full = quorumSize(full - len(w.Lame))
+	}
 	for _, n := range v.Members {
-		if !disks[n] || len(v.Members) != len(w.coreH) {
+		if !disks[n] || len(v.Members) != full || v.Joint() {
 			return
 		}
 	}
@@ -160,3 +164,11 @@
 		}
 	})
 }
+
+// quorumSize is how many of so many disks that count are to decide: the largest odd number, or both of two.
+func quorumSize(disks int) int {
+	if disks > 2 && disks%2 == 0 {
+		return disks - 1
+	}
+	return disks
+}
