--- a/internal/rig/simulator/grow_loss_test.go
+++ b/internal/rig/simulator/grow_loss_test.go
@@ -70,15 +70,26 @@
 	t.Parallel()
 	const catchUp = 4 * time.Second
 	for _, x := range []struct {
-		n, lost int
-		moved   bool
-		back    time.Duration
-	}{{3, 1, false, 300 * time.Millisecond}, {3, 1, true, 1000 * time.Millisecond}, {4, 1, false, 1000 * time.Millisecond}, {4, 1, true, 300 * time.Millisecond},
-		{5, 2, false, 300 * time.Millisecond}, {5, 2, true, time.Second}, {6, 2, false, 2 * time.Second}, {6, 2, true, 300 * time.Millisecond}, {9, 2, false, 500 * time.Millisecond}} {
+		n, zones, lost int
+		diskless       bool
+		moved          bool
+		back           time.Duration
+	}{{n: 3, zones: 3, lost: 1, back: 300 * time.Millisecond}, {n: 3, zones: 3, lost: 1, moved: true, back: time.Second},
+		{n: 4, zones: 4, lost: 1, back: time.Second}, {n: 4, zones: 4, lost: 1, moved: true, back: 300 * time.Millisecond},
+		{n: 5, zones: 5, lost: 2, back: 300 * time.Millisecond}, {n: 5, zones: 3, lost: 2, moved: true, back: time.Second},
+		{n: 6, zones: 3, lost: 2, back: 2 * time.Second}, {n: 6, zones: 4, lost: 2, moved: true, back: 300 * time.Millisecond},
+		{n: 9, zones: 4, lost: 2, back: 500 * time.Millisecond},
+		{n: 4, zones: 4, lost: 1, diskless: true, back: 300 * time.Millisecond}, {n: 6, zones: 3, lost: 1, diskless: true, moved: true, back: time.Second}} {
 		var took []time.Duration
 		for seed := *from; seed < *from+12; seed++ {
-			w := grown(seed, x.n)
-			w.Run(units.Time(6 * time.Second))
+			var lame []int
+			for i := range x.n {
+				if x.diskless {
+					lame = append(lame, i)
+				}
+			}
+			w := grownIn(seed, x.n, x.zones, lame...)
+			w.Run(units.Time(8 * time.Second))
 			text, num := w.put(t, 1)
 			for _, z := range []string{"z1", "z2", "z3"} {
 				w.Evacuate(z, true)
@@ -101,7 +112,7 @@
 				})
 				took = append(took, d)
 				if !ok || d > catchUp {
-					t.Errorf("%d disks, %d lost, moved %v, seed %d round %d: replaced after %v; voters %v", x.n, x.lost, x.moved, seed, round, d, w.voters())
+					t.Errorf("%d disks in %d zones, diskless %v, %d lost, moved %v, seed %d round %d: replaced after %v; voters %v", x.n, x.zones, x.diskless, x.lost, x.moved, seed, round, d, w.voters())
 					break
 				}
 				if w.Run(w.Now.Add(catchUp - d)); round == 1 {
@@ -110,7 +121,7 @@
 			}
 			w.readBack(t, text, num)
 		}
-		t.Logf("%d disks, %d lost at once, moved %v, back after %v: voting and filled %s after the return", x.n, x.lost, x.moved, x.back, Spread(took))
+		t.Logf("%d disks in %d zones, diskless %v, %d lost at once, moved %v, back after %v: voting and filled %s after the return", x.n, x.zones, x.diskless, x.lost, x.moved, x.back, Spread(took))
 	}
 }
 
--- a/internal/rig/simulator/grow_test.go
+++ b/internal/rig/simulator/grow_test.go
@@ -11,10 +11,13 @@
 )
 
 // grown is a core of n machines in four zones, of which some disks don't count, and two vanes.
-func grown(seed uint64, n int, lame ...int) *World {
+func grown(seed uint64, n int, lame ...int) *World { return grownIn(seed, n, 4, lame...) }
+
+// grownIn is the same in so many zones.
+func grownIn(seed uint64, n, zones int, lame ...int) *World {
 	p := Place{Name: fmt.Sprintf("grown%d", n), Edges: []string{"z1", "z2"}, Work: []string{"z1"}, Grow: true, Lame: lame}
 	for i := range n {
-		p.Cores = append(p.Cores, fmt.Sprintf("z%d", i%4+1))
+		p.Cores = append(p.Cores, fmt.Sprintf("z%d", i%zones+1))
 	}
 	return NewWorld(p, seed)
 }
