--- a/internal/rig/simulator/grow_loss_test.go
+++ b/internal/rig/simulator/grow_loss_test.go
@@ -80,48 +80,51 @@
 		{n: 6, zones: 3, lost: 2, back: 2 * time.Second}, {n: 6, zones: 4, lost: 2, moved: true, back: 300 * time.Millisecond},
 		{n: 9, zones: 4, lost: 2, back: 500 * time.Millisecond},
 		{n: 4, zones: 4, lost: 1, diskless: true, back: 300 * time.Millisecond}, {n: 6, zones: 3, lost: 1, diskless: true, moved: true, back: time.Second}} {
-		var took []time.Duration
-		for seed := *from; seed < *from+12; seed++ {
-			var lame []int
-			for i := range x.n {
-				if x.diskless {
-					lame = append(lame, i)
+		t.Run(fmt.Sprintf("%+v", x), func(t *testing.T) {
+			t.Parallel()
+			var took []time.Duration
+			for seed := *from; seed < *from+12; seed++ {
+				var lame []int
+				for i := range x.n {
+					if x.diskless {
+						lame = append(lame, i)
+					}
 				}
-			}
-			w := grownIn(seed, x.n, x.zones, lame...)
-			w.Run(units.Time(8 * time.Second))
-			text, num := w.put(t, 1)
-			for _, z := range []string{"z1", "z2", "z3"} {
-				w.Evacuate(z, true)
-			}
-			w.Run(w.Now.Add(time.Second))
-			for round := range 3 {
-				var at []int
-				for k := range x.lost {
-					at = append(at, (int(seed)+round+k)%x.n)
-					w.loseDisk(at[k], x.back, x.moved)
+				w := grownIn(seed, x.n, x.zones, lame...)
+				w.Run(units.Time(8 * time.Second))
+				text, num := w.put(t, 1)
+				for _, z := range []string{"z1", "z2", "z3"} {
+					w.Evacuate(z, true)
 				}
-				w.Run(w.Now.Add(x.back))
-				d, ok := w.until(20*time.Second, func() bool {
-					for _, i := range at {
-						if !w.filled(i) {
-							return false
+				w.Run(w.Now.Add(time.Second))
+				for round := range 3 {
+					var at []int
+					for k := range x.lost {
+						at = append(at, (int(seed)+round+k)%x.n)
+						w.loseDisk(at[k], x.back, x.moved)
+					}
+					w.Run(w.Now.Add(x.back))
+					d, ok := w.until(20*time.Second, func() bool {
+						for _, i := range at {
+							if !w.filled(i) {
+								return false
+							}
 						}
+						return true
+					})
+					took = append(took, d)
+					if !ok || d > catchUp {
+						t.Errorf("%d disks in %d zones, diskless %v, %d lost, moved %v, seed %d round %d: replaced after %v; voters %v", x.n, x.zones, x.diskless, x.lost, x.moved, seed, round, d, w.voters())
+						break
+					}
+					if w.Run(w.Now.Add(catchUp - d)); round == 1 {
+						text, num = w.put(t, 2)
 					}
-					return true
-				})
-				took = append(took, d)
-				if !ok || d > catchUp {
-					t.Errorf("%d disks in %d zones, diskless %v, %d lost, moved %v, seed %d round %d: replaced after %v; voters %v", x.n, x.zones, x.diskless, x.lost, x.moved, seed, round, d, w.voters())
-					break
-				}
-				if w.Run(w.Now.Add(catchUp - d)); round == 1 {
-					text, num = w.put(t, 2)
 				}
+				w.readBack(t, text, num)
 			}
-			w.readBack(t, text, num)
-		}
-		t.Logf("%d disks in %d zones, diskless %v, %d lost at once, moved %v, back after %v: voting and filled %s after the return", x.n, x.zones, x.diskless, x.lost, x.moved, x.back, Spread(took))
+			t.Logf("%d disks in %d zones, diskless %v, %d lost at once, moved %v, back after %v: voting and filled %s after the return", x.n, x.zones, x.diskless, x.lost, x.moved, x.back, Spread(took))
+		})
 	}
 }
 
@@ -130,36 +133,39 @@
 func TestDisksLostAfterAck(t *testing.T) {
 	t.Parallel()
 	for _, x := range []struct{ n, lost int }{{3, 1}, {4, 1}, {5, 2}, {6, 2}, {9, 4}} {
-		for seed := *from; seed < *from+12; seed++ {
-			w := grown(seed, x.n)
-			w.Run(units.Time(5 * time.Second))
-			for round := range 4 {
-				text := configText(round)
-				num := units.Num(0)
-				w.change("config", text, func(o *Op) {
-					if o.Code != synop.OK {
-						return
-					}
-					num = o.Num
-					for i, h := range w.coreH {
-						if w.Kill(h); (i+round+int(seed))%x.n < x.lost {
-							h.Disk.Wipe()
+		t.Run(fmt.Sprintf("%+v", x), func(t *testing.T) {
+			t.Parallel()
+			for seed := *from; seed < *from+12; seed++ {
+				w := grown(seed, x.n)
+				w.Run(units.Time(5 * time.Second))
+				for round := range 4 {
+					text := configText(round)
+					num := units.Num(0)
+					w.change("config", text, func(o *Op) {
+						if o.Code != synop.OK {
+							return
+						}
+						num = o.Num
+						for i, h := range w.coreH {
+							if w.Kill(h); (i+round+int(seed))%x.n < x.lost {
+								h.Disk.Wipe()
+							}
 						}
+					})
+					if _, ok := w.until(6*time.Second, func() bool { return num > 0 }); !ok {
+						t.Fatalf("%d disks, seed %d: write %d was not acknowledged", x.n, seed, round)
+					}
+					w.Run(w.Now.Add(time.Second))
+					for _, h := range w.coreH {
+						w.Start(h)
+					}
+					w.readBack(t, text, num)
+					if _, ok := w.until(12*time.Second, w.settled); !ok {
+						t.Fatalf("%d disks, seed %d: never whole again: %v", x.n, seed, w.voters())
 					}
-				})
-				if _, ok := w.until(6*time.Second, func() bool { return num > 0 }); !ok {
-					t.Fatalf("%d disks, seed %d: write %d was not acknowledged", x.n, seed, round)
-				}
-				w.Run(w.Now.Add(time.Second))
-				for _, h := range w.coreH {
-					w.Start(h)
-				}
-				w.readBack(t, text, num)
-				if _, ok := w.until(12*time.Second, w.settled); !ok {
-					t.Fatalf("%d disks, seed %d: never whole again: %v", x.n, seed, w.voters())
 				}
 			}
-		}
+		})
 	}
 }
 
--- a/internal/rig/simulator/orders_core_test.go
+++ b/internal/rig/simulator/orders_core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -115,62 +116,76 @@
 // the new set finds, also one whose majority holds the new disk.
 func TestOrdersVoterChange(t *testing.T) {
 	t.Parallel()
-	changed, acked := 0, 0
-	n := orders(6, func(choose func(int) int) {
-		b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
-		m := voted(b, map[units.Node]units.Node{1: 1, 2: 1, 3: 1})
-		four := register.New(4, 104)
-		m[4] = four
-		b.step[4] = func(k message.Message) message.Effects { return four.Step(b.now, k) }
-		at := func(ms int) units.Time { return units.Time(time.Duration(ms) * time.Millisecond) }
-		quiet := func(from, rounds int, who ...units.Node) {
-			for r := range rounds {
-				b.now = at(from + 400*r)
-				for _, x := range who {
-					b.put(x, m[x].Tick(b.now))
-				}
-				b.run(func(int) int { return 0 }, func() {})
-			}
-		}
-		b.put(1, m[1].Submit(0, register.Request{Tag: 1, Key: "k", Write: true, Expect: 0, Data: []byte("one")}))
-		quiet(1000, 3, 1)
-		b.now = at(2200)
-		m[1].ChangeMembers([]units.Node{1, 2, 3, 4})
-		b.put(1, m[1].Tick(b.now))
-		b.put(1, m[1].Submit(b.now, register.Request{Tag: 2, Key: "k", Write: true, Expect: 1, Data: []byte("two")}))
-		b.run(choose, func() {})
-		for round := 0; round < 8 && (m[1].Quorum().Joint() || !m[1].Quorum().Has(4)); round++ {
-			quiet(2600+400*round, 1, 1)
-		}
-		quiet(5800, 1, 1)
-		if q := m[1].Quorum(); !q.Joint() && q.Has(4) {
-			changed++
-		}
-		two := false
-		for _, r := range m[1].Results {
-			two = two || r.Tag == 2 && r.Code == synop.OK
-		}
-		if two {
-			acked++
-		}
-		// The old owner and one old disk are gone; the rest must know.
-		delete(b.step, 1)
-		for _, x := range []units.Node{2, 3, 4} {
-			m[x].SetEligible([]units.Node{4, 2})
-		}
-		owner := m[2].Owner("k")
-		quiet(20000, 3, 2, 3, 4)
-		m[owner].Results = nil
-		b.put(owner, m[owner].Submit(b.now, register.Request{Tag: 3, Key: "k"}))
-		quiet(21500, 3, owner)
-		if len(m[owner].Results) != 1 || m[owner].Results[0].Code != synop.OK {
-			t.Fatalf("owner %d of set %v reads %v", owner, m[owner].Quorum(), m[owner].Results)
-		}
-		if got := string(m[owner].Results[0].Data); two && got != "two" || got != "one" && got != "two" {
-			t.Fatalf("acknowledged %v, read %q", two, got)
+	const widest = 12 // more than there are messages to choose the first from
+	var tried, changed, acked atomic.Int64
+	t.Run("first", func(t *testing.T) {
+		for first := range widest {
+			t.Run(fmt.Sprint(first), func(t *testing.T) {
+				t.Parallel()
+				tried.Add(int64(ordersUnder([]int{first}, 6, func(choose func(int) int) {
+					tryVoterChange(t, choose, &changed, &acked)
+				})))
+			})
 		}
 	})
-	if n < 100 || changed == 0 || acked == 0 {
-		t.Errorf("%d orders, set changed in %d, acknowledged in %d", n, changed, acked)
+	if tried.Load() < 11700 || changed.Load() == 0 || acked.Load() == 0 {
+		t.Errorf("%d orders, set changed in %d, acknowledged in %d", tried.Load(), changed.Load(), acked.Load())
+	}
+	t.Logf("%d orders", tried.Load())
+}
+
+// tryVoterChange is one such order.
+func tryVoterChange(t *testing.T, choose func(int) int, changed, acked *atomic.Int64) {
+	b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
+	m := voted(b, map[units.Node]units.Node{1: 1, 2: 1, 3: 1})
+	four := register.New(4, 104)
+	m[4] = four
+	b.step[4] = func(k message.Message) message.Effects { return four.Step(b.now, k) }
+	at := func(ms int) units.Time { return units.Time(time.Duration(ms) * time.Millisecond) }
+	quiet := func(from, rounds int, who ...units.Node) {
+		for r := range rounds {
+			b.now = at(from + 400*r)
+			for _, x := range who {
+				b.put(x, m[x].Tick(b.now))
+			}
+			b.run(func(int) int { return 0 }, func() {})
+		}
+	}
+	b.put(1, m[1].Submit(0, register.Request{Tag: 1, Key: "k", Write: true, Expect: 0, Data: []byte("one")}))
+	quiet(1000, 3, 1)
+	b.now = at(2200)
+	m[1].ChangeMembers([]units.Node{1, 2, 3, 4})
+	b.put(1, m[1].Tick(b.now))
+	b.put(1, m[1].Submit(b.now, register.Request{Tag: 2, Key: "k", Write: true, Expect: 1, Data: []byte("two")}))
+	b.run(choose, func() {})
+	for round := 0; round < 8 && (m[1].Quorum().Joint() || !m[1].Quorum().Has(4)); round++ {
+		quiet(2600+400*round, 1, 1)
+	}
+	quiet(5800, 1, 1)
+	if q := m[1].Quorum(); !q.Joint() && q.Has(4) {
+		changed.Add(1)
+	}
+	two := false
+	for _, r := range m[1].Results {
+		two = two || r.Tag == 2 && r.Code == synop.OK
+	}
+	if two {
+		acked.Add(1)
+	}
+	// The old owner and one old disk are gone; the rest must know.
+	delete(b.step, 1)
+	for _, x := range []units.Node{2, 3, 4} {
+		m[x].SetEligible([]units.Node{4, 2})
+	}
+	owner := m[2].Owner("k")
+	quiet(20000, 3, 2, 3, 4)
+	m[owner].Results = nil
+	b.put(owner, m[owner].Submit(b.now, register.Request{Tag: 3, Key: "k"}))
+	quiet(21500, 3, owner)
+	if len(m[owner].Results) != 1 || m[owner].Results[0].Code != synop.OK {
+		t.Fatalf("owner %d of set %v reads %v", owner, m[owner].Quorum(), m[owner].Results)
+	}
+	if got := string(m[owner].Results[0].Data); two && got != "two" || got != "one" && got != "two" {
+		t.Fatalf("acknowledged %v, read %q", two, got)
 	}
 }
--- a/internal/rig/simulator/orders_rig_test.go
+++ b/internal/rig/simulator/orders_rig_test.go
@@ -1,6 +1,8 @@
 package simulator
 
 import (
+	"slices"
+
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/control/register"
 	"seamshunt/internal/units"
@@ -8,8 +10,11 @@
 
 // orders tries every sequence of choices one by one. A run asks choose(n) for a number below n; the first depth
 // of its choices are enumerated, the later ones are zero.
-func orders(depth int, run func(choose func(n int) int)) int {
-	var path, width []int
+func orders(depth int, run func(choose func(n int) int)) int { return ordersUnder(nil, depth, run) }
+
+// ordersUnder is the part of them that begins with the given choices; none if there are fewer to choose from.
+func ordersUnder(first []int, depth int, run func(choose func(n int) int)) int {
+	path, width := slices.Clone(first), []int(nil)
 	for count := 1; ; count++ {
 		at := 0
 		width = width[:0]
@@ -22,13 +27,18 @@
 			}
 			width = append(width, n)
 			at++
-			return path[at-1]
+			return min(path[at-1], n-1)
 		})
+		for i := range first {
+			if i >= len(width) || first[i] >= width[i] {
+				return 0
+			}
+		}
 		path = path[:at]
-		for len(path) > 0 && path[len(path)-1] == width[len(path)-1]-1 {
+		for len(path) > len(first) && path[len(path)-1] == width[len(path)-1]-1 {
 			path = path[:len(path)-1]
 		}
-		if len(path) == 0 {
+		if len(path) <= len(first) {
 			return count
 		}
 		path[len(path)-1]++
--- a/internal/rig/simulator/replace_member_test.go
+++ b/internal/rig/simulator/replace_member_test.go
@@ -100,25 +100,28 @@
 func TestReplacementThenLoss(t *testing.T) {
 	t.Parallel()
 	for _, x := range []struct{ disks, lost int }{{3, 1}, {4, 1}, {5, 2}, {6, 2}} {
-		for seed := *from; seed < *from+25; seed++ {
-			w := grown(seed, x.disks)
-			w.Run(units.Time(8 * time.Second))
-			w.put(t, 0)
-			for round := range 2 {
-				w.replaceInOrder()
-				if !w.bears(x.lost) {
-					t.Errorf("%d disks, seed %d, round %d: %v does not bear the loss of %d", x.disks, seed, round, w.voters(), x.lost)
+		t.Run(fmt.Sprintf("%+v", x), func(t *testing.T) {
+			t.Parallel()
+			for seed := *from; seed < *from+25; seed++ {
+				w := grown(seed, x.disks)
+				w.Run(units.Time(8 * time.Second))
+				w.put(t, 0)
+				for round := range 2 {
+					w.replaceInOrder()
+					if !w.bears(x.lost) {
+						t.Errorf("%d disks, seed %d, round %d: %v does not bear the loss of %d", x.disks, seed, round, w.voters(), x.lost)
+					}
+					w.put(t, 10+round)
+				}
+				w.loseAfterAck(t, 20, int(seed), x.lost)
+				if _, ok := w.until(20*time.Second, w.settled); !ok {
+					t.Errorf("%d disks, seed %d: the set is not whole again: %v", x.disks, seed, w.voters())
+				}
+				for _, f := range Linear(w.History) {
+					t.Errorf("%d disks, seed %d: %s", x.disks, seed, f)
 				}
-				w.put(t, 10+round)
-			}
-			w.loseAfterAck(t, 20, int(seed), x.lost)
-			if _, ok := w.until(20*time.Second, w.settled); !ok {
-				t.Errorf("%d disks, seed %d: the set is not whole again: %v", x.disks, seed, w.voters())
-			}
-			for _, f := range Linear(w.History) {
-				t.Errorf("%d disks, seed %d: %s", x.disks, seed, f)
 			}
-		}
+		})
 	}
 }
 
@@ -173,29 +176,32 @@
 func TestRollingRestartBearsALoss(t *testing.T) {
 	t.Parallel()
 	for _, x := range []struct{ disks, spare int }{{3, 1}, {4, 0}, {4, 1}, {6, 0}} {
-		for seed := *from; seed < *from+12; seed++ {
-			w := grown(seed, x.disks+x.spare)
-			w.Run(units.Time(8 * time.Second))
-			number := 0
-			for _, h := range slices.Clone(w.coreH) {
-				w.leaveAndReturn(h)
-				w.Run(w.Now.Add(time.Duration(w.Rng.Int64N(int64(time.Second)))))
-				other := pick(w, slices.DeleteFunc(slices.Clone(w.coreH), func(o *Host) bool { return o == h }))
-				if w.cores[h].Drain && w.voters().Has(h.Disk.ID) {
-					other = nil // its seat is not taken yet: the loss waits its turn
+		t.Run(fmt.Sprintf("%+v", x), func(t *testing.T) {
+			t.Parallel()
+			for seed := *from; seed < *from+12; seed++ {
+				w := grown(seed, x.disks+x.spare)
+				w.Run(units.Time(8 * time.Second))
+				number := 0
+				for _, h := range slices.Clone(w.coreH) {
+					w.leaveAndReturn(h)
+					w.Run(w.Now.Add(time.Duration(w.Rng.Int64N(int64(time.Second)))))
+					other := pick(w, slices.DeleteFunc(slices.Clone(w.coreH), func(o *Host) bool { return o == h }))
+					if w.cores[h].Drain && w.voters().Has(h.Disk.ID) {
+						other = nil // its seat is not taken yet: the loss waits its turn
+					}
+					if other != nil && other.Proc != nil {
+						w.bounce(other, time.Second, false)
+					}
+					number++
+					text, num := w.putAgain(t, number)
+					w.readBack(t, text, num)
+					w.Run(w.Now.Add(5*time.Second + catchUp))
 				}
-				if other != nil && other.Proc != nil {
-					w.bounce(other, time.Second, false)
+				if !w.settled() {
+					t.Errorf("%d disks, seed %d: the set is %v", x.disks, seed, w.voters())
 				}
-				number++
-				text, num := w.putAgain(t, number)
-				w.readBack(t, text, num)
-				w.Run(w.Now.Add(5*time.Second + catchUp))
-			}
-			if !w.settled() {
-				t.Errorf("%d disks, seed %d: the set is %v", x.disks, seed, w.voters())
 			}
-		}
+		})
 	}
 }
 
