A member that is cut off holds its share of the platform's rate for a time only

Ruled out: the newcomer (it does nothing by its seat for a term) and the holder (it counts the seats whose votes it has). Where nobody could take it, all stays as it was. Conclusion: a share is a lease and needs an end that its holder can see.

--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -53,6 +53,7 @@
 	rng    *rand.Rand
 	Ours   int                       // rounds won, for status
 	lent   map[units.Node]units.Time // till when each voter leaves its share of the duty's work to us
+	seat   units.Time                // till when this node's own share is surely nobody else's; zero: without end
 }
 
 // New gives a node that has voted for nobody; it abstains for a term, since it may have voted before it started.
@@ -161,6 +162,10 @@
 	return out
 }
 
+// KeepSeat says till when this node's seat among the voters is surely its own; zero: without end. A voter that is cut off
+// can't know when another takes its seat, and with it its share.
+func (b *Lease) KeepSeat(until units.Time) { b.seat = until }
+
 // Gone frees the vote for a holder whose process is known to have ended.
 func (b *Lease) Gone(now units.Time, n units.Node) {
 	if b.grant.to == n {
@@ -184,7 +189,9 @@
 // one, however the voters are cut off from each other (design 5).
 func (b *Lease) Share(now units.Time) float64 {
 	vs := b.Voters()
-	if !slices.Contains(vs, b.self) || now < b.born.Add(Term) || now < b.grant.until && b.grant.to != b.self {
+	backsAnother := now < b.grant.until && b.grant.to != b.self
+	seatPassed := b.seat != 0 && now >= b.seat
+	if !slices.Contains(vs, b.self) || now < b.born.Add(Term) || backsAnother || seatPassed {
 		return 0
 	}
 	k := 1
--- a/internal/control/lease/lease_test.go
+++ b/internal/control/lease/lease_test.go
@@ -126,3 +126,20 @@
 		}
 	}
 }
+
+// A voter that can't be sure of its seat any more has no share, whatever its own view of the voters says.
+func TestSharePassesWithTheSeat(t *testing.T) {
+	voters := []units.Node{1, 2, 3}
+	l := New(1, "d", func() []units.Node { return voters }, 0, rand.New(rand.NewPCG(1, 1)))
+	now := units.Time(2 * Term)
+	if got := l.Share(now); got != 1.0/3 {
+		t.Fatalf("a seat without end has a share of %.2f", got)
+	}
+	l.KeepSeat(now.Add(Term))
+	if got := l.Share(now.Add(Term - 1)); got != 1.0/3 {
+		t.Errorf("before the seat passes the share is %.2f", got)
+	}
+	if got := l.Share(now.Add(Term)); got != 0 {
+		t.Errorf("behind the seat's end the share is %.2f", got)
+	}
+}
--- a/internal/control/register/planner.go
+++ b/internal/control/register/planner.go
@@ -19,6 +19,8 @@
 	// growAfter is how long a replica must have been there before the set grows by it: until then it may stand in for a
 	// member whose loss nobody has noticed yet.
 	growAfter = 3 * time.Second
+	// seatUnknown is a time that has passed already.
+	seatUnknown = units.Time(1)
 	// smallSet is up to how many members can't be most of a set in which one of them is replaced, or which is larger. They
 	// have to wait for those that come in.
 	smallSet = 2
@@ -37,6 +39,7 @@
 	seenSince    map[units.Node]units.Time // others that may come in
 	version      units.Num
 	wholeSince   units.Time // since when every member of that version was there
+	changeable   units.Time // when the set could last have gone on without one of its members
 }
 
 // candidate is a replica that may be in the next set.
@@ -51,6 +54,9 @@
 // Next gives the members that the set is to have next; nil when it is to stay as it is. It must be called regularly,
 // since it measures how long members are away.
 func (p *Planner) Next(now units.Time, q QuorumSet, view CoreView) []units.Node {
+	if p.canReplace(q, view) {
+		p.changeable = now
+	}
 	if q.Version == 0 || q.Joint() {
 		return nil
 	}
@@ -69,6 +75,26 @@
 	return next
 }
 
+// canReplace says whether the set could go on without one of its members: another could take its seat, or the set may get
+// smaller.
+func (p *Planner) canReplace(q QuorumSet, view CoreView) bool {
+	return q.Joint() || len(q.Members) > max(p.FixedSize, p.MinSize) || len(view.others(q)) > 0
+}
+
+// SeatUntil says till when a member that a majority last answered at heard surely still has its seat; zero: nobody could
+// take it as far as this node knows. The others wait ReplaceAfter before they replace a member, and a newcomer does
+// nothing by its seat for a lease's term, which together is longer. One that no majority has answered since its start
+// can't know what has happened to its seat.
+func (p *Planner) SeatUntil(heard units.Time, known bool) units.Time {
+	switch {
+	case !known:
+		return seatUnknown
+	case p.changeable < heard:
+		return 0
+	}
+	return heard.Add(reachFor)
+}
+
 // watch notes who is away, and since when.
 func (p *Planner) watch(now units.Time, q QuorumSet, view CoreView) {
 	if p.awaySince == nil {
--- a/internal/rig/simulator/core.go
+++ b/internal/rig/simulator/core.go
@@ -158,6 +158,7 @@
 	voter := c.Replica.Quorum().Has(c.Self)
 	c.gossip.Flag(membership.Voter, voter)
 	c.drain(now, &out)
+	c.Lease.KeepSeat(c.planner.SeatUntil(c.Replica.MajorityHeard(now)))
 	out.Join(c.Lease.Tick(now, voter && !c.Drain))
 	c.Syncer.SetHealthy(!unfit)
 	out.Join(c.Syncer.Tick(now, c.Replica.Quorum().All(), c.Replica.States()))
