A leaving router begins only what can end within its grace

Cause: after the 3 s in which clients may still come, a leaving router went on taking requests for as long as any was under way. What came with 3 s of the grace left could not end, was begun, and was cut (LOST). Such requests come on kept connections and in zones of which under half the routers are ready. Ruled out: the workers (still at work), a worker's silence (nothing is cut for it), changes of the configuration (the requests lost beside one were at a router that ended). Change: the end is known from the warning on; from 2.5 s behind it a request is begun only if it is over 0.4 s before that end at the latest, and the rest refused at once as not run. Before it ends a router takes nothing more, and only then looks a last time. One that leaves confirms its news before it serves.

--- a/internal/vaned/door.go
+++ b/internal/vaned/door.go
@@ -69,9 +69,9 @@
 		}
 	}()
 	switch {
-	case v.leaving.Load():
+	case v.leaving():
 		ctx.SetConnectionClose()
-		v.refuse(ctx, synop.Draining, "this node is leaving", true, 100*time.Millisecond)
+		v.refuse(ctx, synop.Draining, "this node is leaving", true, leaveBack)
 		return
 	case !v.ready.Load() || w.rules == nil:
 		v.refuse(ctx, synop.NotReady, "this node has no confirmed configuration yet", true, time.Second)
--- /dev/null
+++ b/internal/vaned/leave.go
@@ -0,0 +1,110 @@
+package vaned
+
+import (
+	"context"
+	"time"
+
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/units"
+)
+
+// Spans of leaving (start values).
+const (
+	// lingerFor is how long a leaving node waits for requests at the least: clients come until its readiness has been asked
+	// twice.
+	lingerFor = 3 * time.Second
+	// openFor is how long a leaving node takes every request, however long it may run. It is shorter than lingerFor, since
+	// the warning may have been under way for a while, and at most openShare of the time there is.
+	openFor   = 2500 * time.Millisecond
+	openShare = 3
+	// endGap is how long before the end of its grace a leaving node answers whatever still waits: a request that nobody has
+	// begun to work on must not end with a cut (design 11).
+	endGap = 400 * time.Millisecond
+	// quietFor is how long nothing must have been under way before a node ends.
+	quietFor = 300 * time.Millisecond
+	// leaveLookEach is how often a leaving node looks whether something is under way.
+	leaveLookEach = 20 * time.Millisecond
+)
+
+// departure is the way of a node from its warning (SIGTERM) to its end, which is known from the start: whatever is under
+// way at the end is cut. So nothing is begun that might not be over by then.
+type departure struct {
+	warned units.Time
+	end    units.Time
+}
+
+func newDeparture(now units.Time, grace time.Duration) *departure {
+	return &departure{warned: now, end: now.Add(grace)}
+}
+
+// open says whether every request is still taken: clients can't know yet that the node leaves.
+func (d *departure) open(now units.Time) bool {
+	return now.Sub(d.warned) < min(openFor, d.end.Sub(d.warned)/openShare)
+}
+
+// ending says whether the end is so near that what still waits gets its final answer.
+func (d *departure) ending(now units.Time) bool { return now > d.end.Add(-endGap) }
+
+// takes says whether a request may be begun that is over at until at the latest.
+func (d *departure) takes(now, until units.Time) bool {
+	return d.open(now) || until <= d.end.Add(-endGap)
+}
+
+// leaving says whether this node has been warned.
+func (v *Vane) leaving() bool { return v.departure.Load() != nil }
+
+// ending says whether what has no answer yet gets its final one.
+func (v *Vane) ending() bool {
+	d := v.departure.Load()
+	return d != nil && d.ending(v.Crew.Now())
+}
+
+// begins says whether a request that is over at until at the latest may be begun here.
+func (v *Vane) begins(now, until units.Time) bool {
+	d := v.departure.Load()
+	return d == nil || !v.closing.Load() && d.takes(now, until)
+}
+
+// Drain gives this node's duties away and lets what is under way end within the grace.
+func (v *Vane) Drain() {
+	now := v.Crew.Now()
+	d := newDeparture(now, time.Duration(v.Boot.DrainMs)*time.Millisecond)
+	v.departure.Store(d)
+	v.Flag(membership.Draining, true)
+	v.Flag(membership.Ready, false)
+	v.awaitQuiet(d)
+	v.Close()
+}
+
+// awaitQuiet returns once nothing is under way and nothing more is taken, or when the grace is over.
+func (v *Vane) awaitQuiet(d *departure) {
+	least := d.warned
+	if v.Words != nil {
+		least = least.Add(lingerFor)
+	}
+	for quietSince := d.warned; v.Crew.Now() < d.end; v.Crew.Sleep(leaveLookEach) {
+		now := v.Crew.Now()
+		if v.flight.Load() > 0 {
+			quietSince = now
+		}
+		if now <= least || now.Sub(quietSince) <= quietFor {
+			continue
+		}
+		v.closing.Store(true) // before the last look: a request that came in between either saw it or is seen
+		if v.flight.Load() == 0 {
+			return
+		}
+	}
+	v.closing.Store(true)
+}
+
+// Close ends the door and the wires at once.
+func (v *Vane) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	_ = v.web.ShutdownWithContext(ctx)
+	if v.ask != nil {
+		_ = v.ask.ShutdownWithContext(ctx)
+	}
+	v.Goodbye()
+}
--- a/internal/vaned/relay.go
+++ b/internal/vaned/relay.go
@@ -58,14 +58,14 @@
 		ctx.SetConnectionClose()
 		return
 	}
-	if v.leaving.Load() {
+	if v.leaving() {
 		ctx.SetConnectionClose()
 	}
 	for end := w.begun.Add(holdFor); !v.ready.Load() && v.Crew.Now() < end; {
 		v.Crew.Sleep(5 * time.Millisecond)
 	}
 	w.rules = v.rules.Load()
-	if w.rules == nil || !v.ready.Load() && !v.leaving.Load() {
+	if w.rules == nil || !v.ready.Load() {
 		w.end(synop.NotReady, 200*time.Millisecond)
 		return
 	}
@@ -113,10 +113,18 @@
 	}
 }
 
-// limit bounds the client's time left by the mapping's.
+// leaveBack is when a client that a leaving node refuses may come again: at once, as it comes to another.
+const leaveBack = 100 * time.Millisecond
+
+// limit bounds the client's time left by the mapping's. A leaving node ends the way of what might outlast it.
 func (w *relay) limit(ms int) bool {
 	w.until = w.begun.Add(min(w.left, time.Duration(ms)*time.Millisecond))
-	return false
+	if w.v.begins(w.v.Crew.Now(), w.until) {
+		return false
+	}
+	w.v.tallies.count(w.m, func(t *tally) { t.refused++ })
+	w.end(synop.Draining, leaveBack)
+	return true
 }
 
 // share draws the service among those that share the mapping; the same try always draws the same.
@@ -168,7 +176,7 @@
 	w.v.stats.count(c)
 	r := &w.ctx.Response
 	r.Reset()
-	if w.v.leaving.Load() {
+	if w.v.leaving() {
 		w.ctx.SetConnectionClose()
 	}
 	if after > 0 {
--- a/internal/vaned/relay_rig_test.go
+++ b/internal/vaned/relay_rig_test.go
@@ -169,13 +169,19 @@
 
 // receive reads one answer; status 0 when the connection ended instead.
 func (c *workerConn) receive() clientAnswer {
+	_, a := c.receiveHead()
+	return a
+}
+
+// receiveHead is the same with the answer's headers.
+func (c *workerConn) receiveHead() (http.Header, clientAnswer) {
 	r, err := http.ReadResponse(c.r, &http.Request{Method: "POST"})
 	if err != nil {
-		return clientAnswer{}
+		return nil, clientAnswer{}
 	}
 	var b bytes.Buffer
 	_, err = io.Copy(&b, r.Body)
-	return clientAnswer{r.StatusCode, r.Header.Get("Attempt-Id"), b.String(), err == nil, r.Close}
+	return r.Header, clientAnswer{r.StatusCode, r.Header.Get("Attempt-Id"), b.String(), err == nil, r.Close}
 }
 
 // next gives the first connection that any of the workers takes, and the other worker.
--- a/internal/vaned/relay_try.go
+++ b/internal/vaned/relay_try.go
@@ -27,7 +27,7 @@
 	switch {
 	case w.sent == 0:
 		return true
-	case w.v.ending.Load():
+	case w.v.ending():
 		w.why = synop.Draining
 		return false
 	case w.gone || w.sent >= w.most() || w.ran && w.m.Once:
@@ -109,7 +109,7 @@
 		case x := <-c:
 			return x, tag, true
 		case <-t.C:
-			if v.ending.Load() {
+			if v.ending() {
 				v.cut(tag)
 				return verdict{Verdict: hygrometer.Verdict{Code: synop.Draining}}, tag, true
 			}
@@ -159,7 +159,7 @@
 	worker := name[len(s.Name)+1:]
 	req := w.request(worker, w.until.Sub(now))
 	o := &anemometer.Order{Worker: worker, Addr: addr, ID: w.id, Req: req, Due: time.Now().Add(w.until.Sub(now)), Fresh: w.m.Once,
-		Most: v.connsOf(s), Gone: func() bool { return v.ending.Load() || anemometer.HungUp(w.ctx.Conn()) }}
+		Most: v.connsOf(s), Gone: func() bool { return v.ending() || anemometer.HungUp(w.ctx.Conn()) }}
 	v.stats.hand(zone, v.Boot.Zone, len(w.body))
 	if w.sent == 0 {
 		v.budgetOf(s.Name).First(now)
--- a/internal/vaned/reply.go
+++ b/internal/vaned/reply.go
@@ -56,7 +56,7 @@
 	out.Header.ResetConnectionClose()
 	out.Header.SetProtocol([]byte("HTTP/1.1")) // the version, too, concerns the worker's connection only
 	out.Header.SetNoDefaultContentType(true)
-	if w.v.leaving.Load() {
+	if w.v.leaving() {
 		w.ctx.SetConnectionClose()
 	}
 }
--- a/internal/vaned/rules.go
+++ b/internal/vaned/rules.go
@@ -111,7 +111,7 @@
 	case v.static.Load() == 0:
 		v.static.Store(int64(now))
 	}
-	if v.ready.Load() || v.leaving.Load() || v.rules.Load() == nil {
+	if v.ready.Load() || v.rules.Load() == nil {
 		return
 	}
 	v.tableMu.Lock()
@@ -125,7 +125,7 @@
 	v.FeedMu.Unlock()
 	if ok {
 		v.ready.Store(true)
-		v.Flag(membership.Ready, true)
+		v.Flag(membership.Ready, !v.leaving())
 		v.Log.Info("news confirmed: serving")
 	}
 	v.Deliver(out)
--- a/internal/vaned/speak.go
+++ b/internal/vaned/speak.go
@@ -14,13 +14,6 @@
 	"seamshunt/internal/units"
 )
 
-// lingerFor is how long a leaving node still takes requests: clients come until its readiness has been asked twice.
-const lingerFor = 3 * time.Second
-
-// endGap is how long before the end of its grace a leaving node answers whatever still waits: a request that nobody has
-// begun to work on must not end with a cut (design 11).
-const endGap = 400 * time.Millisecond
-
 // speak has the door for clients take requests in the book's words, byte for byte.
 func (v *Vane) speak() {
 	w := v.web
@@ -85,7 +78,7 @@
 	case "/metrics":
 		v.metrics(ctx)
 	case v.Words.Ready:
-		if !v.ready.Load() || v.leaving.Load() || v.alone() {
+		if !v.ready.Load() || v.leaving() || v.alone() {
 			ctx.SetStatusCode(503)
 			return
 		}
--- a/internal/vaned/status.go
+++ b/internal/vaned/status.go
@@ -46,7 +46,7 @@
 	v.tableMu.Lock()
 	out := v.table.out[v.Boot.Zone]
 	v.tableMu.Unlock()
-	if !v.ready.Load() || v.leaving.Load() || out || v.alone() {
+	if !v.ready.Load() || v.leaving() || out || v.alone() {
 		ctx.SetStatusCode(503)
 		ctx.SetBodyString("not ready\n")
 		return
@@ -79,7 +79,7 @@
 	o.Set("name", a.NewString(v.Boot.Name))
 	o.Set("zone", a.NewString(v.Boot.Zone))
 	o.Set("ready", flag(&a, v.ready.Load()))
-	o.Set("leaving", flag(&a, v.leaving.Load()))
+	o.Set("leaving", flag(&a, v.leaving()))
 	o.Set("in_flight", a.NewNumberInt(int(v.flight.Load())))
 	if t := v.static.Load(); t > 0 {
 		o.Set("cut_from_control_ms", a.NewNumberInt(int((int64(now)-t)/int64(time.Millisecond))))
--- a/internal/vaned/steps_test.go
+++ b/internal/vaned/steps_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -100,7 +101,7 @@
 	if status, body := ask(t, v, "/plain").reply(t); status != 503 || !strings.Contains(body, `"code":303`) {
 		t.Errorf("the zone is evacuated: %d %s", status, body)
 	}
-	v.leaving.Store(true) // as a warning would
+	v.departure.Store(newDeparture(v.Crew.Now(), time.Minute)) // as a warning would
 	if status, body := ask(t, v, "/plain").reply(t); status != 503 || !strings.Contains(body, `"code":305`) {
 		t.Errorf("leaving: %d %s", status, body)
 	}
--- a/internal/vaned/vane.go
+++ b/internal/vaned/vane.go
@@ -2,7 +2,6 @@
 package vaned
 
 import (
-	"context"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -37,34 +36,34 @@
 // Vane is one process of the data plane.
 type Vane struct {
 	*tower.Tower
-	rules    atomic.Pointer[rules]
-	tableMu  sync.Mutex
-	table    table
-	deskMu   sync.Mutex
-	desk     *hygrometer.Hygrometer
-	doors    map[uint64]chan verdict
-	gaugeMu  sync.Mutex
-	gauge    *gauge.Gauge
-	screenMu sync.Mutex
-	screen   *screen.Screen
-	claims   map[uint64]chan synop.Code
-	wind     windvane.Windvane
-	budget   sync.Map // service to *anemometer.Budget
-	habits   sync.Map // service to *anemometer.Habit
-	tallies  tallies
-	tag      atomic.Uint64
-	ready    atomic.Bool
-	leaving  atomic.Bool
-	ending   atomic.Bool  // the grace is nearly over: what has no answer yet gets its final one
-	static   atomic.Int64 // since when no barometer has been heard, zero while one is
-	began    units.Time
-	flight   atomic.Int64
-	web      *fasthttp.Server
-	ask      *fasthttp.Server // answers whether this node is ready, where that has an address of its own
-	Words    *codebook.Book   // the outside world's words; nil: the product's own interface
-	pool     *anemometer.Pool
-	pace     crew.Pace // of the beat
-	stats    stats
+	rules     atomic.Pointer[rules]
+	tableMu   sync.Mutex
+	table     table
+	deskMu    sync.Mutex
+	desk      *hygrometer.Hygrometer
+	doors     map[uint64]chan verdict
+	gaugeMu   sync.Mutex
+	gauge     *gauge.Gauge
+	screenMu  sync.Mutex
+	screen    *screen.Screen
+	claims    map[uint64]chan synop.Code
+	wind      windvane.Windvane
+	budget    sync.Map // service to *anemometer.Budget
+	habits    sync.Map // service to *anemometer.Habit
+	tallies   tallies
+	tag       atomic.Uint64
+	ready     atomic.Bool
+	departure atomic.Pointer[departure] // nil: this node stays
+	closing   atomic.Bool               // nothing more is taken, however short
+	static    atomic.Int64              // since when no barometer has been heard, zero while one is
+	began     units.Time
+	flight    atomic.Int64
+	web       *fasthttp.Server
+	ask       *fasthttp.Server // answers whether this node is ready, where that has an address of its own
+	Words     *codebook.Book   // the outside world's words; nil: the product's own interface
+	pool      *anemometer.Pool
+	pace      crew.Pace // of the beat
+	stats     stats
 }
 
 // New builds a vane; with a book it speaks that world's words to clients and workers (design 11).
@@ -209,36 +208,3 @@
 	v.tableMu.Unlock()
 	return min(2, v.Boot.Bounds.RetrySlack/(2*max(1, n)))
 }
-
-// Drain takes nothing new, gives its duties away and lets streams end within the limit.
-func (v *Vane) Drain() {
-	v.leaving.Store(true)
-	v.Flag(membership.Draining, true)
-	v.Flag(membership.Ready, false)
-	least := v.Crew.Now()
-	if v.Words != nil {
-		least = least.Add(lingerFor)
-	}
-	end := v.Crew.Now().Add(time.Duration(v.Boot.DrainMs) * time.Millisecond)
-	for quietSince := v.Crew.Now(); v.Crew.Now() < end; v.Crew.Sleep(20 * time.Millisecond) {
-		if v.flight.Load() > 0 {
-			quietSince = v.Crew.Now()
-		}
-		v.ending.Store(v.Crew.Now() > end.Add(-endGap))
-		if now := v.Crew.Now(); now > least && now.Sub(quietSince) > 300*time.Millisecond {
-			break
-		}
-	}
-	v.Close()
-}
-
-// Close ends the door and the wires at once.
-func (v *Vane) Close() {
-	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
-	defer cancel()
-	_ = v.web.ShutdownWithContext(ctx)
-	if v.ask != nil {
-		_ = v.ask.ShutdownWithContext(ctx)
-	}
-	v.Goodbye()
-}
