--- a/internal/rig/simulator/grow_test.go
+++ b/internal/rig/simulator/grow_test.go
@@ -73,17 +73,24 @@
 }
 
 func (w *World) readBack(t *testing.T, text string, num units.Num) {
+	t.Helper()
+	if got := w.readNewest(t); got.Num != num || got.Data != text {
+		t.Fatalf("%s: acknowledged %d, read back %+v; voters %v", w.Name, num, got, w.voters())
+	}
+}
+
+// readNewest reads the configuration until it is confirmed.
+func (w *World) readNewest(t *testing.T) *Op {
 	t.Helper()
 	var got *Op
 	for range 12 {
 		w.Call(register.Request{Key: "config"}, func(o *Op) { got = o })
 		if w.Run(w.Now.Add(time.Second)); got != nil && got.Code == synop.OK {
-			break
+			return got
 		}
 	}
-	if got == nil || got.Code != synop.OK || got.Num != num || got.Data != text {
-		t.Fatalf("%s: acknowledged %d, read back %+v; voters %v", w.Name, num, got, w.voters())
-	}
+	t.Fatalf("%s: nothing is read back; last %+v; voters %v", w.Name, got, w.voters())
+	return nil
 }
 
 // Any number of disks, whichever of the seeds count: all disks that count come to vote, and no others.
