A disk that kept part of an unsynced write keeps its vote

Cause: a whole record behind a break was taken for a proof that the part before it had been synced, though a loss of power may leave a later record of the same append without an earlier one. The file was set aside and the disk began anew without a vote. One such disk costs a replacement; with as many disks lost in the same moment as the settings allow, no majority is left. Ruled out: the mark (written behind a sync), rewrites (synced before they get their name). Before: TestPowerLostInABatchByRecords and -BySectors fail. Change: every record of an append but the first is flagged in a byte that was unused; only the first record of a later append proves what stands before it. Tests replaced: TestEveryBitFlipWithoutMark and TestDamageAtEveryByte called each break behind which a record stands damage, in the last append too. That can't be told from a loss of power, so this demand was wrong. They now say for every byte which records of the last append it costs and that nothing before is lost; with the mark any flip is damage, as it was. After: both new tests and the packages wal and controller pass.

--- a/internal/storage/wal/scan.go
+++ b/internal/storage/wal/scan.go
@@ -21,15 +21,25 @@
 
 var table = crc32.MakeTable(crc32.Castagnoli)
 
+// flagSameBatch is set on every record of an append but the first. An append is written by one call and synced before the
+// next begins, so a record without it proves that all records before it were synced.
+const flagSameBatch uint8 = 1
+
 type recHead struct {
-	Len  uint32
-	Sum  uint32
-	Kind uint8
-	_    uint8
-	Key  uint16
-	Seq  uint32
+	Len   uint32
+	Sum   uint32
+	Kind  uint8
+	Flags uint8
+	Key   uint16
+	Seq   uint32
 }
 
+// Where fields of a head stand.
+const (
+	flagsAt = 9
+	seqAt   = 12
+)
+
 // snapshotHead says what a rewrite put into the file. All of it was synced before the file got its name, so nothing of it
 // may be missing.
 type snapshotHead struct {
@@ -57,14 +67,14 @@
 	}
 }
 
-// scan reads all whole records. What follows the last is a torn tail, unless a whole record stands behind it or the
-// snapshot isn't whole: then the file is damaged.
+// scan reads all whole records. What follows the last is a torn tail, unless a later append's first record stands behind it
+// or the snapshot isn't whole: then the file is damaged.
 func scan(b []byte) (contents, error) {
 	c := contents{live: map[string]message.Record{}}
 	for c.size < len(b) {
 		r, n, err := parse(b[c.size:], c.records)
 		if err != nil {
-			if later(b[c.size+1:], c.records) {
+			if laterBatch(b[c.size+1:], c.records) {
 				return c, fmt.Errorf("%w at byte %d: %w", ErrDamaged, c.size, err)
 			}
 			break
@@ -101,12 +111,12 @@
 	return nil
 }
 
-// later says whether a whole record of a later number stands anywhere behind a break:
-// then the break is damage to what was synced, not a torn tail.
-func later(b []byte, seq uint32) bool {
+// laterBatch says whether the first record of a later append stands whole anywhere behind a break: then the break is damage
+// to what was synced. Other records of the append that broke may stand there: a loss of power leaves any part of a write.
+func laterBatch(b []byte, seq uint32) bool {
 	for i := 0; i+headLen <= len(b); i++ {
-		n := binary.LittleEndian.Uint32(b[i+12:])
-		if n <= seq || n > seq+1<<20 {
+		n := binary.LittleEndian.Uint32(b[i+seqAt:])
+		if b[i+flagsAt]&flagSameBatch != 0 || n <= seq || n > seq+1<<20 {
 			continue
 		}
 		if _, _, err := parse(b[i:], n); err == nil {
@@ -134,9 +144,11 @@
 	return message.Record{Kind: h.Kind, Key: string(b[headLen:k]), Data: append([]byte(nil), b[k:n]...)}, n, nil
 }
 
-// lay gives a record's bytes.
-func lay(r message.Record, seq uint32) []byte {
-	h := recHead{Len: uint32(len(r.Data)), Kind: r.Kind, Key: uint16(len(r.Key)), Seq: seq}
+// lay gives the bytes of a record that begins an append.
+func lay(r message.Record, seq uint32) []byte { return layFlagged(r, seq, 0) }
+
+func layFlagged(r message.Record, seq uint32, flags uint8) []byte {
+	h := recHead{Len: uint32(len(r.Data)), Kind: r.Kind, Flags: flags, Key: uint16(len(r.Key)), Seq: seq}
 	b, _ := binary.Append(nil, binary.LittleEndian, h)
 	b = append(append(b, r.Key...), r.Data...)
 	binary.LittleEndian.PutUint32(b[4:], crc32.Checksum(b[8:], table))
--- a/internal/storage/wal/wal.go
+++ b/internal/storage/wal/wal.go
@@ -156,9 +156,12 @@
 	return a.trim()
 }
 
+// lay gives the bytes of one append.
 func (a *Log) lay(rs []message.Record) (b []byte) {
+	flags := uint8(0)
 	for i, r := range rs {
-		b = append(b, lay(r, a.seq+uint32(i))...)
+		b = append(b, layFlagged(r, a.seq+uint32(i), flags)...)
+		flags = flagSameBatch
 	}
 	return b
 }
