A reload or a log dump that comes while a process starts no longer ends it

Cause: SIGHUP and SIGUSR1 had no handler until the program was built, which for a controller includes reading its disk; without a handler either ends a Go process. Before: TestSignalsWhileStarting ends with "signal: hangup". After: it passes, with cmd/ under -race.

--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -56,6 +56,7 @@
 func Serve(read func() (*boot.Boot, error), create func(*boot.Boot) (Daemon, error), again func(Daemon, *boot.Boot), dump func(Daemon)) *cobra.Command {
 	return &cobra.Command{Use: "serve", Short: "run on the users' platform until a warning (SIGTERM)", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
+			s := handleSignals()
 			b, err := read()
 			if err != nil {
 				return err
@@ -65,7 +66,7 @@
 			if err != nil {
 				return err
 			}
-			return live(d, read, again, dump)
+			return live(d, s, read, again, dump)
 		}}
 }
 
@@ -81,6 +82,7 @@
 	var path string
 	c := &cobra.Command{Use: "run", Short: "run with a boot file until a warning (SIGTERM)", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
+			s := handleSignals()
 			b, err := boot.Read(path, name)
 			if err != nil {
 				return err
@@ -89,16 +91,25 @@
 			if err != nil {
 				return err
 			}
-			return live(d, nil, nil, dump)
+			return live(d, s, nil, nil, dump)
 		}}
 	c.Flags().StringVar(&path, "boot", "", "the boot file")
 	_ = c.MarkFlagRequired("boot")
 	return c
 }
 
+// signals are those that a running process answers in its own time.
+type signals struct{ reload, dump chan os.Signal }
+
+// handleSignals takes over the signals that would end the process by default though they only ask it for something. It
+// comes first of all: opening a disk may last, and a reload may come meanwhile.
+func handleSignals() signals {
+	return signals{reload: newSignals(syscall.SIGHUP), dump: newSignals(syscall.SIGUSR1)}
+}
+
 // live runs a daemon to its end. Its place is read again at a hang-up signal, and now and then without one.
-func live(d Daemon, read func() (*boot.Boot, error), again func(Daemon, *boot.Boot), dump func(Daemon)) error {
-	warn, book, hup := newSignals(syscall.SIGTERM, syscall.SIGINT), newSignals(syscall.SIGUSR1), newSignals(syscall.SIGHUP)
+func live(d Daemon, s signals, read func() (*boot.Boot, error), again func(Daemon, *boot.Boot), dump func(Daemon)) error {
+	warn := newSignals(syscall.SIGTERM, syscall.SIGINT)
 	if err := d.Start(); err != nil {
 		return err
 	}
@@ -109,10 +120,10 @@
 		case <-warn:
 			d.Drain()
 			return nil
-		case <-book:
+		case <-s.dump:
 			dump(d)
 			continue
-		case <-hup:
+		case <-s.reload:
 		case <-look.C:
 		}
 		if read == nil {
