--- a/cmd/gale/drill.go
+++ b/cmd/gale/drill.go
@@ -11,9 +11,9 @@
 
 	"github.com/spf13/cobra"
 
+	"seamshunt/internal/config"
 	"seamshunt/internal/console"
 	"seamshunt/internal/fleet"
-	"seamshunt/internal/forecast"
 	"seamshunt/internal/standin"
 )
 
@@ -74,7 +74,7 @@
 			if len(x) != 3 {
 				return fmt.Errorf("--worker %q: ID=ZONE=ADDRESS is wanted", w)
 			}
-			p.Set(pool, forecast.Worker{ID: x[0], Zone: x[1], Addr: x[2], Age: time.Hour})
+			p.Set(pool, config.Worker{ID: x[0], Zone: x[1], Addr: x[2], Age: time.Hour})
 		}
 		ln, err := net.Listen("tcp", listen)
 		if err != nil {
--- a/cmd/gale/pages_test.go
+++ b/cmd/gale/pages_test.go
@@ -17,7 +17,7 @@
 // The shipped programs hold nothing that starts a process, and no stand-in.
 func TestShippedPrograms(t *testing.T) {
 	out, err := exec.Command("go", "list", "-deps", "seamshunt/cmd/vane", "seamshunt/cmd/barometer").Output()
-	if err != nil || !strings.Contains(string(out), "seamshunt/internal/vaned\n") {
+	if err != nil || !strings.Contains(string(out), "seamshunt/internal/router\n") {
 		t.Fatalf("%v: %s", err, out)
 	}
 	for _, bad := range []string{"os/exec", "seamshunt/internal/fleet", "seamshunt/internal/standin", "seamshunt/platform/standin", "testing"} {
--- a/cmd/vane/main.go
+++ b/cmd/vane/main.go
@@ -6,21 +6,21 @@
 
 	"seamshunt/internal/boot"
 	"seamshunt/internal/console"
-	"seamshunt/internal/vaned"
+	"seamshunt/internal/router"
 	"seamshunt/platform"
 )
 
 func main() {
 	const name = "vane"
-	dump := func(d console.Daemon) { d.(*vaned.Vane).Book.Dump() }
+	dump := func(d console.Daemon) { d.(*router.Router).Book.Dump() }
 	root := console.Root(name, "the data plane: takes prompts, admits, places and streams")
 	root.AddCommand(
-		console.Run(name, func(b *boot.Boot) (console.Daemon, error) { return vaned.New(b, nil), nil }, dump),
+		console.Run(name, func(b *boot.Boot) (console.Daemon, error) { return router.New(b, nil), nil }, dump),
 		console.Serve(func() (*boot.Boot, error) { return platform.Boot(os.Getenv(platform.SettingsEnv), name) },
 			func(b *boot.Boot) (console.Daemon, error) {
-				return vaned.New(b, platform.New(os.Getenv(platform.SettingsEnv), name)), nil
+				return router.New(b, platform.New(os.Getenv(platform.SettingsEnv), name)), nil
 			},
-			func(d console.Daemon, b *boot.Boot) { d.(*vaned.Vane).Again(b) }, dump),
+			func(d console.Daemon, b *boot.Boot) { d.(*router.Router).Again(b) }, dump),
 		console.Check(name, &console.Look{Flag: "settings", What: "a settings file", At: func(path string) error {
 			_, err := platform.Boot(path, name)
 			return err
--- a/internal/codebook/codebook.go
+++ b/internal/adapter/adapter.go
@@ -1,12 +1,12 @@
-// Package codebook is what an adapter gives the product: the names, formats and calls of one outside world
+// Package adapter is what an adapter gives the product: the names, formats and calls of one outside world
 // (design 11). It holds no decision; whoever reads a book decides.
-package codebook
+package adapter
 
 import (
 	"github.com/valyala/fasthttp"
 
 	"seamshunt/internal/boot"
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 	"seamshunt/internal/synop"
 )
 
@@ -47,19 +47,19 @@
 	Zone   func(zone string, out bool) synop.Code
 }
 
-// Book is one outside world.
-type Book struct {
+// Adapter is one outside world.
+type Adapter struct {
 	Names Names
 	// Ready is the path of the question whether a node is ready.
 	Ready string
 	// Prompt reads what a request's headers tell of its prompt; false when they tell nothing.
 	Prompt func(h *fasthttp.RequestHeader) (Prompt, bool)
 	// Config takes an operator's bytes to a compiled configuration, or to all its faults.
-	Config func(data []byte) (*forecast.Config, []*synop.Fault)
+	Config func(data []byte) (*config.Config, []*synop.Fault)
 	// Change applies changes by item to a configuration's bytes and gives the whole.
 	Change func(old, change []byte) ([]byte, []*synop.Fault)
 	// Workers asks for all workers of all services; get asks the platform for one path, once.
-	Workers func(get func(path string) (status int, body []byte, err error)) ([]forecast.Worker, error)
+	Workers func(get func(path string) (status int, body []byte, err error)) ([]config.Worker, error)
 	// Control serves operators' calls.
 	Control func(c Control) fasthttp.RequestHandler
 	// Boot reads the settings file again; nil when there is none to read.
--- a/internal/cluster/discovery/cold_test.go
+++ b/internal/cluster/discovery/cold_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 	"seamshunt/internal/units"
 )
 
@@ -15,13 +15,13 @@
 	n := New()
 	now := units.Time(0)
 	num := int64(0)
-	see := func(at units.Time, w forecast.Worker) bool {
+	see := func(at units.Time, w config.Worker) bool {
 		t.Helper()
 		now = at
 		num++
 		w.ID, w.Addr, w.Age = "w", "a", time.Hour
 		a := n.Ask(now, "*", 1, num)
-		data, news := n.Heard(a, []forecast.Worker{w})
+		data, news := n.Heard(a, []config.Worker{w})
 		if news {
 			if _, err := n.Take(now+10*ms, Key("*", 1), a.Num, data); err != nil {
 				t.Fatal(err)
@@ -29,12 +29,12 @@
 		}
 		return news
 	}
-	cold := func(d time.Duration) forecast.Worker {
-		return forecast.Worker{Service: "s", Slots: 4, Cold: d}
+	cold := func(d time.Duration) config.Worker {
+		return config.Worker{Service: "s", Slots: 4, Cold: d}
 	}
 	for i, x := range []struct {
 		at   units.Time
-		w    forecast.Worker
+		w    config.Worker
 		news bool
 		life uint64
 	}{
@@ -46,10 +46,10 @@
 		{61000 * ms, cold(2500 * time.Millisecond), true, 8 - 2},
 		{62000 * ms, cold(1500 * time.Millisecond), false, 6},
 		{62500 * ms, cold(2400 * time.Millisecond), true, 8},
-		{70000 * ms, forecast.Worker{Service: "r", Slots: 4}, true, 9},
-		{71000 * ms, forecast.Worker{Service: "r", Slots: 5}, true, 9},
-		{72000 * ms, forecast.Worker{Service: "r", Slots: 5, Leaving: true}, true, 9},
-		{73000 * ms, forecast.Worker{Service: "r", Slots: 5, Leaving: true}, false, 9},
+		{70000 * ms, config.Worker{Service: "r", Slots: 4}, true, 9},
+		{71000 * ms, config.Worker{Service: "r", Slots: 5}, true, 9},
+		{72000 * ms, config.Worker{Service: "r", Slots: 5, Leaving: true}, true, 9},
+		{73000 * ms, config.Worker{Service: "r", Slots: 5, Leaving: true}, false, 9},
 	} {
 		news := see(x.at, x.w)
 		w := n.List("*")[0]
--- a/internal/cluster/discovery/discovery.go
+++ b/internal/cluster/discovery/discovery.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fastjson"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 	"seamshunt/internal/units"
 )
 
@@ -29,7 +29,7 @@
 // those does it replace, since only then is it certain to be the later one.
 type sighting struct {
 	num  units.Num
-	list []forecast.Worker
+	list []config.Worker
 	knew map[string]units.Num
 }
 
@@ -52,7 +52,7 @@
 // Take takes a sighting from the news, and gives the pool that it is of.
 func (n *Catalog) Take(now units.Time, key string, num units.Num, data []byte) (string, error) {
 	pool, asker, _ := strings.Cut(strings.TrimPrefix(key, Prefix), "/")
-	l, err := forecast.ReadWorkers(data)
+	l, err := config.ReadWorkers(data)
 	if err != nil {
 		return pool, err
 	}
@@ -82,8 +82,8 @@
 
 // List merges what stands: sightings that no later one replaced. Where two can't be ordered, a worker that either
 // marks as leaving is leaving, and one that either lists is listed.
-func (n *Catalog) List(pool string) []forecast.Worker {
-	by, got := n.pools[pool], map[string]forecast.Worker{}
+func (n *Catalog) List(pool string) []config.Worker {
+	by, got := n.pools[pool], map[string]config.Worker{}
 	for _, a := range message.Keys(by) {
 		s, old := by[a], false
 		for b, t := range by {
@@ -104,7 +104,7 @@
 			got[w.ID] = w
 		}
 	}
-	l := make([]forecast.Worker, 0, len(got))
+	l := make([]config.Worker, 0, len(got))
 	for _, id := range message.Keys(got) {
 		l = append(l, got[id])
 	}
@@ -136,10 +136,10 @@
 }
 
 // Heard takes the platform's answer and gives the news that it makes; nothing when it says what is known already.
-func (n *Catalog) Heard(a Query, l []forecast.Worker) ([]byte, bool) {
+func (n *Catalog) Heard(a Query, l []config.Worker) ([]byte, bool) {
 	l = slices.Clone(l)
-	slices.SortFunc(l, func(x, y forecast.Worker) int { return cmp.Compare(x.ID, y.ID) })
-	known := map[string]forecast.Worker{}
+	slices.SortFunc(l, func(x, y config.Worker) int { return cmp.Compare(x.ID, y.ID) })
+	known := map[string]config.Worker{}
 	for _, w := range n.List(a.Pool) {
 		known[w.ID] = w
 	}
@@ -157,7 +157,7 @@
 		return nil, false
 	}
 	var r fastjson.Arena
-	v, knew := forecast.WorkersValue(&r, l), r.NewObject()
+	v, knew := config.WorkersValue(&r, l), r.NewObject()
 	for _, k := range message.Keys(a.knew) {
 		knew.Set(k, r.NewNumberString(fmt.Sprint(uint64(a.knew[k]))))
 	}
@@ -167,7 +167,7 @@
 
 // younger says whether a worker that is known looks as if it had been started again, or had turned cold again. Lists that
 // name a worker's service tell how much longer it is cold, others how old it is (design 13).
-func (n *Catalog) younger(now units.Time, w *forecast.Worker) bool {
+func (n *Catalog) younger(now units.Time, w *config.Worker) bool {
 	if w.Service != "" {
 		return w.Cold > 0 && now.Add(w.Cold).Sub(n.cold[w.ID]) > coldSlack
 	}
--- a/internal/cluster/discovery/discovery_test.go
+++ b/internal/cluster/discovery/discovery_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 	"seamshunt/internal/units"
 )
 
@@ -15,8 +15,8 @@
 	data []byte
 }
 
-func list(age time.Duration, leaving ...string) []forecast.Worker {
-	l := []forecast.Worker{{ID: "w1", Addr: "a1", Zone: "z", Age: time.Hour}, {ID: "w2", Addr: "a2", Zone: "z", Age: age}}
+func list(age time.Duration, leaving ...string) []config.Worker {
+	l := []config.Worker{{ID: "w1", Addr: "a1", Zone: "z", Age: time.Hour}, {ID: "w2", Addr: "a2", Zone: "z", Age: age}}
 	for i := range l {
 		for _, id := range leaving {
 			l[i].Leaving = l[i].Leaving || l[i].ID == id
@@ -52,7 +52,7 @@
 			t.Fatal(err)
 		}
 	}
-	tell := func(n *Catalog, self units.Node, wall int64, l []forecast.Worker) told {
+	tell := func(n *Catalog, self units.Node, wall int64, l []config.Worker) told {
 		q := n.Ask(0, "main", self, wall)
 		data, news := n.Heard(q, l)
 		if !news {
@@ -94,7 +94,7 @@
 func TestStartedAgain(t *testing.T) {
 	n, v := New(), New()
 	at := func(s int) units.Time { return units.Time(time.Duration(s) * time.Second) }
-	step := func(sec int, l []forecast.Worker, want bool) {
+	step := func(sec int, l []config.Worker, want bool) {
 		t.Helper()
 		l[0].Age += time.Duration(sec) * time.Second // w1 runs on
 		q := n.Ask(at(sec), "main", 1, int64(sec)*1000)
--- a/internal/forecast/compile.go
+++ b/internal/config/compile.go
@@ -1,4 +1,4 @@
-package forecast
+package config
 
 import (
 	"fmt"
@@ -6,14 +6,14 @@
 	"strings"
 	"time"
 
+	"seamshunt/internal/config/routing"
 	"seamshunt/internal/synop"
-	"seamshunt/internal/vernier"
 )
 
 // compile lays the mappings out as one program; the first that matches a request serves it.
 func (c *Config) compile(f *faults) {
 	names, routes := map[string]bool{}, map[string]string{}
-	var ways []vernier.Way
+	var ways []routing.Way
 	for i, m := range c.Mappings {
 		at := fmt.Sprintf("layout line %d column %d", m.line, m.col)
 		if names[m.Name] {
@@ -25,23 +25,23 @@
 			f.add(synop.Duplicate, at, "mapping "+m.Name+" matches just what "+o+" does")
 		}
 		routes[sig] = m.Name
-		w := vernier.Way{Match: m.Match}
-		w.Do = append(w.Do, vernier.Instr{Op: vernier.OpLimit, Arg: int(m.Promise.Longest.Milliseconds()), Mapping: i})
+		w := routing.Way{Match: m.Match}
+		w.Do = append(w.Do, routing.Instr{Op: routing.OpLimit, Arg: int(m.Promise.Longest.Milliseconds()), Mapping: i})
 		if m.Once && !m.Single {
-			w.Do = append(w.Do, vernier.Instr{Op: vernier.OpClaim, Mapping: i})
+			w.Do = append(w.Do, routing.Instr{Op: routing.OpClaim, Mapping: i})
 		}
 		if len(m.Split) > 1 {
-			w.Do = append(w.Do, vernier.Instr{Op: vernier.OpShare, Mapping: i})
+			w.Do = append(w.Do, routing.Instr{Op: routing.OpShare, Mapping: i})
 		} else {
-			w.Do = append(w.Do, vernier.Instr{Op: vernier.OpTry, Text: m.To[0], Mapping: i})
+			w.Do = append(w.Do, routing.Instr{Op: routing.OpTry, Text: m.To[0], Mapping: i})
 		}
 		if m.Step != "" {
-			w.Do = append(w.Do, vernier.Instr{Op: vernier.OpTry, Text: m.Step, Mapping: i})
+			w.Do = append(w.Do, routing.Instr{Op: routing.OpTry, Text: m.Step, Mapping: i})
 		}
-		w.Do = append(w.Do, vernier.Instr{Op: vernier.OpRefuse, Mapping: i})
+		w.Do = append(w.Do, routing.Instr{Op: routing.OpRefuse, Mapping: i})
 		ways = append(ways, w)
 	}
-	c.Program = vernier.Build(ways)
+	c.Program = routing.Build(ways)
 }
 
 // Compile builds the program of a configuration that an adapter put together, and names what stands twice or leads
@@ -97,7 +97,7 @@
 	}
 }
 
-func signature(ms []vernier.Match) string {
+func signature(ms []routing.Match) string {
 	var l []string
 	for _, m := range ms {
 		l = append(l, fmt.Sprintf("%d %s %s", m.Op, strings.ToLower(m.Name), m.Text))
--- a/internal/forecast/config.go
+++ b/internal/config/config.go
@@ -1,13 +1,13 @@
-// Package forecast reads the operator's configuration, compiles its layout and works out plans (design 9).
-package forecast
+// Package config reads the operator's configuration, compiles its layout and works out plans (design 9).
+package config
 
 import (
 	"time"
 
-	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/config/routing"
+	"seamshunt/internal/router/admission"
+	"seamshunt/internal/router/placement"
 	"seamshunt/internal/synop"
-	"seamshunt/internal/vernier"
-	"seamshunt/internal/windvane"
 )
 
 // MaxConfig bounds a configuration's bytes.
@@ -69,7 +69,7 @@
 	To      []string // the services it may ever reach
 	Step    string   // the service of a step down, if any
 	Once    bool
-	Match   []vernier.Match
+	Match   []routing.Match
 	Split   []Target      // when more than one: who gets which share of the requests
 	Tries   int           // workers that one request may be sent to; 0 is the product's own bound
 	Rank    int           // 0 is the highest
@@ -86,7 +86,7 @@
 	Services map[string]*Service
 	Promises map[string]*Promise
 	Mappings []*Mapping
-	Program  *vernier.Program
+	Program  *routing.Program
 	Version  uint64 // the document's own, if it bears one
 	Limits   Limits
 }
@@ -102,6 +102,6 @@
 	}
 }
 
-// Policies that can be named are those that the hygrometer and the windvane hold.
-func allowNames() []string { return sorted(hygrometer.Policies) }
-func placeNames() []string { return sorted(windvane.Policies) }
+// Policies that can be named are those that admission and placement have.
+func allowNames() []string { return sorted(admission.Policies) }
+func placeNames() []string { return sorted(placement.Policies) }
--- a/internal/forecast/forecast_test.go
+++ b/internal/config/config_test.go
@@ -1,4 +1,4 @@
-package forecast
+package config
 
 import (
 	"fmt"
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"seamshunt/internal/config/routing"
 	"seamshunt/internal/synop"
-	"seamshunt/internal/vernier"
 )
 
 const good = `{"services": [
@@ -46,7 +46,7 @@
 		{"/bx", "", "", ""},
 		{"/", "", "", ""},
 	} {
-		do, ok := c.Program.Find(vernier.Ask{Path: x.path, Header: func(string) string { return x.kind }})
+		do, ok := c.Program.Find(routing.Ask{Path: x.path, Header: func(string) string { return x.kind }})
 		if !ok {
 			if x.want != "" {
 				t.Errorf("%v: nothing takes it", x)
@@ -54,7 +54,7 @@
 			continue
 		}
 		var steps []string
-		vernier.Run(do, vernier.Hands{
+		routing.Run(do, routing.Hands{
 			Limit:  func(int) bool { steps = append(steps, "limit"); return false },
 			Claim:  func() bool { steps = append(steps, "claim"); return false },
 			Try:    func(s string) bool { steps = append(steps, "try", s); return false },
@@ -136,7 +136,7 @@
 		t.Fatal(fs[0])
 	}
 	asked := 0
-	do, ok := c.Program.Find(vernier.Ask{Path: "/m/4999", Header: func(string) string { asked++; return "" }})
+	do, ok := c.Program.Find(routing.Ask{Path: "/m/4999", Header: func(string) string { asked++; return "" }})
 	if !ok || c.Mappings[do[0].Mapping].Name != "m4999" || asked != 0 {
 		t.Errorf("found %v %v after %d looks at headers", ok, do, asked)
 	}
--- a/internal/forecast/keep.go
+++ b/internal/config/keep.go
@@ -1,22 +1,22 @@
-package forecast
+package config
 
 import (
 	"time"
 
-	"seamshunt/internal/gauge"
+	"seamshunt/internal/router/capacity"
 	"seamshunt/internal/units"
 )
 
 // Keep works out what keepers must know of every worker: of those that the platform lists, when each began, and
 // which zones are evacuated (design 6).
-func (c *Config) Keep(pools map[string][]Worker, start map[string]units.Time, out map[string]bool) map[string]gauge.Worker {
-	ws := map[string]gauge.Worker{}
+func (c *Config) Keep(pools map[string][]Worker, start map[string]units.Time, out map[string]bool) map[string]capacity.Worker {
+	ws := map[string]capacity.Worker{}
 	for _, s := range c.Services {
 		for _, w := range pools[s.Pool] {
 			if w.Service != "" && w.Service != s.Name {
 				continue
 			}
-			k := gauge.Worker{Zone: w.Zone, Cap: s.Cap, Bound: s.Waitlist, Warm: s.Warm, Start: start[w.ID],
+			k := capacity.Worker{Zone: w.Zone, Cap: s.Cap, Bound: s.Waitlist, Warm: s.Warm, Start: start[w.ID],
 				Closed: w.Leaving || out[w.Zone], Adapt: s.Adapt, Floor: s.Floor, Aim: s.WaitAim, First: s.First,
 				Memory: int(s.Share * float64(s.Memory)), WarmRate: s.WarmRate, Lax: s.Lax}
 			if k.Cap == 0 {
--- a/internal/forecast/parse_check.go
+++ b/internal/config/parse_check.go
@@ -1,4 +1,4 @@
-package forecast
+package config
 
 import (
 	"fmt"
--- a/internal/forecast/parse_clause.go
+++ b/internal/config/parse_clause.go
@@ -1,12 +1,12 @@
-package forecast
+package config
 
 import (
 	"fmt"
 	"strconv"
 	"strings"
 
+	"seamshunt/internal/config/routing"
 	"seamshunt/internal/synop"
-	"seamshunt/internal/vernier"
 )
 
 // clause reads one; said remembers where those stand that may be said only once.
@@ -92,16 +92,16 @@
 		if !ok {
 			return false
 		}
-		x := vernier.Match{}
+		x := routing.Match{}
 		switch t.text {
 		case "path":
-			x.Op = vernier.OpPath
+			x.Op = routing.OpPath
 		case "under":
-			x.Op = vernier.OpUnder
+			x.Op = routing.OpUnder
 		case "host":
-			x.Op = vernier.OpHost
+			x.Op = routing.OpHost
 		case "header":
-			x.Op = vernier.OpHeader
+			x.Op = routing.OpHeader
 			h, ok := p.want('s', "the header's name in quotes")
 			if !ok {
 				return false
@@ -119,11 +119,11 @@
 		}
 		x.Text = v.text
 		switch {
-		case x.Op == vernier.OpHost:
+		case x.Op == routing.OpHost:
 			if x.Text = strings.ToLower(v.text); !hostName(x.Text) {
 				p.bad(v, "a host's name without a port is wanted")
 			}
-		case x.Op != vernier.OpHeader && (x.Text == "" || x.Text[0] != '/'):
+		case x.Op != routing.OpHeader && (x.Text == "" || x.Text[0] != '/'):
 			p.bad(v, "a path begins with /")
 		}
 		m.Match = append(m.Match, x)
--- a/internal/forecast/plan_facts.go
+++ b/internal/config/plan_facts.go
@@ -1,11 +1,11 @@
-package forecast
+package config
 
 import (
 	"fmt"
 	"slices"
 	"strings"
 
-	"seamshunt/internal/vernier"
+	"seamshunt/internal/config/routing"
 )
 
 // fact is one thing that a plan names when it changes.
@@ -45,17 +45,17 @@
 }
 
 // conditions writes them as the layout does, in one order whatever theirs.
-func conditions(ms []vernier.Match) string {
+func conditions(ms []routing.Match) string {
 	var l []string
 	for _, m := range ms {
 		switch m.Op {
-		case vernier.OpPath:
+		case routing.OpPath:
 			l = append(l, fmt.Sprintf("path = %q", m.Text))
-		case vernier.OpUnder:
+		case routing.OpUnder:
 			l = append(l, fmt.Sprintf("under = %q", m.Text))
-		case vernier.OpHost:
+		case routing.OpHost:
 			l = append(l, fmt.Sprintf("host = %q", m.Text))
-		case vernier.OpHeader:
+		case routing.OpHeader:
 			l = append(l, fmt.Sprintf("header %q = %q", strings.ToLower(m.Name), m.Text))
 		}
 	}
--- a/internal/vernier/vernier.go
+++ b/internal/config/routing/routing.go
@@ -1,5 +1,5 @@
-// Package vernier is the small interpreter that takes a request its way over compiled rules (design 4, 8).
-package vernier
+// Package routing is the small interpreter that takes a request its way over compiled rules (design 4, 8).
+package routing
 
 import "strings"
 
--- a/internal/vernier/vernier_test.go
+++ b/internal/config/routing/routing_test.go
@@ -1,4 +1,4 @@
-package vernier
+package routing
 
 import "testing"
 
--- a/internal/forecast/words_test.go
+++ b/internal/config/words_test.go
@@ -1,4 +1,4 @@
-package forecast
+package config
 
 import (
 	"reflect"
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
+	"seamshunt/internal/config/routing"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
-	"seamshunt/internal/vernier"
 )
 
 // every says all that the configuration and its layout have words for.
@@ -60,7 +60,7 @@
 		{"b.example", "/chat/x", "any", "limit claim try small refuse"},
 		{"b.example", "/x", "", ""},
 	} {
-		do, ok := c.Program.Find(vernier.Ask{Host: x.host, Path: x.path, Header: func(string) string { return "" }})
+		do, ok := c.Program.Find(routing.Ask{Host: x.host, Path: x.path, Header: func(string) string { return "" }})
 		if !ok {
 			if x.want != "" {
 				t.Errorf("%v: nothing takes it", x)
@@ -74,9 +74,9 @@
 }
 
 // steps walks a way to its end.
-func steps(do []vernier.Instr) (l []string) {
+func steps(do []routing.Instr) (l []string) {
 	note := func(s ...string) bool { l = append(l, s...); return false }
-	vernier.Run(do, vernier.Hands{
+	routing.Run(do, routing.Hands{
 		Limit:  func(int) bool { return note("limit") },
 		Claim:  func() bool { return note("claim") },
 		Share:  func() bool { return note("share") },
@@ -213,21 +213,21 @@
 }
 
 // meets makes up a request that meets all conditions; they may contradict one another.
-func meets(m *Mapping) (vernier.Ask, bool) {
-	a, heads := vernier.Ask{Host: "h.example", Path: "/"}, map[string]string{}
+func meets(m *Mapping) (routing.Ask, bool) {
+	a, heads := routing.Ask{Host: "h.example", Path: "/"}, map[string]string{}
 	a.Header = func(n string) string { return heads[n] }
 	for _, x := range m.Match {
 		switch x.Op {
-		case vernier.OpHost:
+		case routing.OpHost:
 			a.Host = x.Text
-		case vernier.OpHeader:
+		case routing.OpHeader:
 			heads[x.Name] = x.Text
-		case vernier.OpUnder, vernier.OpPath:
+		case routing.OpUnder, routing.OpPath:
 			if len(x.Text) >= len(a.Path) {
 				a.Path = x.Text
 			}
 		}
 	}
-	_, ok := vernier.Build([]vernier.Way{{Match: m.Match}}).Find(a)
+	_, ok := routing.Build([]routing.Way{{Match: m.Match}}).Find(a)
 	return a, ok
 }
--- a/internal/forecast/workers.go
+++ b/internal/config/workers.go
@@ -1,4 +1,4 @@
-package forecast
+package config
 
 import (
 	"errors"
@@ -26,11 +26,11 @@
 func ReadWorkers(b []byte) ([]Worker, error) {
 	v, err := fastjson.ParseBytes(b)
 	if err != nil {
-		return nil, fmt.Errorf("forecast: worker list: %w", err)
+		return nil, fmt.Errorf("config: worker list: %w", err)
 	}
 	x := v.Get("workers")
 	if x == nil || x.Type() != fastjson.TypeArray {
-		return nil, errors.New("forecast: worker list: no workers in it")
+		return nil, errors.New("config: worker list: no workers in it")
 	}
 	var l []Worker
 	seen := map[string]bool{}
@@ -39,7 +39,7 @@
 			Leaving: w.GetBool("leaving"), Age: time.Duration(w.GetInt64("age_ms")) * time.Millisecond, Life: w.GetUint64("life"),
 			Service: string(w.GetStringBytes("service")), Slots: w.GetInt("slots"), Cold: time.Duration(w.GetInt64("cold_ms")) * time.Millisecond}
 		if y.ID == "" || y.Addr == "" || seen[y.ID] {
-			return nil, fmt.Errorf("forecast: worker list: entry %d lacks its id or address, or stands twice", i)
+			return nil, fmt.Errorf("config: worker list: entry %d lacks its id or address, or stands twice", i)
 		}
 		seen[y.ID] = true
 		l = append(l, y)
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -13,7 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"seamshunt/internal/boot"
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 )
 
 // Version of the programs.
@@ -175,7 +175,7 @@
 				b, err := os.ReadFile(configPath)
 				if err != nil {
 					bad = append(bad, err)
-				} else if _, fs := forecast.Read(b); len(fs) > 0 {
+				} else if _, fs := config.Read(b); len(fs) > 0 {
 					for _, f := range fs {
 						bad = append(bad, fmt.Errorf("%s: %w", configPath, f))
 					}
--- a/internal/control/controller/adapter_calls.go
+++ b/internal/control/controller/adapter_calls.go
@@ -10,25 +10,25 @@
 	"sync"
 	"time"
 
+	"seamshunt/internal/adapter"
 	"seamshunt/internal/cluster/membership"
-	"seamshunt/internal/codebook"
+	"seamshunt/internal/config"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/forecast"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
 // Control is what an adapter's door does (design 13).
-func (c *Controller) Control() codebook.Control {
-	return codebook.Control{Read: c.newest, Put: c.put, Change: c.alter, Zone: c.evacuate}
+func (c *Controller) Control() adapter.Control {
+	return adapter.Control{Read: c.newest, Put: c.put, Change: c.alter, Zone: c.evacuate}
 }
 
 // compile reads a configuration in the format of the outside world.
-func (c *Controller) compile(data []byte) (*forecast.Config, []*synop.Fault) {
+func (c *Controller) compile(data []byte) (*config.Config, []*synop.Fault) {
 	if c.adapter != nil {
 		return c.adapter.Config(data)
 	}
-	return forecast.Read(data)
+	return config.Read(data)
 }
 
 // versions remembers what the newest number that was looked at holds, so that it is compiled once.
@@ -58,7 +58,7 @@
 	return t.note(num, x)
 }
 
-func (t *versions) note(num units.Num, x *forecast.Config) (uint64, map[string]time.Duration) {
+func (t *versions) note(num units.Num, x *config.Config) (uint64, map[string]time.Duration) {
 	warm := make(map[string]time.Duration, len(x.Services))
 	for n, s := range x.Services {
 		warm[n] = s.Warm
@@ -109,12 +109,12 @@
 	if len(fs) > 0 {
 		return fs[0].Code, fs
 	}
-	return c.write(requestID("put", builds, data), builds, func([]byte) ([]byte, *forecast.Config, []*synop.Fault) { return data, next, nil })
+	return c.write(requestID("put", builds, data), builds, func([]byte) ([]byte, *config.Config, []*synop.Fault) { return data, next, nil })
 }
 
 // alter takes a change by item; what is stored is the whole.
 func (c *Controller) alter(builds uint64, change []byte) (synop.Code, []*synop.Fault) {
-	return c.write(requestID("change", builds, change), builds, func(old []byte) ([]byte, *forecast.Config, []*synop.Fault) {
+	return c.write(requestID("change", builds, change), builds, func(old []byte) ([]byte, *config.Config, []*synop.Fault) {
 		data, fs := c.adapter.Change(old, change)
 		if len(fs) > 0 {
 			return nil, nil, fs
@@ -132,7 +132,7 @@
 
 // write makes a change under the version that it builds on. One that lost its race, or is refused, never comes into force:
 // it is written under the number whose version was looked at, or not at all.
-func (c *Controller) write(requestID string, builds uint64, whole func(old []byte) ([]byte, *forecast.Config, []*synop.Fault)) (synop.Code, []*synop.Fault) {
+func (c *Controller) write(requestID string, builds uint64, whole func(old []byte) ([]byte, *config.Config, []*synop.Fault)) (synop.Code, []*synop.Fault) {
 	ctx, done := answerTime(register.AnswerTimeout)
 	defer done()
 	num, old, ver, code := c.base(ctx, builds)
--- a/internal/control/controller/adapter_calls_test.go
+++ b/internal/control/controller/adapter_calls_test.go
@@ -10,16 +10,16 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
+	"seamshunt/internal/adapter"
 	"seamshunt/internal/boot"
-	"seamshunt/internal/codebook"
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/weatherglass"
 )
 
 // toyBook is an outside world whose configurations are {"v": VERSION, "x": TEXT}; a change gives a version and a text to
 // put behind the old one.
-func toyBook() *codebook.Book {
+func toyBook() *adapter.Adapter {
 	read := func(data []byte) (uint64, string, []*synop.Fault) {
 		v, err := fastjson.ParseBytes(data)
 		if err != nil || v.GetUint64("v") == 0 {
@@ -27,27 +27,27 @@
 		}
 		return v.GetUint64("v"), string(v.GetStringBytes("x")), nil
 	}
-	return &codebook.Book{
-		Config: func(data []byte) (*forecast.Config, []*synop.Fault) {
+	return &adapter.Adapter{
+		Config: func(data []byte) (*config.Config, []*synop.Fault) {
 			v, _, fs := read(data)
 			if len(fs) > 0 {
 				return nil, fs
 			}
-			return &forecast.Config{Version: v, Services: map[string]*forecast.Service{"s": {Name: "s", Warm: 3 * time.Second}}}, nil
+			return &config.Config{Version: v, Services: map[string]*config.Service{"s": {Name: "s", Warm: 3 * time.Second}}}, nil
 		},
 		Change: func(old, change []byte) ([]byte, []*synop.Fault) {
 			_, was, _ := read(old)
 			v, x, fs := read(change)
 			return fmt.Appendf(nil, `{"v":%d,"x":%q}`, v, was+x), fs
 		},
-		Control: func(codebook.Control) fasthttp.RequestHandler {
+		Control: func(adapter.Control) fasthttp.RequestHandler {
 			return func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("the door's " + string(ctx.Path())) }
 		},
 	}
 }
 
 // grownCore starts n barometers that are founded from seeds.
-func grownCore(t *testing.T, n int, book *codebook.Book) []*Controller {
+func grownCore(t *testing.T, n int, book *adapter.Adapter) []*Controller {
 	t.Helper()
 	var bs []*boot.Boot
 	var seeds []string
@@ -101,7 +101,7 @@
 }
 
 // sureRead reads until a call gets through, as operators do after a 5xx.
-func sureRead(t *testing.T, c codebook.Control) (data []byte, version uint64, code synop.Code) {
+func sureRead(t *testing.T, c adapter.Control) (data []byte, version uint64, code synop.Code) {
 	t.Helper()
 	code = sure(t, func() (code synop.Code, _ []*synop.Fault) { data, version, code = c.Read(); return code, nil })
 	return data, version, code
@@ -112,7 +112,7 @@
 func TestControl(t *testing.T) {
 	t.Parallel()
 	cs := grownCore(t, 4, toyBook())
-	at := func(i int) codebook.Control { return cs[i%4].Control() }
+	at := func(i int) adapter.Control { return cs[i%4].Control() }
 	if _, _, code := sureRead(t, at(0)); code != synop.NotFound {
 		t.Errorf("read before anything was set: %d", code)
 	}
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -10,17 +10,17 @@
 
 	"github.com/valyala/fasthttp"
 
+	"seamshunt/internal/adapter"
 	"seamshunt/internal/boot"
 	"seamshunt/internal/cluster/configpush"
 	"seamshunt/internal/cluster/discovery"
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/codebook"
 	"seamshunt/internal/control/antientropy"
 	"seamshunt/internal/control/lease"
 	"seamshunt/internal/control/register"
 	"seamshunt/internal/listener"
-	"seamshunt/internal/screen"
+	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
 )
@@ -32,7 +32,7 @@
 	*tower.Tower
 	replicaMu sync.Mutex
 	replica   *register.Replica
-	roll      *screen.Roll // claims; under baroMu, as what it says goes through the same queue
+	claims    *idempotency.Registry // claims; under baroMu, as what it says goes through the same queue
 	waits     map[uint64]chan register.Result
 	disk      disk
 	leaseMu   sync.Mutex
@@ -52,14 +52,14 @@
 	audit     chan entry          // to the one writer of the audit record
 	missed    atomic.Uint64       // acknowledged changes that the audit record lacks
 	syncer    *antientropy.Syncer // under baroMu
-	adapter   *codebook.Book      // the outside world's names and formats; nil for the product's own
+	adapter   *adapter.Adapter    // the outside world's names and formats; nil for the product's own
 	door      fasthttp.RequestHandler
 	taken     versions
 	kept      kept // the wire to the platform
 }
 
 // New opens the disk, and with it learns who it is. The book, if any, is the outside world that it speaks with.
-func New(b *boot.Boot, book *codebook.Book) (*Controller, error) {
+func New(b *boot.Boot, book *adapter.Adapter) (*Controller, error) {
 	o, err := openDisk(b)
 	if err != nil {
 		return nil, err
@@ -79,7 +79,7 @@
 	if book != nil && book.Control != nil {
 		c.door = book.Control(c.Control())
 	}
-	c.roll = screen.LoadRoll(self, c.Crew.Now(), a.Live())
+	c.claims = idempotency.LoadRegistry(self, c.Crew.Now(), a.Live())
 	if o.damage != nil {
 		c.sayDamage(o.damage)
 	}
@@ -114,7 +114,7 @@
 	c.Steps[message.KindRegister] = c.step
 	c.Steps[message.KindClaim] = func(now units.Time, n message.Message) {
 		c.replicaMu.Lock()
-		c.Deliver(c.roll.Step(now, n, c.replica.QuorumVersion()))
+		c.Deliver(c.claims.Step(now, n, c.replica.QuorumVersion()))
 		c.replicaMu.Unlock()
 	}
 	c.Steps[message.KindLease] = func(now units.Time, n message.Message) {
@@ -225,8 +225,8 @@
 	c.replica.SetEligible(look.Eligible, look.Leaving...)
 	c.voting(now, look)
 	out := c.replica.Tick(now)
-	c.roll.Low = low
-	out.Join(c.roll.Tick(now, c.replica.Quorum()))
+	c.claims.Low = low
+	out.Join(c.claims.Tick(now, c.replica.Quorum()))
 	c.syncer.SetHealthy(!unfit)
 	out.Join(c.syncer.Tick(now, c.replica.Quorum().All(), c.replica.States()))
 	voter := c.replica.Quorum().Has(c.Self)
--- a/internal/control/controller/cut_off_test.go
+++ b/internal/control/controller/cut_off_test.go
@@ -6,11 +6,11 @@
 	"testing/synctest"
 	"time"
 
+	"seamshunt/internal/adapter"
 	"seamshunt/internal/boot"
 	"seamshunt/internal/cluster/configpush"
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/cluster/transport"
-	"seamshunt/internal/codebook"
 	"seamshunt/internal/control/register"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
@@ -42,7 +42,7 @@
 
 type controlCall struct {
 	name string
-	do   func(codebook.Control) synop.Code
+	do   func(adapter.Control) synop.Code
 }
 
 // cutOffCalls are calls of every kind, on what the controller has heard of, on older and on newer versions.
@@ -50,19 +50,19 @@
 	for _, builds := range []uint64{0, 3, 5, 9} {
 		doc := fmt.Appendf(nil, `{"v":%d,"x":"b"}`, builds+2)
 		l = append(l,
-			controlCall{fmt.Sprint("PUT on ", builds), func(c codebook.Control) synop.Code { code, _ := c.Put(builds, doc); return code }},
-			controlCall{fmt.Sprint("PATCH on ", builds), func(c codebook.Control) synop.Code { code, _ := c.Change(builds, doc); return code }})
+			controlCall{fmt.Sprint("PUT on ", builds), func(c adapter.Control) synop.Code { code, _ := c.Put(builds, doc); return code }},
+			controlCall{fmt.Sprint("PATCH on ", builds), func(c adapter.Control) synop.Code { code, _ := c.Change(builds, doc); return code }})
 	}
-	return append(l, controlCall{"PUT of what it has heard of", func(c codebook.Control) synop.Code { code, _ := c.Put(5, []byte(`{"v":5,"x":"a"}`)); return code }},
-		controlCall{"GET", func(c codebook.Control) synop.Code { _, _, code := c.Read(); return code }},
-		controlCall{"evacuation", func(c codebook.Control) synop.Code { return c.Zone("z0", true) }},
-		controlCall{"withdrawal", func(c codebook.Control) synop.Code { return c.Zone("z0", false) }})
+	return append(l, controlCall{"PUT of what it has heard of", func(c adapter.Control) synop.Code { code, _ := c.Put(5, []byte(`{"v":5,"x":"a"}`)); return code }},
+		controlCall{"GET", func(c adapter.Control) synop.Code { _, _, code := c.Read(); return code }},
+		controlCall{"evacuation", func(c adapter.Control) synop.Code { return c.Zone("z0", true) }},
+		controlCall{"withdrawal", func(c adapter.Control) synop.Code { return c.Zone("z0", false) }})
 }
 
 // Every call on a controller that is cut off gets a 5xx within AnswerTimeout of virtual time, however many requests the call
 // would make; once the controller knows that no majority answers, at once. Nothing is confirmed and nothing refused.
 func TestCutOffControllerAnswersInTime(t *testing.T) {
-	unknown := controlCall{"evacuation of a zone whose members it has not heard of", func(c codebook.Control) synop.Code { return c.Zone("z7", true) }}
+	unknown := controlCall{"evacuation of a zone whose members it has not heard of", func(c adapter.Control) synop.Code { return c.Zone("z7", true) }}
 	for _, call := range append(cutOffCalls(), unknown) {
 		t.Run(call.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/control/controller/disk_test.go
+++ b/internal/control/controller/disk_test.go
@@ -17,7 +17,7 @@
 	"seamshunt/internal/weatherglass"
 )
 
-const config = `{"services":[{"name":"a","pool":"main","cap":2}],"promises":[{"name":"p","first_ms":100,"deadline_ms":3000}],
+const configText = `{"services":[{"name":"a","pool":"main","cap":2}],"promises":[{"name":"p","first_ms":100,"deadline_ms":3000}],
 "layout":"mapping m { when path = \"/m\" to a promise p once }"}`
 
 // alone starts a core of one disk; edit may change it before it runs.
@@ -73,7 +73,7 @@
 		}
 		return fmt.Sprintf(`{"plan":%q}`, x.Plan)
 	}
-	one, two := plan(config), plan(config+" ")
+	one, two := plan(configText), plan(configText+" ")
 	if code, _ := call(t, c, "GET", "/v1/config", ""); code != 404 {
 		t.Error("a plan changed something")
 	}
@@ -102,10 +102,10 @@
 	c = alone(t, dir)
 	t.Cleanup(c.Drain)
 	weatherglass.Until(t, "it is read back", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 200 })
-	if _, b := call(t, c, "GET", "/v1/config", ""); string(b) != config {
+	if _, b := call(t, c, "GET", "/v1/config", ""); string(b) != configText {
 		t.Errorf("read back %q", b)
 	}
-	if code, b := call(t, c, "PUT", "/v1/config?number=1", config+"\n"); code != 200 || number(b) != 2 {
+	if code, b := call(t, c, "PUT", "/v1/config?number=1", configText+"\n"); code != 200 || number(b) != 2 {
 		t.Errorf("the next: %d %s", code, b)
 	}
 }
@@ -152,22 +152,22 @@
 	t.Parallel()
 	c := alone(t, t.TempDir())
 	t.Cleanup(c.Drain)
-	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
+	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
 	c.disk.mu.Lock()
 	c.disk.fault = func() error { return fmt.Errorf("%w: planted", wal.ErrFull) }
 	c.disk.mu.Unlock()
-	if code, b := call(t, c, "PUT", "/v1/config?number=1", config+" "); code != 502 {
+	if code, b := call(t, c, "PUT", "/v1/config?number=1", configText+" "); code != 502 {
 		t.Errorf("the write that finds it full has an unknown outcome: %d %s", code, b)
 	}
 	weatherglass.Until(t, "it says so", func() bool {
-		code, b := call(t, c, "PUT", "/v1/config?number=1", config+" ")
+		code, b := call(t, c, "PUT", "/v1/config?number=1", configText+" ")
 		return code == 503 && bytes.Contains(b, []byte(`"code":515`))
 	})
 	c.disk.mu.Lock()
 	c.disk.fault = nil
 	c.disk.mu.Unlock()
-	weatherglass.Until(t, "writes go on", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=1", config+"  "); return code == 200 })
-	if _, b := call(t, c, "GET", "/v1/config", ""); string(b) != config+"  " {
+	weatherglass.Until(t, "writes go on", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=1", configText+"  "); return code == 200 })
+	if _, b := call(t, c, "GET", "/v1/config", ""); string(b) != configText+"  " {
 		t.Errorf("read back %q", b)
 	}
 }
@@ -178,8 +178,8 @@
 	dir := t.TempDir()
 	c := alone(t, dir)
 	t.Cleanup(c.Drain)
-	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
-	if code, b := call(t, c, "PUT", "/v1/config?number=0", config); code != 409 {
+	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
+	if code, b := call(t, c, "PUT", "/v1/config?number=0", configText); code != 409 {
 		t.Errorf("a conflict: %d %s", code, b)
 	}
 	key, err := os.ReadFile(filepath.Join(dir, "audit.pub"))
--- a/internal/control/controller/grow_test.go
+++ b/internal/control/controller/grow_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"seamshunt/internal/boot"
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 	"seamshunt/internal/weatherglass"
 )
 
@@ -120,7 +120,7 @@
 	t.Cleanup(func() { srv.Close() })
 	book := toyBook()
 	// Two pages: the first holds lines "ID SERVICE COLD", the second must be "end".
-	book.Workers = func(get func(string) (int, []byte, error)) (l []forecast.Worker, err error) {
+	book.Workers = func(get func(string) (int, []byte, error)) (l []config.Worker, err error) {
 		for _, p := range []string{"/one", "/two"} {
 			code, b, err := get(p)
 			if err != nil || code != 200 {
@@ -130,7 +130,7 @@
 				return nil, errors.New("a broken page")
 			}
 			for _, s := range strings.Split(string(b), "\n") {
-				var w forecast.Worker
+				var w config.Worker
 				var ms int
 				if k, _ := fmt.Sscan(s, &w.ID, &w.Service, &ms); k == 3 {
 					w.Addr, w.Cold = "a:"+w.ID, time.Duration(ms)*time.Millisecond
--- a/internal/control/controller/plan.go
+++ b/internal/control/controller/plan.go
@@ -11,8 +11,8 @@
 
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/cluster/transport"
+	"seamshunt/internal/config"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/forecast"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
@@ -37,7 +37,7 @@
 	defer done()
 	body := append([]byte(nil), ctx.PostBody()...)
 	p := &plan{key: keyConfig, data: body, made: c.Crew.Now()}
-	var next *forecast.Config
+	var next *config.Config
 	if zone := string(ctx.QueryArgs().Peek("zone")); zone != "" {
 		if f := c.checkZone(within, zone, body); f != nil {
 			c.fail(ctx, f)
@@ -57,13 +57,13 @@
 		return
 	}
 	p.num = r.Num
-	var d forecast.Plan
+	var d config.Plan
 	if next != nil {
-		var old *forecast.Config
+		var old *config.Config
 		if r.Num > 0 {
 			old, _ = c.compile(r.Data)
 		}
-		d = forecast.Compare(old, next, c.known)
+		d = config.Compare(old, next, c.known)
 		m, _, _ := c.seen(within)
 		d.Foresee(old, next, c.known, m)
 	} else {
@@ -80,7 +80,7 @@
 	c.showPlan(ctx, id, p, d)
 }
 
-func (c *Controller) showPlan(ctx *fasthttp.RequestCtx, id string, p *plan, d forecast.Plan) {
+func (c *Controller) showPlan(ctx *fasthttp.RequestCtx, id string, p *plan, d config.Plan) {
 	var a fastjson.Arena
 	o := a.NewObject()
 	o.Set("code", a.NewNumberInt(int(synop.OK)))
@@ -112,13 +112,13 @@
 	return k
 }
 
-func (c *Controller) listed(pool string) []forecast.Worker {
+func (c *Controller) listed(pool string) []config.Worker {
 	c.catalogMu.Lock()
 	defer c.catalogMu.Unlock()
 	return c.catalog.List(pool)
 }
 
-func (c *Controller) compareZone(within context.Context, zone string, old, body []byte) (d forecast.Plan) {
+func (c *Controller) compareZone(within context.Context, zone string, old, body []byte) (d config.Plan) {
 	was, is := fastjson.GetBool(old, "evacuated"), fastjson.GetBool(body, "evacuated")
 	if was == is {
 		d.Warnings = append(d.Warnings, "zone "+zone+" is so already")
@@ -159,7 +159,7 @@
 }
 
 // config is the configuration that this node last heard of.
-func (c *Controller) config() *forecast.Config {
+func (c *Controller) config() *config.Config {
 	c.FeedMu.Lock()
 	it := c.Feed.Items[keyConfig]
 	c.FeedMu.Unlock()
--- a/internal/control/controller/platform_poll.go
+++ b/internal/control/controller/platform_poll.go
@@ -10,7 +10,7 @@
 	"seamshunt/internal/cluster/discovery"
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/screen"
+	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/storage/wal"
 	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
@@ -25,7 +25,7 @@
 	}
 	c.replicaMu.Lock()
 	defer c.replicaMu.Unlock()
-	c.replica, c.roll = b, screen.LoadRoll(c.Self, c.Crew.Now(), a.Live())
+	c.replica, c.claims = b, idempotency.LoadRegistry(c.Self, c.Crew.Now(), a.Live())
 	c.syncer.CatchUp()
 	c.disk.mu.Lock()
 	c.disk.queue = nil // what the old machine said rests on writes that the disk has not
--- a/internal/control/controller/promises.go
+++ b/internal/control/controller/promises.go
@@ -10,8 +10,8 @@
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/cluster/transport"
+	"seamshunt/internal/config"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/forecast"
 	"seamshunt/internal/synop"
 )
 
@@ -20,8 +20,8 @@
 
 // seen asks every live router how it kept its promises, all at once, while the call has time left; it gives the sums and
 // how many answered.
-func (c *Controller) seen(ctx context.Context) (m map[string]forecast.Seen, asked, answered int) {
-	type answer map[string]forecast.Seen
+func (c *Controller) seen(ctx context.Context) (m map[string]config.Seen, asked, answered int) {
+	type answer map[string]config.Seen
 	var webs []string
 	for _, x := range c.Members() {
 		if x.Role == membership.Router && x.State <= membership.Suspect {
@@ -43,7 +43,7 @@
 			ch <- readSeen(b)
 		})
 	}
-	m = map[string]forecast.Seen{}
+	m = map[string]config.Seen{}
 	for range webs {
 		a := <-ch
 		if a == nil {
@@ -59,12 +59,12 @@
 	return m, len(webs), answered
 }
 
-func readSeen(b []byte) map[string]forecast.Seen {
+func readSeen(b []byte) map[string]config.Seen {
 	v, err := fastjson.ParseBytes(b)
 	if err != nil {
 		return nil
 	}
-	m := map[string]forecast.Seen{}
+	m := map[string]config.Seen{}
 	o := v.GetObject("promises")
 	if o == nil {
 		return m
@@ -73,7 +73,7 @@
 		return time.Duration(x.GetInt64(name)) * time.Millisecond
 	}
 	o.Visit(func(k []byte, x *fastjson.Value) {
-		m[string(k)] = forecast.Seen{Promise: string(x.GetStringBytes("promise")), Service: string(x.GetStringBytes("service")),
+		m[string(k)] = config.Seen{Promise: string(x.GetStringBytes("promise")), Service: string(x.GetStringBytes("service")),
 			Asked: x.GetInt("asked"), Kept: x.GetInt("first_kept"), Missed: x.GetInt("first_missed"), OnTime: x.GetInt("on_time"),
 			Refused: x.GetInt("refused"), Again: x.GetInt("again"), Ended: x.GetInt("ended"), PerSecond: x.GetFloat64("per_second"),
 			Waited: span(x, "refused_after_ms"), Held: span(x, "held_ms"), First95: span(x, "first_ms_95th")}
@@ -97,9 +97,9 @@
 		x.Set("promise", a.NewString(s.Promise))
 		x.Set("asked", a.NewNumberInt(s.Asked))
 		x.Set("per_second", a.NewNumberFloat64(s.PerSecond))
-		x.Set("first_words_kept_percent", a.NewNumberFloat64(forecast.Share(s.Kept, s.Kept+s.Missed)))
+		x.Set("first_words_kept_percent", a.NewNumberFloat64(config.Share(s.Kept, s.Kept+s.Missed)))
 		x.Set("first_ms_95th", a.NewNumberInt(int(s.First95.Milliseconds())))
-		x.Set("on_time_percent", a.NewNumberFloat64(forecast.Share(s.OnTime, s.Asked)))
+		x.Set("on_time_percent", a.NewNumberFloat64(config.Share(s.OnTime, s.Asked)))
 		x.Set("refused", a.NewNumberInt(s.Refused))
 		x.Set("refused_after_ms", a.NewNumberInt(int(s.Waited.Milliseconds())))
 		x.Set("further_tries_percent", a.NewNumberFloat64(100*float64(s.Again)/float64(max(1, s.Asked))))
--- a/internal/control/controller/reserve_test.go
+++ b/internal/control/controller/reserve_test.go
@@ -30,9 +30,9 @@
 		}
 	}
 	c := alone(t, dir, fill)
-	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
+	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
 	full.Store(true)
-	text := func(n int) string { return config + strings.Repeat(" ", 2000+n) }
+	text := func(n int) string { return configText + strings.Repeat(" ", 2000+n) }
 	if code, b := call(t, c, "PUT", "/v1/zones/z?number=0", `{"evacuated":true}`); code != 200 {
 		t.Fatalf("an evacuation on a full disk: %d %s", code, b)
 	}
@@ -56,7 +56,7 @@
 		t.Errorf("read back %d bytes, %d sent", len(b), len(text(20)))
 	}
 	// Nothing is left of the reserve, not even for a rewrite: a configuration larger than what is old.
-	large := config + strings.Repeat(" ", 400<<10)
+	large := configText + strings.Repeat(" ", 400<<10)
 	if code, b := call(t, c, "PUT", "/v1/config?number=21", large); code != 502 {
 		t.Errorf("larger than the reserve: %d %s", code, b)
 	}
@@ -92,7 +92,7 @@
 		}
 	}
 	weatherglass.Until(t, "it says that one is missing", says("founding: 1 of 2 blank disks seen"))
-	if code, b := call(t, c, "PUT", "/v1/config?number=0", config); code != 503 || !bytes.Contains(b, []byte(`"code":514`)) {
+	if code, b := call(t, c, "PUT", "/v1/config?number=0", configText); code != 503 || !bytes.Contains(b, []byte(`"code":514`)) {
 		t.Errorf("a change before the founding: %d %s", code, b)
 	}
 	late := alone(t, t.TempDir(), func(x *Controller) {
--- a/internal/control/controller/shortfall_test.go
+++ b/internal/control/controller/shortfall_test.go
@@ -12,7 +12,7 @@
 	t.Parallel()
 	c := alone(t, t.TempDir(), func(c *Controller) { c.Boot.LostMachines = 1 })
 	t.Cleanup(c.Drain)
-	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
+	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
 	says := func(path, text string) func() bool {
 		return func() bool {
 			_, b := call(t, c, "GET", path, "")
--- a/internal/control/controller/stall_test.go
+++ b/internal/control/controller/stall_test.go
@@ -15,12 +15,12 @@
 	t.Parallel()
 	c := alone(t, t.TempDir())
 	t.Cleanup(c.Drain)
-	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
+	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
 	held := make(chan struct{})
 	c.disk.mu.Lock()
 	c.disk.fault = func() error { <-held; return nil }
 	c.disk.mu.Unlock()
-	if code, b := call(t, c, "PUT", "/v1/config?number=1", config+" "); code != 502 {
+	if code, b := call(t, c, "PUT", "/v1/config?number=1", configText+" "); code != 502 {
 		t.Errorf("a write that the disk never takes: %d %s", code, b)
 	}
 	unfit := func() bool {
@@ -49,7 +49,7 @@
 	close(held)
 	weatherglass.Until(t, "it is fit again", func() bool { return !unfit() })
 	weatherglass.Until(t, "writes go on", func() bool {
-		code, _ := call(t, c, "PUT", "/v1/config?number=1", config+" ")
+		code, _ := call(t, c, "PUT", "/v1/config?number=1", configText+" ")
 		return code == 200 || code == 409
 	})
 }
@@ -59,7 +59,7 @@
 	t.Parallel()
 	c := alone(t, t.TempDir())
 	t.Cleanup(c.Drain)
-	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", config); return code == 200 })
+	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
 	c.disk.mu.Lock()
 	c.disk.fault = func() error {
 		c.disk.mu.Lock()
@@ -68,10 +68,10 @@
 		return fmt.Errorf("%w: planted", wal.ErrSick)
 	}
 	c.disk.mu.Unlock()
-	code, _ := call(t, c, "PUT", "/v1/config?number=1", config+"   ")
+	code, _ := call(t, c, "PUT", "/v1/config?number=1", configText+"   ")
 	weatherglass.Until(t, "it reads again", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 200 })
 	_, b := call(t, c, "GET", "/v1/config", "")
-	if code == 200 && string(b) != config+"   " || code != 200 && string(b) != config && string(b) != config+"   " {
+	if code == 200 && string(b) != configText+"   " || code != 200 && string(b) != configText && string(b) != configText+"   " {
 		t.Errorf("answered %d, read back %q", code, b)
 	}
 }
--- a/internal/control/controller/status.go
+++ b/internal/control/controller/status.go
@@ -9,8 +9,8 @@
 
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/control/register"
+	"seamshunt/internal/router"
 	"seamshunt/internal/units"
-	"seamshunt/internal/vaned"
 )
 
 // status tells operators all there is to know of this node.
@@ -87,7 +87,7 @@
 	o.Set("disk", d)
 	ms := a.NewArray()
 	for i, m := range members {
-		ms.SetArrayItem(i, vaned.Member(&a, m))
+		ms.SetArrayItem(i, router.Member(&a, m))
 	}
 	o.Set("members", ms)
 	ctx.SetContentType("application/json")
@@ -156,7 +156,7 @@
 	now := c.Crew.Now()
 	ctx.SetContentType("text/plain; version=0.0.4")
 	c.replicaMu.Lock()
-	fmt.Fprintf(ctx, "seamshunt_claims_kept %d\n", c.roll.Len())
+	fmt.Fprintf(ctx, "seamshunt_claims_kept %d\n", c.claims.Len())
 	fmt.Fprintf(ctx, "seamshunt_voters %d\nseamshunt_voters_version %d\n", len(c.replica.Quorum().Members), c.replica.Quorum().Version)
 	fmt.Fprintf(ctx, "seamshunt_voters_fall_short %d\n", min(1, len(c.shortfall.text)))
 	c.replicaMu.Unlock()
--- a/internal/control/controller/worker_list.go
+++ b/internal/control/controller/worker_list.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"seamshunt/internal/cluster/transport"
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 	"seamshunt/internal/shield"
 )
 
@@ -23,7 +23,7 @@
 const longAgo = time.Hour
 
 // list asks for a pool's workers. A node that can't reach the platform at all gives the duty up.
-func (c *Controller) list(pool string) ([]forecast.Worker, error) {
+func (c *Controller) list(pool string) ([]config.Worker, error) {
 	if c.adapter != nil && pool == allPools {
 		return c.listAll()
 	}
@@ -35,7 +35,7 @@
 	if code != 200 {
 		return nil, fmt.Errorf("status %d", code)
 	}
-	l, err := forecast.ReadWorkers(b)
+	l, err := config.ReadWorkers(b)
 	if err == nil && len(l) == 0 {
 		err = errors.New("an empty list is not believed")
 	}
@@ -44,7 +44,7 @@
 
 // listAll asks as the book wants it. Such a list says how much longer a worker is cold, not how old it is: its age comes
 // from how long its service's workers are cold, as the configuration has it (design 13).
-func (c *Controller) listAll() ([]forecast.Worker, error) {
+func (c *Controller) listAll() ([]config.Worker, error) {
 	away := false
 	l, err := c.adapter.Workers(func(path string) (int, []byte, error) {
 		code, b, err := c.kept.get(c.Boot.Platform, path)
--- a/internal/control/register/planner.go
+++ b/internal/control/register/planner.go
@@ -19,8 +19,6 @@
 	// growAfter is how long a replica must have been there before the set grows by it: until then it may stand in for a
 	// member whose loss nobody has noticed yet.
 	growAfter = 3 * time.Second
-	// seatUnknown is a time that has passed already.
-	seatUnknown = units.Time(1)
 	// smallSet is up to how many members can't be most of a set in which one of them is replaced, or which is larger. They
 	// have to wait for those that come in.
 	smallSet = 2
@@ -75,26 +73,6 @@
 	return next
 }
 
-// canReplace says whether the set could go on without one of its members: another could take its seat, or the set may get
-// smaller.
-func (p *Planner) canReplace(q QuorumSet, view CoreView) bool {
-	return q.Joint() || len(q.Members) > max(p.FixedSize, p.MinSize) || len(view.others(q)) > 0
-}
-
-// SeatUntil says till when a member that a majority last answered at heard surely still has its seat; zero: nobody could
-// take it as far as this node knows. The others wait ReplaceAfter before they replace a member, and a newcomer does
-// nothing by its seat for a lease's term, which together is longer. One that no majority has answered since its start
-// can't know what has happened to its seat.
-func (p *Planner) SeatUntil(heard units.Time, known bool) units.Time {
-	switch {
-	case !known:
-		return seatUnknown
-	case p.changeable < heard:
-		return 0
-	}
-	return heard.Add(reachFor)
-}
-
 // watch notes who is away, and since when.
 func (p *Planner) watch(now units.Time, q QuorumSet, view CoreView) {
 	if p.awaySince == nil {
--- a/internal/fleet/drill.go
+++ b/internal/fleet/drill.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"seamshunt/internal/cluster/transport"
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
+	"seamshunt/internal/config/routing"
 	"seamshunt/internal/observer"
 	"seamshunt/internal/standin"
-	"seamshunt/internal/vernier"
 )
 
 // Drill takes one zone out of a running fleet, checks the promises meanwhile, and gives the zone back.
@@ -103,12 +103,12 @@
 	if err != nil || code != 200 {
 		return fmt.Errorf("%w: no configuration can be read: %d %v", ErrShort, code, err)
 	}
-	c, faults := forecast.Read(b)
+	c, faults := config.Read(b)
 	if len(faults) > 0 {
 		return faults[0]
 	}
 	for _, m := range c.Mappings {
-		if !m.Once && len(m.Match) == 1 && m.Match[0].Op == vernier.OpPath {
+		if !m.Once && len(m.Match) == 1 && m.Match[0].Op == routing.OpPath {
 			d.path = m.Match[0].Text
 			return nil
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,8 +13,8 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"seamshunt/internal/config"
 	"seamshunt/internal/crew"
-	"seamshunt/internal/forecast"
 	"seamshunt/internal/shield"
 	"seamshunt/internal/standin"
 )
@@ -122,7 +122,7 @@
 	p := &proc{name: name, zone: zone, kind: "worker", web: addr}
 	p.args = []string{"worker", "--name", name, "--pool", f.Dep.Pool, "--zone", zone, "--listen", addr, "--journal", filepath.Join(f.Dir, name+".jsonl")}
 	f.add(p)
-	f.Platform.Set(f.Dep.Pool, forecast.Worker{ID: name, Addr: addr, Zone: zone, Age: age})
+	f.Platform.Set(f.Dep.Pool, config.Worker{ID: name, Addr: addr, Zone: zone, Age: age})
 }
 
 // boot writes a process's boot file.
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -7,7 +7,7 @@
 	"path/filepath"
 	"time"
 
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 	"seamshunt/internal/observer"
 	"seamshunt/internal/units"
 )
@@ -116,7 +116,7 @@
 	if edit != nil {
 		b = edit(b)
 	}
-	c, faults := forecast.Read(b)
+	c, faults := config.Read(b)
 	if len(faults) > 0 {
 		return u, faults[0]
 	}
--- a/internal/hollow/core.go
+++ b/internal/hollow/core.go
@@ -12,7 +12,7 @@
 	"seamshunt/internal/control/antientropy"
 	"seamshunt/internal/control/lease"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/screen"
+	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/units"
 )
 
@@ -29,7 +29,7 @@
 	baro    *register.Replica
 	duty    *lease.Lease
 	iso     *antientropy.Syncer
-	roll    *screen.Roll
+	roll    *idempotency.Registry
 	sky     *discovery.Catalog
 	turn    map[string]*discovery.Schedule
 	planner register.Planner
@@ -38,7 +38,7 @@
 
 func newCore(n *node) *core {
 	w := n.w
-	c := &core{n: n, baro: register.New(n.self, units.Node(w.rng.Uint64())), roll: screen.LoadRoll(n.self, w.Now, nil), sky: discovery.New(),
+	c := &core{n: n, baro: register.New(n.self, units.Node(w.rng.Uint64())), roll: idempotency.LoadRegistry(n.self, w.Now, nil), sky: discovery.New(),
 		turn: map[string]*discovery.Schedule{}, planner: register.Planner{FixedSize: Founders, ReplaceAfter: register.ReplaceFixedAfter}}
 	c.duty = lease.New(n.self, "platform", func() []units.Node { return c.baro.Quorum().Members }, w.Now, rand.New(rand.NewPCG(w.rng.Uint64(), 1)))
 	c.iso = antientropy.New(n.self, w.Now, rand.New(rand.NewPCG(w.rng.Uint64(), 2)))
--- a/internal/hollow/load.go
+++ b/internal/hollow/load.go
@@ -7,9 +7,9 @@
 
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/forecast"
-	"seamshunt/internal/hygrometer"
-	"seamshunt/internal/screen"
+	"seamshunt/internal/config"
+	"seamshunt/internal/router/admission"
+	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -25,7 +25,7 @@
 
 // load is what the world asks of its nodes, and what came of it.
 type load struct {
-	workers   []forecast.Worker
+	workers   []config.Worker
 	pool      map[string][]int
 	poolNames []string
 	traffic   bool
@@ -55,14 +55,14 @@
 
 func (l *load) join(i int) {
 	z := site[(i/len(l.poolNames)+i)%len(site)].zone
-	l.workers = append(l.workers, forecast.Worker{ID: fmt.Sprintf("w%04d", i), Addr: fmt.Sprintf("w%04d.%s.site.example:8000", i, z), Zone: z, Age: time.Hour})
+	l.workers = append(l.workers, config.Worker{ID: fmt.Sprintf("w%04d", i), Addr: fmt.Sprintf("w%04d.%s.site.example:8000", i, z), Zone: z, Age: time.Hour})
 	p := l.poolNames[i%len(l.poolNames)]
 	l.pool[p] = append(l.pool[p], i)
 }
 
 // listed is the platform's answer for one pool.
-func (w *World) listed(p string) []forecast.Worker {
-	l := make([]forecast.Worker, len(w.pool[p]))
+func (w *World) listed(p string) []config.Worker {
+	l := make([]config.Worker, len(w.pool[p]))
 	for i, x := range w.pool[p] {
 		l[i] = w.workers[x]
 		l[i].Age += time.Duration(w.Now)
@@ -126,7 +126,7 @@
 	s := v.config.Services[fmt.Sprintf("m%02d", w.rng.IntN(w.Models))]
 	cands, keepers := v.cands(now, s, units.Mix("prefix", fmt.Sprint(w.rng.IntN(prefixes))))
 	v.tag++
-	out := v.desk.Arrive(now, hygrometer.Req{Tag: v.tag, Policy: s.Allow, Cands: cands, Tries: s.Spread + 4, Until: now.Add(deadline), First: s.First,
+	out := v.queue.Arrive(now, admission.Request{Tag: v.tag, Policy: s.Allow, Cands: cands, Tries: s.Spread + 4, Until: now.Add(deadline), First: s.First,
 		Keeper: func(n string) units.Node { return keepers[n] }})
 	v.tell()
 	return out
@@ -136,13 +136,13 @@
 func (v *vane) claim() message.Effects {
 	v.tag++
 	key := "notice/" + units.Hex(v.tag)
-	return v.screen.Claim(v.n.w.Now, v.tag<<8^uint64(v.n.self), key, screen.Holders(v.n.membership.All(), key))
+	return v.claimant.Claim(v.n.w.Now, v.tag<<8^uint64(v.n.self), key, idempotency.Holders(v.n.membership.All(), key))
 }
 
-// tell takes the desk's verdicts and the screen's results.
+// tell takes the queue's verdicts and the claimant's results.
 func (v *vane) tell() {
 	w, life := v.n.w, v.n.life
-	for _, x := range v.desk.Verdicts {
+	for _, x := range v.queue.Verdicts {
 		w.Verdicts[x.Code]++
 		if x.Code != synop.OK {
 			continue
@@ -150,13 +150,13 @@
 		run := min(time.Duration(w.rng.ExpFloat64()*float64(meanRun)), deadline-time.Second)
 		w.After(run, func() {
 			if v.n.up && v.n.life == life {
-				v.n.timed(message.KindCapacity, func() message.Effects { return v.desk.Done(w.Now, x.Tag, false) })
+				v.n.timed(message.KindCapacity, func() message.Effects { return v.queue.Done(w.Now, x.Tag, false) })
 			}
 		})
 	}
-	v.desk.Verdicts = v.desk.Verdicts[:0]
-	for _, r := range v.screen.Results {
+	v.queue.Verdicts = v.queue.Verdicts[:0]
+	for _, r := range v.claimant.Results {
 		w.Claimed[r.Code]++
 	}
-	v.screen.Results = v.screen.Results[:0]
+	v.claimant.Results = v.claimant.Results[:0]
 }
--- a/internal/hollow/vane.go
+++ b/internal/hollow/vane.go
@@ -9,52 +9,52 @@
 	"seamshunt/internal/cluster/discovery"
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/config"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/forecast"
-	"seamshunt/internal/gauge"
-	"seamshunt/internal/hygrometer"
-	"seamshunt/internal/screen"
+	"seamshunt/internal/router/admission"
+	"seamshunt/internal/router/capacity"
+	"seamshunt/internal/router/idempotency"
+	"seamshunt/internal/router/placement"
 	"seamshunt/internal/units"
-	"seamshunt/internal/windvane"
 )
 
-// vane is package vaned without its web side, its streams and its locks.
+// vane is package router without its web side, its streams and its locks.
 type vane struct {
-	n      *node
-	config *forecast.Config
-	ready  bool
-	pools  map[string][]forecast.Worker
-	out    map[string]bool
-	sky    *discovery.Catalog
-	voters register.QuorumSet
-	desk   *hygrometer.Hygrometer
-	gauge  *gauge.Gauge
-	watch  *gauge.Watch
-	screen *screen.Screen
-	wind   windvane.Windvane
-	peers  []gauge.Peer
-	fresh  bool
-	began  units.Time
-	tag    uint64
+	n        *node
+	config   *config.Config
+	ready    bool
+	pools    map[string][]config.Worker
+	out      map[string]bool
+	sky      *discovery.Catalog
+	voters   register.QuorumSet
+	queue    *admission.Queue
+	ledger   *capacity.Ledger
+	watch    *capacity.Watch
+	claimant *idempotency.Claimant
+	placer   placement.Placer
+	peers    []capacity.Peer
+	fresh    bool
+	began    units.Time
+	tag      uint64
 }
 
 func newVane(n *node) *vane {
-	return &vane{n: n, pools: map[string][]forecast.Worker{}, out: map[string]bool{}, sky: discovery.New(), desk: hygrometer.New(n.self),
-		gauge: gauge.New(n.self), watch: gauge.NewWatch(), screen: screen.New(n.self, n.w.Now), began: n.w.Now, tag: n.w.rng.Uint64() >> 1}
+	return &vane{n: n, pools: map[string][]config.Worker{}, out: map[string]bool{}, sky: discovery.New(), queue: admission.New(n.self),
+		ledger: capacity.New(n.self), watch: capacity.NewWatch(), claimant: idempotency.New(n.self, n.w.Now), began: n.w.Now, tag: n.w.rng.Uint64() >> 1}
 }
 
 func (v *vane) step(now units.Time, n message.Message) (out message.Effects) {
 	switch n.Kind &^ 15 {
 	case message.KindCapacity:
-		if n.Kind != gauge.Ask && n.Kind != gauge.Return && n.Kind != gauge.Report {
-			out = v.desk.Step(now, n)
+		if n.Kind != capacity.Ask && n.Kind != capacity.Return && n.Kind != capacity.Report {
+			out = v.queue.Step(now, n)
 			v.tell()
 		}
-		if n.Kind == gauge.Ask || n.Kind == gauge.Return || n.Kind == gauge.Report || n.Kind == gauge.ReportAsk {
-			out.Join(v.gauge.Step(now, n))
+		if n.Kind == capacity.Ask || n.Kind == capacity.Return || n.Kind == capacity.Report || n.Kind == capacity.ReportAsk {
+			out.Join(v.ledger.Step(now, n))
 		}
 	case message.KindClaim:
-		out = v.screen.Step(now, n)
+		out = v.claimant.Step(now, n)
 		v.tell()
 	}
 	return out
@@ -62,7 +62,7 @@
 
 func (v *vane) gone(now units.Time, l []units.Node) {
 	for _, n := range l {
-		v.gauge.Gone(now, n)
+		v.ledger.Gone(now, n)
 		v.watch.Void(now, n)
 	}
 	v.fresh = true
@@ -73,9 +73,9 @@
 // beat is the vane's loop; like the daemon's it takes membership's table anew for each of its three looks.
 func (v *vane) beat(now units.Time, _ []membership.Member) message.Effects {
 	v.refresh(now)
-	out := v.desk.Tick(now)
+	out := v.queue.Tick(now)
 	v.tell()
-	out.Join(v.gauge.Tick(now))
+	out.Join(v.ledger.Tick(now))
 	var longest time.Duration
 	if v.config != nil {
 		longest = max(time.Second, v.config.Longest(true))
@@ -86,8 +86,8 @@
 			peers = append(peers, m.Node)
 		}
 	}
-	v.screen.Core(v.voters)
-	out.Join(v.screen.Tick(now, peers, longest))
+	v.claimant.Core(v.voters)
+	out.Join(v.claimant.Tick(now, peers, longest))
 	v.tell()
 	v.confirm(now, &out)
 	return out
@@ -110,14 +110,14 @@
 	if v.config == nil {
 		return
 	}
-	v.gauge.Workers(v.config.Keep(v.pools, v.sky.Start(), v.out))
-	v.gauge.View(peers, v.watch.Holds(v.config.Longest(false)))
+	v.ledger.Workers(v.config.Keep(v.pools, v.sky.Start(), v.out))
+	v.ledger.View(peers, v.watch.Holds(v.config.Longest(false)))
 }
 
 func (v *vane) news(now units.Time, it configpush.Item) {
 	switch kind, _, _ := strings.Cut(it.Key, "/"); kind {
 	case "config":
-		if c, faults := forecast.Read(it.Data); len(faults) == 0 {
+		if c, faults := config.Read(it.Data); len(faults) == 0 {
 			v.config = c
 			v.n.w.inForce(it.Num, now)
 		}
@@ -147,20 +147,20 @@
 }
 
 // cands is the daemon's own search for a prompt's workers and their keepers.
-func (v *vane) cands(now units.Time, s *forecast.Service, prefix uint64) ([]string, map[string]units.Node) {
-	q := windvane.Query{Prefix: prefix, Zone: v.n.zone, Spread: s.Spread}
+func (v *vane) cands(now units.Time, s *config.Service, prefix uint64) ([]string, map[string]units.Node) {
+	q := placement.Query{Prefix: prefix, Zone: v.n.zone, Spread: s.Spread}
 	keepers := map[string]units.Node{}
 	for _, x := range v.pools[s.Pool] {
 		name := s.Name + "/" + x.ID
 		if x.Leaving || v.out[x.Zone] || x.Service != "" && x.Service != s.Name {
 			continue
 		}
-		keepers[name] = gauge.Keeper(v.peers, name, x.Zone)
-		spot := windvane.Spot{Name: name, Zone: x.Zone}
-		if l, ok := v.desk.Loads[name]; ok && now.Sub(l.At) < 2*time.Second {
+		keepers[name] = capacity.Keeper(v.peers, name, x.Zone)
+		spot := placement.Spot{Name: name, Zone: x.Zone}
+		if l, ok := v.queue.Loads[name]; ok && now.Sub(l.At) < 2*time.Second {
 			spot.Load = float64(l.Lent+l.Wait) / float64(l.Cap)
 		}
 		q.Spots = append(q.Spots, spot)
 	}
-	return v.wind.Order(s.Place, q), keepers
+	return v.placer.Order(s.Place, q), keepers
 }
--- a/internal/rig/simulator/core.go
+++ b/internal/rig/simulator/core.go
@@ -12,7 +12,7 @@
 	"seamshunt/internal/control/antientropy"
 	"seamshunt/internal/control/lease"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/screen"
+	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/units"
 )
 
@@ -46,7 +46,7 @@
 	planner      register.Planner
 	founders     int
 	Syncer       *antientropy.Syncer
-	Roll         *screen.Roll
+	Roll         *idempotency.Registry
 	catalog      *discovery.Catalog
 	turn         discovery.Schedule
 	pollPlatform func(*Core, units.Time) // asks the world's platform
@@ -94,7 +94,7 @@
 			if err := c.Replica.Load(h.Disk.Records()); err != nil {
 				panic(err)
 			}
-			c.Roll = screen.LoadRoll(self, s.Now, h.Disk.Records())
+			c.Roll = idempotency.LoadRegistry(self, s.Now, h.Disk.Records())
 			if c.Syncer != nil {
 				c.Syncer.CatchUp()
 			}
--- a/internal/rig/simulator/edge.go
+++ b/internal/rig/simulator/edge.go
@@ -9,55 +9,55 @@
 	"seamshunt/internal/cluster/discovery"
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/config"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/forecast"
-	"seamshunt/internal/gauge"
-	"seamshunt/internal/hygrometer"
-	"seamshunt/internal/screen"
+	"seamshunt/internal/router/admission"
+	"seamshunt/internal/router/capacity"
+	"seamshunt/internal/router/idempotency"
+	"seamshunt/internal/router/placement"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
-	"seamshunt/internal/windvane"
 )
 
 // Edge is a simulated vane.
 type Edge struct {
 	common
 	*Proc
-	H       *Host
-	Config  *forecast.Config
-	Num     units.Num
-	Ready   bool
-	Pools   map[string][]forecast.Worker
-	Out     map[string]bool
-	sky     *discovery.Catalog
-	voters  register.QuorumSet
-	desk    *hygrometer.Hygrometer
-	gauge   *gauge.Gauge
-	watch   *gauge.Watch
-	screen  *screen.Screen
-	claims  map[uint64]func(synop.Code, bool)
-	wind    windvane.Windvane
-	peers   []gauge.Peer
-	began   units.Time
-	verdict map[uint64]func(hygrometer.Verdict)
-	tag     uint64
-	Drain   bool
+	H        *Host
+	Config   *config.Config
+	Num      units.Num
+	Ready    bool
+	Pools    map[string][]config.Worker
+	Out      map[string]bool
+	sky      *discovery.Catalog
+	voters   register.QuorumSet
+	queue    *admission.Queue
+	ledger   *capacity.Ledger
+	watch    *capacity.Watch
+	claimant *idempotency.Claimant
+	claims   map[uint64]func(synop.Code, bool)
+	placer   placement.Placer
+	peers    []capacity.Peer
+	began    units.Time
+	verdict  map[uint64]func(admission.Verdict)
+	tag      uint64
+	Drain    bool
 }
 
 // Edge adds a machine without a disk.
 func (s *Sim) Edge(addr, zone string, seeds []string, edges map[*Host]*Edge) *Host {
 	return s.Add(addr, zone, nil, func(h *Host) *Proc {
 		self := units.Node(s.Rng.Uint64() | 1)
-		e := &Edge{common: s.common(h, self, membership.Router, seeds), H: h, Pools: map[string][]forecast.Worker{}, Out: map[string]bool{},
-			sky: discovery.New(), desk: hygrometer.New(self), gauge: gauge.New(self), watch: gauge.NewWatch(), screen: screen.New(self, s.Now), claims: map[uint64]func(synop.Code, bool){}, began: s.Now,
-			verdict: map[uint64]func(hygrometer.Verdict){}, tag: s.Rng.Uint64() >> 8}
+		e := &Edge{common: s.common(h, self, membership.Router, seeds), H: h, Pools: map[string][]config.Worker{}, Out: map[string]bool{},
+			sky: discovery.New(), queue: admission.New(self), ledger: capacity.New(self), watch: capacity.NewWatch(), claimant: idempotency.New(self, s.Now), claims: map[uint64]func(synop.Code, bool){}, began: s.Now,
+			verdict: map[uint64]func(admission.Verdict){}, tag: s.Rng.Uint64() >> 8}
 		e.Proc = &Proc{Self: self, Step: e.step, Tick: e.tick, Woke: func(now units.Time) {
 			e.unready()
-			e.desk.Woke(now)
-			e.gauge = gauge.New(self)
+			e.queue.Woke(now)
+			e.ledger = capacity.New(self)
 		}, Refused: func(now units.Time, a string) {
 			for _, n := range e.gossip.Refused(now, a) {
-				e.gauge.Gone(now, n)
+				e.ledger.Gone(now, n)
 				e.watch.Void(now, n)
 			}
 		}}
@@ -79,31 +79,31 @@
 	case message.KindConfigPush:
 		return e.feed.Step(now, n)
 	case message.KindCapacity:
-		if n.Kind != gauge.Ask && n.Kind != gauge.Return && n.Kind != gauge.Report {
-			out = e.desk.Step(now, n)
+		if n.Kind != capacity.Ask && n.Kind != capacity.Return && n.Kind != capacity.Report {
+			out = e.queue.Step(now, n)
 		}
-		if n.Kind == gauge.Ask || n.Kind == gauge.Return || n.Kind == gauge.Report || n.Kind == gauge.ReportAsk {
-			out.Join(e.gauge.Step(now, n))
+		if n.Kind == capacity.Ask || n.Kind == capacity.Return || n.Kind == capacity.Report || n.Kind == capacity.ReportAsk {
+			out.Join(e.ledger.Step(now, n))
 		}
 		e.tell()
 	case message.KindClaim:
-		out = e.screen.Step(now, n)
+		out = e.claimant.Step(now, n)
 		e.tell()
 	}
 	return out
 }
 
 func (e *Edge) tell() {
-	l := e.desk.Verdicts
-	e.desk.Verdicts = nil
+	l := e.queue.Verdicts
+	e.queue.Verdicts = nil
 	for _, v := range l {
 		if f := e.verdict[v.Tag]; f != nil {
 			delete(e.verdict, v.Tag)
 			f(v)
 		}
 	}
-	results := e.screen.Results
-	e.screen.Results = nil
+	results := e.claimant.Results
+	e.claimant.Results = nil
 	for _, r := range results {
 		if f := e.claims[r.Token]; f != nil {
 			delete(e.claims, r.Token)
@@ -123,8 +123,8 @@
 	peers, _ := e.watch.See(now, all)
 	e.peers = peers
 	if e.Config != nil {
-		e.gauge.Workers(e.Config.Keep(e.Pools, e.sky.Start(), e.Out))
-		e.gauge.View(peers, e.watch.Holds(e.Config.Longest(false)))
+		e.ledger.Workers(e.Config.Keep(e.Pools, e.sky.Start(), e.Out))
+		e.ledger.View(peers, e.watch.Holds(e.Config.Longest(false)))
 	}
 	var others []units.Node
 	for _, m := range all {
@@ -133,11 +133,11 @@
 		}
 	}
 	if e.Config != nil {
-		e.screen.Core(e.voters)
-		out.Join(e.screen.Tick(now, others, e.Config.Longest(true)))
+		e.claimant.Core(e.voters)
+		out.Join(e.claimant.Tick(now, others, e.Config.Longest(true)))
 	}
-	out.Join(e.desk.Tick(now))
-	out.Join(e.gauge.Tick(now))
+	out.Join(e.queue.Tick(now))
+	out.Join(e.ledger.Tick(now))
 	e.tell()
 	e.confirm(now, all, &out)
 	return out
@@ -147,7 +147,7 @@
 	kind, name, _ := strings.Cut(it.Key, "/")
 	switch kind {
 	case "config":
-		if c, faults := forecast.Read(it.Data); len(faults) == 0 {
+		if c, faults := config.Read(it.Data); len(faults) == 0 {
 			e.Config, e.Num = c, it.Num
 		}
 	case "zone":
--- a/internal/rig/simulator/load.go
+++ b/internal/rig/simulator/load.go
@@ -5,12 +5,12 @@
 	"strings"
 	"time"
 
-	"seamshunt/internal/gauge"
-	"seamshunt/internal/hygrometer"
-	"seamshunt/internal/screen"
+	"seamshunt/internal/router/admission"
+	"seamshunt/internal/router/capacity"
+	"seamshunt/internal/router/idempotency"
+	"seamshunt/internal/router/placement"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
-	"seamshunt/internal/windvane"
 )
 
 // work is a simulated worker; it counts what really runs.
@@ -89,7 +89,7 @@
 	e.tag++
 	token := e.tag<<8 ^ uint64(e.Self)
 	until := w.Now.Add(4 * time.Second)
-	holders := screen.Holders(e.gossip.All(), key)
+	holders := idempotency.Holders(e.gossip.All(), key)
 	e.claims[token] = func(c synop.Code, kept bool) {
 		if w.Figures.Claims++; c == synop.NoClaim {
 			w.Figures.NoClaims++
@@ -107,7 +107,7 @@
 			w.notRun(e, key)
 		}
 	}
-	out := e.screen.Claim(w.Now, token, key, holders)
+	out := e.claimant.Claim(w.Now, token, key, holders)
 	e.tell()
 	w.out(e.H, out)
 }
@@ -122,12 +122,12 @@
 		w.fault("%s was said not to run and had run", key)
 	}
 	w.never[key] = true
-	w.out(e.H, e.screen.Burn(key, screen.Holders(e.gossip.All(), key)))
+	w.out(e.H, e.claimant.Burn(key, idempotency.Holders(e.gossip.All(), key)))
 }
 
 func (w *World) admit(e *Edge, until units.Time, topic int, key string) {
 	s := e.Config.Services["advice"]
-	q := windvane.Query{Prefix: units.Mix("topic", fmt.Sprint(topic)), Zone: e.H.Zone, Spread: s.Spread}
+	q := placement.Query{Prefix: units.Mix("topic", fmt.Sprint(topic)), Zone: e.H.Zone, Spread: s.Spread}
 	keepers := map[string]units.Node{}
 	for _, x := range e.Pools[s.Pool] {
 		name := s.Name + "/" + x.ID
@@ -135,22 +135,22 @@
 			continue
 		}
 		load := 0.0
-		if l, ok := e.desk.Loads[name]; ok && w.Now.Sub(l.At) < 2*time.Second {
+		if l, ok := e.queue.Loads[name]; ok && w.Now.Sub(l.At) < 2*time.Second {
 			load = float64(l.Lent+l.Wait) / float64(l.Cap)
 		}
-		q.Spots = append(q.Spots, windvane.Spot{Name: name, Zone: x.Zone, Load: load})
-		keepers[name] = gauge.Keeper(e.peers, name, x.Zone)
+		q.Spots = append(q.Spots, placement.Spot{Name: name, Zone: x.Zone, Load: load})
+		keepers[name] = capacity.Keeper(e.peers, name, x.Zone)
 	}
 	e.tag++
 	tag := e.tag
-	e.verdict[tag] = func(v hygrometer.Verdict) { w.verdict(e, tag, until, key, v) }
-	out := e.desk.Arrive(w.Now, hygrometer.Req{Tag: tag, Policy: s.Allow, Cands: e.wind.Order(s.Place, q), Tries: s.Spread + 4, Until: until,
+	e.verdict[tag] = func(v admission.Verdict) { w.verdict(e, tag, until, key, v) }
+	out := e.queue.Arrive(w.Now, admission.Request{Tag: tag, Policy: s.Allow, Cands: e.placer.Order(s.Place, q), Tries: s.Spread + 4, Until: until,
 		First: s.First, Keeper: func(n string) units.Node { return keepers[n] }})
 	e.tell()
 	w.out(e.H, out)
 }
 
-func (w *World) verdict(e *Edge, tag uint64, until units.Time, key string, v hygrometer.Verdict) {
+func (w *World) verdict(e *Edge, tag uint64, until units.Time, key string, v admission.Verdict) {
 	if v.Code != synop.OK {
 		w.notRun(e, key)
 		return
@@ -224,7 +224,7 @@
 }
 
 func (w *World) done(e *Edge, tag uint64, unsure bool) {
-	out := e.desk.Done(w.Now, tag, unsure)
+	out := e.queue.Done(w.Now, tag, unsure)
 	e.tell()
 	w.out(e.H, out)
 }
--- a/internal/rig/simulator/orders_roll_test.go
+++ b/internal/rig/simulator/orders_roll_test.go
@@ -6,7 +6,7 @@
 
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/screen"
+	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -22,16 +22,16 @@
 		v := register.QuorumSet{Version: 1, Members: disks}
 		kept := map[units.Node][]message.Record{}
 		b := &bag{now: now, step: map[units.Node]func(message.Message) message.Effects{}}
-		rolls := map[units.Node]*screen.Roll{}
-		start := func() map[units.Node]*screen.Screen {
-			m := map[units.Node]*screen.Screen{}
+		rolls := map[units.Node]*idempotency.Registry{}
+		start := func() map[units.Node]*idempotency.Claimant {
+			m := map[units.Node]*idempotency.Claimant{}
 			for _, x := range three {
-				m[x] = screen.New(x, now)
+				m[x] = idempotency.New(x, now)
 				m[x].Core(v)
 				b.step[x] = func(k message.Message) message.Effects { return m[x].Step(b.now, k) }
 			}
 			for _, d := range disks {
-				rolls[d] = screen.LoadRoll(d, now, kept[d])
+				rolls[d] = idempotency.LoadRegistry(d, now, kept[d])
 				b.step[d] = func(k message.Message) message.Effects {
 					o := rolls[d].Step(b.now, k, v.Version)
 					kept[d] = append(kept[d], o.Writes...)
@@ -40,7 +40,7 @@
 			}
 			return m
 		}
-		beat := func(m map[units.Node]*screen.Screen) {
+		beat := func(m map[units.Node]*idempotency.Claimant) {
 			b.now = b.now.Add(300 * time.Millisecond)
 			for _, d := range disks {
 				o := rolls[d].Tick(b.now, v)
@@ -58,7 +58,7 @@
 			}
 			b.run(func(int) int { return 0 }, func() {})
 		}
-		count := func(m map[units.Node]*screen.Screen) (k int) {
+		count := func(m map[units.Node]*idempotency.Claimant) (k int) {
 			for _, x := range m {
 				for _, r := range x.Results {
 					if r.Code == synop.OK {
--- a/internal/rig/simulator/orders_test.go
+++ b/internal/rig/simulator/orders_test.go
@@ -8,9 +8,9 @@
 	"seamshunt/internal/cluster/configpush"
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/control/lease"
-	"seamshunt/internal/gauge"
-	"seamshunt/internal/hygrometer"
-	"seamshunt/internal/screen"
+	"seamshunt/internal/router/admission"
+	"seamshunt/internal/router/capacity"
+	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -85,9 +85,9 @@
 	won := 0
 	n := orders(6, func(choose func(int) int) {
 		b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
-		m := map[units.Node]*screen.Screen{}
+		m := map[units.Node]*idempotency.Claimant{}
 		for _, x := range three {
-			y := screen.New(x, 0)
+			y := idempotency.New(x, 0)
 			y.Tick(units.Time(time.Minute), nil, time.Second) // takes part
 			m[x] = y
 			b.step[x] = func(k message.Message) message.Effects { return y.Step(0, k) }
@@ -146,30 +146,30 @@
 	most := 0
 	n := orders(6, func(choose func(int) int) {
 		b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
-		peers := []gauge.Peer{{Node: 1, Zone: "z"}, {Node: 2, Zone: "z"}}
-		w := map[string]gauge.Worker{"s/w": {Zone: "z", Cap: 1, Bound: 2}}
-		desks, keeps := map[units.Node]*hygrometer.Hygrometer{}, map[units.Node]*gauge.Gauge{}
+		peers := []capacity.Peer{{Node: 1, Zone: "z"}, {Node: 2, Zone: "z"}}
+		w := map[string]capacity.Worker{"s/w": {Zone: "z", Cap: 1, Bound: 2}}
+		desks, keeps := map[units.Node]*admission.Queue{}, map[units.Node]*capacity.Ledger{}
 		for _, x := range []units.Node{1, 2} {
-			d, g := hygrometer.New(x), gauge.New(x)
+			d, g := admission.New(x), capacity.New(x)
 			desks[x], keeps[x] = d, g
 			b.step[x] = func(k message.Message) (out message.Effects) {
-				if k.Kind != gauge.Ask && k.Kind != gauge.Return && k.Kind != gauge.Report {
+				if k.Kind != capacity.Ask && k.Kind != capacity.Return && k.Kind != capacity.Report {
 					out = d.Step(0, k)
 				}
-				if k.Kind == gauge.Ask || k.Kind == gauge.Return || k.Kind == gauge.Report || k.Kind == gauge.ReportAsk {
+				if k.Kind == capacity.Ask || k.Kind == capacity.Return || k.Kind == capacity.Report || k.Kind == capacity.ReportAsk {
 					out.Join(g.Step(0, k))
 				}
 				return out
 			}
 		}
-		keeper := gauge.Keeper(peers, "s/w", "z")
+		keeper := capacity.Keeper(peers, "s/w", "z")
 		other := 3 - keeper
 		keeps[keeper].Workers(w)
 		keeps[keeper].View(peers, nil)
 		b.put(keeper, keeps[keeper].Tick(0))
 		b.run(func(int) int { return 0 }, func() {})
 		ask := func(x, of units.Node) {
-			b.put(x, desks[x].Arrive(0, hygrometer.Req{Tag: uint64(x) * 10, Policy: "knee", Cands: []string{"s/w"}, Tries: 1, Until: units.Time(time.Minute),
+			b.put(x, desks[x].Arrive(0, admission.Request{Tag: uint64(x) * 10, Policy: "knee", Cands: []string{"s/w"}, Tries: 1, Until: units.Time(time.Minute),
 				Keeper: func(string) units.Node { return of }}))
 		}
 		ask(1, keeper)
--- a/internal/rig/simulator/platform.go
+++ b/internal/rig/simulator/platform.go
@@ -7,7 +7,7 @@
 	"seamshunt/internal/cluster/configpush"
 	"seamshunt/internal/cluster/discovery"
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 	"seamshunt/internal/units"
 )
 
@@ -48,7 +48,7 @@
 	})
 }
 
-func (w *World) answer(c *Core, life int, a discovery.Query, l []forecast.Worker) {
+func (w *World) answer(c *Core, life int, a discovery.Query, l []config.Worker) {
 	if c.H.Frozen && c.H.life == life {
 		w.After(10*time.Millisecond, func() { w.answer(c, life, a, l) })
 		return
--- a/internal/rig/simulator/play.go
+++ b/internal/rig/simulator/play.go
@@ -7,8 +7,8 @@
 
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/gauge"
-	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/router/admission"
+	"seamshunt/internal/router/capacity"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -165,15 +165,15 @@
 			name := "advice/" + l.ID
 			e.tag++
 			tags[name] = e.tag
-			e.verdict[e.tag] = func(v hygrometer.Verdict) { got[name] = v.Code }
+			e.verdict[e.tag] = func(v admission.Verdict) { got[name] = v.Code }
 			w.Inject(h, func(now units.Time) message.Effects {
-				return e.desk.Arrive(now, hygrometer.Req{Tag: e.tag, Policy: "knee", Cands: []string{name}, Tries: 1, Until: now.Add(4 * time.Second),
-					Keeper: func(string) units.Node { return gauge.Keeper(e.peers, name, l.Zone) }})
+				return e.queue.Arrive(now, admission.Request{Tag: e.tag, Policy: "knee", Cands: []string{name}, Tries: 1, Until: now.Add(4 * time.Second),
+					Keeper: func(string) units.Node { return capacity.Keeper(e.peers, name, l.Zone) }})
 			})
 		}
 		w.Run(w.Now.Add(600 * time.Millisecond))
 		for _, name := range message.Keys(tags) {
-			w.Inject(h, func(now units.Time) message.Effects { return e.desk.Done(now, tags[name], false) })
+			w.Inject(h, func(now units.Time) message.Effects { return e.queue.Done(now, tags[name], false) })
 			if got[name] != synop.OK {
 				w.fault("%s gets no slot of %s: %d", h.Addr, name, got[name])
 			}
--- a/internal/rig/simulator/world.go
+++ b/internal/rig/simulator/world.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 	"seamshunt/internal/units"
 )
 
@@ -49,10 +49,10 @@
 	edgeH   []*Host
 	seeds   []string
 	workers map[string]*work
-	listed  []forecast.Worker
+	listed  []config.Worker
 	born    map[string]units.Time
-	mood    string            // how the platform is: well, gone, refuse, empty, slow, old
-	before  []forecast.Worker // what it lists while it is old
+	mood    string          // how the platform is: well, gone, refuse, empty, slow, old
+	before  []config.Worker // what it lists while it is old
 	History []Op
 	Faults  []string
 	Figures Figures
@@ -118,7 +118,7 @@
 	return x
 }
 
-func listing(x *work) forecast.Worker { return forecast.Worker{ID: x.id, Addr: x.id, Zone: x.zone} }
+func listing(x *work) config.Worker { return config.Worker{ID: x.id, Addr: x.id, Zone: x.zone} }
 
 func (w *World) alive(h *Host) bool { return h.Proc != nil && !h.Frozen && !h.Dark }
 
--- a/internal/hygrometer/busy.go
+++ b/internal/router/admission/busy.go
@@ -1,7 +1,7 @@
-package hygrometer
+package admission
 
 // Busy says whether a prompt waits for anything but the end of its run: only then has a tick something to do.
-func (h *Hygrometer) Busy() bool {
+func (h *Queue) Busy() bool {
 	for _, r := range h.reqs {
 		if r.stage != held {
 			return true
--- a/internal/hygrometer/busy_test.go
+++ b/internal/router/admission/busy_test.go
@@ -1,11 +1,11 @@
-package hygrometer
+package admission
 
 import (
 	"testing"
 	"time"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/gauge"
+	"seamshunt/internal/router/capacity"
 	"seamshunt/internal/units"
 )
 
@@ -13,12 +13,12 @@
 func TestBusy(t *testing.T) {
 	const ms = time.Millisecond
 	h, now := New(1), units.Time(time.Hour)
-	h.Arrive(now, Req{Tag: 7, Policy: "knee", Cands: []string{"s/w"}, Tries: 1, Until: now.Add(time.Second), First: 50 * ms,
+	h.Arrive(now, Request{Tag: 7, Policy: "knee", Cands: []string{"s/w"}, Tries: 1, Until: now.Add(time.Second), First: 50 * ms,
 		Keeper: func(string) units.Node { return 2 }})
 	if !h.Busy() {
 		t.Error("an ask is under way")
 	}
-	h.Step(now, message.Message{From: 2, Kind: gauge.Grant, Body: gauge.Pack(gauge.Head{Tag: 7}, "s/w")})
+	h.Step(now, message.Message{From: 2, Kind: capacity.Grant, Body: capacity.Pack(capacity.Head{Tag: 7}, "s/w")})
 	if h.Busy() {
 		t.Error("the prompt is in")
 	}
--- a/internal/hygrometer/hygrometer.go
+++ b/internal/router/admission/queue.go
@@ -1,20 +1,20 @@
-// Package hygrometer is admission on the node that took the prompt (design 6): in, wait, or refused at once.
-package hygrometer
+// Package admission is admission on the node that took the prompt (design 6): in, wait, or refused at once.
+package admission
 
 import (
 	"time"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/gauge"
+	"seamshunt/internal/router/capacity"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
 // Policies by name. Knee is the paper's: a cap, a bounded waitlist by deadline, early shedding. Open is none,
 // for comparisons.
-var Policies = map[string]func(*Hygrometer, units.Time, *Req, *message.Effects){
-	"knee": (*Hygrometer).knee,
-	"open": (*Hygrometer).open,
+var Policies = map[string]func(*Queue, units.Time, *Request, *message.Effects){
+	"knee": (*Queue).knee,
+	"open": (*Queue).open,
 }
 
 // Spans (start values).
@@ -43,10 +43,10 @@
 	At              units.Time
 }
 
-// Hygrometer is the step machine.
-type Hygrometer struct {
+// Queue is the step machine.
+type Queue struct {
 	self     units.Node
-	reqs     map[uint64]*Req
+	reqs     map[uint64]*Request
 	Flight   map[string]int // this node's own prompts in flight, per worker
 	loyal    map[string]units.Node
 	mute     map[units.Node]units.Time // keepers that said nothing, till when they are asked last
@@ -56,19 +56,19 @@
 }
 
 // New gives an empty one.
-func New(self units.Node) *Hygrometer {
-	return &Hygrometer{self: self, reqs: map[uint64]*Req{}, Flight: map[string]int{}, loyal: map[string]units.Node{}, mute: map[units.Node]units.Time{}, sent: map[string][]units.Time{}, Loads: map[string]Load{}}
+func New(self units.Node) *Queue {
+	return &Queue{self: self, reqs: map[uint64]*Request{}, Flight: map[string]int{}, loyal: map[string]units.Node{}, mute: map[units.Node]units.Time{}, sent: map[string][]units.Time{}, Loads: map[string]Load{}}
 }
 
 // Arrive takes a prompt in at the door.
-func (h *Hygrometer) Arrive(now units.Time, r Req) (out message.Effects) {
+func (h *Queue) Arrive(now units.Time, r Request) (out message.Effects) {
 	h.reqs[r.Tag] = &r
 	Policies[r.Policy](h, now, &r, &out)
 	return out
 }
 
 // open lets everything in at the first worker.
-func (h *Hygrometer) open(now units.Time, r *Req, out *message.Effects) {
+func (h *Queue) open(now units.Time, r *Request, out *message.Effects) {
 	if len(r.Cands) == 0 {
 		h.shed(r, synop.NoWorker)
 		return
@@ -78,7 +78,7 @@
 }
 
 // knee asks the candidates' keepers for a free slot in turn, then waits where the wait is shortest.
-func (h *Hygrometer) knee(now units.Time, r *Req, out *message.Effects) {
+func (h *Queue) knee(now units.Time, r *Request, out *message.Effects) {
 	for r.next < len(r.Cands) && r.next < r.Tries {
 		r.worker = r.Cands[r.next]
 		r.next++
@@ -96,7 +96,7 @@
 }
 
 // queue joins the waitlist with the shortest expected wait that still leaves time for an answer.
-func (h *Hygrometer) queue(now units.Time, r *Req, out *message.Effects) {
+func (h *Queue) queue(now units.Time, r *Request, out *message.Effects) {
 	best := -1
 	for i, o := range r.opts {
 		if best < 0 || o.due+o.away < r.opts[best].due+r.opts[best].away {
@@ -110,7 +110,7 @@
 	o := r.opts[best]
 	r.opts = append(r.opts[:best:best], r.opts[best+1:]...)
 	if now.Add(o.due+r.First) > r.Until {
-		r.why = gauge.Late
+		r.why = capacity.Late
 		h.shed(r, synop.WaitLate)
 		return
 	}
@@ -122,16 +122,16 @@
 
 func why(reason uint8) synop.Code {
 	switch reason {
-	case gauge.Full, gauge.Busy:
+	case capacity.Full, capacity.Busy:
 		return synop.WaitFull
-	case gauge.Late:
+	case capacity.Late:
 		return synop.WaitLate
 	}
 	return synop.NoWorker
 }
 
-func (h *Hygrometer) ask(now units.Time, r *Req, wait bool, out *message.Effects) {
-	a := gauge.Head{Tag: r.Tag, Left: uint32(units.ToMillis(r.Until.Sub(now))), Worth: r.Worth, Mem: r.Mem, Urgent: r.Urge, Soon: uint32(units.ToMillis(r.Soon))}
+func (h *Queue) ask(now units.Time, r *Request, wait bool, out *message.Effects) {
+	a := capacity.Head{Tag: r.Tag, Left: uint32(units.ToMillis(r.Until.Sub(now))), Worth: r.Worth, Mem: r.Mem, Urgent: r.Urge, Soon: uint32(units.ToMillis(r.Soon))}
 	a.Read = micros(r.Read)
 	if !r.home(r.worker) {
 		a.Read = micros(r.Full)
@@ -140,29 +140,29 @@
 		a.Wait = 1
 	}
 	if k, ok := h.loyal[r.worker]; ok && k != r.keeper {
-		a.Reason = gauge.NotKeeper
+		a.Reason = capacity.NotKeeper
 	}
 	r.sent = now
 	r.heard = now
-	out.Send(r.keeper, gauge.Ask, gauge.Pack(a, r.worker))
+	out.Send(r.keeper, capacity.Ask, capacity.Pack(a, r.worker))
 }
 
 func micros(d time.Duration) uint32 { return uint32(min(max(0, d/time.Microsecond), 1<<32-1)) }
 
-func (h *Hygrometer) enter(now units.Time, r *Req) {
+func (h *Queue) enter(now units.Time, r *Request) {
 	r.stage = held
 	h.Flight[r.worker]++
 	h.sent[r.worker] = append(h.lately(now, r.worker), now)
 	h.Verdicts = append(h.Verdicts, Verdict{Tag: r.Tag, Worker: r.worker, Code: synop.OK})
 }
 
-func (h *Hygrometer) shed(r *Req, c synop.Code) {
+func (h *Queue) shed(r *Request, c synop.Code) {
 	delete(h.reqs, r.Tag)
 	h.Verdicts = append(h.Verdicts, Verdict{Tag: r.Tag, Code: c, Due: r.due})
 }
 
 // Words notes how long a prompt's first words took; the keeper learns of it with the slot's return.
-func (h *Hygrometer) Words(tag uint64, took time.Duration) {
+func (h *Queue) Words(tag uint64, took time.Duration) {
 	if r := h.reqs[tag]; r != nil {
 		r.words = took
 	}
@@ -170,7 +170,7 @@
 
 // Done gives a prompt's slot back when its stream ended, or when its caller went away.
 // Unsure says that the run may still be going.
-func (h *Hygrometer) Done(now units.Time, tag uint64, unsure bool) (out message.Effects) {
+func (h *Queue) Done(now units.Time, tag uint64, unsure bool) (out message.Effects) {
 	r := h.reqs[tag]
 	if r == nil {
 		return out
@@ -178,7 +178,7 @@
 	if r.stage == held {
 		h.leave(r)
 	}
-	b := gauge.Head{Tag: tag, Read: micros(r.words)}
+	b := capacity.Head{Tag: tag, Read: micros(r.words)}
 	if unsure && r.stage == held {
 		r.stage = ghost
 		b.Wait = 1
@@ -186,13 +186,13 @@
 		delete(h.reqs, tag)
 	}
 	if r.keeper != 0 {
-		out.Send(h.keeper(r), gauge.Return, gauge.Pack(b, r.worker))
+		out.Send(h.keeper(r), capacity.Return, capacity.Pack(b, r.worker))
 	}
 	return out
 }
 
 // Cut is Done for a run whose wire this node broke off: its slot comes back once the worker had time to notice.
-func (h *Hygrometer) Cut(now units.Time, tag uint64) (out message.Effects) {
+func (h *Queue) Cut(now units.Time, tag uint64) (out message.Effects) {
 	if r := h.reqs[tag]; r != nil && r.stage == held {
 		r.Until = now.Add(notice - grace)
 		h.leave(r)
@@ -202,14 +202,14 @@
 	return h.Done(now, tag, false)
 }
 
-func (h *Hygrometer) leave(r *Req) {
+func (h *Queue) leave(r *Request) {
 	if h.Flight[r.worker]--; h.Flight[r.worker] <= 0 {
 		delete(h.Flight, r.worker)
 	}
 }
 
 // keeper is whoever this node last reported to, else whom it asked.
-func (h *Hygrometer) keeper(r *Req) units.Node {
+func (h *Queue) keeper(r *Request) units.Node {
 	if k, ok := h.loyal[r.worker]; ok {
 		return k
 	}
--- a/internal/hygrometer/request.go
+++ b/internal/router/admission/request.go
@@ -1,4 +1,4 @@
-package hygrometer
+package admission
 
 import (
 	"slices"
@@ -22,8 +22,8 @@
 	away time.Duration
 }
 
-// Req is one prompt at the door of one service.
-type Req struct {
+// Request is one prompt at the door of one service.
+type Request struct {
 	Tag    uint64
 	Policy string
 	Cands  []string // workers, best first
@@ -55,6 +55,6 @@
 }
 
 // home says whether a worker holds the shared parts of the prompt.
-func (r *Req) home(worker string) bool {
+func (r *Request) home(worker string) bool {
 	return slices.Contains(r.Cands[:min(r.Homes, len(r.Cands))], worker)
 }
--- a/internal/hygrometer/step.go
+++ b/internal/router/admission/step.go
@@ -1,24 +1,24 @@
-package hygrometer
+package admission
 
 import (
 	"slices"
 	"time"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/gauge"
+	"seamshunt/internal/router/capacity"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
 // Tick gives up what can't be met any more, and passes over keepers that say nothing.
-func (h *Hygrometer) Tick(now units.Time) (out message.Effects) {
+func (h *Queue) Tick(now units.Time) (out message.Effects) {
 	for _, r := range h.sorted() {
 		switch r.stage {
 		case asking:
 			if now.Sub(r.sent) >= silent {
 				h.drop(r, &out)
 				h.mute[r.keeper] = now.Add(muteFor)
-				h.refused(now, r, gauge.Silent, 0, &out)
+				h.refused(now, r, capacity.Silent, 0, &out)
 			}
 		case waiting:
 			switch {
@@ -27,7 +27,7 @@
 				h.shed(r, synop.WaitLate)
 			case now.Sub(r.heard) >= lostAt:
 				h.drop(r, &out)
-				h.refused(now, r, gauge.Silent, 0, &out)
+				h.refused(now, r, capacity.Silent, 0, &out)
 			case now.Sub(r.sent) >= again:
 				heard := r.heard
 				h.ask(now, r, true, &out)
@@ -43,12 +43,12 @@
 	return out
 }
 
-func (h *Hygrometer) sorted() []*Req {
-	l := make([]*Req, 0, len(h.reqs))
+func (h *Queue) sorted() []*Request {
+	l := make([]*Request, 0, len(h.reqs))
 	for _, r := range h.reqs {
 		l = append(l, r)
 	}
-	slices.SortFunc(l, func(a, b *Req) int {
+	slices.SortFunc(l, func(a, b *Request) int {
 		if a.Tag < b.Tag {
 			return -1
 		}
@@ -58,26 +58,26 @@
 }
 
 // drop voids an ask, so that a late grant has nobody, or gives a ghost's slot back.
-func (h *Hygrometer) drop(r *Req, out *message.Effects) {
+func (h *Queue) drop(r *Request, out *message.Effects) {
 	to := r.keeper
 	if r.stage == ghost {
 		to = h.keeper(r)
 	}
 	if to != 0 {
-		out.Send(to, gauge.Return, gauge.Pack(gauge.Head{Tag: r.Tag}, r.worker))
+		out.Send(to, capacity.Return, capacity.Pack(capacity.Head{Tag: r.Tag}, r.worker))
 	}
 }
 
 // refused takes a keeper's no, or its silence, and goes on to the next worker.
-func (h *Hygrometer) refused(now units.Time, r *Req, reason uint8, due time.Duration, out *message.Effects) {
-	if r.why == 0 || reason == gauge.Full || reason == gauge.Late && r.why != gauge.Full {
+func (h *Queue) refused(now units.Time, r *Request, reason uint8, due time.Duration, out *message.Effects) {
+	if r.why == 0 || reason == capacity.Full || reason == capacity.Late && r.why != capacity.Full {
 		r.why = reason
 	}
 	if due > 0 && (r.due == 0 || due < r.due) {
 		r.due = due
 	}
 	if r.stage == asking {
-		if reason == gauge.Busy {
+		if reason == capacity.Busy {
 			o := option{name: r.worker, due: due}
 			if !r.home(r.worker) {
 				o.away = r.Away
@@ -91,24 +91,24 @@
 }
 
 // Step takes one note for the node that asks.
-func (h *Hygrometer) Step(now units.Time, n message.Message) (out message.Effects) {
-	if n.Kind == gauge.Audit {
-		name, l, _, err := gauge.UnpackReport(n.Body)
+func (h *Queue) Step(now units.Time, n message.Message) (out message.Effects) {
+	if n.Kind == capacity.Audit {
+		name, l, _, err := capacity.UnpackReport(n.Body)
 		out.Fail(err)
 		for _, x := range l {
 			if h.reqs[x.Tag] == nil {
-				out.Send(n.From, gauge.Return, gauge.Pack(gauge.Head{Tag: x.Tag}, name))
+				out.Send(n.From, capacity.Return, capacity.Pack(capacity.Head{Tag: x.Tag}, name))
 			}
 		}
 		return out
 	}
 	delete(h.mute, n.From)
-	b, name, err := gauge.Unpack(n.Body)
+	b, name, err := capacity.Unpack(n.Body)
 	if err != nil {
 		out.Fail(err)
 		return out
 	}
-	if n.Kind == gauge.ReportAsk {
+	if n.Kind == capacity.ReportAsk {
 		h.report(now, n.From, name, &out)
 		return out
 	}
@@ -118,13 +118,13 @@
 	r := h.reqs[b.Tag]
 	mine := r != nil && r.stage <= waiting && r.worker == name && r.keeper == n.From
 	switch n.Kind {
-	case gauge.Grant:
+	case capacity.Grant:
 		h.granted(now, n.From, r, mine, b, name, &out)
-	case gauge.No:
+	case capacity.No:
 		if mine {
 			h.refused(now, r, b.Reason, units.Millis(b.Left).Span(), &out)
 		}
-	case gauge.Waiting:
+	case capacity.Waiting:
 		if mine {
 			r.heard = now
 			r.due = units.Millis(b.Left).Span()
@@ -133,20 +133,20 @@
 	return out
 }
 
-func (h *Hygrometer) granted(now units.Time, from units.Node, r *Req, mine bool, b gauge.Head, name string, out *message.Effects) {
+func (h *Queue) granted(now units.Time, from units.Node, r *Request, mine bool, b capacity.Head, name string, out *message.Effects) {
 	if r != nil && r.stage >= held && r.worker == name {
 		return // the same grant again
 	}
-	back := gauge.Pack(gauge.Head{Tag: b.Tag}, name)
+	back := capacity.Pack(capacity.Head{Tag: b.Tag}, name)
 	if k, ok := h.loyal[name]; !mine || ok && k != from {
-		out.Send(from, gauge.Return, back)
+		out.Send(from, capacity.Return, back)
 		if mine {
-			h.refused(now, r, gauge.NotKeeper, 0, out)
+			h.refused(now, r, capacity.NotKeeper, 0, out)
 		}
 		return
 	}
 	if now.Add(r.First) > r.Until {
-		out.Send(from, gauge.Return, back)
+		out.Send(from, capacity.Return, back)
 		h.shed(r, synop.WaitLate)
 		return
 	}
@@ -154,19 +154,19 @@
 }
 
 // report tells a new keeper all that is held of a worker; from then on only its grants count (design 6).
-func (h *Hygrometer) report(now units.Time, from units.Node, name string, out *message.Effects) {
+func (h *Queue) report(now units.Time, from units.Node, name string, out *message.Effects) {
 	h.loyal[name] = from
-	var l []gauge.Held
+	var l []capacity.Held
 	for _, r := range h.sorted() {
 		if r.worker == name && r.stage >= held && r.keeper != 0 {
-			l = append(l, gauge.Held{Tag: r.Tag, Left: uint32(units.ToMillis(r.Until.Sub(now))), Mem: r.Mem})
+			l = append(l, capacity.Held{Tag: r.Tag, Left: uint32(units.ToMillis(r.Until.Sub(now))), Mem: r.Mem})
 		}
 	}
-	out.Send(from, gauge.Report, gauge.PackReport(name, l, len(h.lately(now, name))))
+	out.Send(from, capacity.Report, capacity.PackReport(name, l, len(h.lately(now, name))))
 }
 
 // lately lists what went to a worker in the last second.
-func (h *Hygrometer) lately(now units.Time, name string) []units.Time {
+func (h *Queue) lately(now units.Time, name string) []units.Time {
 	l := h.sent[name]
 	for len(l) > 0 && now.Sub(l[0]) > time.Second {
 		l = l[1:]
@@ -176,7 +176,7 @@
 }
 
 // Waiting counts the prompts that are not in yet.
-func (h *Hygrometer) Waiting() int {
+func (h *Queue) Waiting() int {
 	k := 0
 	for _, r := range h.reqs {
 		if r.stage <= waiting {
@@ -187,7 +187,7 @@
 }
 
 // Woke distrusts every permit after a freeze: what ran out is gone, and what waits asks anew (design 6).
-func (h *Hygrometer) Woke(now units.Time) {
+func (h *Queue) Woke(now units.Time) {
 	for _, r := range h.reqs {
 		if r.stage <= waiting {
 			r.sent = now.Add(-lostAt)
--- a/internal/vaned/beat.go
+++ b/internal/router/beat.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"time"
@@ -9,20 +9,20 @@
 )
 
 // beat works out the difference between what is wanted and what is; it gives how long the next may wait.
-func (v *Vane) beat(now units.Time) time.Duration {
+func (v *Router) beat(now units.Time) time.Duration {
 	v.refresh(now)
-	v.deskMu.Lock()
+	v.queueMu.Lock()
 	var out message.Effects
-	busy := v.desk.Busy()
+	busy := v.queue.Busy()
 	if busy {
-		out = v.desk.Tick(now)
+		out = v.queue.Tick(now)
 		v.tell(now)
 	}
-	v.deskMu.Unlock()
-	v.gaugeMu.Lock()
-	out.Join(v.gauge.Tick(now))
-	busy = busy || v.gauge.Busy()
-	v.gaugeMu.Unlock()
+	v.queueMu.Unlock()
+	v.ledgerMu.Lock()
+	out.Join(v.ledger.Tick(now))
+	busy = busy || v.ledger.Busy()
+	v.ledgerMu.Unlock()
 	v.Deliver(out)
 	if v.Words == nil {
 		v.screenTick(now) // a book's requests claim nothing
@@ -38,4 +38,4 @@
 const often = 20 * time.Millisecond
 
 // soon has the beat come soon.
-func (v *Vane) soon() { v.pace.By(often) }
+func (v *Router) soon() { v.pace.By(often) }
--- a/internal/gauge/engine.go
+++ b/internal/router/capacity/engine.go
@@ -1,4 +1,4 @@
-package gauge
+package capacity
 
 import (
 	"slices"
@@ -96,13 +96,13 @@
 
 // Allow sets what a cold worker's rate may be exceeded by, and which part of the known vanes this node sees live:
 // keepers on two sides of a cut then lend no more together than one would (design 12).
-func (g *Gauge) Allow(excess float64, slack int, part float64) {
+func (g *Ledger) Allow(excess float64, slack int, part float64) {
 	g.excess, g.slack, g.part = excess, slack, part
 }
 
 // rate is how many requests a worker may get in any one second. A worker may turn cold unseen at any moment, so the
 // bound for cold ones holds always; one that is known to be cold gets what it bears.
-func (g *Gauge) rate(now units.Time, w Worker) int {
+func (g *Ledger) rate(now units.Time, w Worker) int {
 	if w.WarmRate <= 0 {
 		return 1 << 30
 	}
@@ -137,7 +137,7 @@
 }
 
 // Cap gives how many permits a worker may have out now.
-func (g *Gauge) Cap(now units.Time, name string) int {
+func (g *Ledger) Cap(now units.Time, name string) int {
 	w, ok := g.workers[name]
 	if !ok || w.Closed {
 		return 0
--- a/internal/gauge/late_test.go
+++ b/internal/router/capacity/late_test.go
@@ -1,4 +1,4 @@
-package gauge
+package capacity
 
 import (
 	"testing"
--- a/internal/gauge/gauge.go
+++ b/internal/router/capacity/ledger.go
@@ -1,4 +1,4 @@
-package gauge
+package capacity
 
 import (
 	"maps"
@@ -61,8 +61,8 @@
 	engine
 }
 
-// Gauge is the keeper's step machine.
-type Gauge struct {
+// Ledger is the keeper's step machine.
+type Ledger struct {
 	self    units.Node
 	workers map[string]Worker
 	vanes   []Peer
@@ -77,19 +77,19 @@
 }
 
 // New begins a node that keeps nothing.
-func New(self units.Node) *Gauge {
-	return &Gauge{self: self, workers: map[string]Worker{}, keeps: map[string]*keep{}, holds: map[units.Node]units.Time{}, strange: map[units.Node]units.Time{}, excess: 1, part: 1}
+func New(self units.Node) *Ledger {
+	return &Ledger{self: self, workers: map[string]Worker{}, keeps: map[string]*keep{}, holds: map[units.Node]units.Time{}, strange: map[units.Node]units.Time{}, excess: 1, part: 1}
 }
 
 // Workers sets what there is to keep.
-func (g *Gauge) Workers(w map[string]Worker) {
+func (g *Ledger) Workers(w map[string]Worker) {
 	if !maps.Equal(g.workers, w) {
 		g.workers, g.moved = w, true
 	}
 }
 
 // View takes membership's view: the live vanes, and till when others' runs may still be going.
-func (g *Gauge) View(vanes []Peer, holds map[units.Node]units.Time) {
+func (g *Ledger) View(vanes []Peer, holds map[units.Node]units.Time) {
 	g.moved = g.moved || !slices.Equal(g.vanes, vanes)
 	for _, v := range vanes {
 		if !slices.ContainsFunc(g.vanes, func(o Peer) bool { return o.Node == v.Node }) {
@@ -102,7 +102,7 @@
 }
 
 // Gone frees what a process held that is known to have ended: the kernel broke its runs' wires off.
-func (g *Gauge) Gone(now units.Time, n units.Node) {
+func (g *Ledger) Gone(now units.Time, n units.Node) {
 	for _, k := range g.keeps {
 		for p, l := range k.lent {
 			if p.node == n {
@@ -114,7 +114,7 @@
 }
 
 // Tick takes over what fell to this node, gives up what did not, and ends what ran out.
-func (g *Gauge) Tick(now units.Time) (out message.Effects) {
+func (g *Ledger) Tick(now units.Time) (out message.Effects) {
 	var names []string
 	if g.moved {
 		names = message.Keys(g.workers)
@@ -158,13 +158,13 @@
 }
 
 // Take begins the keeping of one worker, as Tick does when it falls to this node.
-func (g *Gauge) Take(now units.Time, name string) (out message.Effects) {
+func (g *Ledger) Take(now units.Time, name string) (out message.Effects) {
 	g.begin(now, name, &out)
 	return out
 }
 
 // begin asks every live vane what it holds; until all have said so, nothing is lent.
-func (g *Gauge) begin(now units.Time, name string, out *message.Effects) {
+func (g *Ledger) begin(now units.Time, name string, out *message.Effects) {
 	k := &keep{lent: map[permit]*loan{}, adapted: now, begun: now, silent: maps.Clone(g.holds), late: map[units.Node]bool{}}
 	g.keeps[name] = k
 	g.recollect(now, name, k, out)
@@ -173,7 +173,7 @@
 // recollect asks all nodes for their reports, and with them for their trust. A keeper also does so when it meets a
 // node that has last reported to another: while views differed, that one took the worker over, and no grant of
 // this keeper's would be taken there.
-func (g *Gauge) recollect(now units.Time, name string, k *keep, out *message.Effects) {
+func (g *Ledger) recollect(now units.Time, name string, k *keep, out *message.Effects) {
 	k.open, k.need, k.sent, k.begun = false, map[units.Node]bool{}, now.Add(-reask), now
 	for _, n := range g.live(now) {
 		k.need[n] = true
@@ -182,7 +182,7 @@
 }
 
 // live lists the vanes that may hold something: those that membership shows, and those that it does not show yet.
-func (g *Gauge) live(now units.Time) []units.Node {
+func (g *Ledger) live(now units.Time) []units.Node {
 	var l []units.Node
 	for _, v := range g.vanes {
 		l = append(l, v.Node)
@@ -199,7 +199,7 @@
 	return l
 }
 
-func (g *Gauge) collect(now units.Time, name string, k *keep, out *message.Effects) {
+func (g *Ledger) collect(now units.Time, name string, k *keep, out *message.Effects) {
 	live := g.live(now)
 	for n := range k.need {
 		if slices.Contains(live, n) {
@@ -232,7 +232,7 @@
 }
 
 // cede lets those that wait ask elsewhere.
-func (g *Gauge) cede(name string, k *keep, out *message.Effects) {
+func (g *Ledger) cede(name string, k *keep, out *message.Effects) {
 	for _, a := range k.list {
 		out.Send(a.node, No, Pack(Head{Tag: a.tag, Reason: NotKeeper}, name))
 	}
--- a/internal/gauge/gauge_test.go
+++ b/internal/router/capacity/ledger_test.go
@@ -1,4 +1,4 @@
-package gauge
+package capacity
 
 import (
 	"testing"
@@ -12,7 +12,7 @@
 
 // bench is one keeper of one worker, opened, with notes put in by hand.
 type bench struct {
-	*Gauge
+	*Ledger
 	now   units.Time
 	sent  []Head
 	kind  []message.Kind
@@ -20,7 +20,7 @@
 }
 
 func newBench(w Worker) *bench {
-	b := &bench{Gauge: New(1), now: units.Time(time.Hour)}
+	b := &bench{Ledger: New(1), now: units.Time(time.Hour)}
 	b.Workers(map[string]Worker{"s/w": w})
 	b.View([]Peer{{Node: 1}}, nil)
 	b.out(b.Tick(b.now))
@@ -231,7 +231,7 @@
 		g.self = 2
 	}
 	g.Tick(now)
-	b := &bench{Gauge: g, now: now}
+	b := &bench{Ledger: g, now: now}
 	b.ask(1, 20*time.Second, true)
 	b.out(g.Step(now, message.Message{From: 1, Kind: Report, Body: PackReport("s/w", nil, 0)}))
 	b.pass(5 * time.Second)
--- a/internal/gauge/note.go
+++ b/internal/router/capacity/note.go
@@ -1,5 +1,5 @@
-// Package gauge lends each worker's slots as permits; every worker has one keeper (design 6).
-package gauge
+// Package capacity lends each worker's slots as permits; every worker has one keeper (design 6).
+package capacity
 
 import (
 	"time"
--- a/internal/gauge/step.go
+++ b/internal/router/capacity/step.go
@@ -1,4 +1,4 @@
-package gauge
+package capacity
 
 import (
 	"slices"
@@ -9,7 +9,7 @@
 )
 
 // Step takes one note for the keeper.
-func (g *Gauge) Step(now units.Time, n message.Message) (out message.Effects) {
+func (g *Ledger) Step(now units.Time, n message.Message) (out message.Effects) {
 	if n.Kind == Report {
 		name, held, sent, err := UnpackReport(n.Body)
 		out.Fail(err)
@@ -63,7 +63,7 @@
 	return out
 }
 
-func (g *Gauge) state(now units.Time, name string, k *keep, h Head) Head {
+func (g *Ledger) state(now units.Time, name string, k *keep, h Head) Head {
 	h.Lent, h.Cap = uint16(len(k.lent)), uint16(g.Cap(now, name))
 	h.Wait = uint8(min(255, len(k.list)))
 	h.Turn = uint16(min(k.gap(max(1, int(h.Cap)))/time.Millisecond, 65535))
@@ -80,7 +80,7 @@
 	return k.turn
 }
 
-func (g *Gauge) asked(now units.Time, from units.Node, name string, k *keep, h Head, out *message.Effects) {
+func (g *Ledger) asked(now units.Time, from units.Node, name string, k *keep, h Head, out *message.Effects) {
 	p := permit{from, h.Tag}
 	if k.lent[p] != nil {
 		out.Send(from, Grant, Pack(g.state(now, name, k, Head{Tag: h.Tag}), name))
@@ -141,7 +141,7 @@
 	out.Send(from, Waiting, Pack(g.state(now, name, k, r), name))
 }
 
-func (g *Gauge) lend(now units.Time, name string, k *keep, a ask, out *message.Effects) {
+func (g *Ledger) lend(now units.Time, name string, k *keep, a ask, out *message.Effects) {
 	k.lent[a.permit] = &loan{until: a.until.Add(grace), since: now, mem: a.mem, reads: a.read}
 	if k.read(now); len(k.line) > 0 {
 		k.lent[a.permit].reads = 0 // behind others its time tells nothing of the speed
@@ -154,7 +154,7 @@
 
 // serve lends free slots to the earliest deadlines. What can no longer be met is told so at once, wherever
 // it stands in the list: nothing is held back until its time has run out.
-func (g *Gauge) serve(now units.Time, name string, k *keep, out *message.Effects) {
+func (g *Ledger) serve(now units.Time, name string, k *keep, out *message.Effects) {
 	w := g.workers[name]
 	c := g.Cap(now, name)
 	for c > 0 && k.open && len(k.list) > 0 && len(k.lent) < c {
@@ -192,7 +192,7 @@
 	k.list = left
 }
 
-func (g *Gauge) returned(now units.Time, name string, k *keep, p permit, unsure bool, out *message.Effects) {
+func (g *Ledger) returned(now units.Time, name string, k *keep, p permit, unsure bool, out *message.Effects) {
 	k.list = slices.DeleteFunc(k.list, func(a ask) bool { return a.permit == p })
 	l := k.lent[p]
 	if l == nil || unsure {
@@ -234,7 +234,7 @@
 }
 
 // Kept lists all that this node keeps.
-func (g *Gauge) Kept(now units.Time) []Kept {
+func (g *Ledger) Kept(now units.Time) []Kept {
 	var l []Kept
 	for n, k := range g.keeps {
 		l = append(l, Kept{n, k.open, len(k.lent), g.Cap(now, n), len(k.list)})
--- a/internal/gauge/upkeep.go
+++ b/internal/router/capacity/upkeep.go
@@ -1,4 +1,4 @@
-package gauge
+package capacity
 
 import (
 	"cmp"
@@ -20,7 +20,7 @@
 }
 
 // audit asks holders about permits that have been out for a while; they return what they don't know.
-func (g *Gauge) audit(now units.Time, out *message.Effects) {
+func (g *Ledger) audit(now units.Time, out *message.Effects) {
 	for _, name := range message.Keys(g.keeps) {
 		k := g.keeps[name]
 		by := map[units.Node][]Held{}
@@ -36,7 +36,7 @@
 }
 
 // adapt is the optional AIMD, keyed on waiting time only.
-func (g *Gauge) adapt(now units.Time, name string, k *keep) {
+func (g *Ledger) adapt(now units.Time, name string, k *keep) {
 	w := g.workers[name]
 	if !w.Adapt || now.Sub(k.adapted) < adaptGap {
 		return
@@ -55,7 +55,7 @@
 
 // latecomers asks vanes that came into view after the book was opened what they hold. A newcomer holds nothing; but
 // this node may be the newcomer, and have opened its book while it knew few of the others.
-func (g *Gauge) latecomers(now units.Time, name string, k *keep, out *message.Effects) {
+func (g *Ledger) latecomers(now units.Time, name string, k *keep, out *message.Effects) {
 	if len(k.late) == 0 || now.Sub(k.sent) < reask {
 		return
 	}
--- a/internal/gauge/worth.go
+++ b/internal/router/capacity/worth.go
@@ -1,4 +1,4 @@
-package gauge
+package capacity
 
 import (
 	"slices"
@@ -21,7 +21,7 @@
 
 // place finds where a prompt stands in the list by its deadline, and who yields to it: only prompts of less worth, and
 // only as many as it takes for it to be in time and within the bound. If that is not enough, nobody does.
-func (g *Gauge) place(now units.Time, name string, k *keep, me ask) (at int, yield []ask) {
+func (g *Ledger) place(now units.Time, name string, k *keep, me ask) (at int, yield []ask) {
 	w, gap := g.workers[name], k.gap(max(1, g.Cap(now, name)))
 	l := slices.Clone(k.list)
 	for at < len(l) && l[at].until <= me.until {
--- a/internal/vaned/claim.go
+++ b/internal/router/claim.go
@@ -1,33 +1,33 @@
-package vaned
+package router
 
 import (
 	"time"
 
-	"seamshunt/internal/anemometer"
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/screen"
+	"seamshunt/internal/router/idempotency"
+	"seamshunt/internal/router/upstream"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
-// screened does a thing under the screen's lock, and passes results to those who wait.
-func (v *Vane) screened(f func() message.Effects) {
-	v.screenMu.Lock()
+// screened does a thing under the claimant's lock, and passes results to those who wait.
+func (v *Router) screened(f func() message.Effects) {
+	v.claimantMu.Lock()
 	out := f()
-	for _, r := range v.screen.Results {
+	for _, r := range v.claimant.Results {
 		if c := v.claims[r.Token]; c != nil {
 			delete(v.claims, r.Token)
 			c <- r.Code
 		}
 	}
-	v.screen.Results = nil
-	v.screenMu.Unlock()
+	v.claimant.Results = nil
+	v.claimantMu.Unlock()
 	v.Deliver(out)
 }
 
 // screenTick moves claims on; the longest time left of what may not repeat is how long a start abstains at most.
-func (v *Vane) screenTick(now units.Time) {
+func (v *Router) screenTick(now units.Time) {
 	var longest time.Duration
 	if r := v.rules.Load(); r != nil {
 		longest = max(time.Second, r.Longest(true))
@@ -42,8 +42,8 @@
 	core := v.table.voters
 	v.tableMu.Unlock()
 	v.screened(func() message.Effects {
-		v.screen.Core(core)
-		return v.screen.Tick(now, peers, longest)
+		v.claimant.Core(core)
+		return v.claimant.Tick(now, peers, longest)
 	})
 }
 
@@ -56,10 +56,10 @@
 	key := w.m.Name + "/" + w.key
 	token := v.tag.Add(1)<<8 ^ uint64(v.Self)
 	c := make(chan synop.Code, 1)
-	holders := screen.Holders(v.Members(), key)
+	holders := idempotency.Holders(v.Members(), key)
 	v.screened(func() message.Effects {
 		v.claims[token] = c
-		return v.screen.Claim(v.Crew.Now(), token, key, holders)
+		return v.claimant.Claim(v.Crew.Now(), token, key, holders)
 	})
 	t := time.NewTicker(peekAt)
 	defer t.Stop()
@@ -71,10 +71,10 @@
 			}
 			return w.claimedAs(code)
 		case <-t.C:
-			if anemometer.HungUp(w.ctx.Conn()) {
-				v.screenMu.Lock()
+			if upstream.HungUp(w.ctx.Conn()) {
+				v.claimantMu.Lock()
 				delete(v.claims, token)
-				v.screenMu.Unlock()
+				v.claimantMu.Unlock()
 				return w.hungUp(0)
 			}
 		}
@@ -98,6 +98,6 @@
 // burn keeps "not run" true for a key whose copy may still be on its way.
 func (w *way) burn() {
 	if w.claimed != "" {
-		w.v.screened(func() message.Effects { return w.v.screen.Burn(w.claimed, w.holders) })
+		w.v.screened(func() message.Effects { return w.v.claimant.Burn(w.claimed, w.holders) })
 	}
 }
--- a/internal/vaned/dark.go
+++ b/internal/router/dark.go
@@ -1,11 +1,11 @@
-package vaned
+package router
 
 import (
 	"errors"
 	"time"
 
-	"seamshunt/internal/anemometer"
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
+	"seamshunt/internal/router/upstream"
 	"seamshunt/internal/units"
 )
 
@@ -27,7 +27,7 @@
 
 // first waits for the first thing that a try has to tell. A worker that is later than the service's habit is passed
 // over; what may repeat then leaves it, if the budget and the time left allow another (design 8).
-func (w *way) first(t *anemometer.Try, s *forecast.Service, name string) (anemometer.Event, bool) {
+func (w *way) first(t *upstream.Try, s *config.Service, name string) (upstream.Event, bool) {
 	v := w.v
 	habit, known := v.habitOf(s.Name).Late()
 	noted := !known
@@ -39,13 +39,13 @@
 			return e, false
 		case <-tick.C:
 		}
-		if anemometer.HungUp(w.ctx.Conn()) {
-			return anemometer.Event{}, true
+		if upstream.HungUp(w.ctx.Conn()) {
+			return upstream.Event{}, true
 		}
 		now := v.Crew.Now()
 		if now > w.until {
 			t.Cancel()
-			return anemometer.Event{Kind: anemometer.Unknown, Err: errors.New("vane: out of time")}, false
+			return upstream.Event{Kind: upstream.Unknown, Err: errors.New("vane: out of time")}, false
 		}
 		if !known || now.Sub(w.handed) < habit {
 			continue
@@ -57,7 +57,7 @@
 		if !w.m.Once && w.more(1) && w.until.Sub(now) > 2*s.First && !w.paid && w.again(s.Name, now) {
 			w.paid = true
 			t.Cancel()
-			return anemometer.Event{Kind: anemometer.Unknown, Err: errDark}, false
+			return upstream.Event{Kind: upstream.Unknown, Err: errDark}, false
 		}
 	}
 }
@@ -73,7 +73,7 @@
 	overMost  = 16 * time.Second
 )
 
-func (v *Vane) passOver(name string) {
+func (v *Router) passOver(name string) {
 	v.tableMu.Lock()
 	defer v.tableMu.Unlock()
 	now := v.Crew.Now()
@@ -87,7 +87,7 @@
 }
 
 // well forgets what was held against a worker that answers.
-func (v *Vane) well(name string) {
+func (v *Router) well(name string) {
 	v.tableMu.Lock()
 	delete(v.table.down, name)
 	v.tableMu.Unlock()
--- a/internal/vaned/dark_test.go
+++ b/internal/router/dark_test.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"encoding/json"
--- a/internal/vaned/door.go
+++ b/internal/router/door.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"bytes"
@@ -9,12 +9,12 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
+	"seamshunt/internal/config/routing"
 	"seamshunt/internal/synop"
-	"seamshunt/internal/vernier"
 )
 
 // serve is the door for callers; what needs no mapping is answered here.
-func (v *Vane) serve(ctx *fasthttp.RequestCtx) {
+func (v *Router) serve(ctx *fasthttp.RequestCtx) {
 	switch path := string(ctx.Path()); path {
 	case "/healthz":
 		v.health(ctx)
@@ -28,7 +28,7 @@
 }
 
 // refuse answers with a code at once; a refused caller is told when to come back.
-func (v *Vane) refuse(ctx *fasthttp.RequestCtx, c synop.Code, text string, notRun bool, back time.Duration) {
+func (v *Router) refuse(ctx *fasthttp.RequestCtx, c synop.Code, text string, notRun bool, back time.Duration) {
 	v.stats.count(c)
 	var a fastjson.Arena
 	o := a.NewObject()
@@ -50,7 +50,7 @@
 }
 
 // malformed answers a request that is no HTTP or is too large: it reached no rule and did not run.
-func (v *Vane) malformed(ctx *fasthttp.RequestCtx, err error) {
+func (v *Router) malformed(ctx *fasthttp.RequestCtx, err error) {
 	c := synop.BadBody
 	if err == fasthttp.ErrBodyTooLarge {
 		c = synop.TooLarge
@@ -60,7 +60,7 @@
 }
 
 // prompt takes one request its way over the compiled rules.
-func (v *Vane) prompt(ctx *fasthttp.RequestCtx, path string) {
+func (v *Router) prompt(ctx *fasthttp.RequestCtx, path string) {
 	v.flight.Add(1)
 	w := &way{v: v, ctx: ctx, begun: v.Crew.Now(), rules: v.rules.Load()}
 	defer func() {
@@ -84,14 +84,14 @@
 	if !w.read() {
 		return
 	}
-	do, ok := w.rules.Program.Find(vernier.Ask{Host: hostOf(ctx), Path: path, Header: func(n string) string { return string(ctx.Request.Header.Peek(n)) }})
+	do, ok := w.rules.Program.Find(routing.Ask{Host: hostOf(ctx), Path: path, Header: func(n string) string { return string(ctx.Request.Header.Peek(n)) }})
 	if !ok {
 		v.refuse(ctx, synop.NoMapping, "no mapping takes this request", true, 0)
 		return
 	}
 	w.m = w.rules.Mappings[do[0].Mapping]
 	v.tallies.count(w.m, func(t *tally) { t.ask(w.begun) })
-	vernier.Run(do, vernier.Hands{Limit: w.limit, Claim: w.claim, Share: w.share, Try: w.try, Refuse: w.refuse})
+	routing.Run(do, routing.Hands{Limit: w.limit, Claim: w.claim, Share: w.share, Try: w.try, Refuse: w.refuse})
 }
 
 // read checks what every prompt must bring.
--- a/internal/vaned/door_test.go
+++ b/internal/router/door_test.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"fmt"
@@ -151,9 +151,9 @@
 			c.Close()
 			gone(t, h)
 			weatherglass.Until(t, "the slot is free", func() bool {
-				v.gaugeMu.Lock()
-				defer v.gaugeMu.Unlock()
-				return v.gauge.Kept(v.Crew.Now())[0].Lent == 0 && v.flight.Load() == 0
+				v.ledgerMu.Lock()
+				defer v.ledgerMu.Unlock()
+				return v.ledger.Kept(v.Crew.Now())[0].Lent == 0 && v.flight.Load() == 0
 			})
 			v.stats.mu.Lock()
 			defer v.stats.mu.Unlock()
@@ -175,9 +175,9 @@
 	defer a.Close()
 	defer b.Close()
 	waiting := func() int {
-		v.gaugeMu.Lock()
-		defer v.gaugeMu.Unlock()
-		return v.gauge.Kept(v.Crew.Now())[0].Waiting
+		v.ledgerMu.Lock()
+		defer v.ledgerMu.Unlock()
+		return v.ledger.Kept(v.Crew.Now())[0].Waiting
 	}
 	c := ask(t, v, "/chat")
 	weatherglass.Until(t, "the third waits", func() bool { return waiting() == 1 })
--- a/internal/screen/claimant.go
+++ b/internal/router/idempotency/claimant.go
@@ -1,4 +1,4 @@
-package screen
+package idempotency
 
 import (
 	"time"
@@ -10,14 +10,14 @@
 )
 
 // Claim asks the holders, and the core's disks, for a key under a token that is this node's own.
-func (s *Screen) Claim(now units.Time, token uint64, key string, holders []units.Node) (out message.Effects) {
+func (s *Claimant) Claim(now units.Time, token uint64, key string, holders []units.Node) (out message.Effects) {
 	p := &pending{key: key, holders: holders, core: s.core, got: map[units.Node]bool{}, since: now}
 	s.pends[token] = p
 	s.ask(now, token, p, &out)
 	return out
 }
 
-func (s *Screen) ask(now units.Time, token uint64, p *pending, out *message.Effects) {
+func (s *Claimant) ask(now units.Time, token uint64, p *pending, out *message.Effects) {
 	p.sent = now
 	for _, n := range p.holders {
 		if n != 0 && !p.got[n] && p.held == 0 {
@@ -33,7 +33,7 @@
 
 // Burn makes a key useless for ever: the holder of its claim says that it did not run. Only a node whose claim
 // was granted may burn; to others the key's prompt may be running elsewhere.
-func (s *Screen) Burn(key string, holders []units.Node) (out message.Effects) {
+func (s *Claimant) Burn(key string, holders []units.Node) (out message.Effects) {
 	for _, n := range append(append([]units.Node(nil), holders...), s.core.All()...) {
 		if n != 0 {
 			out.Send(n, Burn, message.Pack(head{}, []byte(key)))
@@ -42,13 +42,13 @@
 	return out
 }
 
-func (s *Screen) end(token uint64, c synop.Code, kept bool) {
+func (s *Claimant) end(token uint64, c synop.Code, kept bool) {
 	delete(s.pends, token)
 	s.Results = append(s.Results, Result{token, c, kept})
 }
 
 // settled ends a claim that the holders granted: once the disks have it too, or can't be waited for.
-func (s *Screen) settled(now units.Time, token uint64, p *pending) {
+func (s *Claimant) settled(now units.Time, token uint64, p *pending) {
 	if p.held == 0 {
 		return
 	}
@@ -69,7 +69,7 @@
 }
 
 // tell lets the disks know of claims that were granted without them.
-func (s *Screen) tell(now units.Time, out *message.Effects) {
+func (s *Claimant) tell(now units.Time, out *message.Effects) {
 	for _, token := range message.Keys(s.late) {
 		p := s.late[token]
 		switch {
@@ -84,7 +84,7 @@
 	}
 }
 
-func (s *Screen) answered(now units.Time, from units.Node, h head) {
+func (s *Claimant) answered(now units.Time, from units.Node, h head) {
 	if p := s.late[h.Token]; p != nil {
 		if h.State == granted {
 			p.got[from] = true
--- a/internal/screen/screen.go
+++ b/internal/router/idempotency/claims.go
@@ -1,6 +1,6 @@
-// Package screen shelters what may not repeat: a caller's key is claimed at a majority of three vanes before
+// Package idempotency shelters what may not repeat: a caller's key is claimed at a majority of three vanes before
 // the prompt is handed over (design 8).
-package screen
+package idempotency
 
 import (
 	"time"
@@ -73,8 +73,8 @@
 	ver   units.Num
 }
 
-// Screen is the step machine: holder of others' claims and claimant of its own callers'.
-type Screen struct {
+// Claimant is the step machine: holder of others' claims and claimant of its own callers'.
+type Claimant struct {
 	self       units.Node
 	born       units.Time
 	keys       map[string]entry
@@ -91,15 +91,15 @@
 }
 
 // New gives a node that remembers nothing and so abstains.
-func New(self units.Node, now units.Time) *Screen {
-	return &Screen{self: self, born: now, keys: map[string]entry{}, pends: map[uint64]*pending{}, late: map[uint64]*pending{}, heard: map[units.Node]heard{}}
+func New(self units.Node, now units.Time) *Claimant {
+	return &Claimant{self: self, born: now, keys: map[string]entry{}, pends: map[uint64]*pending{}, late: map[uint64]*pending{}, heard: map[units.Node]heard{}}
 }
 
 // Core sets the voters, whose disks keep claims beyond the loss of all memory.
-func (s *Screen) Core(v register.QuorumSet) { s.core = v }
+func (s *Claimant) Core(v register.QuorumSet) { s.core = v }
 
 // Tick asks again, gives up, forgets old keys, and copies what others remember after a start.
-func (s *Screen) Tick(now units.Time, peers []units.Node, longest time.Duration) (out message.Effects) {
+func (s *Claimant) Tick(now units.Time, peers []units.Node, longest time.Duration) (out message.Effects) {
 	for _, token := range message.Keys(s.pends) {
 		p := s.pends[token]
 		switch {
@@ -128,10 +128,10 @@
 }
 
 // Whole says whether this node takes part in claims.
-func (s *Screen) Whole() bool { return s.whole }
+func (s *Claimant) Whole() bool { return s.whole }
 
 // Step takes one note.
-func (s *Screen) Step(now units.Time, n message.Message) (out message.Effects) {
+func (s *Claimant) Step(now units.Time, n message.Message) (out message.Effects) {
 	var h head
 	var key []byte
 	switch n.Kind {
@@ -160,7 +160,7 @@
 	return out
 }
 
-func (s *Screen) hold(now units.Time, token uint64, key string) uint8 {
+func (s *Claimant) hold(now units.Time, token uint64, key string) uint8 {
 	e, ok := s.keys[key]
 	switch {
 	case ok && e.burnt:
--- a/internal/screen/copy.go
+++ b/internal/router/idempotency/copy.go
@@ -1,4 +1,4 @@
-package screen
+package idempotency
 
 import (
 	"time"
@@ -59,7 +59,7 @@
 
 // take copies a neighbour's memory, or a voter's; a key that is known here already keeps what it has, burnt staying
 // burnt.
-func (s *Screen) take(now units.Time, n message.Message) error {
+func (s *Claimant) take(now units.Time, n message.Message) error {
 	h, l, err := unpackCopy(n.Body)
 	if err != nil {
 		return err
@@ -79,7 +79,7 @@
 // recall brings back what others remember after a start. It is all there once every live vane has given a whole
 // memory; or, where some are as new as this one, once all have given what they have and so many voters theirs that
 // no claim on a majority of the disks can be missing.
-func (s *Screen) recall(now units.Time, peers []units.Node, out *message.Effects) bool {
+func (s *Claimant) recall(now units.Time, peers []units.Node, out *message.Effects) bool {
 	allWhole, allHeard := true, true
 	for _, n := range peers {
 		h, ok := s.heard[n]
--- a/internal/screen/holders.go
+++ b/internal/router/idempotency/holders.go
@@ -1,4 +1,4 @@
-package screen
+package idempotency
 
 import (
 	"cmp"
--- a/internal/screen/roll.go
+++ b/internal/router/idempotency/registry.go
@@ -1,4 +1,4 @@
-package screen
+package idempotency
 
 import (
 	"time"
@@ -20,8 +20,8 @@
 	empty bool // it holds no claim, so that it tells no more than a blank one
 }
 
-// Roll is a voter's copy of all claims, on its disk: what vanes remember is gone once they all are (design 8).
-type Roll struct {
+// Registry is a voter's copy of all claims, on its disk: what vanes remember is gone once they all are (design 8).
+type Registry struct {
 	self  units.Node
 	keys  map[string]entry
 	whole bool
@@ -31,10 +31,10 @@
 	Low   bool // no room on the disk: nothing new is taken
 }
 
-// LoadRoll builds the machine from what the disk holds. How old a claim is is not on the disk, so that no calendar
+// LoadRegistry builds the machine from what the disk holds. How old a claim is is not on the disk, so that no calendar
 // is trusted: after a start each counts as new.
-func LoadRoll(self units.Node, now units.Time, rs []message.Record) *Roll {
-	r := &Roll{self: self, keys: map[string]entry{}, heard: map[units.Node]copyState{}}
+func LoadRegistry(self units.Node, now units.Time, rs []message.Record) *Registry {
+	r := &Registry{self: self, keys: map[string]entry{}, heard: map[units.Node]copyState{}}
 	for _, x := range rs {
 		var it item
 		switch {
@@ -56,13 +56,13 @@
 }
 
 // Whole says whether this voter knows all that a majority was ever told, and so may grant.
-func (r *Roll) Whole() bool { return r.whole }
+func (r *Registry) Whole() bool { return r.whole }
 
 // Len counts the claims.
-func (r *Roll) Len() int { return len(r.keys) }
+func (r *Registry) Len() int { return len(r.keys) }
 
 // Step takes one note; ver is the newest set of voters that this node knows of.
-func (r *Roll) Step(now units.Time, n message.Message, ver units.Num) (out message.Effects) {
+func (r *Registry) Step(now units.Time, n message.Message, ver units.Num) (out message.Effects) {
 	switch n.Kind {
 	case CopyAsk:
 		var h head
@@ -88,7 +88,7 @@
 	return out
 }
 
-func (r *Roll) claim(now units.Time, n message.Message, h head, key string, ver units.Num, out *message.Effects) {
+func (r *Registry) claim(now units.Time, n message.Message, h head, key string, ver units.Num, out *message.Effects) {
 	e, ok := r.keys[key]
 	if n.Kind == Burn {
 		if !e.burnt && !r.Low {
@@ -112,13 +112,13 @@
 	out.SendAfterSync(n.From, Claimed, message.Pack(h, []byte(key)))
 }
 
-func (r *Roll) set(key string, e entry, out *message.Effects) {
+func (r *Registry) set(key string, e entry, out *message.Effects) {
 	r.keys[key] = e
 	out.Writes = append(out.Writes, record(key, e))
 }
 
 // copy takes another voter's claims, as a blank disk must before it may grant.
-func (r *Roll) copy(now units.Time, n message.Message, out *message.Effects) {
+func (r *Registry) copy(now units.Time, n message.Message, out *message.Effects) {
 	if r.whole {
 		return
 	}
@@ -136,7 +136,7 @@
 }
 
 // Tick forgets old claims, and has a blank disk copy those of the other voters.
-func (r *Roll) Tick(now units.Time, v register.QuorumSet) (out message.Effects) {
+func (r *Registry) Tick(now units.Time, v register.QuorumSet) (out message.Effects) {
 	if now.Sub(r.swept) > time.Second && !r.Low {
 		r.swept = now
 		for _, k := range message.Keys(r.keys) {
--- a/internal/screen/roll_test.go
+++ b/internal/router/idempotency/registry_test.go
@@ -1,4 +1,4 @@
-package screen_test
+package idempotency_test
 
 import (
 	"testing"
@@ -6,7 +6,7 @@
 
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/screen"
+	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/units"
 )
 
@@ -14,9 +14,9 @@
 // that can't be read change nothing.
 func TestRollAbstains(t *testing.T) {
 	v := register.QuorumSet{Version: 2, Members: []units.Node{1, 2, 3}}
-	old := screen.LoadRoll(2, 0, []message.Record{{Kind: screen.RecWhole, Data: []byte{1}}})
-	claim := func(r *screen.Roll, key string, token, ver uint64) int {
-		s := screen.New(9, 0)
+	old := idempotency.LoadRegistry(2, 0, []message.Record{{Kind: idempotency.RecWhole, Data: []byte{1}}})
+	claim := func(r *idempotency.Registry, key string, token, ver uint64) int {
+		s := idempotency.New(9, 0)
 		s.Core(register.QuorumSet{Version: units.Num(ver), Members: []units.Node{7}})
 		s.Tick(units.Time(time.Minute), nil, time.Second)
 		out := s.Claim(0, token, key, []units.Node{9})
@@ -36,18 +36,18 @@
 	if claim(old, "c", 5, 2) != 0 {
 		t.Error("a full disk takes no claim")
 	}
-	blank := screen.LoadRoll(3, 0, nil)
+	blank := idempotency.LoadRegistry(3, 0, nil)
 	if claim(blank, "d", 5, 2) != 0 || blank.Whole() {
 		t.Error("a blank voter grants")
 	}
-	if o := blank.Step(0, message.Message{From: 2, Kind: screen.Copy, Body: []byte{1, 2, 3}}, 2); len(o.Errs) != 1 || blank.Len() != 0 {
+	if o := blank.Step(0, message.Message{From: 2, Kind: idempotency.Copy, Body: []byte{1, 2, 3}}, 2); len(o.Errs) != 1 || blank.Len() != 0 {
 		t.Error("a copy that can't be read is not counted as a fault")
 	}
-	for _, from := range []*screen.Roll{old, screen.LoadRoll(1, 0, []message.Record{{Kind: screen.RecWhole, Data: []byte{1}}})} {
+	for _, from := range []*idempotency.Registry{old, idempotency.LoadRegistry(1, 0, []message.Record{{Kind: idempotency.RecWhole, Data: []byte{1}}})} {
 		if blank.Tick(units.Time(time.Second), v); blank.Whole() {
 			t.Fatal("whole with too few copies")
 		}
-		for _, n := range from.Step(0, message.Message{From: 3, Kind: screen.CopyAsk, Body: message.Pack(struct {
+		for _, n := range from.Step(0, message.Message{From: 3, Kind: idempotency.CopyAsk, Body: message.Pack(struct {
 			Token, Ver uint64
 			State      uint8
 		}{Ver: 2})}, 2).AfterSync {
--- a/internal/screen/voters_test.go
+++ b/internal/router/idempotency/voters_test.go
@@ -1,4 +1,4 @@
-package screen_test
+package idempotency_test
 
 import (
 	"math/rand/v2"
@@ -7,7 +7,7 @@
 
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/screen"
+	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -38,8 +38,8 @@
 	sets    []register.QuorumSet
 	draw    *rand.Rand
 	now     units.Time
-	screens map[units.Node]*screen.Screen
-	rolls   map[units.Node]*screen.Roll
+	screens map[units.Node]*idempotency.Claimant
+	rolls   map[units.Node]*idempotency.Registry
 	knows   map[units.Node]int // the newest set that a node knows of, by its place
 	under   []message.Message
 	granted int
@@ -47,10 +47,10 @@
 }
 
 func newClaimFleet(seed uint64, sets []register.QuorumSet) *claimFleet {
-	f := &claimFleet{sets: sets, draw: rand.New(rand.NewPCG(seed, 5)), now: units.Time(time.Minute), screens: map[units.Node]*screen.Screen{},
-		rolls: map[units.Node]*screen.Roll{}, knows: map[units.Node]int{}}
+	f := &claimFleet{sets: sets, draw: rand.New(rand.NewPCG(seed, 5)), now: units.Time(time.Minute), screens: map[units.Node]*idempotency.Claimant{},
+		rolls: map[units.Node]*idempotency.Registry{}, knows: map[units.Node]int{}}
 	for d := units.Node(11); d <= 15; d++ {
-		f.rolls[d] = screen.LoadRoll(d, f.now, nil)
+		f.rolls[d] = idempotency.LoadRegistry(d, f.now, nil)
 	}
 	f.restartScreens()
 	return f
@@ -59,7 +59,7 @@
 // restartScreens loses all that the holders remember.
 func (f *claimFleet) restartScreens() {
 	for _, n := range claimHolders {
-		f.screens[n] = screen.New(n, f.now)
+		f.screens[n] = idempotency.New(n, f.now)
 	}
 }
 
--- a/internal/vaned/leave.go
+++ b/internal/router/leave.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"context"
@@ -51,22 +51,22 @@
 }
 
 // leaving says whether this node has been warned.
-func (v *Vane) leaving() bool { return v.departure.Load() != nil }
+func (v *Router) leaving() bool { return v.departure.Load() != nil }
 
 // ending says whether what has no answer yet gets its final one.
-func (v *Vane) ending() bool {
+func (v *Router) ending() bool {
 	d := v.departure.Load()
 	return d != nil && d.ending(v.Crew.Now())
 }
 
 // begins says whether a request that is over at until at the latest may be begun here.
-func (v *Vane) begins(now, until units.Time) bool {
+func (v *Router) begins(now, until units.Time) bool {
 	d := v.departure.Load()
 	return d == nil || !v.closing.Load() && d.takes(now, until)
 }
 
 // Drain gives this node's duties away and lets what is under way end within the grace.
-func (v *Vane) Drain() {
+func (v *Router) Drain() {
 	now := v.Crew.Now()
 	d := newDeparture(now, time.Duration(v.Boot.DrainMs)*time.Millisecond)
 	v.departure.Store(d)
@@ -77,7 +77,7 @@
 }
 
 // awaitQuiet returns once nothing is under way and nothing more is taken, or when the grace is over.
-func (v *Vane) awaitQuiet(d *departure) {
+func (v *Router) awaitQuiet(d *departure) {
 	least := d.warned
 	if v.Words != nil {
 		least = least.Add(lingerFor)
@@ -99,7 +99,7 @@
 }
 
 // Close ends the door and the wires at once.
-func (v *Vane) Close() {
+func (v *Router) Close() {
 	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
 	_ = v.web.ShutdownWithContext(ctx)
--- a/internal/vaned/leave_test.go
+++ b/internal/router/leave_test.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"io"
@@ -40,7 +40,7 @@
 }
 
 // departing is a router that was warned some time ago and has some time left.
-func departing(v *Vane, ago, left time.Duration) *departure {
+func departing(v *Router, ago, left time.Duration) *departure {
 	now := v.Crew.Now()
 	d := &departure{warned: now.Add(-ago), end: now.Add(left)}
 	v.departure.Store(d)
--- a/internal/windvane/windvane.go
+++ b/internal/router/placement/placement.go
@@ -1,5 +1,5 @@
-// Package windvane is placement: which workers a prompt may be offered, in which order (design 7).
-package windvane
+// Package placement is placement: which workers a prompt may be offered, in which order (design 7).
+package placement
 
 import (
 	"slices"
@@ -24,15 +24,15 @@
 }
 
 // Policies by name; a new one is a new line here and nothing elsewhere.
-var Policies = map[string]func(*Windvane, Query) []string{
-	"prefix": (*Windvane).prefix,
-	"least":  (*Windvane).least,
-	"turn":   (*Windvane).turn,
-	"home":   (*Windvane).home,
+var Policies = map[string]func(*Placer, Query) []string{
+	"prefix": (*Placer).prefix,
+	"least":  (*Placer).least,
+	"turn":   (*Placer).turn,
+	"home":   (*Placer).home,
 }
 
-// Windvane holds what policies remember between prompts.
-type Windvane struct {
+// Placer holds what policies remember between prompts.
+type Placer struct {
 	next atomic.Uint64
 }
 
@@ -42,7 +42,7 @@
 }
 
 // Order lists workers, best first.
-func (w *Windvane) Order(policy string, q Query) []string { return Policies[policy](w, q) }
+func (w *Placer) Order(policy string, q Query) []string { return Policies[policy](w, q) }
 
 func names(l []Spot) []string {
 	s := make([]string, len(l))
@@ -53,7 +53,7 @@
 }
 
 // prefix: the own zone's first few in rendezvous order hold the prefix; behind them the least loaded.
-func (w *Windvane) prefix(q Query) []string {
+func (w *Placer) prefix(q Query) []string {
 	type ranked struct {
 		Spot
 		rank uint64
@@ -80,7 +80,7 @@
 
 // home: one order for the whole fleet, whatever the zone, so that a long shared part is read by few workers; behind
 // the first few, and where nothing is shared, the least loaded.
-func (w *Windvane) home(q Query) []string {
+func (w *Placer) home(q Query) []string {
 	l := slices.Clone(q.Spots)
 	if q.Prefix == 0 {
 		rotate(l, int(w.next.Add(1)))
@@ -121,7 +121,7 @@
 }
 
 // least: the least loaded first, the own zone preferred.
-func (w *Windvane) least(q Query) []string {
+func (w *Placer) least(q Query) []string {
 	l := slices.Clone(q.Spots)
 	rotate(l, int(w.next.Add(1)))
 	slices.SortStableFunc(l, func(a, b Spot) int { return byLoad(a, b, q.Zone) })
@@ -129,7 +129,7 @@
 }
 
 // turn: each in its turn, whatever the zone.
-func (w *Windvane) turn(q Query) []string {
+func (w *Placer) turn(q Query) []string {
 	l := slices.Clone(q.Spots)
 	rotate(l, int(w.next.Add(1)))
 	return names(l)
--- a/internal/vaned/relay.go
+++ b/internal/router/relay.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"bytes"
@@ -8,26 +8,26 @@
 
 	"github.com/valyala/fasthttp"
 
-	"seamshunt/internal/codebook"
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/adapter"
+	"seamshunt/internal/config"
+	"seamshunt/internal/config/routing"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
-	"seamshunt/internal/vernier"
 )
 
 // relay is one request on its way through this node in an adapter's words (design 11): its bytes go to a worker and the
 // worker's come back unchanged. Its id belongs to one try of a client, so nothing is claimed for it.
 type relay struct {
-	v      *Vane
+	v      *Router
 	ctx    *fasthttp.RequestCtx
 	rules  *rules
-	m      *forecast.Mapping
+	m      *config.Mapping
 	id     string
 	body   []byte
 	begun  units.Time
 	until  units.Time
 	left   time.Duration
-	prompt codebook.Prompt
+	prompt adapter.Prompt
 	sized  bool   // the prompt's size is known
 	last   string // the id of the last whole event that the client has
 	sent   int    // workers that the request was sent to
@@ -45,7 +45,7 @@
 const holdFor = 700 * time.Millisecond
 
 // relay takes one request its way.
-func (v *Vane) relay(ctx *fasthttp.RequestCtx) {
+func (v *Router) relay(ctx *fasthttp.RequestCtx) {
 	v.flight.Add(1)
 	w := &relay{v: v, ctx: ctx, begun: v.Crew.Now()}
 	defer func() {
@@ -73,7 +73,7 @@
 	if i := bytes.IndexByte(path, '?'); i >= 0 {
 		path = path[:i]
 	}
-	do, ok := w.rules.Program.Find(vernier.Ask{Host: host, Path: string(path), Header: func(n string) string { return string(ctx.Request.Header.Peek(n)) }})
+	do, ok := w.rules.Program.Find(routing.Ask{Host: host, Path: string(path), Header: func(n string) string { return string(ctx.Request.Header.Peek(n)) }})
 	if !ok {
 		w.end(synop.NoMapping, 0)
 		return
@@ -86,7 +86,7 @@
 	}
 	w.read()
 	v.tallies.count(w.m, func(t *tally) { t.ask(w.begun) })
-	vernier.Run(do, vernier.Hands{Limit: w.limit, Claim: func() bool { return false }, Share: w.share, Try: w.try, Refuse: w.refuse})
+	routing.Run(do, routing.Hands{Limit: w.limit, Claim: func() bool { return false }, Share: w.share, Try: w.try, Refuse: w.refuse})
 }
 
 // hostOf is the host that the client names, without a port.
@@ -134,7 +134,7 @@
 }
 
 // draw gives the service that an id falls to, by the shares.
-func draw(split []forecast.Target, id string) (string, bool) {
+func draw(split []config.Target, id string) (string, bool) {
 	sum := 0
 	for _, t := range split {
 		sum += t.Share
@@ -149,7 +149,7 @@
 }
 
 // over says whether a request is larger than the limits in force allow.
-func over(ctx *fasthttp.RequestCtx, l forecast.Limits) bool {
+func over(ctx *fasthttp.RequestCtx, l config.Limits) bool {
 	return l.Body > 0 && len(ctx.PostBody()) > l.Body || l.Head > 0 && len(ctx.Request.Header.RawHeaders()) > l.Head
 }
 
--- a/internal/vaned/relay_judge_test.go
+++ b/internal/router/relay_judge_test.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"fmt"
--- a/internal/vaned/relay_random_test.go
+++ b/internal/router/relay_random_test.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"fmt"
@@ -61,7 +61,7 @@
 }
 
 // randomCaller sends its requests in batches over one connection, and over a new one once that has ended.
-func randomCaller(t *testing.T, v *Vane, notes *relayNotes, seed uint64, caller int) {
+func randomCaller(t *testing.T, v *Router, notes *relayNotes, seed uint64, caller int) {
 	draw := rand.New(rand.NewPCG(seed, uint64(caller)))
 	c := clientConn(t, v)
 	for n := 0; n < randomRequests; {
--- a/internal/vaned/relay_rig_test.go
+++ b/internal/router/relay_rig_test.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"bufio"
@@ -13,7 +13,7 @@
 
 	"seamshunt/internal/boot"
 	"seamshunt/internal/cluster/configpush"
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 	"seamshunt/internal/weatherglass"
 	"seamshunt/platform"
 )
@@ -101,7 +101,7 @@
 func (c *workerConn) closedByRouter() { _, _ = io.Copy(io.Discard, c.r) }
 
 // relayRig is one router alone in the platform's words; it keeps all workers itself. Its budget allows further tries.
-func relayRig(t testing.TB, workers ...*scriptedWorker) *Vane {
+func relayRig(t testing.TB, workers ...*scriptedWorker) *Router {
 	t.Helper()
 	b := &boot.Boot{Name: "n1", Zone: "z1", Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), DrainMs: 1000, Bounds: boot.Bounds{WarmExcess: 1, RetryRatio: 1}}
 	b.Seeds = []string{b.Addr}
@@ -110,20 +110,20 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(v.Close)
-	var l []forecast.Worker
+	var l []config.Worker
 	for _, w := range workers {
-		l = append(l, forecast.Worker{ID: w.id, Addr: w.addr, Zone: "z1", Age: time.Hour, Service: "svc", Slots: relaySlots})
+		l = append(l, config.Worker{ID: w.id, Addr: w.addr, Zone: "z1", Age: time.Hour, Service: "svc", Slots: relaySlots})
 	}
 	v.FeedMu.Lock()
 	v.Feed.Take(configpush.Item{Key: "config", Num: 1, Data: []byte(relayConfig)})
-	v.Feed.Take(configpush.Item{Key: "workers/" + platform.Pool, Num: 1, Data: forecast.PackWorkers(l)})
+	v.Feed.Take(configpush.Item{Key: "workers/" + platform.Pool, Num: 1, Data: config.PackWorkers(l)})
 	v.FeedMu.Unlock()
 	v.ready.Store(true)
 	weatherglass.Until(t, "the router keeps its workers", func() bool {
-		v.gaugeMu.Lock()
-		defer v.gaugeMu.Unlock()
+		v.ledgerMu.Lock()
+		defer v.ledgerMu.Unlock()
 		open := 0
-		for _, k := range v.gauge.Kept(v.Crew.Now()) {
+		for _, k := range v.ledger.Kept(v.Crew.Now()) {
 			if k.Open {
 				open++
 			}
@@ -142,7 +142,7 @@
 }
 
 // clientConn dials the router's front.
-func clientConn(t testing.TB, v *Vane) *workerConn {
+func clientConn(t testing.TB, v *Router) *workerConn {
 	t.Helper()
 	c, err := net.Dial("tcp", v.Boot.Web)
 	if err != nil {
--- a/internal/vaned/relay_size.go
+++ b/internal/router/relay_size.go
@@ -1,16 +1,16 @@
-package vaned
+package router
 
 import (
 	"time"
 
-	"seamshunt/internal/codebook"
-	"seamshunt/internal/forecast"
-	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/adapter"
+	"seamshunt/internal/config"
+	"seamshunt/internal/router/admission"
 	"seamshunt/internal/units"
 )
 
 // place orders the workers for one request, and says what each would have to read and hold.
-func (v *Vane) place(now units.Time, s *forecast.Service, w *relay, q *hygrometer.Req) ([]string, map[string]units.Node) {
+func (v *Router) place(now units.Time, s *config.Service, w *relay, q *admission.Request) ([]string, map[string]units.Node) {
 	w.urge = byRank(w.m)
 	if w.sized && s.Memory > 0 {
 		size(w.prompt, s, q)
@@ -28,7 +28,7 @@
 }
 
 // homeKey names the shared parts of a prompt: all but the last, which is its own or its session's.
-func homeKey(p codebook.Prompt, sized bool) uint64 {
+func homeKey(p adapter.Prompt, sized bool) uint64 {
 	if !sized || len(p.Parts) < 2 {
 		return 0
 	}
@@ -39,13 +39,13 @@
 const soon = 90
 
 // reads is how long a usual worker takes to read tokens of which so many others stand before.
-func reads(s *forecast.Service, own, before int) time.Duration {
+func reads(s *config.Service, own, before int) time.Duration {
 	n, b := float64(own), float64(before)
 	return time.Duration((n/s.Reads + s.Pairs*n*(b+n/2)/1e6) * float64(time.Millisecond))
 }
 
 // size works out what a prompt costs a worker that holds its shared parts, and one that doesn't (design 12).
-func size(p codebook.Prompt, s *forecast.Service, q *hygrometer.Req) {
+func size(p adapter.Prompt, s *config.Service, q *admission.Request) {
 	shared := 0
 	for i, x := range p.Parts {
 		if i < len(p.Parts)-1 {
@@ -71,10 +71,10 @@
 }
 
 // byRank is the urgency of what has no size.
-func byRank(m *forecast.Mapping) uint8 { return uint8(min(9, 2+m.Rank)) }
+func byRank(m *config.Mapping) uint8 { return uint8(min(9, 2+m.Rank)) }
 
 // connsOf is this node's part of the connections that a worker accepts from all nodes together.
-func (v *Vane) connsOf(s *forecast.Service) int {
+func (v *Router) connsOf(s *config.Service) int {
 	if s.Conns == 0 {
 		return 0
 	}
--- a/internal/vaned/relay_try.go
+++ b/internal/router/relay_try.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"errors"
@@ -7,9 +7,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"seamshunt/internal/anemometer"
-	"seamshunt/internal/forecast"
-	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/config"
+	"seamshunt/internal/router/admission"
+	"seamshunt/internal/router/upstream"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -82,25 +82,25 @@
 
 // run is one hand-over that was answered.
 type run struct {
-	*anemometer.Exchange
+	*upstream.Exchange
 	tag     uint64
 	worker  string
-	service *forecast.Service
+	service *config.Service
 	handed  units.Time
 }
 
-// admit asks the hygrometer and waits for its verdict; false when the client hung up.
-func (w *relay) admit(now units.Time, s *forecast.Service) (verdict, uint64, bool) {
+// admit asks for admission and waits for the verdict; false when the client hung up.
+func (w *relay) admit(now units.Time, s *config.Service) (verdict, uint64, bool) {
 	v, tag := w.v, w.v.tag.Add(1)
-	q := hygrometer.Req{Tag: tag, Policy: s.Allow, Until: w.until, First: s.First, Worth: uint16(w.m.Promise.Worth), Tries: 3}
+	q := admission.Request{Tag: tag, Policy: s.Allow, Until: w.until, First: s.First, Worth: uint16(w.m.Promise.Worth), Tries: 3}
 	cands, keepers := v.place(now, s, w, &q)
 	q.Cands, q.Keeper = cands, func(n string) units.Node { return keepers[n] }
 	c := make(chan verdict, 1)
-	v.deskMu.Lock()
-	v.doors[tag] = c
-	out := v.desk.Arrive(now, q)
+	v.queueMu.Lock()
+	v.waiting[tag] = c
+	out := v.queue.Arrive(now, q)
 	v.tell(now)
-	v.deskMu.Unlock()
+	v.queueMu.Unlock()
 	v.Deliver(out)
 	t := time.NewTicker(2 * peekAt)
 	defer t.Stop()
@@ -111,9 +111,9 @@
 		case <-t.C:
 			if v.ending() {
 				v.cut(tag)
-				return verdict{Verdict: hygrometer.Verdict{Code: synop.Draining}}, tag, true
+				return verdict{Verdict: admission.Verdict{Code: synop.Draining}}, tag, true
 			}
-			if anemometer.HungUp(w.ctx.Conn()) {
+			if upstream.HungUp(w.ctx.Conn()) {
 				v.cut(tag)
 				v.stats.count(synop.HungUp)
 				w.ctx.SetConnectionClose()
@@ -147,7 +147,7 @@
 var hops = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
 
 // handOver sends the request to a worker. Nothing means that it may look further, as far as may allows.
-func (w *relay) handOver(tag uint64, name string, s *forecast.Service) *run {
+func (w *relay) handOver(tag uint64, name string, s *config.Service) *run {
 	v := w.v
 	addr, zone, ok := v.address(name, s)
 	if !ok || !w.m.Reaches(s.Name) {
@@ -158,8 +158,8 @@
 	now := v.Crew.Now()
 	worker := name[len(s.Name)+1:]
 	req := w.request(worker, w.until.Sub(now))
-	o := &anemometer.Order{Worker: worker, Addr: addr, ID: w.id, Req: req, Due: time.Now().Add(w.until.Sub(now)), Fresh: w.m.Once,
-		Most: v.connsOf(s), Gone: func() bool { return v.ending() || anemometer.HungUp(w.ctx.Conn()) }}
+	o := &upstream.Order{Worker: worker, Addr: addr, ID: w.id, Req: req, Due: time.Now().Add(w.until.Sub(now)), Fresh: w.m.Once,
+		Most: v.connsOf(s), Gone: func() bool { return v.ending() || upstream.HungUp(w.ctx.Conn()) }}
 	v.stats.hand(zone, v.Boot.Zone, len(w.body))
 	if w.sent == 0 {
 		v.budgetOf(s.Name).First(now)
@@ -167,7 +167,7 @@
 	x := v.pool.Do(o)
 	fasthttp.ReleaseRequest(req)
 	switch x.Kind {
-	case anemometer.Piece:
+	case upstream.Piece:
 		w.sent++
 		w.ran = true
 		if w.retries(x.Resp.StatusCode()) {
@@ -179,17 +179,17 @@
 		}
 		took := v.Crew.Now().Sub(now)
 		v.habitOf(s.Name).Add(took)
-		v.deskMu.Lock()
-		v.desk.Words(tag, took)
-		v.deskMu.Unlock()
+		v.queueMu.Lock()
+		v.queue.Words(tag, took)
+		v.queueMu.Unlock()
 		return &run{Exchange: x, tag: tag, worker: name, service: s, handed: now}
-	case anemometer.NotSent:
+	case upstream.NotSent:
 		v.done(tag, false)
 		if x.Down {
 			v.passOver(name)
 		}
 		w.why = synop.NoWorker
-	case anemometer.NotRun, anemometer.Moved:
+	case upstream.NotRun, upstream.Moved:
 		w.sent++
 		v.done(tag, false)
 		v.passOver(name)
@@ -197,7 +197,7 @@
 	default:
 		w.sent++
 		w.ran = true
-		w.gone = errors.Is(x.Err, anemometer.ErrGone)
+		w.gone = errors.Is(x.Err, upstream.ErrGone)
 		w.why = synop.Unknown
 		v.done(tag, !x.Down)
 		v.passOver(name)
--- a/internal/vaned/reply.go
+++ b/internal/router/reply.go
@@ -1,11 +1,11 @@
-package vaned
+package router
 
 import (
 	"io"
 
 	"github.com/valyala/fasthttp"
 
-	"seamshunt/internal/anemometer"
+	"seamshunt/internal/router/upstream"
 	"seamshunt/internal/synop"
 )
 
@@ -67,7 +67,7 @@
 type reply struct {
 	w *relay
 	*run
-	events anemometer.Events
+	events upstream.Events
 	out    []byte // whole events that are not read yet
 	buf    []byte
 	ended  bool
@@ -180,7 +180,7 @@
 			return false
 		}
 		r.run = e
-		r.events = anemometer.Events{Last: r.events.Last}
+		r.events = upstream.Events{Last: r.events.Last}
 		return true
 	}
 }
--- a/internal/vaned/rig_test.go
+++ b/internal/router/rig_test.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"bufio"
@@ -15,7 +15,7 @@
 
 	"seamshunt/internal/boot"
 	"seamshunt/internal/cluster/configpush"
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 	"seamshunt/internal/weatherglass"
 )
 
@@ -82,13 +82,13 @@
 }
 
 // rig is one vane alone, its news put in by hand; it keeps all workers itself.
-func rig(t testing.TB, workers ...string) *Vane {
+func rig(t testing.TB, workers ...string) *Router {
 	t.Helper()
 	return rigOf(t, rigConfig, workers...)
 }
 
 // rigOf is a rig with a configuration of its own.
-func rigOf(t testing.TB, config string, workers ...string) *Vane {
+func rigOf(t testing.TB, configText string, workers ...string) *Router {
 	t.Helper()
 	b := &boot.Boot{Name: "n1", Zone: "z1", Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), DrainMs: 1000, Bounds: boot.Bounds{WarmExcess: 1}}
 	b.Seeds = []string{b.Addr}
@@ -97,19 +97,19 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(v.Close)
-	var l []forecast.Worker
+	var l []config.Worker
 	for i, a := range workers {
-		l = append(l, forecast.Worker{ID: fmt.Sprintf("w%d", i+1), Addr: a, Zone: "z1", Age: time.Hour})
+		l = append(l, config.Worker{ID: fmt.Sprintf("w%d", i+1), Addr: a, Zone: "z1", Age: time.Hour})
 	}
 	v.FeedMu.Lock()
-	v.Feed.Take(configpush.Item{Key: "config", Num: 1, Data: []byte(config)})
-	v.Feed.Take(configpush.Item{Key: "workers/main", Num: 1, Data: forecast.PackWorkers(l)})
+	v.Feed.Take(configpush.Item{Key: "config", Num: 1, Data: []byte(configText)})
+	v.Feed.Take(configpush.Item{Key: "workers/main", Num: 1, Data: config.PackWorkers(l)})
 	v.FeedMu.Unlock()
 	v.ready.Store(true)
 	weatherglass.Until(t, "the vane keeps its workers", func() bool {
-		v.gaugeMu.Lock()
-		defer v.gaugeMu.Unlock()
-		k := v.gauge.Kept(v.Crew.Now())
+		v.ledgerMu.Lock()
+		defer v.ledgerMu.Unlock()
+		k := v.ledger.Kept(v.Crew.Now())
 		for _, x := range k {
 			if !x.Open {
 				return false
@@ -118,9 +118,9 @@
 		return len(k) == len(workers)
 	})
 	weatherglass.Until(t, "the vane takes part in claims", func() bool {
-		v.screenMu.Lock()
-		defer v.screenMu.Unlock()
-		return v.screen.Whole()
+		v.claimantMu.Lock()
+		defer v.claimantMu.Unlock()
+		return v.claimant.Whole()
 	})
 	return v
 }
@@ -131,7 +131,7 @@
 	r *bufio.Reader
 }
 
-func dial(t *testing.T, v *Vane) *caller {
+func dial(t *testing.T, v *Router) *caller {
 	t.Helper()
 	c, err := net.Dial("tcp", v.Boot.Web)
 	if err != nil {
@@ -148,7 +148,7 @@
 
 const prompt = `{"prompt":"hello there"}`
 
-func ask(t *testing.T, v *Vane, path string) *caller {
+func ask(t *testing.T, v *Router, path string) *caller {
 	t.Helper()
 	c := dial(t, v)
 	c.post(path, "Time-Left-Ms: 2500\r\n", prompt)
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,210 @@
+// Package router is the data plane: callers' prompts in, workers' streams out (design 1, 4, 6, 8).
+package router
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"seamshunt/internal/adapter"
+	"seamshunt/internal/boot"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/crew"
+	"seamshunt/internal/listener"
+	"seamshunt/internal/router/admission"
+	"seamshunt/internal/router/capacity"
+	"seamshunt/internal/router/idempotency"
+	"seamshunt/internal/router/placement"
+	"seamshunt/internal/router/upstream"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/tower"
+	"seamshunt/internal/units"
+)
+
+// MaxPrompt bounds a caller's body.
+const MaxPrompt = 4 << 20
+
+type verdict struct {
+	admission.Verdict
+	at units.Time
+}
+
+// Router is one process of the data plane.
+type Router struct {
+	*tower.Tower
+	rules      atomic.Pointer[rules]
+	tableMu    sync.Mutex
+	table      table
+	queueMu    sync.Mutex
+	queue      *admission.Queue
+	waiting    map[uint64]chan verdict
+	ledgerMu   sync.Mutex
+	ledger     *capacity.Ledger
+	claimantMu sync.Mutex
+	claimant   *idempotency.Claimant
+	claims     map[uint64]chan synop.Code
+	placer     placement.Placer
+	budget     sync.Map // service to *upstream.Budget
+	habits     sync.Map // service to *upstream.Habit
+	tallies    tallies
+	tag        atomic.Uint64
+	ready      atomic.Bool
+	departure  atomic.Pointer[departure] // nil: this node stays
+	closing    atomic.Bool               // nothing more is taken, however short
+	static     atomic.Int64              // since when no barometer has been heard, zero while one is
+	began      units.Time
+	flight     atomic.Int64
+	web        *fasthttp.Server
+	ask        *fasthttp.Server // answers whether this node is ready, where that has an address of its own
+	Words      *adapter.Adapter // the outside world's words; nil: the product's own interface
+	pool       *upstream.Pool
+	pace       crew.Pace // of the beat
+	stats      stats
+}
+
+// New builds a vane; with a book it speaks that world's words to clients and workers (design 11).
+func New(b *boot.Boot, book *adapter.Adapter) *Router {
+	v := &Router{Tower: tower.New(b, tower.Random(), membership.Router), waiting: map[uint64]chan verdict{}, claims: map[uint64]chan synop.Code{}}
+	if v.Words = book; book != nil {
+		v.pool = upstream.NewPool(book.Names)
+	}
+	v.queue = admission.New(v.Self)
+	v.ledger = capacity.New(v.Self)
+	v.claimant = idempotency.New(v.Self, v.Crew.Now())
+	v.table = newTable()
+	v.table.watch.Lax = book != nil
+	v.tag.Store(uint64(tower.Random()) >> 1)
+	v.Woke = v.woke
+	v.Refused = v.gone
+	v.Moved = v.soon
+	v.Steps[message.KindCapacity] = v.permits
+	v.Steps[message.KindClaim] = func(now units.Time, n message.Message) {
+		v.screened(func() message.Effects { return v.claimant.Step(now, n) })
+	}
+	return v
+}
+
+// Start opens everything and returns.
+func (v *Router) Start() error {
+	ln, err := listener.Listen(v.Boot.Web)
+	if err != nil {
+		return fmt.Errorf("vane: %w", err)
+	}
+	if err := v.Tower.Start(); err != nil {
+		ln.Close()
+		return err
+	}
+	v.began = v.Crew.Now()
+	v.web = &fasthttp.Server{Handler: v.serve, Name: "vane", MaxRequestBodySize: MaxPrompt, NoDefaultDate: true,
+		ReadTimeout: 30 * time.Second, Logger: quiet{}, ErrorHandler: v.malformed, Concurrency: 65536}
+	if v.Words != nil {
+		v.speak()
+	}
+	if err := v.askable(); err != nil {
+		ln.Close()
+		return err
+	}
+	v.Crew.Go(func() { _ = v.web.Serve(ln) })
+	v.pace.Start(v.Crew, often, v.beat)
+	return nil
+}
+
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// permits goes to the asking side and to the keeping side.
+func (v *Router) permits(now units.Time, n message.Message) {
+	if n.Kind != capacity.Ask && n.Kind != capacity.Return && n.Kind != capacity.Report {
+		v.queueMu.Lock()
+		out := v.queue.Step(now, n)
+		v.tell(now)
+		v.queueMu.Unlock()
+		v.Deliver(out)
+	}
+	if n.Kind == capacity.Ask || n.Kind == capacity.Return || n.Kind == capacity.Report || n.Kind == capacity.ReportAsk {
+		v.ledgerMu.Lock()
+		out := v.ledger.Step(now, n)
+		busy := v.ledger.Busy()
+		v.ledgerMu.Unlock()
+		v.Deliver(out)
+		if busy {
+			v.soon()
+		}
+	}
+}
+
+// tell passes verdicts to the prompts that wait for them; the desk's lock is held.
+func (v *Router) tell(now units.Time) {
+	for _, x := range v.queue.Verdicts {
+		if c := v.waiting[x.Tag]; c != nil {
+			delete(v.waiting, x.Tag)
+			c <- verdict{x, now}
+		}
+	}
+	v.queue.Verdicts = v.queue.Verdicts[:0]
+}
+
+// woke after a freeze: waiting prompts ask anew, and nothing new is taken before the news is confirmed.
+func (v *Router) woke(now units.Time) {
+	v.unready()
+	v.queueMu.Lock()
+	v.queue.Woke(now)
+	v.queueMu.Unlock()
+	v.tableMu.Lock()
+	v.table.fresh = true // the new keeper is told of all workers and vanes
+	v.ledgerMu.Lock()
+	v.ledger = capacity.New(v.Self)
+	v.ledgerMu.Unlock()
+	v.tableMu.Unlock()
+}
+
+func (v *Router) gone(now units.Time, l []units.Node) {
+	v.ledgerMu.Lock()
+	for _, n := range l {
+		v.ledger.Gone(now, n)
+	}
+	v.ledgerMu.Unlock()
+	v.tableMu.Lock()
+	for _, n := range l {
+		v.table.watch.Void(now, n)
+		v.table.fresh = true
+	}
+	v.tableMu.Unlock()
+}
+
+func (v *Router) habitOf(service string) *upstream.Habit {
+	h, _ := v.habits.LoadOrStore(service, &upstream.Habit{})
+	return h.(*upstream.Habit)
+}
+
+func (v *Router) budgetOf(service string) *upstream.Budget {
+	x, ok := v.budget.Load(service)
+	if !ok {
+		ratio := v.Boot.Bounds.RetryRatio
+		if v.Words != nil {
+			ratio *= retryPart
+		}
+		x, _ = v.budget.LoadOrStore(service, &upstream.Budget{Ratio: ratio})
+	}
+	return x.(*upstream.Budget)
+}
+
+// retryPart leaves some of the budget for what nodes that don't see each other count differently.
+const retryPart = 0.9
+
+// slack is this node's part of the further tries that are allowed on top of the share: never more than two, since a node
+// that has just started may know few of the others.
+func (v *Router) slack() int {
+	if v.Boot.Bounds.RetrySlack == 0 {
+		return 0
+	}
+	v.tableMu.Lock()
+	n := len(v.table.peers)
+	v.tableMu.Unlock()
+	return min(2, v.Boot.Bounds.RetrySlack/(2*max(1, n)))
+}
--- a/internal/vaned/rules.go
+++ b/internal/router/rules.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"slices"
@@ -9,36 +9,36 @@
 	"seamshunt/internal/cluster/configpush"
 	"seamshunt/internal/cluster/discovery"
 	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/config"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/forecast"
-	"seamshunt/internal/gauge"
+	"seamshunt/internal/router/capacity"
 	"seamshunt/internal/units"
 )
 
 // rules is one configuration in force; a request keeps the ones that it began with.
 type rules struct {
-	*forecast.Config
+	*config.Config
 	num units.Num
 }
 
 // table is what news and membership say, under tableMu.
 type table struct {
-	pools  map[string][]forecast.Worker
+	pools  map[string][]config.Worker
 	sky    *discovery.Catalog // what the platform was seen to list
 	out    map[string]bool    // zones evacuated
 	down   map[string]bad     // workers found dead or dark here
-	watch  *gauge.Watch
-	peers  []gauge.Peer
+	watch  *capacity.Watch
+	peers  []capacity.Peer
 	voters register.QuorumSet
 	fresh  bool
 }
 
 func newTable() table {
-	return table{pools: map[string][]forecast.Worker{}, sky: discovery.New(), out: map[string]bool{}, down: map[string]bad{}, watch: gauge.NewWatch()}
+	return table{pools: map[string][]config.Worker{}, sky: discovery.New(), out: map[string]bool{}, down: map[string]bad{}, watch: capacity.NewWatch()}
 }
 
 // refresh brings news and membership into the tables and from there to the keeper.
-func (v *Vane) refresh(now units.Time) {
+func (v *Router) refresh(now units.Time) {
 	v.FeedMu.Lock()
 	fresh := v.Feed.Fresh
 	v.Feed.Fresh = nil
@@ -62,15 +62,15 @@
 		return
 	}
 	ws := r.Keep(t.pools, t.sky.Start(), t.out)
-	v.gaugeMu.Lock()
-	v.gauge.Workers(ws)
-	v.gauge.Allow(v.Boot.Bounds.WarmExcess, v.Boot.Bounds.WarmSlack, t.watch.Part(now, len(peers)))
-	v.gauge.View(peers, t.watch.Holds(r.Longest(false)))
-	v.gaugeMu.Unlock()
+	v.ledgerMu.Lock()
+	v.ledger.Workers(ws)
+	v.ledger.Allow(v.Boot.Bounds.WarmExcess, v.Boot.Bounds.WarmSlack, t.watch.Part(now, len(peers)))
+	v.ledger.View(peers, t.watch.Holds(r.Longest(false)))
+	v.ledgerMu.Unlock()
 }
 
 // news applies one change whole.
-func (v *Vane) news(now units.Time, it configpush.Item) {
+func (v *Router) news(now units.Time, it configpush.Item) {
 	kind, name, _ := strings.Cut(it.Key, "/")
 	switch kind {
 	case "config":
@@ -103,7 +103,7 @@
 }
 
 // confirm makes a starting or woken vane ready once nothing newer than its news stands anywhere (design 4).
-func (v *Vane) confirm(now units.Time) {
+func (v *Router) confirm(now units.Time) {
 	all := v.Members()
 	switch core, _ := configpush.Neighbours(all, v.Self); {
 	case len(core) > 0:
@@ -131,7 +131,7 @@
 	v.Deliver(out)
 }
 
-func (v *Vane) unready() {
+func (v *Router) unready() {
 	v.ready.Store(false)
 	v.Flag(membership.Ready, false)
 	v.FeedMu.Lock()
--- a/internal/vaned/size_test.go
+++ b/internal/router/size_test.go
@@ -1,12 +1,12 @@
-package vaned
+package router
 
 import (
 	"testing"
 	"time"
 
-	"seamshunt/internal/codebook"
-	"seamshunt/internal/forecast"
-	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/adapter"
+	"seamshunt/internal/config"
+	"seamshunt/internal/router/admission"
 )
 
 func TestBrieferPromptsGoFirst(t *testing.T) {
@@ -22,17 +22,17 @@
 		rank int
 		want uint8
 	}{{0, 2}, {3, 5}, {20, 9}} {
-		if got := byRank(&forecast.Mapping{Rank: x.rank}); got != x.want {
+		if got := byRank(&config.Mapping{Rank: x.rank}); got != x.want {
 			t.Errorf("without a size, rank %d has urgency %d, not %d", x.rank, got, x.want)
 		}
 	}
 }
 
 func TestSizeCountsAttentionAndWhatAHomeHolds(t *testing.T) {
-	s := &forecast.Service{Memory: 600000}
-	forecast.Defaults(s)
-	p := codebook.Prompt{In: 50000, Out: 1000, Parts: []codebook.Part{{ID: "a", Tokens: 500}, {ID: "b", Tokens: 4500}, {ID: "c", Tokens: 45000}}}
-	var q hygrometer.Req
+	s := &config.Service{Memory: 600000}
+	config.Defaults(s)
+	p := adapter.Prompt{In: 50000, Out: 1000, Parts: []adapter.Part{{ID: "a", Tokens: 500}, {ID: "b", Tokens: 4500}, {ID: "c", Tokens: 45000}}}
+	var q admission.Request
 	size(p, s, &q)
 	// 45,000 tokens at 75 a millisecond, and 45,000 x 27,500 pairs; away from home 5,000 more, and all pairs.
 	home, away := 600*time.Millisecond+269775*time.Microsecond, 666666*time.Microsecond+272500*time.Microsecond
--- a/internal/vaned/speak.go
+++ b/internal/router/speak.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"bytes"
@@ -8,14 +8,14 @@
 
 	"github.com/valyala/fasthttp"
 
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 	"seamshunt/internal/listener"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
 // speak has the door for clients take requests in the book's words, byte for byte.
-func (v *Vane) speak() {
+func (v *Router) speak() {
 	w := v.web
 	w.Handler = v.relay
 	w.ReadTimeout, w.IdleTimeout = 30*time.Second, 60*time.Second
@@ -58,7 +58,7 @@
 }
 
 // askable answers at an address of its own whether this node is ready.
-func (v *Vane) askable() error {
+func (v *Router) askable() error {
 	if v.Boot.Ready == "" {
 		return nil
 	}
@@ -71,7 +71,7 @@
 	return nil
 }
 
-func (v *Vane) readiness(ctx *fasthttp.RequestCtx) {
+func (v *Router) readiness(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/status":
 		v.status(ctx)
@@ -89,9 +89,9 @@
 }
 
 // compile reads a configuration in whichever words it was given.
-func (v *Vane) compile(b []byte) (*forecast.Config, []*synop.Fault) {
+func (v *Router) compile(b []byte) (*config.Config, []*synop.Fault) {
 	if v.Words != nil {
 		return v.Words.Config(b)
 	}
-	return forecast.Read(b)
+	return config.Read(b)
 }
--- a/internal/vaned/status.go
+++ b/internal/router/status.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"fmt"
@@ -42,7 +42,7 @@
 	}
 }
 
-func (v *Vane) health(ctx *fasthttp.RequestCtx) {
+func (v *Router) health(ctx *fasthttp.RequestCtx) {
 	v.tableMu.Lock()
 	out := v.table.out[v.Boot.Zone]
 	v.tableMu.Unlock()
@@ -56,7 +56,7 @@
 
 // alone says whether this node has lost sight of everybody else: the platform should hand callers to others, which can
 // still claim what may not repeat. A zone that is cut off as a whole stays ready, since its callers may have no other.
-func (v *Vane) alone() bool {
+func (v *Router) alone() bool {
 	gone := false
 	for _, m := range v.Members() {
 		if m.Node == v.Self || m.State == membership.Left {
@@ -71,7 +71,7 @@
 }
 
 // status tells operators all there is to know of this node.
-func (v *Vane) status(ctx *fasthttp.RequestCtx) {
+func (v *Router) status(ctx *fasthttp.RequestCtx) {
 	now := v.Crew.Now()
 	var a fastjson.Arena
 	o := a.NewObject()
@@ -93,8 +93,8 @@
 	o.Set("news", news)
 	o.Set("in_force", v.inForce(&a))
 	kept := a.NewArray()
-	v.gaugeMu.Lock()
-	for i, k := range v.gauge.Kept(now) {
+	v.ledgerMu.Lock()
+	for i, k := range v.ledger.Kept(now) {
 		x := a.NewObject()
 		x.Set("worker", a.NewString(k.Worker))
 		x.Set("open", flag(&a, k.Open))
@@ -103,14 +103,14 @@
 		x.Set("waiting", a.NewNumberInt(k.Waiting))
 		kept.SetArrayItem(i, x)
 	}
-	v.gaugeMu.Unlock()
+	v.ledgerMu.Unlock()
 	o.Set("keeps", kept)
 	flight := a.NewObject()
-	v.deskMu.Lock()
-	for w, n := range v.desk.Flight {
+	v.queueMu.Lock()
+	for w, n := range v.queue.Flight {
 		flight.Set(w, a.NewNumberInt(n))
 	}
-	v.deskMu.Unlock()
+	v.queueMu.Unlock()
 	o.Set("flight", flight)
 	handed := a.NewObject()
 	v.stats.mu.Lock()
@@ -130,7 +130,7 @@
 }
 
 // inForce is what requests are handled by here: the number of the configuration, and how many workers are known.
-func (v *Vane) inForce(a *fastjson.Arena) *fastjson.Value {
+func (v *Router) inForce(a *fastjson.Arena) *fastjson.Value {
 	x := a.NewObject()
 	if r := v.rules.Load(); r != nil {
 		x.Set("config", a.NewNumberInt(int(r.num)))
@@ -168,7 +168,7 @@
 }
 
 // metrics writes Prometheus text.
-func (v *Vane) metrics(ctx *fasthttp.RequestCtx) {
+func (v *Router) metrics(ctx *fasthttp.RequestCtx) {
 	ctx.SetContentType("text/plain; version=0.0.4")
 	s := &v.stats
 	s.mu.Lock()
--- a/internal/vaned/steps_test.go
+++ b/internal/router/steps_test.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"fmt"
@@ -11,9 +11,9 @@
 
 	"seamshunt/internal/cluster/configpush"
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/forecast"
-	"seamshunt/internal/gauge"
-	"seamshunt/internal/screen"
+	"seamshunt/internal/config"
+	"seamshunt/internal/router/capacity"
+	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/weatherglass"
 )
 
@@ -25,7 +25,7 @@
 
 // take gives the vane a change, and waits until it has been looked at: news is applied in its order, so a marker
 // behind it shows that.
-func take(t *testing.T, v *Vane, its ...configpush.Item) {
+func take(t *testing.T, v *Router, its ...configpush.Item) {
 	t.Helper()
 	v.FeedMu.Lock()
 	for _, it := range its {
@@ -51,11 +51,11 @@
 	b, small := scripted(t)
 	v := rig(t, a)
 	take(t, v, configpush.Item{Key: "config", Num: 2, Data: []byte(stepConfig)},
-		configpush.Item{Key: "workers/side", Num: 1, Data: forecast.PackWorkers([]forecast.Worker{{ID: "s1", Addr: b, Zone: "z1", Age: 1 << 40}})})
+		configpush.Item{Key: "workers/side", Num: 1, Data: config.PackWorkers([]config.Worker{{ID: "s1", Addr: b, Zone: "z1", Age: 1 << 40}})})
 	weatherglass.Until(t, "both workers are kept", func() bool {
-		v.gaugeMu.Lock()
-		defer v.gaugeMu.Unlock()
-		k := v.gauge.Kept(v.Crew.Now())
+		v.ledgerMu.Lock()
+		defer v.ledgerMu.Unlock()
+		k := v.ledger.Kept(v.Crew.Now())
 		return len(k) == 2 && k[0].Open && k[1].Open
 	})
 	ask(t, v, "/stepped")
@@ -64,9 +64,9 @@
 	waits := ask(t, v, "/stepped") // waits for big: its list has room
 	defer waits.Close()
 	weatherglass.Until(t, "one waits", func() bool {
-		v.gaugeMu.Lock()
-		defer v.gaugeMu.Unlock()
-		return v.gauge.Kept(v.Crew.Now())[0].Waiting == 1
+		v.ledgerMu.Lock()
+		defer v.ledgerMu.Unlock()
+		return v.ledger.Kept(v.Crew.Now())[0].Waiting == 1
 	})
 	if status, body := ask(t, v, "/plain").reply(t); status != 503 || !strings.Contains(body, `"code":301`) || !strings.Contains(body, `"not_run":true`) {
 		t.Errorf("no step named: %d %s", status, body)
@@ -137,12 +137,12 @@
 	a, _ := scripted(t)
 	v := rig(t, a)
 	take(t, v, configpush.Item{Key: "workers/main/ff", Num: 9, Data: []byte(`{"workers":[{"id":""}]}`)})
-	for _, k := range []message.Kind{gauge.Ask, gauge.Report, gauge.Grant, screen.Claim, screen.Copy} {
+	for _, k := range []message.Kind{capacity.Ask, capacity.Report, capacity.Grant, idempotency.Claim, idempotency.Copy} {
 		v.Steps[k&^15](v.Crew.Now(), message.Message{From: 77, Kind: k, Body: []byte{1}})
 	}
-	v.gaugeMu.Lock()
-	kept := v.gauge.Kept(v.Crew.Now())
-	v.gaugeMu.Unlock()
+	v.ledgerMu.Lock()
+	kept := v.ledger.Kept(v.Crew.Now())
+	v.ledgerMu.Unlock()
 	if len(kept) != 1 || kept[0].Lent != 0 {
 		t.Errorf("kept %+v", kept)
 	}
--- a/internal/vaned/stream.go
+++ b/internal/router/stream.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"errors"
@@ -6,7 +6,7 @@
 	"net"
 	"time"
 
-	"seamshunt/internal/anemometer"
+	"seamshunt/internal/router/upstream"
 	"seamshunt/internal/synop"
 )
 
@@ -46,7 +46,7 @@
 }
 
 // stream begins the caller's answer; the rest is read from the try as it comes.
-func (w *way) stream(tag uint64, t *anemometer.Try, first anemometer.Event, worker string) {
+func (w *way) stream(tag uint64, t *upstream.Try, first upstream.Event, worker string) {
 	w.streaming = true
 	s := &stream{w: w, tag: tag, t: t, worker: worker, e: &first}
 	w.v.tallies.count(w.m, func(t *tally) { t.firstWords(w.v.Crew.Now().Sub(w.begun)) })
@@ -65,9 +65,9 @@
 type stream struct {
 	w      *way
 	tag    uint64
-	t      *anemometer.Try
+	t      *upstream.Try
 	worker string
-	e      *anemometer.Event
+	e      *upstream.Event
 	rest   []byte
 	whole  bool
 	unsure bool
@@ -85,14 +85,14 @@
 			return 0, err
 		}
 		s.rest = e.Line
-		s.whole = e.Kind == anemometer.Sealed
+		s.whole = e.Kind == upstream.Sealed
 	}
 	n := copy(p, s.rest)
 	s.rest = s.rest[n:]
 	return n, nil
 }
 
-func (s *stream) next() (*anemometer.Event, error) {
+func (s *stream) next() (*upstream.Event, error) {
 	if e := s.e; e != nil {
 		s.e = nil
 		return e, nil
@@ -103,7 +103,7 @@
 	for {
 		select {
 		case e := <-s.t.Events:
-			if e.Kind == anemometer.Piece || e.Kind == anemometer.Sealed {
+			if e.Kind == upstream.Piece || e.Kind == upstream.Sealed {
 				return &e, nil
 			}
 			var late net.Error
@@ -113,7 +113,7 @@
 			v.Log.WithError(e.Err).WithField("worker", s.worker).Warn("a stream broke")
 			return nil, errBroken
 		case <-tick.C:
-			if anemometer.HungUp(s.w.ctx.Conn()) {
+			if upstream.HungUp(s.w.ctx.Conn()) {
 				v.stats.count(synop.HungUp)
 				return nil, errBroken
 			}
--- a/internal/vaned/tally.go
+++ b/internal/router/tally.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"fmt"
@@ -8,9 +8,9 @@
 
 	"github.com/valyala/fastjson"
 
-	"seamshunt/internal/anemometer"
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
+	"seamshunt/internal/router/upstream"
 	"seamshunt/internal/units"
 )
 
@@ -28,7 +28,7 @@
 	waited  time.Duration
 	held    time.Duration // by all streams that ended
 	ended   uint64
-	first   anemometer.Habit
+	first   upstream.Habit
 	secs    [60]struct {
 		at int64
 		n  int
@@ -41,7 +41,7 @@
 }
 
 // count does something to a mapping's tally.
-func (t *tallies) count(m *forecast.Mapping, f func(*tally)) {
+func (t *tallies) count(m *config.Mapping, f func(*tally)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	x := t.by[m.Name]
--- a/internal/vaned/tries_test.go
+++ b/internal/router/tries_test.go
@@ -1,11 +1,11 @@
-package vaned
+package router
 
 import (
 	"fmt"
 	"strings"
 	"testing"
 
-	"seamshunt/internal/anemometer"
+	"seamshunt/internal/router/upstream"
 	"seamshunt/internal/units"
 )
 
@@ -115,7 +115,7 @@
 // The budget holds further tries to a fifth of the first ones over any ten seconds, with no free minimum.
 func TestBudget(t *testing.T) {
 	t.Parallel()
-	var b anemometer.Budget
+	var b upstream.Budget
 	if b.Again(0, 0) {
 		t.Error("a further try without any first one")
 	}
@@ -161,7 +161,7 @@
 
 // A few further tries are allowed on top of the share, where the world grants an allowance: each node takes its part.
 func TestSlackOfBudget(t *testing.T) {
-	b := anemometer.Budget{Ratio: 0.1}
+	b := upstream.Budget{Ratio: 0.1}
 	for range 20 {
 		b.First(0)
 	}
--- a/internal/anemometer/body.go
+++ b/internal/router/upstream/body.go
@@ -1,4 +1,4 @@
-package anemometer
+package upstream
 
 import (
 	"bufio"
@@ -39,7 +39,7 @@
 			err = io.ErrUnexpectedEOF
 		}
 	case y.left < -1:
-		err = errors.New("anemometer: a body whose end can't be known")
+		err = errors.New("upstream: a body whose end can't be known")
 	default:
 		n, err = y.chunk(r, b)
 	}
@@ -76,18 +76,18 @@
 			return 0, io.EOF
 		}
 	}
-	return 0, fmt.Errorf("anemometer: more than %d lines behind the last chunk", tailMost)
+	return 0, fmt.Errorf("upstream: more than %d lines behind the last chunk", tailMost)
 }
 
 // Read gives the body's bytes as they come. io.EOF comes only behind a body that is properly ended; any other error
 // means that it broke.
 func (x *Exchange) Read(b []byte) (int, error) {
 	if x.r == nil {
-		return 0, errors.New("anemometer: no answer to read")
+		return 0, errors.New("upstream: no answer to read")
 	}
 	n, err := x.body.read(x.r, b)
 	if err != nil && err != io.EOF && x.c.err != nil {
-		err = fmt.Errorf("anemometer: a broken answer: %w", x.c.err)
+		err = fmt.Errorf("upstream: a broken answer: %w", x.c.err)
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
--- a/internal/anemometer/events.go
+++ b/internal/router/upstream/events.go
@@ -1,4 +1,4 @@
-package anemometer
+package upstream
 
 import (
 	"bytes"
@@ -55,7 +55,7 @@
 		if i < 0 {
 			e.seen = len(buf)
 			if e.seen-whole > EventMost {
-				e.err = fmt.Errorf("anemometer: an event of more than %d bytes", EventMost)
+				e.err = fmt.Errorf("upstream: an event of more than %d bytes", EventMost)
 			}
 			break
 		}
@@ -103,16 +103,16 @@
 	v := e.ev
 	e.ev = event{id: v.id[:0]}
 	if size > EventMost {
-		return fmt.Errorf("anemometer: an event of %d bytes", size)
+		return fmt.Errorf("upstream: an event of %d bytes", size)
 	}
 	if v.named {
 		id, err := strconv.ParseUint(string(v.id), 10, 64)
 		if err != nil {
-			return fmt.Errorf("anemometer: an event's id %q is no number", v.id)
+			return fmt.Errorf("upstream: an event's id %q is no number", v.id)
 		}
 		if e.Last != "" {
 			if last, err := strconv.ParseUint(e.Last, 10, 64); err != nil || id <= last {
-				return fmt.Errorf("anemometer: event %d behind event %s", id, e.Last)
+				return fmt.Errorf("upstream: event %d behind event %s", id, e.Last)
 			}
 		}
 		e.Last = string(v.id)
--- a/internal/anemometer/exchange.go
+++ b/internal/router/upstream/exchange.go
@@ -1,4 +1,4 @@
-package anemometer
+package upstream
 
 import (
 	"bufio"
@@ -11,13 +11,13 @@
 
 	"github.com/valyala/fasthttp"
 
-	"seamshunt/internal/codebook"
+	"seamshunt/internal/adapter"
 )
 
 // What ends an exchange before its answer.
 var (
-	ErrGone   = errors.New("anemometer: the caller is gone")
-	ErrSilent = errors.New("anemometer: no answer began in time")
+	ErrGone   = errors.New("upstream: the caller is gone")
+	ErrSilent = errors.New("upstream: no answer began in time")
 )
 
 const (
@@ -130,7 +130,7 @@
 }
 
 // await reads heads until one is this request's.
-func (x *Exchange) await(n codebook.Names) error {
+func (x *Exchange) await(n adapter.Names) error {
 	surplus, interim := 0, 0
 	for {
 		if err := x.head(); err != nil {
@@ -140,13 +140,13 @@
 		s := h.StatusCode()
 		if s < 200 {
 			if interim++; interim > interimMost || s == fasthttp.StatusSwitchingProtocols {
-				return fmt.Errorf("anemometer: an interim answer %d too many", s)
+				return fmt.Errorf("upstream: an interim answer %d too many", s)
 			}
 			continue
 		}
 		ids := h.PeekAll(n.Try)
 		if len(ids) > 1 {
-			return fmt.Errorf("anemometer: an answer of %d ids", len(ids))
+			return fmt.Errorf("upstream: an answer of %d ids", len(ids))
 		}
 		x.body = body{left: h.ContentLength()}
 		if s == fasthttp.StatusNoContent || s == fasthttp.StatusNotModified {
@@ -154,13 +154,13 @@
 		}
 		if len(ids) == 1 && string(ids[0]) != x.o.ID {
 			if surplus++; surplus > surplusMost {
-				return fmt.Errorf("anemometer: %d surplus answers, the last for %q", surplus, ids[0])
+				return fmt.Errorf("upstream: %d surplus answers, the last for %q", surplus, ids[0])
 			}
 			if _, err := io.Copy(io.Discard, x.rest()); err != nil {
 				return err
 			}
 			if h.ConnectionClose() {
-				return fmt.Errorf("anemometer: closed behind an answer for %q", ids[0])
+				return fmt.Errorf("upstream: closed behind an answer for %q", ids[0])
 			}
 			continue
 		}
@@ -169,7 +169,7 @@
 }
 
 // judge says what an answer means that is no other request's. A success without the id is never passed on.
-func (x *Exchange) judge(n codebook.Names, s int, named bool) error {
+func (x *Exchange) judge(n adapter.Names, s int, named bool) error {
 	h := &x.Resp.Header
 	head := x.o.Req.Header.IsHead()
 	if head {
@@ -179,17 +179,17 @@
 	x.keep = !h.ConnectionClose() && !head && !x.early // a surplus answer to HEAD could not be measured
 	switch {
 	case !named && x.Reused: // it may be the surplus refusal of an earlier request
-		return fmt.Errorf("anemometer: an answer %d without an id on a connection that others used", s)
+		return fmt.Errorf("upstream: an answer %d without an id on a connection that others used", s)
 	case s == fasthttp.StatusMisdirectedRequest:
 		x.Kind, x.keep = Moved, false
-		x.Err = errors.New("anemometer: another worker is there now")
+		x.Err = errors.New("upstream: another worker is there now")
 	case (s == 400 || s == 429 || s == 503) && len(h.Peek(n.NotRun)) > 0:
 		x.Kind = NotRun
-		x.Err = fmt.Errorf("anemometer: worker refused with %d", s)
+		x.Err = fmt.Errorf("upstream: worker refused with %d", s)
 	case !named:
-		return fmt.Errorf("anemometer: an answer %d without an id", s)
+		return fmt.Errorf("upstream: an answer %d without an id", s)
 	case x.body.left < -1:
-		return fmt.Errorf("anemometer: an answer %d whose end can't be known", s)
+		return fmt.Errorf("upstream: an answer %d whose end can't be known", s)
 	}
 	return nil
 }
@@ -203,7 +203,7 @@
 			return err
 		}
 		if b[i] != mark[i] {
-			return fmt.Errorf("anemometer: bytes that are no answer: %q", b)
+			return fmt.Errorf("upstream: bytes that are no answer: %q", b)
 		}
 	}
 	var small *fasthttp.ErrSmallBuffer
--- a/internal/anemometer/owed_test.go
+++ b/internal/router/upstream/owed_test.go
@@ -1,4 +1,4 @@
-package anemometer
+package upstream
 
 import (
 	"context"
--- a/internal/anemometer/pool.go
+++ b/internal/router/upstream/pool.go
@@ -1,4 +1,4 @@
-package anemometer
+package upstream
 
 import (
 	"errors"
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"seamshunt/internal/codebook"
+	"seamshunt/internal/adapter"
 	"seamshunt/internal/shield"
 )
 
@@ -23,12 +23,12 @@
 )
 
 // ErrNoConn says that this node has as many connections to the worker as it may.
-var ErrNoConn = errors.New("anemometer: no connection to this worker is free")
+var ErrNoConn = errors.New("upstream: no connection to this worker is free")
 
 // Pool holds idle connections to workers, each belonging to one worker id: another worker may come to listen at the
 // same address (design 8 and 11). Idle ones hold no buffers.
 type Pool struct {
-	n     codebook.Names
+	n     adapter.Names
 	dials atomic.Uint64
 	mu    sync.Mutex
 	hosts map[string]*host
@@ -43,7 +43,7 @@
 }
 
 // NewPool makes an empty one.
-func NewPool(n codebook.Names) *Pool { return &Pool{n: n, hosts: map[string]*host{}} }
+func NewPool(n adapter.Names) *Pool { return &Pool{n: n, hosts: map[string]*host{}} }
 
 // Idle gives how many connections to a worker wait for use.
 func (p *Pool) Idle(worker string) int {
@@ -175,7 +175,7 @@
 func (p *Pool) dial(o *Order) (*conn, error) {
 	left := time.Until(o.Due)
 	if left <= 0 {
-		return nil, fmt.Errorf("anemometer: no time left to dial %s", o.Addr)
+		return nil, fmt.Errorf("upstream: no time left to dial %s", o.Addr)
 	}
 	nc, err := shield.Dial(o.Addr, min(dialMost, left))
 	if err != nil {
--- a/internal/anemometer/seal.go
+++ b/internal/router/upstream/seal.go
@@ -1,5 +1,5 @@
-// Package anemometer hands prompts over to workers and checks their streams (design 8).
-package anemometer
+// Package upstream hands prompts over to workers and checks their streams (design 8).
+package upstream
 
 import (
 	"crypto/sha256"
@@ -33,11 +33,11 @@
 // Line takes one line of the stream. It says whether the line was the seal; an error means the answer is not whole.
 func (s *Seal) Line(b []byte) (bool, error) {
 	if s.sealed {
-		return false, errors.New("anemometer: a line after the seal")
+		return false, errors.New("upstream: a line after the seal")
 	}
 	v, err := s.p.ParseBytes(b)
 	if err != nil {
-		return false, fmt.Errorf("anemometer: a line that is no JSON: %w", err)
+		return false, fmt.Errorf("upstream: a line that is no JSON: %w", err)
 	}
 	if x := v.Get("seal"); x != nil {
 		return true, s.check(x)
@@ -47,17 +47,17 @@
 		return false, err
 	}
 	if n != s.next {
-		return false, fmt.Errorf("anemometer: piece %d where %d is due", n, s.next)
+		return false, fmt.Errorf("upstream: piece %d where %d is due", n, s.next)
 	}
 	t := v.Get("text")
 	if t == nil || t.Type() != fastjson.TypeString {
-		return false, fmt.Errorf("anemometer: piece %d has no text", n)
+		return false, fmt.Errorf("upstream: piece %d has no text", n)
 	}
 	text := t.GetStringBytes()
 	s.next++
 	s.bytes += len(text)
 	if s.bytes > MaxBytes {
-		return false, fmt.Errorf("anemometer: an answer of more than %d bytes", MaxBytes)
+		return false, fmt.Errorf("upstream: an answer of more than %d bytes", MaxBytes)
 	}
 	s.sum.Write(text)
 	return false, nil
@@ -66,18 +66,18 @@
 func intOf(v *fastjson.Value, name string) (int, error) {
 	x := v.Get(name)
 	if x == nil {
-		return 0, fmt.Errorf("anemometer: %s is missing", name)
+		return 0, fmt.Errorf("upstream: %s is missing", name)
 	}
 	n, err := x.Int()
 	if err != nil {
-		return 0, fmt.Errorf("anemometer: %s: %w", name, err)
+		return 0, fmt.Errorf("upstream: %s: %w", name, err)
 	}
 	return n, nil
 }
 
 func (s *Seal) check(x *fastjson.Value) error {
 	if id := string(x.GetStringBytes("id")); id != s.id {
-		return fmt.Errorf("anemometer: sealed for request %q", id)
+		return fmt.Errorf("upstream: sealed for request %q", id)
 	}
 	n, err := intOf(x, "pieces")
 	if err != nil {
@@ -88,10 +88,10 @@
 		return err
 	}
 	if n != s.next || l != s.bytes {
-		return fmt.Errorf("anemometer: sealed %d pieces of %d bytes, came %d of %d", n, l, s.next, s.bytes)
+		return fmt.Errorf("upstream: sealed %d pieces of %d bytes, came %d of %d", n, l, s.next, s.bytes)
 	}
 	if d := string(x.GetStringBytes("digest")); d != hex.EncodeToString(s.sum.Sum(nil)) {
-		return errors.New("anemometer: the digest does not fit")
+		return errors.New("upstream: the digest does not fit")
 	}
 	s.sealed = true
 	return nil
--- a/internal/anemometer/try.go
+++ b/internal/router/upstream/try.go
@@ -1,4 +1,4 @@
-package anemometer
+package upstream
 
 import (
 	"bufio"
@@ -108,7 +108,7 @@
 	defer nc.Close()
 	t.c.Store(&nc)
 	if t.gone() {
-		return Event{Kind: NotSent, Err: errors.New("anemometer: given up before sending")}
+		return Event{Kind: NotSent, Err: errors.New("upstream: given up before sending")}
 	}
 	_ = nc.SetDeadline(due)
 	c := &counted{Conn: nc}
@@ -148,7 +148,7 @@
 		return t.refusal(resp.StatusCode(), body)
 	}
 	if id := string(resp.Header.Peek("Request-Id")); id != t.ID {
-		return Event{Kind: Unknown, Err: fmt.Errorf("anemometer: answer for request %q", id)}
+		return Event{Kind: Unknown, Err: fmt.Errorf("upstream: answer for request %q", id)}
 	}
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 4096), MaxLine)
@@ -172,7 +172,7 @@
 		return broken(begun, err)
 	}
 	if !s.Sealed() {
-		return broken(begun, errors.New("anemometer: the answer ends without a seal"))
+		return broken(begun, errors.New("upstream: the answer ends without a seal"))
 	}
 	return Event{Kind: Sealed, Line: seal}
 }
@@ -190,8 +190,8 @@
 	if err == nil && status == fasthttp.StatusServiceUnavailable {
 		if v, err := fastjson.ParseBytes(b); err == nil && v.Exists("ran") && !v.GetBool("ran") &&
 			v.Get("ran").Type() == fastjson.TypeFalse && string(v.GetStringBytes("id")) == t.ID {
-			return Event{Kind: NotRun, Err: errors.New("anemometer: worker refused")}
+			return Event{Kind: NotRun, Err: errors.New("upstream: worker refused")}
 		}
 	}
-	return Event{Kind: Unknown, Err: fmt.Errorf("anemometer: worker answered %d", status)}
+	return Event{Kind: Unknown, Err: fmt.Errorf("upstream: worker answered %d", status)}
 }
--- a/internal/anemometer/worker_test.go
+++ b/internal/router/upstream/worker_test.go
@@ -1,4 +1,4 @@
-package anemometer
+package upstream
 
 import (
 	"bufio"
@@ -11,10 +11,10 @@
 
 	"github.com/valyala/fasthttp"
 
-	"seamshunt/internal/codebook"
+	"seamshunt/internal/adapter"
 )
 
-var names = codebook.Names{Try: "Attempt-Id", NotRun: "Not-Run"}
+var names = adapter.Names{Try: "Attempt-Id", NotRun: "Not-Run"}
 
 const soon = 10 * time.Second // what never comes in a test that passes
 
--- a/internal/vaned/way.go
+++ b/internal/router/way.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"fmt"
@@ -7,20 +7,20 @@
 
 	"github.com/valyala/fasthttp"
 
-	"seamshunt/internal/anemometer"
-	"seamshunt/internal/forecast"
-	"seamshunt/internal/hygrometer"
+	"seamshunt/internal/config"
+	"seamshunt/internal/router/admission"
+	"seamshunt/internal/router/placement"
+	"seamshunt/internal/router/upstream"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
-	"seamshunt/internal/windvane"
 )
 
 // way is one request on its way.
 type way struct {
-	v         *Vane
+	v         *Router
 	ctx       *fasthttp.RequestCtx
 	rules     *rules
-	m         *forecast.Mapping
+	m         *config.Mapping
 	begun     units.Time
 	until     units.Time
 	left      time.Duration
@@ -104,17 +104,17 @@
 	return w.sent > 0 && w.end()
 }
 
-// admit asks the hygrometer and waits for its verdict, noticing a caller that hangs up.
-func (w *way) admit(now units.Time, tag uint64, s *forecast.Service) (verdict, bool) {
+// admit asks for admission and waits for the verdict, noticing a caller that hangs up.
+func (w *way) admit(now units.Time, tag uint64, s *config.Service) (verdict, bool) {
 	v := w.v
-	cands, keepers := v.cands(now, s, windvane.Fingerprint(w.text, s.Prefix))
+	cands, keepers := v.cands(now, s, placement.Fingerprint(w.text, s.Prefix))
 	c := make(chan verdict, 1)
-	v.deskMu.Lock()
-	v.doors[tag] = c
-	out := v.desk.Arrive(now, hygrometer.Req{Tag: tag, Policy: s.Allow, Cands: cands, Tries: s.Spread + 4, Until: w.until, First: s.First, Worth: uint16(w.m.Promise.Worth),
+	v.queueMu.Lock()
+	v.waiting[tag] = c
+	out := v.queue.Arrive(now, admission.Request{Tag: tag, Policy: s.Allow, Cands: cands, Tries: s.Spread + 4, Until: w.until, First: s.First, Worth: uint16(w.m.Promise.Worth),
 		Keeper: func(n string) units.Node { return keepers[n] }})
 	v.tell(now)
-	v.deskMu.Unlock()
+	v.queueMu.Unlock()
 	v.Deliver(out)
 	t := time.NewTicker(peekAt)
 	defer t.Stop()
@@ -123,7 +123,7 @@
 		case x := <-c:
 			return x, false
 		case <-t.C:
-			if anemometer.HungUp(w.ctx.Conn()) {
+			if upstream.HungUp(w.ctx.Conn()) {
 				return verdict{}, true
 			}
 		}
@@ -131,7 +131,7 @@
 }
 
 // address finds a worker that may still be handed something.
-func (v *Vane) address(name string, s *forecast.Service) (addr, zone string, ok bool) {
+func (v *Router) address(name string, s *config.Service) (addr, zone string, ok bool) {
 	v.tableMu.Lock()
 	defer v.tableMu.Unlock()
 	for _, x := range v.table.pools[s.Pool] {
@@ -143,7 +143,7 @@
 }
 
 // handOver sends the prompt to the worker. True ends the request's way; false lets it look further.
-func (w *way) handOver(tag uint64, name string, s *forecast.Service) bool {
+func (w *way) handOver(tag uint64, name string, s *config.Service) bool {
 	v := w.v
 	addr, zone, ok := v.address(name, s)
 	if !ok || !w.m.Reaches(s.Name) {
@@ -153,7 +153,7 @@
 	}
 	now := v.Crew.Now()
 	id := fmt.Sprintf("%s-%s", v.Self, strconv.FormatUint(tag, 16))
-	t := anemometer.NewTry(addr, id, w.body, w.until.Sub(now))
+	t := upstream.NewTry(addr, id, w.body, w.until.Sub(now))
 	v.stats.hand(zone, v.Boot.Zone, len(w.body))
 	v.Crew.Go(t.Run)
 	if w.sent == 0 {
@@ -167,18 +167,18 @@
 		return w.hungUp(tag)
 	}
 	switch e.Kind {
-	case anemometer.Piece, anemometer.Sealed:
+	case upstream.Piece, upstream.Sealed:
 		v.habitOf(s.Name).Add(v.Crew.Now().Sub(now))
 		w.stream(tag, t, e, name)
 		return true
-	case anemometer.NotSent:
+	case upstream.NotSent:
 		v.done(tag, false)
 		if e.Down {
 			v.passOver(name)
 		}
 		w.why = synop.NoWorker
 		return false
-	case anemometer.NotRun:
+	case upstream.NotRun:
 		v.done(tag, false)
 		w.why = synop.WorkerNo
 		w.sent++
--- a/internal/vaned/woke_test.go
+++ b/internal/router/woke_test.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"testing"
@@ -7,10 +7,10 @@
 )
 
 // lent gives the permits out and whether the one worker's slots are lent at all.
-func lent(v *Vane) (n int, open bool) {
-	v.gaugeMu.Lock()
-	defer v.gaugeMu.Unlock()
-	for _, k := range v.gauge.Kept(v.Crew.Now()) {
+func lent(v *Router) (n int, open bool) {
+	v.ledgerMu.Lock()
+	defer v.ledgerMu.Unlock()
+	for _, k := range v.ledger.Kept(v.Crew.Now()) {
 		return k.Lent, k.Open
 	}
 	return 0, false
--- a/internal/vaned/words_test.go
+++ b/internal/router/words_test.go
@@ -1,4 +1,4 @@
-package vaned
+package router
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"time"
 
 	"seamshunt/internal/cluster/configpush"
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/weatherglass"
 )
@@ -21,18 +21,18 @@
  "mapping free { when host = \"x\" and under = \"/free\" to small promise p once single }"]}`
 
 // words is a rig with one worker for each of two services.
-func words(t *testing.T) (v *Vane, big, small chan hand) {
+func words(t *testing.T) (v *Router, big, small chan hand) {
 	t.Helper()
 	a, big := scripted(t)
 	b, small := scripted(t)
 	v = rigOf(t, wordsConfig, a)
 	v.FeedMu.Lock()
-	v.Feed.Take(configpush.Item{Key: "workers/side", Num: 1, Data: forecast.PackWorkers([]forecast.Worker{{ID: "s1", Addr: b, Zone: "z1", Age: time.Hour}})})
+	v.Feed.Take(configpush.Item{Key: "workers/side", Num: 1, Data: config.PackWorkers([]config.Worker{{ID: "s1", Addr: b, Zone: "z1", Age: time.Hour}})})
 	v.FeedMu.Unlock()
 	weatherglass.Until(t, "the vane keeps both workers", func() bool {
-		v.gaugeMu.Lock()
-		defer v.gaugeMu.Unlock()
-		k := v.gauge.Kept(v.Crew.Now())
+		v.ledgerMu.Lock()
+		defer v.ledgerMu.Unlock()
+		k := v.ledger.Kept(v.Crew.Now())
 		return len(k) == 2 && k[0].Open && k[1].Open
 	})
 	return v, big, small
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -13,7 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"seamshunt/internal/anemometer"
+	"seamshunt/internal/router/upstream"
 )
 
 // Sort is one kind of request that callers send.
@@ -125,7 +125,7 @@
 		refusal(lines, e)
 		return
 	}
-	seal := anemometer.NewSeal(e.ID)
+	seal := upstream.NewSeal(e.ID)
 	for lines.Scan() {
 		if e.FirstUs == 0 {
 			e.FirstUs = Now() - e.At
