--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -8,13 +8,13 @@
 
 	"github.com/valyala/fasthttp"
 
-	"seamshunt/internal/forecast"
+	"seamshunt/internal/config"
 )
 
 // Platform lists workers, marks leaving ones, and limits how often it may be asked.
 type Platform struct {
 	mu      sync.Mutex
-	pools   map[string][]forecast.Worker
+	pools   map[string][]config.Worker
 	born    map[string]time.Time
 	Mood    string            // "", refuse, empty, slow, bad, old
 	before  map[string][]byte // what it answers while it is old
@@ -28,11 +28,11 @@
 
 // NewPlatform gives one without workers.
 func NewPlatform(perSec int) *Platform {
-	return &Platform{pools: map[string][]forecast.Worker{}, born: map[string]time.Time{}, PerSec: perSec}
+	return &Platform{pools: map[string][]config.Worker{}, born: map[string]time.Time{}, PerSec: perSec}
 }
 
 // Set adds a worker or replaces its entry; age is how long it has been warm already.
-func (p *Platform) Set(pool string, w forecast.Worker) {
+func (p *Platform) Set(pool string, w config.Worker) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if _, ok := p.born[w.ID]; !ok {
@@ -58,7 +58,7 @@
 func (p *Platform) Remove(pool, id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var l []forecast.Worker
+	var l []config.Worker
 	for _, x := range p.pools[pool] {
 		if x.ID != id {
 			l = append(l, x)
@@ -68,7 +68,7 @@
 }
 
 // Get finds a worker.
-func (p *Platform) Get(pool, id string) (forecast.Worker, bool) {
+func (p *Platform) Get(pool, id string) (config.Worker, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, x := range p.pools[pool] {
@@ -76,7 +76,7 @@
 			return x, true
 		}
 	}
-	return forecast.Worker{}, false
+	return config.Worker{}, false
 }
 
 // SetMood changes how the platform answers.
@@ -140,9 +140,9 @@
 }
 
 func (p *Platform) list(pool string) []byte {
-	l := append([]forecast.Worker(nil), p.pools[pool]...)
+	l := append([]config.Worker(nil), p.pools[pool]...)
 	for i := range l {
 		l[i].Age = time.Since(p.born[l[i].ID])
 	}
-	return forecast.PackWorkers(l)
+	return config.PackWorkers(l)
 }
--- a/internal/tower/tower.go
+++ b/internal/tower/tower.go
@@ -24,8 +24,8 @@
 	"seamshunt/internal/units"
 )
 
-// Tower holds the shared tables. Lock order: membership, configpush, control state, rules, hygrometer, gauge,
-// screen, disk queue, wires.
+// Tower holds the shared tables. Lock order: membership, configpush, control state, rules, admission queue, capacity ledger,
+// idempotency claimant, disk queue, wires.
 type Tower struct {
 	Boot      *boot.Boot
 	Self      units.Node
