--- a/cmd/barometer/calls.go
+++ b/cmd/controller/calls.go
@@ -13,7 +13,7 @@
 	"seamshunt/internal/cluster/transport"
 )
 
-// call speaks to a running barometer's operators' door.
+// call speaks to a running controller's operators' door.
 func call(at, method, path string, body []byte) ([]byte, string, error) {
 	code, b, num, err := transport.HTTP(method, at, path, body, nil, 10*time.Second)
 	if err != nil {
@@ -39,7 +39,7 @@
 	var at string
 	one := func(use, short string, args cobra.PositionalArgs, f func(a []string) error) *cobra.Command {
 		c := &cobra.Command{Use: use, Short: short, Args: args, RunE: func(_ *cobra.Command, a []string) error { return f(a) }}
-		c.Flags().StringVar(&at, "at", "", "a barometer's web address")
+		c.Flags().StringVar(&at, "at", "", "a controller's web address")
 		_ = c.MarkFlagRequired("at")
 		return c
 	}
@@ -76,10 +76,10 @@
 			}
 			return err
 		}),
-		one("promises", "say how each promise is kept, over all vanes", cobra.NoArgs, func([]string) error {
+		one("promises", "say how each promise is kept, over all routers", cobra.NoArgs, func([]string) error {
 			return ask("GET", "/v1/promises", nil)
 		}),
-		one("status", "say how this barometer sees the fleet", cobra.NoArgs, func([]string) error {
+		one("status", "say how this controller sees the fleet", cobra.NoArgs, func([]string) error {
 			return ask("GET", "/status", nil)
 		}),
 	}
--- a/cmd/barometer/main.go
+++ b/cmd/controller/main.go
@@ -1,4 +1,4 @@
-// Command barometer is the control plane.
+// Command controller is the control plane.
 package main
 
 import (
@@ -11,7 +11,7 @@
 )
 
 func main() {
-	const name = "barometer"
+	const name = "controller"
 	dump := func(d console.Daemon) { d.(*controller.Controller).Book.Dump() }
 	root := console.Root(name, "the control plane: state on disk, operators, the platform, news")
 	root.AddCommand(
--- a/cmd/vane/main.go
+++ b/cmd/router/main.go
@@ -1,4 +1,4 @@
-// Command vane is the data plane.
+// Command router is the data plane.
 package main
 
 import (
@@ -11,7 +11,7 @@
 )
 
 func main() {
-	const name = "vane"
+	const name = "router"
 	dump := func(d console.Daemon) { d.(*router.Router).Book.Dump() }
 	root := console.Root(name, "the data plane: takes prompts, admits, places and streams")
 	root.AddCommand(
--- a/cmd/gale/drill.go
+++ b/cmd/testbed/drill.go
@@ -51,7 +51,7 @@
 		return nil
 	}
 	f := c.Flags()
-	f.StringVar(&d.At, "at", "", "a barometer's web address")
+	f.StringVar(&d.At, "at", "", "a controller's web address")
 	f.StringVar(&d.Zone, "zone", "", "the zone")
 	f.StringVar(&d.How, "how", "evacuate", "evacuate, or kill")
 	f.StringVar(&d.Harness, "harness", "", "a local fleet's harness, for kill")
@@ -91,19 +91,19 @@
 	return c
 }
 
-// callerCmd sends the three kinds of request to one vane.
+// callerCmd sends the three kinds of request to one router.
 func callerCmd() *cobra.Command {
-	var vane string
+	var router string
 	var n int
 	var seed uint64
-	c := &cobra.Command{Use: "caller", Short: "a stand-in caller: send requests to a vane one after the other", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+	c := &cobra.Command{Use: "caller", Short: "a stand-in caller: send requests to a router one after the other", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 		if n < 1 {
 			return errors.New("--count is above 0")
 		}
 		mix, bad := standin.NewMix(seed, 24), 0
 		for range n {
 			a := mix.Next()
-			e := standin.Call(context.Background(), vane, a, fmt.Sprintf("%s-%d", a.Job, standin.Now()))
+			e := standin.Call(context.Background(), router, a, fmt.Sprintf("%s-%d", a.Job, standin.Now()))
 			fmt.Printf("%-9s status %d code %d whole %v first words %d ms, all %d ms %s\n", e.Mapping, e.Status, e.Code, e.Whole, e.FirstUs/1000, (e.End-e.At)/1000, e.Fault)
 			if e.Status != 200 || !e.Whole || e.Fault != "" {
 				bad++
@@ -115,9 +115,9 @@
 		return nil
 	}}
 	f := c.Flags()
-	f.StringVar(&vane, "vane", "", "a vane's web address")
+	f.StringVar(&router, "router", "", "a router's web address")
 	f.IntVar(&n, "count", 9, "how many")
 	f.Uint64Var(&seed, "seed", 1, "seed of the requests")
-	_ = c.MarkFlagRequired("vane")
+	_ = c.MarkFlagRequired("router")
 	return c
 }
--- a/cmd/gale/fleet.go
+++ b/cmd/testbed/fleet.go
@@ -88,7 +88,7 @@
 	}
 	dir := x.dir
 	if dir == "" {
-		if dir, err = os.MkdirTemp("", "gale"); err != nil {
+		if dir, err = os.MkdirTemp("", "testbed"); err != nil {
 			return err
 		}
 		defer os.RemoveAll(dir)
--- a/cmd/gale/fleet_test.go
+++ b/cmd/testbed/fleet_test.go
@@ -22,7 +22,7 @@
 
 func run(t *testing.T, bin, deploy, events string) {
 	t.Helper()
-	c := exec.Command(filepath.Join(bin, "gale"), "fleet", "--deploy", deploy, "--seconds", "8", "--rate", "10", "--events", events)
+	c := exec.Command(filepath.Join(bin, "testbed"), "fleet", "--deploy", deploy, "--seconds", "8", "--rate", "10", "--events", events)
 	c.Dir = "../.."
 	out, err := c.CombinedOutput()
 	if err != nil || !strings.Contains(string(out), "answers whole") || strings.Contains(string(out), " 0 answers whole") {
@@ -31,7 +31,7 @@
 	t.Logf("%s", out)
 }
 
-// A whole deployment as real processes: 11 machines, 18 workers, a vane and a barometer killed and started again in
+// A whole deployment as real processes: 11 machines, 18 workers, a router and a controller killed and started again in
 // the run, judged by what callers and workers wrote down.
 func TestWholeFleet(t *testing.T) {
 	if testing.Short() {
@@ -41,14 +41,14 @@
 }
 
 // Real cuts between real processes: the core in two with a leaving mark meanwhile, a zone, one machine one way, one
-// barometer's way to the platform, a lossy net.
+// controller's way to the platform, a lossy net.
 func TestCutFleet(t *testing.T) {
 	if testing.Short() {
 		t.Skip("a run of real processes")
 	}
 	bin := build(t, "-tags", "cuts")
 	run(t, bin, "deploy/council.json", "10.5:cut:core,11:leave:w01,14:heal,14.5:cut:core1:platform,15:lossy:10,16:cut:n11:out,17:heal")
-	for _, name := range []string{"vane", "barometer"} {
+	for _, name := range []string{"router", "controller"} {
 		for dir, want := range map[string]bool{bin: true, build(t): false} {
 			b, err := os.ReadFile(filepath.Join(dir, name))
 			if err != nil {
--- a/cmd/gale/hollow.go
+++ b/cmd/testbed/hollow.go
@@ -22,7 +22,7 @@
 
 const jobsMost = 16
 
-// study is what the flags of gale hollow say.
+// study is what the flags of testbed hollow say.
 type study struct {
 	sizes  []int
 	names  []string
@@ -50,7 +50,7 @@
 		return x.run(ctx, l)
 	}
 	f := c.Flags()
-	f.IntSliceVar(&x.sizes, "sizes", []int{12, 50, 100, 200, 400}, "how many vanes; 8 barometers are with them")
+	f.IntSliceVar(&x.sizes, "sizes", []int{12, 50, 100, 200, 400}, "how many routers; 8 controllers are with them")
 	f.StringSliceVar(&x.names, "experiments", x.names, "what the site does")
 	f.Uint64Var(&x.seed, "seed", 1, "seed")
 	f.StringVar(&x.dir, "dir", "", "a folder for capacity.csv, capacity.md and capacity.svg; the Markdown is printed anyway")
--- a/cmd/gale/pages_test.go
+++ b/cmd/testbed/pages_test.go
@@ -16,7 +16,7 @@
 
 // The shipped programs hold nothing that starts a process, and no stand-in.
 func TestShippedPrograms(t *testing.T) {
-	out, err := exec.Command("go", "list", "-deps", "seamshunt/cmd/vane", "seamshunt/cmd/barometer").Output()
+	out, err := exec.Command("go", "list", "-deps", "seamshunt/cmd/router", "seamshunt/cmd/controller").Output()
 	if err != nil || !strings.Contains(string(out), "seamshunt/internal/router\n") {
 		t.Fatalf("%v: %s", err, out)
 	}
@@ -34,7 +34,7 @@
 		t.Skip("a run of real processes")
 	}
 	bin, dir := build(t), t.TempDir()
-	fleet := exec.Command(filepath.Join(bin, "gale"), "fleet", "--seconds", "10", "--rate", "10", "--dir", dir)
+	fleet := exec.Command(filepath.Join(bin, "testbed"), "fleet", "--seconds", "10", "--rate", "10", "--dir", dir)
 	fleet.Dir = "../.."
 	pipe, err := fleet.StdoutPipe()
 	if err != nil {
@@ -47,15 +47,15 @@
 	at := ""
 	for at == "" && lines.Scan() {
 		said += lines.Text() + "\n"
-		if m := regexp.MustCompile(`barometer at (\S+),`).FindStringSubmatch(lines.Text()); m != nil {
+		if m := regexp.MustCompile(`controller at (\S+),`).FindStringSubmatch(lines.Text()); m != nil {
 			at = m[1]
 		}
 	}
 	good := func(args ...string) []byte {
 		t.Helper()
-		out, err := exec.Command(filepath.Join(bin, "barometer"), args...).Output()
+		out, err := exec.Command(filepath.Join(bin, "controller"), args...).Output()
 		if err != nil {
-			t.Errorf("barometer %v: %v\n%s", args, err, out)
+			t.Errorf("controller %v: %v\n%s", args, err, out)
 		}
 		return out
 	}
@@ -83,11 +83,11 @@
 		return bytes.Contains(plan, []byte("54 in flight"))
 	})
 	confirm(good("evacuate", "--at", at, "v2"))
-	if out := good("status", "--at", at); !bytes.Contains(out, []byte("vanes_at_it")) || !bytes.Contains(out, []byte(`"state": "voter"`)) {
+	if out := good("status", "--at", at); !bytes.Contains(out, []byte("routers_at_it")) || !bytes.Contains(out, []byte(`"state": "voter"`)) {
 		t.Errorf("status says %s", out)
 	}
 	confirm(good("readmit", "--at", at, "v2"))
-	if out := good("promises", "--at", at); !bytes.Contains(out, []byte(`"vanes_answered": 9`)) {
+	if out := good("promises", "--at", at); !bytes.Contains(out, []byte(`"routers_answered": 9`)) {
 		t.Errorf("promises says %s", out)
 	}
 	records := 0
--- a/cmd/gale/play.go
+++ b/cmd/testbed/play.go
@@ -67,8 +67,8 @@
 	}
 	var control []string
 	for _, m := range p.place.Machines {
-		for _, program := range []string{"barometer", "vane"} {
-			if program == "barometer" && !m.Disk {
+		for _, program := range []string{"controller", "router"} {
+			if program == "controller" && !m.Disk {
 				continue
 			}
 			path, err := p.place.Settings(p.f.Dir, m, program, true)
@@ -106,7 +106,7 @@
 		p.f.Crew.Sleep(50 * time.Millisecond)
 	}
 	for _, m := range p.place.Machines { // the very first start is over
-		for _, program := range []string{"barometer", "vane"} {
+		for _, program := range []string{"controller", "router"} {
 			if _, err := p.place.Settings(p.f.Dir, m, program, false); err != nil {
 				return err
 			}
--- a/cmd/gale/play_events.go
+++ b/cmd/testbed/play_events.go
@@ -17,9 +17,9 @@
 			continue
 		}
 		if m.Disk {
-			l = append(l, m.Name+".barometer")
+			l = append(l, m.Name+".controller")
 		}
-		l = append(l, m.Name+".vane")
+		l = append(l, m.Name+".router")
 	}
 	return l
 }
--- a/cmd/gale/site.go
+++ b/cmd/testbed/site.go
@@ -105,7 +105,7 @@
 func (x *site) run(ctx context.Context) error {
 	dir := x.dir
 	if dir == "" {
-		d, err := os.MkdirTemp("", "gale")
+		d, err := os.MkdirTemp("", "testbed")
 		if err != nil {
 			return err
 		}
--- a/cmd/gale/site_test.go
+++ b/cmd/testbed/site_test.go
@@ -14,14 +14,14 @@
 		t.Skip("a run of real processes")
 	}
 	bin := build(t)
-	c := exec.Command(filepath.Join(bin, "gale"), "site", "--seconds", "8", "--rate", "12",
+	c := exec.Command(filepath.Join(bin, "testbed"), "site", "--seconds", "8", "--rate", "12",
 		"--events", "1:kill:edge-z1-1,2:start:edge-z1-1,2.5:leave:w1,3:evacuate:z3,4:storm,5:readmit:z3,6:restart:edge-z2-2")
 	out, err := c.CombinedOutput()
 	if err != nil || strings.Count(string(out), "\nkept ") < 12 || strings.Contains(string(out), " 0 answers whole") {
 		t.Errorf("%v\n%s", err, out)
 	}
 	t.Logf("%s", out)
-	c = exec.Command(filepath.Join(bin, "gale"), "site", "--machines", "1", "--zones", "1", "--disks", "1", "--workers", "1", "--seconds", "1", "--served", "1.01")
+	c = exec.Command(filepath.Join(bin, "testbed"), "site", "--machines", "1", "--zones", "1", "--disks", "1", "--workers", "1", "--seconds", "1", "--served", "1.01")
 	out, _ = c.CombinedOutput()
 	if c.ProcessState.ExitCode() != 1 || !strings.Contains(string(out), "BROKEN  served") {
 		t.Errorf("exit code %d\n%s", c.ProcessState.ExitCode(), out)
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -21,17 +21,17 @@
 	Addr     string   // for the system's own processes
 	Web      string   // HTTP for callers, or for operators
 	Seeds    []string // three other processes
-	Data     string   // barometer: the one data folder
-	Founders int      // barometer: how many blank disks found the fleet
-	Platform string   // barometer: where the platform lists workers
-	Pools    []string // barometer: the pools to ask for
-	PollMs   int      // barometer: least gap between two questions to the platform
+	Data     string   // controller: the one data folder
+	Founders int      // controller: how many blank disks found the fleet
+	Platform string   // controller: where the platform lists workers
+	Pools    []string // controller: the pools to ask for
+	PollMs   int      // controller: least gap between two questions to the platform
 	DrainMs  int      // how long streams may last after a warning
-	Reserve  int      // barometer: bytes kept free on the disk for a rewrite
-	Ready    string   // vane: an address of its own for the question whether it is ready; on Web if empty
+	Reserve  int      // controller: bytes kept free on the disk for a rewrite
+	Ready    string   // router: an address of its own for the question whether it is ready; on Web if empty
 	First    bool     // the system's very first start, with empty disks
-	Counts   bool     // barometer: its disk counts among those that vote
-	Grow     bool     // barometer: founded by the seeds, voters grow to every disk that counts
+	Counts   bool     // controller: its disk counts among those that vote
+	Grow     bool     // controller: founded by the seeds, voters grow to every disk that counts
 	Zones    []string // all zones there are; empty when nobody said
 
 	LostMachines int // how many machines whose disks count may be lost at once
@@ -68,8 +68,8 @@
 func (f Faults) Error() string { return strings.Join(f, "\n") }
 
 var known = map[string][]string{
-	"vane":      {"name", "zone", "addr", "web", "seeds", "drain_ms"},
-	"barometer": {"name", "zone", "addr", "web", "seeds", "drain_ms", "data", "founders", "platform", "pools", "poll_ms", "reserve_bytes"},
+	"router":     {"name", "zone", "addr", "web", "seeds", "drain_ms"},
+	"controller": {"name", "zone", "addr", "web", "seeds", "drain_ms", "data", "founders", "platform", "pools", "poll_ms", "reserve_bytes"},
 }
 
 // Read checks a boot file for one of the two programs.
@@ -147,7 +147,7 @@
 		addr(fmt.Sprintf("seeds[%d]", i), s)
 	}
 	c.DrainMs = number("drain_ms", 20000, 0, 600000)
-	if program == "barometer" {
+	if program == "controller" {
 		c.Data = text("data", true)
 		c.Platform = text("platform", true)
 		addr("platform", c.Platform)
--- a/internal/cluster/configpush/confirm.go
+++ b/internal/cluster/configpush/confirm.go
@@ -8,7 +8,7 @@
 	"seamshunt/internal/units"
 )
 
-// alone is how long a starting node waits for a barometer before serving neighbours may vouch instead (start).
+// alone is how long a starting node waits for a controller before serving neighbours may vouch instead (start).
 const alone = 3 * time.Second
 
 // freshFor is how long a digest heard from a neighbour counts: it may have moved on since (start).
@@ -48,7 +48,7 @@
 	return ok, out
 }
 
-// Neighbours lists the live barometers, and the live vanes that serve.
+// Neighbours lists the live controllers, and the live routers that serve.
 func Neighbours(all []membership.Member, self units.Node) (core, peers []units.Node) {
 	for _, m := range all {
 		switch {
--- a/internal/cluster/configpush/feed.go
+++ b/internal/cluster/configpush/feed.go
@@ -54,7 +54,7 @@
 	me         string                      // salt for drawing whom to relay to
 	out        map[string]*pushed          // news on its way
 	Vouch      map[units.Node]vouched      // a starting node's confirmations
-	Stored     func() map[string]units.Num // a barometer's numbers on disk; nil on a vane
+	Stored     func() map[string]units.Num // a controller's numbers on disk; nil on a router
 	seen       uint64                      // the digest at the last beat
 	moved      units.Time                  // when that was found changed
 	told       bool                        // something new came from a neighbour since the last tick
--- a/internal/cluster/membership/membership.go
+++ b/internal/cluster/membership/membership.go
@@ -34,11 +34,11 @@
 const (
 	Draining uint16 = 1 << iota
 	Unfit           // its disk can't be trusted with ownership now
-	Ready           // a vane that serves
-	Voter           // a barometer that believes it votes
+	Ready           // a router that serves
+	Voter           // a controller that believes it votes
 	Full            // its disk has no room
-	Counts          // a barometer whose disk may vote (design 13)
-	First           // a barometer of the system's very first start, by its boot file or by its disk
+	Counts          // a controller whose disk may vote (design 13)
+	First           // a controller of the system's very first start, by its boot file or by its disk
 )
 
 // Member is one process.
--- a/internal/control/controller/adapter_calls_test.go
+++ b/internal/control/controller/adapter_calls_test.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// grownCore starts n barometers that are founded from seeds.
+// grownCore starts n controllers that are founded from seeds.
 func grownCore(t *testing.T, n int, book *adapter.Adapter) []*Controller {
 	t.Helper()
 	var bs []*boot.Boot
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -32,7 +32,7 @@
 	*tower.Tower
 	replicaMu sync.Mutex
 	replica   *register.Replica
-	claims    *idempotency.Registry // claims; under baroMu, as what it says goes through the same queue
+	claims    *idempotency.Registry // claims; under replicaMu, as what it says goes through the same queue
 	waits     map[uint64]chan register.Result
 	disk      disk
 	leaseMu   sync.Mutex
@@ -51,7 +51,7 @@
 	heir      bool                // a damaged file was set aside on this disk
 	audit     chan entry          // to the one writer of the audit record
 	missed    atomic.Uint64       // acknowledged changes that the audit record lacks
-	syncer    *antientropy.Syncer // under baroMu
+	syncer    *antientropy.Syncer // under replicaMu
 	adapter   *adapter.Adapter    // the outside world's names and formats; nil for the product's own
 	door      fasthttp.RequestHandler
 	taken     versions
@@ -71,7 +71,7 @@
 	c.disk.wake = make(chan struct{}, 1)
 	c.replica = register.New(self, tower.Random())
 	if err := c.replica.Load(a.Live()); err != nil {
-		return nil, fmt.Errorf("barometer: %w", err)
+		return nil, fmt.Errorf("controller: %w", err)
 	}
 	c.seeds, c.born = founding(b, a.Live()), born(a.Live())
 	c.Flag(membership.Counts, b.Counts || !b.Grow)
@@ -135,13 +135,13 @@
 func (c *Controller) Start() error {
 	ln, err := listener.Listen(c.Boot.Web)
 	if err != nil {
-		return fmt.Errorf("barometer: %w", err)
+		return fmt.Errorf("controller: %w", err)
 	}
 	if err := c.Tower.Start(); err != nil {
 		ln.Close()
 		return err
 	}
-	c.web = &fasthttp.Server{Handler: c.serve, Name: "barometer", MaxRequestBodySize: 16 << 20, NoDefaultDate: true, Logger: quiet{}}
+	c.web = &fasthttp.Server{Handler: c.serve, Name: "controller", MaxRequestBodySize: 16 << 20, NoDefaultDate: true, Logger: quiet{}}
 	c.Crew.Go(func() { _ = c.web.Serve(ln) })
 	c.Crew.Go(c.writer)
 	c.Crew.Go(c.recorder)
@@ -172,7 +172,7 @@
 	c.spread(now, news)
 }
 
-// drain passes results to those who wait and takes what was chosen; baroMu is held.
+// drain passes results to those who wait and takes what was chosen; replicaMu is held.
 func (c *Controller) drain() []register.ChosenValue {
 	for _, r := range c.replica.Results {
 		if ch := c.waits[r.Tag]; ch != nil {
--- a/internal/control/controller/plan.go
+++ b/internal/control/controller/plan.go
@@ -206,7 +206,7 @@
 	c.fail(ctx, &synop.Fault{Code: synop.NoPlan, Text: "no such plan here, or it is too old; plan again"})
 }
 
-// passOn gives an operator's call to the barometer it belongs to, once.
+// passOn gives an operator's call to the controller it belongs to, once.
 func (c *Controller) passOn(ctx *fasthttp.RequestCtx, web string) {
 	code, b, _, err := transport.HTTP("POST", web, string(ctx.Path()), ctx.PostBody(), map[string]string{"Passed-On": c.Self.String()}, passOnTimeout)
 	if err != nil {
--- a/internal/control/controller/promises.go
+++ b/internal/control/controller/promises.go
@@ -89,8 +89,8 @@
 	var a fastjson.Arena
 	o, l := a.NewObject(), a.NewObject()
 	o.Set("code", a.NewNumberInt(int(synop.OK)))
-	o.Set("vanes", a.NewNumberInt(asked))
-	o.Set("vanes_answered", a.NewNumberInt(answered))
+	o.Set("routers", a.NewNumberInt(asked))
+	o.Set("routers_answered", a.NewNumberInt(answered))
 	for _, k := range message.Keys(m) {
 		s := m[k]
 		x := a.NewObject()
--- a/internal/control/controller/quorum.go
+++ b/internal/control/controller/quorum.go
@@ -8,7 +8,7 @@
 	"seamshunt/internal/units"
 )
 
-// voting founds the first set of voters, and has it changed when it should be another; baroMu is held.
+// voting founds the first set of voters, and has it changed when it should be another; replicaMu is held.
 func (c *Controller) voting(now units.Time, look register.CoreView) {
 	if c.Boot.Grow {
 		c.replica.FoundFromSeeds(c.seeds.Set(now, look))
--- a/internal/control/controller/status.go
+++ b/internal/control/controller/status.go
@@ -58,8 +58,8 @@
 				}
 			}
 		}
-		x.Set("vanes_at_it", a.NewNumberInt(at))
-		x.Set("vanes", a.NewNumberInt(all))
+		x.Set("routers_at_it", a.NewNumberInt(at))
+		x.Set("routers", a.NewNumberInt(all))
 		news.Set(k, x)
 	}
 	c.FeedMu.Unlock()
--- a/internal/control/register/acceptor.go
+++ b/internal/control/register/acceptor.go
@@ -124,7 +124,7 @@
 	return b.quorum.Has(b.self) || key == KeyQuorum && k == Accept
 }
 
-// StoredNumbers gives this disk's accepted numbers, for a starting vane's vouching (design 4).
+// StoredNumbers gives this disk's accepted numbers, for a starting router's vouching (design 4).
 func (b *Replica) StoredNumbers() map[string]units.Num {
 	m := map[string]units.Num{}
 	for k, s := range b.states {
--- a/internal/control/register/coreview.go
+++ b/internal/control/register/coreview.go
@@ -13,10 +13,10 @@
 	Leaving     []units.Node        // could own keys but for being about to end
 	Blank       []units.Node        // alive and without a vote
 	FleetExists bool                // somebody has heard of a fleet that stands
-	Controllers []membership.Member // the live barometers
-	Lost        map[units.Node]bool // barometers at whose address another one lives now: their disks were lost
+	Controllers []membership.Member // the live controllers
+	Lost        map[units.Node]bool // controllers at whose address another one lives now: their disks were lost
 	departed    map[units.Node]bool // controllers that have said goodbye
-	diskless    bool                // no barometer has a disk that counts: then each one counts (design 13)
+	diskless    bool                // no controller has a disk that counts: then each one counts (design 13)
 }
 
 // ViewCore reads membership.
@@ -51,7 +51,7 @@
 	return m.State == membership.Alive && m.Flags&(membership.Draining|membership.Unfit) == 0
 }
 
-// replaced finds the barometers whose address a later one has: one address bears one process, and the later one began
+// replaced finds the controllers whose address a later one has: one address bears one process, and the later one began
 // with the higher incarnation.
 func replaced(all []membership.Member) map[units.Node]bool {
 	at := map[string]membership.Member{}
--- a/internal/control/register/seeds.go
+++ b/internal/control/register/seeds.go
@@ -58,7 +58,7 @@
 	return ids, s.Addr == slices.Min(s.Addrs) && now.Sub(s.since) >= span
 }
 
-// at gives the barometer that lives at an address.
+// at gives the controller that lives at an address.
 func (l CoreView) at(addr string) units.Node {
 	for _, m := range l.Controllers {
 		if m.Addr == addr {
--- a/internal/fleet/cut.go
+++ b/internal/fleet/cut.go
@@ -55,7 +55,7 @@
 		case e.Arg == platformProc:
 			cut = in(from) && to.kind == platformProc
 		case e.On == "core":
-			cut = cut && from.kind == "barometer" && to.kind == "barometer"
+			cut = cut && from.kind == "controller" && to.kind == "controller"
 		case e.On == "control":
 			cut = cut && to.kind != "worker" && to.kind != platformProc
 		case to.kind == platformProc:
@@ -77,7 +77,7 @@
 func (f *Fleet) side(name string) func(*proc) bool {
 	var core []string
 	for _, n := range f.order {
-		if f.procs[n].kind == "barometer" {
+		if f.procs[n].kind == "controller" {
 			core = append(core, n)
 		}
 	}
@@ -85,7 +85,7 @@
 	case name == "core":
 		return func(p *proc) bool { return slices.Contains(core[:len(core)/2], p.name) }
 	case name == "control":
-		return func(p *proc) bool { return p.kind == "barometer" }
+		return func(p *proc) bool { return p.kind == "controller" }
 	case f.zone(name):
 		return func(p *proc) bool { return p.zone == name }
 	}
--- a/internal/fleet/drill.go
+++ b/internal/fleet/drill.go
@@ -19,7 +19,7 @@
 
 // Drill takes one zone out of a running fleet, checks the promises meanwhile, and gives the zone back.
 type Drill struct {
-	At      string // a barometer's web address
+	At      string // a controller's web address
 	Zone    string
 	How     string        // evacuate, or kill by way of the harness
 	Harness string        // the harness's address, for kill
@@ -48,7 +48,7 @@
 		Voters  []string
 	}
 	if err := json.Unmarshal(b, &x); err != nil {
-		return nil, nil, fmt.Errorf("drill: %s is no barometer: %w", d.At, err)
+		return nil, nil, fmt.Errorf("drill: %s is no controller: %w", d.At, err)
 	}
 	return x.Members, x.Voters, nil
 }
@@ -63,7 +63,7 @@
 	for _, m := range l {
 		if m.State == "alive" {
 			live[m.Addr] = true
-			if m.Role == "vane" && m.Ready {
+			if m.Role == "router" && m.Ready {
 				zones[m.Zone]++
 			}
 			if m.Zone != d.Zone && slices.Contains(voters, m.Node) {
@@ -75,12 +75,12 @@
 		switch {
 		case m.State != "alive" && m.State != "left" && !live[m.Addr]:
 			return fmt.Errorf("%w: %s in zone %s is %s", ErrShort, m.Addr, m.Zone, m.State)
-		case m.State == "alive" && (m.Unfit || m.Draining || m.Role == "vane" && !m.Ready):
+		case m.State == "alive" && (m.Unfit || m.Draining || m.Role == "router" && !m.Ready):
 			return fmt.Errorf("%w: %s in zone %s is not whole (unfit %v, draining %v, ready %v)", ErrShort, m.Addr, m.Zone, m.Unfit, m.Draining, m.Ready)
 		}
 	}
 	if zones[d.Zone] == 0 {
-		return fmt.Errorf("%w: no ready vane in zone %q", ErrShort, d.Zone)
+		return fmt.Errorf("%w: no ready router in zone %q", ErrShort, d.Zone)
 	}
 	if len(zones) < 2 {
 		return fmt.Errorf("%w: there is no other zone", ErrShort)
@@ -116,10 +116,10 @@
 	return fmt.Errorf("%w: no mapping that may repeat can be probed", ErrShort)
 }
 
-// handed counts the hand-overs into the zone, over all vanes that answer.
+// handed counts the hand-overs into the zone, over all routers that answer.
 func (d *Drill) handed() (n int) {
 	for _, m := range d.members {
-		if m.Role != "vane" {
+		if m.Role != "router" {
 			continue
 		}
 		var x struct {
@@ -132,11 +132,11 @@
 	return n
 }
 
-// probe sends one prompt by way of a vane outside the zone.
+// probe sends one prompt by way of a router outside the zone.
 func (d *Drill) probe(ctx context.Context, i int) bool {
 	var l []string
 	for _, m := range d.members {
-		if m.Role == "vane" && m.Zone != d.Zone {
+		if m.Role == "router" && m.Zone != d.Zone {
 			l = append(l, m.Web)
 		}
 	}
@@ -147,10 +147,10 @@
 
 func (d *Drill) take(out bool) error {
 	if d.How == "evacuate" {
-		f := &Fleet{procs: map[string]*proc{"core": {kind: "barometer", web: d.At}}}
+		f := &Fleet{procs: map[string]*proc{"core": {kind: "controller", web: d.At}}}
 		for _, m := range d.members {
-			if m.Role == "barometer" {
-				f.procs[m.Node] = &proc{kind: "barometer", web: m.Web}
+			if m.Role == "controller" {
+				f.procs[m.Node] = &proc{kind: "controller", web: m.Web}
 			}
 		}
 		_, err := f.Set("/v1/zones/"+d.Zone, fmt.Appendf(nil, `{"evacuated":%v}`, out), 10*time.Second)
@@ -164,14 +164,14 @@
 	return err
 }
 
-// giveBack gives the zone back, by any barometer that it knows; if none takes it, it says loudly what stands.
+// giveBack gives the zone back, by any controller that it knows; if none takes it, it says loudly what stands.
 func (d *Drill) giveBack() error {
 	err := d.take(false)
 	if err == nil {
 		fmt.Fprintf(d.Say, "zone %s is given back\n", d.Zone)
 		return nil
 	}
-	stands, how := "EVACUATED", "barometer readmit --at ADDRESS "+d.Zone+", and confirm the plan"
+	stands, how := "EVACUATED", "controller readmit --at ADDRESS "+d.Zone+", and confirm the plan"
 	if d.How == "kill" {
 		stands, how = "DOWN", "start its processes"
 	}
--- a/internal/fleet/drill_test.go
+++ b/internal/fleet/drill_test.go
@@ -13,7 +13,7 @@
 	"github.com/valyala/fasthttp"
 )
 
-// door is a barometer as a drill sees it: a whole fleet of two zones, whose answers to changes a test plans.
+// door is a controller as a drill sees it: a whole fleet of two zones, whose answers to changes a test plans.
 type door struct {
 	mu     sync.Mutex
 	out    bool
@@ -29,7 +29,7 @@
 	}
 	switch path := string(ctx.Path()); {
 	case path == "/status":
-		fmt.Fprintf(ctx, `{"members":[%s,%s,%s],"voters":["c"]}`, member("c", "barometer", "z1"), member("a", "vane", "z1"), member("b", "vane", "z2"))
+		fmt.Fprintf(ctx, `{"members":[%s,%s,%s],"voters":["c"]}`, member("c", "controller", "z1"), member("a", "router", "z1"), member("b", "router", "z2"))
 	case path == "/v1/config":
 		ctx.Response.Header.Set("Number", "1")
 		ctx.SetBodyString(`{"services":[{"name":"a","pool":"main","cap":1}],"promises":[{"name":"p","first_ms":1,"deadline_ms":100}],` +
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -89,9 +89,9 @@
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
 	for i, m := range d.Machines {
-		p := &proc{name: m.Name, zone: m.Zone, kind: "vane", addr: as[2*i], web: as[2*i+1]}
+		p := &proc{name: m.Name, zone: m.Zone, kind: "router", addr: as[2*i], web: as[2*i+1]}
 		if m.Disk {
-			p.kind, p.data = "barometer", filepath.Join(dir, m.Name+".data")
+			p.kind, p.data = "controller", filepath.Join(dir, m.Name+".data")
 		}
 		if len(f.seeds) < 3 && m.Disk {
 			f.seeds = append(f.seeds, p.addr)
@@ -128,7 +128,7 @@
 // boot writes a process's boot file.
 func (f *Fleet) boot(p *proc) error {
 	b := map[string]any{"name": p.name, "zone": p.zone, "addr": p.addr, "web": p.web, "seeds": f.seeds, "drain_ms": 15000}
-	if p.kind == "barometer" {
+	if p.kind == "controller" {
 		b["data"], b["founders"], b["platform"], b["pools"] = p.data, f.Dep.Disks(), f.ln.Addr().String(), []string{f.Dep.Pool}
 		b["poll_ms"], b["reserve_bytes"] = 500, 1<<20
 	}
@@ -171,7 +171,7 @@
 	if p.cmd != nil {
 		return fmt.Errorf("fleet: %s runs already", name)
 	}
-	bin := map[string]string{"vane": "vane", "barometer": "barometer", "worker": "gale"}[p.kind]
+	bin := map[string]string{"router": "router", "controller": "controller", "worker": "testbed"}[p.kind]
 	args := append([]string(nil), p.args...)
 	if p.kind == "worker" {
 		args = append(args, f.Model...)
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -11,9 +11,9 @@
 	"seamshunt/internal/cluster/transport"
 )
 
-func (f *Fleet) barometers() []string {
+func (f *Fleet) controllers() []string {
 	var l []string
-	for _, w := range f.Webs("barometer") {
+	for _, w := range f.Webs("controller") {
 		l = append(l, w)
 	}
 	slices.Sort(l)
@@ -28,7 +28,7 @@
 	last := ErrNone
 	num, have := "", false
 	for time.Now().Before(end) {
-		for _, at := range f.barometers() {
+		for _, at := range f.controllers() {
 			if !have {
 				code, _, n, err := transport.HTTP("GET", at, path, nil, nil, 8*time.Second)
 				if err != nil || code != 200 && code != 404 {
@@ -64,7 +64,7 @@
 	end := time.Now().Add(limit)
 	last := ErrNone
 	for time.Now().Before(end) {
-		for _, at := range f.barometers() {
+		for _, at := range f.controllers() {
 			code, b, n, err := transport.HTTP("GET", at, path, nil, nil, 8*time.Second)
 			if err == nil && code == 200 {
 				x, err := strconv.ParseUint(n, 10, 64)
@@ -77,10 +77,10 @@
 	return nil, 0, last
 }
 
-// Ready lists the vanes that say they are ready, by zone.
+// Ready lists the routers that say they are ready, by zone.
 func (f *Fleet) Ready() map[string][]string {
 	m := map[string][]string{}
-	for name, web := range f.Webs("vane") {
+	for name, web := range f.Webs("router") {
 		p, _ := f.get(name)
 		f.mu.Lock()
 		up := p.cmd != nil
--- a/internal/fleet/proc.go
+++ b/internal/fleet/proc.go
@@ -59,7 +59,7 @@
 
 // Event notes in the journal what the harness did.
 func (f *Fleet) Event(how, target string) {
-	if p, err := f.get(target); err == nil && p.kind == "vane" {
+	if p, err := f.get(target); err == nil && p.kind == "router" {
 		target = p.web // callers know a node by its address
 	}
 	f.Journal.Write(standin.Entry{Kind: "event", At: standin.Now(), How: how, Target: target})
@@ -78,5 +78,5 @@
 	return m
 }
 
-// ErrNone says that no barometer answered.
-var ErrNone = errors.New("fleet: no barometer answers")
+// ErrNone says that no controller answered.
+var ErrNone = errors.New("fleet: no controller answers")
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -50,7 +50,7 @@
 		}
 		return err
 	}
-	fmt.Fprintf(say, "barometer at %s, harness at %s, journals in %s\n", f.barometers()[0], f.ln.Addr(), f.Dir)
+	fmt.Fprintf(say, "controller at %s, harness at %s, journals in %s\n", f.controllers()[0], f.ln.Addr(), f.Dir)
 	tctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sent := make(chan struct{})
@@ -141,7 +141,7 @@
 		return false, err
 	}
 	zone := map[string]string{}
-	for n, w := range f.Webs("vane") {
+	for n, w := range f.Webs("router") {
 		p, _ := f.get(n)
 		zone[w] = p.zone
 	}
--- a/internal/fleet/traffic.go
+++ b/internal/fleet/traffic.go
@@ -11,7 +11,7 @@
 	"seamshunt/internal/standin"
 )
 
-// Traffic sends requests at a rate, from all zones alike, to vanes that the platform finds ready.
+// Traffic sends requests at a rate, from all zones alike, to routers that the platform finds ready.
 type Traffic struct {
 	f     *Fleet
 	mix   *standin.Mix
--- a/internal/hollow/bound.go
+++ b/internal/hollow/bound.go
@@ -15,7 +15,7 @@
 	perPair = 4 << 10
 )
 
-// Need is about how much memory a run of n vanes takes.
+// Need is about how much memory a run of n routers takes.
 func Need(n int) uint64 {
 	k := uint64(n + Aside)
 	return 2 * (k*perNode + k*k*perPair)
--- a/internal/hollow/core.go
+++ b/internal/hollow/core.go
@@ -26,7 +26,7 @@
 // core is package controller without its web side, its locks and its file.
 type core struct {
 	n       *node
-	baro    *register.Replica
+	replica    *register.Replica
 	duty    *lease.Lease
 	iso     *antientropy.Syncer
 	roll    *idempotency.Registry
@@ -38,11 +38,11 @@
 
 func newCore(n *node) *core {
 	w := n.w
-	c := &core{n: n, baro: register.New(n.self, units.Node(w.rng.Uint64())), roll: idempotency.LoadRegistry(n.self, w.Now, nil), sky: discovery.New(),
+	c := &core{n: n, replica: register.New(n.self, units.Node(w.rng.Uint64())), roll: idempotency.LoadRegistry(n.self, w.Now, nil), sky: discovery.New(),
 		turn: map[string]*discovery.Schedule{}, planner: register.Planner{FixedSize: Founders, ReplaceAfter: register.ReplaceFixedAfter}}
-	c.duty = lease.New(n.self, "platform", func() []units.Node { return c.baro.Quorum().Members }, w.Now, rand.New(rand.NewPCG(w.rng.Uint64(), 1)))
+	c.duty = lease.New(n.self, "platform", func() []units.Node { return c.replica.Quorum().Members }, w.Now, rand.New(rand.NewPCG(w.rng.Uint64(), 1)))
 	c.iso = antientropy.New(n.self, w.Now, rand.New(rand.NewPCG(w.rng.Uint64(), 2)))
-	n.bull.Stored = func() map[string]units.Num { return c.baro.VouchNumbers() }
+	n.bull.Stored = func() map[string]units.Num { return c.replica.VouchNumbers() }
 	return c
 }
 
@@ -51,11 +51,11 @@
 	case message.KindLease:
 		return c.duty.Step(now, n)
 	case message.KindAntiEntropy:
-		return c.iso.Step(n, c.baro.States(), c.baro.Resend)
+		return c.iso.Step(n, c.replica.States(), c.replica.Resend)
 	case message.KindClaim:
-		return c.roll.Step(now, n, c.baro.QuorumVersion())
+		return c.roll.Step(now, n, c.replica.QuorumVersion())
 	case message.KindRegister:
-		out = c.baro.Step(now, n)
+		out = c.replica.Step(now, n)
 		c.drain(now, &out)
 	}
 	return out
@@ -68,17 +68,17 @@
 }
 
 func (c *core) calm(units.Time) bool {
-	return c.baro.Quorum().Version > 0 && (c.roll.Whole() || !c.baro.Quorum().Has(c.n.self))
+	return c.replica.Quorum().Version > 0 && (c.roll.Whole() || !c.replica.Quorum().Has(c.n.self))
 }
 
-// beat is the barometer's loop, and its poller's.
+// beat is the controller's loop, and its poller's.
 func (c *core) beat(now units.Time, _ []membership.Member) message.Effects {
 	m := c.n.membership
 	all := m.All()
 	look := register.ViewCore(all)
 	var out message.Effects
 	if it := c.n.bull.Items[register.KeyQuorum]; it != nil {
-		out.Join(c.baro.LearnQuorum(it.Data))
+		out.Join(c.replica.LearnQuorum(it.Data))
 	}
 	for _, it := range c.n.bull.Fresh {
 		if strings.HasPrefix(it.Key, discovery.Prefix) {
@@ -86,16 +86,16 @@
 		}
 	}
 	c.n.bull.Fresh = nil
-	c.baro.SetEligible(look.Eligible, look.Leaving...)
-	c.baro.FoundFixed(Founders, look)
-	c.baro.ChangeMembers(c.planner.Next(now, c.baro.Quorum(), look))
-	out.Join(c.baro.Tick(now))
-	out.Join(c.roll.Tick(now, c.baro.Quorum()))
-	c.iso.SetHealthy(c.baro.ReachesMajority(now))
-	out.Join(c.iso.Tick(now, c.baro.Quorum().All(), c.baro.States()))
-	voter := c.baro.Quorum().Has(c.n.self)
+	c.replica.SetEligible(look.Eligible, look.Leaving...)
+	c.replica.FoundFixed(Founders, look)
+	c.replica.ChangeMembers(c.planner.Next(now, c.replica.Quorum(), look))
+	out.Join(c.replica.Tick(now))
+	out.Join(c.roll.Tick(now, c.replica.Quorum()))
+	c.iso.SetHealthy(c.replica.ReachesMajority(now))
+	out.Join(c.iso.Tick(now, c.replica.Quorum().All(), c.replica.States()))
+	voter := c.replica.Quorum().Has(c.n.self)
 	m.Flag(membership.Voter, voter)
-	m.Flag(membership.Unfit, !c.baro.ReachesMajority(now))
+	m.Flag(membership.Unfit, !c.replica.ReachesMajority(now))
 	c.drain(now, &out)
 	out.Join(c.duty.Tick(now, voter))
 	c.poll(now, &out)
@@ -123,12 +123,12 @@
 }
 
 func (c *core) drain(now units.Time, out *message.Effects) {
-	for _, r := range c.baro.Results {
+	for _, r := range c.replica.Results {
 		c.n.w.Done[r.Code]++
 	}
-	c.baro.Results = nil
-	fresh := c.baro.Chosen
-	c.baro.Chosen = nil
+	c.replica.Results = nil
+	fresh := c.replica.Chosen
+	c.replica.Chosen = nil
 	for _, x := range fresh {
 		c.spread(now, configpush.Item{Key: x.Key, Num: x.Num, Data: x.Data}, out)
 	}
@@ -149,7 +149,7 @@
 	c.tag++
 	a := register.Request{Tag: c.tag, Key: "config", Write: true, Expect: register.AnyNumber, RequestID: units.Hex(c.n.w.rng.Uint64()), Data: data}
 	c.n.timed(message.KindRegister, func() message.Effects {
-		out := c.baro.Submit(c.n.w.Now, a)
+		out := c.replica.Submit(c.n.w.Now, a)
 		c.drain(c.n.w.Now, &out)
 		return out
 	})
--- a/internal/hollow/hollow_test.go
+++ b/internal/hollow/hollow_test.go
@@ -46,21 +46,21 @@
 	for _, e := range Experiments {
 		t.Run(e.Name, func(t *testing.T) {
 			r := measured(t, e.Name, s)
-			vane, member := row(t, r, "vane", "all"), row(t, r, "vane", "membership")
+			router, member := row(t, r, "router", "all"), row(t, r, "router", "membership")
 			if e.Name != "region" && e.Name != "heal" && r.Changes[synop.OK] == 0 {
 				t.Errorf("changes %v", r.Changes)
 			}
-			if vane.Core <= 0 || vane.HeapKB <= 0 || r.Ready <= 0 {
-				t.Errorf("nothing was measured: %+v", vane)
+			if router.Core <= 0 || router.HeapKB <= 0 || r.Ready <= 0 {
+				t.Errorf("nothing was measured: %+v", router)
 			}
 			switch e.Name {
 			case "rest": // a probe and an acknowledgement of another's, 2.5 times a second each
 				near(t, "notes", member.Notes, 4.8, 5.2)
-				near(t, "all notes of a vane at rest", vane.Notes, 4.8, 5.2)
+				near(t, "all notes of a router at rest", router.Notes, 4.8, 5.2)
 				near(t, "bytes a note", member.Out/member.Notes, 100, 220)
 				near(t, "bytes taken", member.In, 0.9*member.Out, 1.1*member.Out)
 			case "serve": // 1700/400 requests a second ask, are granted and give back; many of them at the node itself
-				permits := row(t, r, "vane", "permits")
+				permits := row(t, r, "router", "permits")
 				near(t, "notes of permits", permits.Notes, 4.25, 200)
 				if n := r.Verdicts[synop.OK]; n < 2000 || len(r.Verdicts) != 1 {
 					t.Errorf("verdicts %v", r.Verdicts)
@@ -69,16 +69,16 @@
 				if n := r.Claimed[synop.OK]; n < 300 || len(r.Claimed) != 1 {
 					t.Errorf("claims %v", r.Claimed)
 				}
-				if b := row(t, r, "barometer", "all"); b.Writes == 0 || b.Disk == 0 {
+				if b := row(t, r, "controller", "all"); b.Writes == 0 || b.Disk == 0 {
 					t.Errorf("nothing written: %+v", b)
 				}
 			case "config":
 				if r.Changes[synop.OK] != 6 || r.Force <= 0 {
 					t.Errorf("changes %v, in force after %v", r.Changes, r.Force)
 				}
-				near(t, "bytes of news taken", row(t, r, "vane", "news").In, float64(len(Config(s.Models, s.Tenants, "")))/2, 1e5)
+				near(t, "bytes of news taken", row(t, r, "router", "news").In, float64(len(Config(s.Models, s.Tenants, "")))/2, 1e5)
 			case "workers":
-				near(t, "bytes of news taken", row(t, r, "vane", "news").In, 100, 1e5)
+				near(t, "bytes of news taken", row(t, r, "router", "news").In, 100, 1e5)
 			case "region":
 				near(t, "bytes of membership", member.Out, 1000, 1e5)
 			}
@@ -104,7 +104,7 @@
 	var rows []Row
 	for _, n := range []int{10, 50, 100, 200} {
 		x := float64(n)
-		rows = append(rows, Row{Experiment: "rest", Size: n, Role: "vane", Part: "all", Notes: 5, Out: 1024 + 32*x, In: 7, Core: 0.5, HeapKB: 100 + x})
+		rows = append(rows, Row{Experiment: "rest", Size: n, Role: "router", Part: "all", Notes: 5, Out: 1024 + 32*x, In: 7, Core: 0.5, HeapKB: 100 + x})
 	}
 	found := false
 	for _, l := range Fit(rows) {
@@ -128,7 +128,7 @@
 		t.Error("a line through two sizes")
 	}
 	var csv, md bytes.Buffer
-	if err := Table(&csv, rows); err != nil || strings.Count(csv.String(), "\n") != 5 || !strings.Contains(csv.String(), "rest,vane,all,200,5,7424,") {
+	if err := Table(&csv, rows); err != nil || strings.Count(csv.String(), "\n") != 5 || !strings.Contains(csv.String(), "rest,router,all,200,5,7424,") {
 		t.Errorf("%v\n%s", err, csv.String())
 	}
 	if err := Markdown(&md, rows, Fit(rows)); err != nil || !strings.Contains(md.String(), "| 1344 | 2624 | 4224 | 7424 | 32 | 1.000 | 256 |") {
--- a/internal/hollow/load.go
+++ b/internal/hollow/load.go
@@ -36,7 +36,7 @@
 	Claimed   map[synop.Code]int
 	asked     map[units.Num]units.Time
 	taken     map[units.Num]int
-	Force     time.Duration // the longest from an operator's change to its being in force on the last vane
+	Force     time.Duration // the longest from an operator's change to its being in force on the last router
 	changes   int
 	serial    int
 }
@@ -95,17 +95,17 @@
 	}
 }
 
-// inForce is told that one more vane has a configuration in force.
+// inForce is told that one more router has a configuration in force.
 func (w *World) inForce(num units.Num, now units.Time) {
-	if w.taken[num]++; w.taken[num] == w.Vanes {
+	if w.taken[num]++; w.taken[num] == w.Routers {
 		w.Force = max(w.Force, now.Sub(w.asked[num]))
 	}
 }
 
-// prompts has a vane's callers come at its share of the rate, as long as there is traffic.
-func (v *vane) prompts() {
+// prompts has a router's callers come at its share of the rate, as long as there is traffic.
+func (v *router) prompts() {
 	w, life := v.n.w, v.n.life
-	gap := float64(w.Vanes) / w.Rate * 1e9
+	gap := float64(w.Routers) / w.Rate * 1e9
 	w.After(time.Duration(w.rng.ExpFloat64()*gap), func() {
 		if !v.n.up || v.n.life != life || !(w.traffic || w.claims) {
 			return
@@ -121,7 +121,7 @@
 }
 
 // arrive takes one prompt to the desk; nothing runs behind it but the time that its stream would last.
-func (v *vane) arrive() message.Effects {
+func (v *router) arrive() message.Effects {
 	w, now := v.n.w, v.n.w.Now
 	s := v.config.Services[fmt.Sprintf("m%02d", w.rng.IntN(w.Models))]
 	cands, keepers := v.cands(now, s, units.Mix("prefix", fmt.Sprint(w.rng.IntN(prefixes))))
@@ -133,14 +133,14 @@
 }
 
 // claim claims one fresh key, as a prompt that may not repeat does first.
-func (v *vane) claim() message.Effects {
+func (v *router) claim() message.Effects {
 	v.tag++
 	key := "notice/" + units.Hex(v.tag)
 	return v.claimant.Claim(v.n.w.Now, v.tag<<8^uint64(v.n.self), key, idempotency.Holders(v.n.membership.All(), key))
 }
 
 // tell takes the queue's verdicts and the claimant's results.
-func (v *vane) tell() {
+func (v *router) tell() {
 	w, life := v.n.w, v.n.life
 	for _, x := range v.queue.Verdicts {
 		w.Verdicts[x.Code]++
--- a/internal/hollow/measure.go
+++ b/internal/hollow/measure.go
@@ -28,13 +28,13 @@
 
 // Experiments in the order of the table.
 var Experiments = []Experiment{
-	{"start", "all vanes started at once, from their start on", 10 * time.Second, nil, nil},
+	{"start", "all routers started at once, from their start on", 10 * time.Second, nil, nil},
 	{"rest", "nothing happens", 10 * time.Second, quiet, nil},
 	{"serve", "requests at the peak, long streams", 20 * time.Second, func(w *World) { w.serve(true, false); w.Run(45 * time.Second) }, nil},
 	{"claim", "a key claimed for every request of the peak, no permits", 10 * time.Second, func(w *World) { quiet(w); w.serve(false, true) }, nil},
 	{"config", "a change of the configuration every 2 s", 10 * time.Second, quiet, func(w *World, d time.Duration) { w.every(2*time.Second, d, w.Change) }},
 	{"workers", "a worker listed and one taken off, every 2 s", 10 * time.Second, quiet, func(w *World, d time.Duration) { w.every(2*time.Second, d, w.turnover) }},
-	{"restart", "a vane restarted every 4 s", 20 * time.Second, quiet, func(w *World, d time.Duration) { w.every(4*time.Second, d, w.restart) }},
+	{"restart", "a router restarted every 4 s", 20 * time.Second, quiet, func(w *World, d time.Duration) { w.every(4*time.Second, d, w.restart) }},
 	{"region", "a region cut off: its first 20 s", 20 * time.Second, quiet, func(w *World, _ time.Duration) { w.cut = "c" }},
 	{"heal", "the 20 s after a region was cut off for 20 s", 20 * time.Second, func(w *World) { quiet(w); w.cut = "c"; w.Run(20 * time.Second) },
 		func(w *World, _ time.Duration) { w.cut = "" }},
@@ -67,7 +67,7 @@
 	Most       float64 // of one node: bytes sent or taken, whichever is more
 	Core       float64 // percent of a core
 	HeapKB     float64
-	Writes     float64 // syncs of a barometer's disk
+	Writes     float64 // syncs of a controller's disk
 	Disk       float64 // bytes of its records
 }
 
@@ -133,11 +133,11 @@
 	}
 	share := r.Real.Seconds() / max(busy.Seconds(), 1e-9)
 	for _, role := range []membership.Role{membership.Router, membership.Controller} {
-		nodes, name := float64(w.Vanes), "vane"
+		nodes, name := float64(w.Routers), "router"
 		if role == membership.Controller {
-			nodes, name = Aside, "barometer"
+			nodes, name = Aside, "controller"
 		}
-		all := Row{Experiment: e.Name, Size: w.Vanes, Role: name, Part: "all"}
+		all := Row{Experiment: e.Name, Size: w.Routers, Role: name, Part: "all"}
 		for _, n := range w.nodes {
 			if n.role == role {
 				all.Most = max(all.Most, float64(max(n.bytes, n.in))/secs)
@@ -149,12 +149,12 @@
 				continue
 			}
 			per := secs * nodes
-			x := Row{Experiment: e.Name, Size: w.Vanes, Role: name, Part: partNames[k], Notes: float64(c.Notes) / per, Out: float64(c.Bytes) / per, In: float64(c.In) / per,
+			x := Row{Experiment: e.Name, Size: w.Routers, Role: name, Part: partNames[k], Notes: float64(c.Notes) / per, Out: float64(c.Bytes) / per, In: float64(c.In) / per,
 				Core: 100 * c.Busy.Seconds() * share / per}
 			all.Notes, all.Out, all.In, all.Core = all.Notes+x.Notes, all.Out+x.Out, all.In+x.In, all.Core+x.Core
 			r.Rows = append(r.Rows, x)
 		}
-		all.HeapKB = held / 1024 / float64(w.Vanes+Aside) // of both roles alike: one heap holds them all
+		all.HeapKB = held / 1024 / float64(w.Routers+Aside) // of both roles alike: one heap holds them all
 		if role == membership.Controller {
 			all.Writes, all.Disk = float64(w.Writes)/secs/nodes, float64(w.Synced)/secs/nodes
 		}
--- a/internal/hollow/net.go
+++ b/internal/hollow/net.go
@@ -59,9 +59,9 @@
 
 // Shape says how large a site is.
 type Shape struct {
-	Vanes, Workers, Models, Tenants int
-	Rate                            float64 // requests a second
-	Seed                            uint64
+	Routers, Workers, Models, Tenants int
+	Rate                              float64 // requests a second
+	Seed                              uint64
 }
 
 // site lays a zone out: eleven zones in three regions.
--- a/internal/hollow/node.go
+++ b/internal/hollow/node.go
@@ -14,10 +14,10 @@
 	"seamshunt/internal/units"
 )
 
-// How often the daemons' loops run: package tower's, the vane's and the barometer's.
+// How often the daemons' loops run: package tower's, the router's and the controller's.
 const (
 	towerGap = 50 * time.Millisecond
-	vaneGap  = 20 * time.Millisecond
+	routerGap  = 20 * time.Millisecond
 	coreGap  = 50 * time.Millisecond
 	syncTime = 2 * time.Millisecond
 )
@@ -69,7 +69,7 @@
 	delete(w.byID, n.self)
 	n.life++
 	n.up = true
-	if n.self == 0 || n.role == membership.Router { // a barometer is known by its disk
+	if n.self == 0 || n.role == membership.Router { // a controller is known by its disk
 		n.self = units.Node(w.rng.Uint64() | 1)
 	}
 	w.byID[n.self] = n
@@ -77,9 +77,9 @@
 	me := membership.Member{Node: n.self, Inc: uint64(1e12 + int64(w.Now)/1e6), Role: n.role, Addr: n.addr, Web: web, Zone: n.zone}
 	n.membership = membership.New(me, w.seeds(), rand.New(rand.NewPCG(w.rng.Uint64(), 0)))
 	n.bull = configpush.New(n.self)
-	gap := vaneGap
+	gap := routerGap
 	if n.role == membership.Router {
-		n.prog = newVane(n)
+		n.prog = newRouter(n)
 	} else {
 		n.prog = newCore(n)
 		gap = coreGap
@@ -131,7 +131,7 @@
 	})
 }
 
-// deliver sends what a step gave out; a barometer's later notes wait for the disk.
+// deliver sends what a step gave out; a controller's later notes wait for the disk.
 func (n *node) deliver(out message.Effects) {
 	// The order of a step's notes may hang on a map; the world's must not.
 	slices.SortStableFunc(out.Messages, func(a, b message.Message) int {
--- a/internal/hollow/plot.go
+++ b/internal/hollow/plot.go
@@ -12,7 +12,7 @@
 	"gonum.org/v1/plot/vg/vgsvg"
 )
 
-// Plot draws four panels, bytes, notes, processor time and memory of a vane against the size of its site, a line for
+// Plot draws four panels, bytes, notes, processor time and memory of a router against the size of its site, a line for
 // each experiment, and the ceilings.
 func Plot(path string, rows []Row) error {
 	const side = 12 * vg.Centimeter
@@ -55,15 +55,15 @@
 
 func panel(rows []Row, measure, title string, most float64) (*plot.Plot, error) {
 	p := plot.New()
-	p.Title.Text, p.X.Label.Text = "a vane: "+title, "vanes of the site"
+	p.Title.Text, p.X.Label.Text = "a router: "+title, "routers of the site"
 	p.Legend.Top, p.Legend.Left = true, true
 	p.Y.Min = 0
 	var last int
 	for i, e := range Experiments {
 		var xy plotter.XYs
 		for _, r := range rows {
-			if r.Experiment == e.Name && r.Role == "vane" && r.Part == "all" {
-				xy = append(xy, plotter.XY{X: float64(r.Size), Y: at(rows, Line{Experiment: e.Name, Role: "vane", Part: "all", Measure: measure}, r.Size)})
+			if r.Experiment == e.Name && r.Role == "router" && r.Part == "all" {
+				xy = append(xy, plotter.XY{X: float64(r.Size), Y: at(rows, Line{Experiment: e.Name, Role: "router", Part: "all", Measure: measure}, r.Size)})
 				last = max(last, r.Size)
 			}
 		}
--- a/internal/hollow/vane.go
+++ b/internal/hollow/vane.go
@@ -18,8 +18,8 @@
 	"seamshunt/internal/units"
 )
 
-// vane is package router without its web side, its streams and its locks.
-type vane struct {
+// router is package router without its web side, its streams and its locks.
+type router struct {
 	n        *node
 	config   *config.Config
 	ready    bool
@@ -38,12 +38,12 @@
 	tag      uint64
 }
 
-func newVane(n *node) *vane {
-	return &vane{n: n, pools: map[string][]config.Worker{}, out: map[string]bool{}, sky: discovery.New(), queue: admission.New(n.self),
+func newRouter(n *node) *router {
+	return &router{n: n, pools: map[string][]config.Worker{}, out: map[string]bool{}, sky: discovery.New(), queue: admission.New(n.self),
 		ledger: capacity.New(n.self), watch: capacity.NewWatch(), claimant: idempotency.New(n.self, n.w.Now), began: n.w.Now, tag: n.w.rng.Uint64() >> 1}
 }
 
-func (v *vane) step(now units.Time, n message.Message) (out message.Effects) {
+func (v *router) step(now units.Time, n message.Message) (out message.Effects) {
 	switch n.Kind &^ 15 {
 	case message.KindCapacity:
 		if n.Kind != capacity.Ask && n.Kind != capacity.Return && n.Kind != capacity.Report {
@@ -60,7 +60,7 @@
 	return out
 }
 
-func (v *vane) gone(now units.Time, l []units.Node) {
+func (v *router) gone(now units.Time, l []units.Node) {
 	for _, n := range l {
 		v.ledger.Gone(now, n)
 		v.watch.Void(now, n)
@@ -68,10 +68,10 @@
 	v.fresh = true
 }
 
-func (v *vane) calm(units.Time) bool { return v.ready }
+func (v *router) calm(units.Time) bool { return v.ready }
 
-// beat is the vane's loop; like the daemon's it takes membership's table anew for each of its three looks.
-func (v *vane) beat(now units.Time, _ []membership.Member) message.Effects {
+// beat is the router's loop; like the daemon's it takes membership's table anew for each of its three looks.
+func (v *router) beat(now units.Time, _ []membership.Member) message.Effects {
 	v.refresh(now)
 	out := v.queue.Tick(now)
 	v.tell()
@@ -94,7 +94,7 @@
 }
 
 // refresh brings news and membership into the tables and, when they changed, to the keeper.
-func (v *vane) refresh(now units.Time) {
+func (v *router) refresh(now units.Time) {
 	fresh := v.n.bull.Fresh
 	v.n.bull.Fresh = nil
 	for _, it := range fresh {
@@ -114,7 +114,7 @@
 	v.ledger.View(peers, v.watch.Holds(v.config.Longest(false)))
 }
 
-func (v *vane) news(now units.Time, it configpush.Item) {
+func (v *router) news(now units.Time, it configpush.Item) {
 	switch kind, _, _ := strings.Cut(it.Key, "/"); kind {
 	case "config":
 		if c, faults := config.Read(it.Data); len(faults) == 0 {
@@ -132,7 +132,7 @@
 	}
 }
 
-func (v *vane) confirm(now units.Time, out *message.Effects) {
+func (v *router) confirm(now units.Time, out *message.Effects) {
 	all := v.n.membership.All()
 	configpush.Neighbours(all, v.n.self)
 	if v.ready || v.config == nil {
@@ -147,7 +147,7 @@
 }
 
 // cands is the daemon's own search for a prompt's workers and their keepers.
-func (v *vane) cands(now units.Time, s *config.Service, prefix uint64) ([]string, map[string]units.Node) {
+func (v *router) cands(now units.Time, s *config.Service, prefix uint64) ([]string, map[string]units.Node) {
 	q := placement.Query{Prefix: prefix, Zone: v.n.zone, Spread: s.Spread}
 	keepers := map[string]units.Node{}
 	for _, x := range v.pools[s.Pool] {
--- a/internal/hollow/world.go
+++ b/internal/hollow/world.go
@@ -11,15 +11,15 @@
 )
 
 // Full is the size to design for.
-var Full = Shape{Vanes: 400, Workers: 640, Models: 21, Tenants: 870, Rate: 1700}
+var Full = Shape{Routers: 400, Workers: 640, Models: 21, Tenants: 870, Rate: 1700}
 
-// At is a site of n vanes with its share of all that grows with a site: workers, models, tenants and requests.
+// At is a site of n routers with its share of all that grows with a site: workers, models, tenants and requests.
 func At(n int, seed uint64) Shape {
-	part := func(x int) int { return max(1, x*n/Full.Vanes) }
-	return Shape{Vanes: n, Workers: part(Full.Workers), Models: part(Full.Models), Tenants: part(Full.Tenants), Rate: Full.Rate * float64(n) / float64(Full.Vanes), Seed: seed}
+	part := func(x int) int { return max(1, x*n/Full.Routers) }
+	return Shape{Routers: n, Workers: part(Full.Workers), Models: part(Full.Models), Tenants: part(Full.Tenants), Rate: Full.Rate * float64(n) / float64(Full.Routers), Seed: seed}
 }
 
-// NewWorld founds the control state among its voters and writes the first configuration; no vane runs yet.
+// NewWorld founds the control state among its voters and writes the first configuration; no router runs yet.
 func NewWorld(s Shape) (*World, error) {
 	w := &World{Shape: s, rng: rand.New(rand.NewPCG(s.Seed, 17)), byID: map[units.Node]*node{}, byAddr: map[string]*node{}, slots: map[int64][]event{},
 		counts: map[partKey]*count{}, load: newLoad(s)}
@@ -38,14 +38,14 @@
 	return w, nil
 }
 
-// Start starts all vanes at once, and says how long it takes until all serve and all know all.
+// Start starts all routers at once, and says how long it takes until all serve and all know all.
 func (w *World) Start() (time.Duration, error) {
 	from := w.Now
-	for i := range w.Vanes {
+	for i := range w.Routers {
 		w.add(i, membership.Router)
 	}
 	if !w.until(2*time.Minute, func() bool { return w.calm() && w.agree() }) {
-		return 0, fmt.Errorf("hollow: %d vanes did not all come to serve in 2 minutes", w.Vanes)
+		return 0, fmt.Errorf("hollow: %d routers did not all come to serve in 2 minutes", w.Routers)
 	}
 	return w.Now.Sub(from), nil
 }
@@ -84,10 +84,10 @@
 	return true
 }
 
-// each does a thing to every vane that runs.
-func (w *World) each(f func(*vane)) {
+// each does a thing to every router that runs.
+func (w *World) each(f func(*router)) {
 	for _, n := range w.nodes {
-		if v, ok := n.prog.(*vane); ok && n.up {
+		if v, ok := n.prog.(*router); ok && n.up {
 			f(v)
 		}
 	}
@@ -96,7 +96,7 @@
 // serve opens the doors.
 func (w *World) serve(traffic, claims bool) {
 	w.traffic, w.claims = traffic, claims
-	w.each((*vane).prompts)
+	w.each((*router).prompts)
 }
 
 // every does a thing again and again while a span lasts, first after half a gap.
@@ -106,9 +106,9 @@
 	}
 }
 
-// restart stops one vane with its goodbye; the next process starts on its machine a second later.
+// restart stops one router with its goodbye; the next process starts on its machine a second later.
 func (w *World) restart() {
-	n := w.nodes[Aside+w.serial%w.Vanes]
+	n := w.nodes[Aside+w.serial%w.Routers]
 	w.serial += 7
 	if !n.up {
 		return
--- a/internal/observer/judge.go
+++ b/internal/observer/judge.go
@@ -82,7 +82,7 @@
 			continue
 		}
 		stood := false
-		for _, x := range frozen[c.Vane] {
+		for _, x := range frozen[c.Router] {
 			stood = stood || c.At <= x[1] && c.End >= x[0]
 		}
 		if stood {
--- a/internal/observer/more.go
+++ b/internal/observer/more.go
@@ -43,7 +43,7 @@
 // hard are events after which a stream may break: its node or its worker was taken away.
 var hard = map[string]bool{"kill": true, "freeze": true, "thaw": true, "wipe": true, "killall": true, "wrong": true, "bounce": true}
 
-// cuts: a stream that began may break only where its worker or its vane was taken away by force.
+// cuts: a stream that began may break only where its worker or its router was taken away by force.
 func (r *Run) cuts() Finding {
 	var bad []string
 	broken := 0
@@ -55,7 +55,7 @@
 		broken++
 		excuse := false
 		for _, e := range r.Events {
-			target := e.Target == "" || e.Target == c.Vane || e.Target == worker(c.Worker)
+			target := e.Target == "" || e.Target == c.Router || e.Target == worker(c.Worker)
 			if hard[e.How] && target && e.At <= c.End {
 				excuse = true
 			}
@@ -67,7 +67,7 @@
 		}
 		late := (c.End-c.At)/1000 >= int64(c.LeftMs)-50
 		if !excuse && !late {
-			bad = append(bad, fmt.Sprintf("%s on %s by %s broke after %s", c.Job, c.Worker, c.Vane, ms(c.End-c.At)))
+			bad = append(bad, fmt.Sprintf("%s on %s by %s broke after %s", c.Job, c.Worker, c.Router, ms(c.End-c.At)))
 		}
 	}
 	return find(Cuts, bad, fmt.Sprintf("%d streams broke, all with their node or worker or out of time", broken))
@@ -182,18 +182,18 @@
 }
 
 // Hits gives the mean share of prompt bytes found in workers' prefix caches, and the share of runs outside
-// the zone of the vane that handed them over with their prompts' bytes.
+// the zone of the router that handed them over with their prompts' bytes.
 func (r *Run) Hits(zone map[string]string) (hit, cross float64, bytes int) {
-	vane := map[string]string{}
+	router := map[string]string{}
 	for _, c := range r.Calls {
-		vane[c.Job] = c.Vane
+		router[c.Job] = c.Router
 	}
 	n, away := 0, 0
 	var sum float64
 	for _, s := range r.Starts {
 		sum += s.Hit
 		n++
-		if z, ok := zone[vane[s.Job]]; ok && z != s.Zone {
+		if z, ok := zone[router[s.Job]]; ok && z != s.Zone {
 			away++
 			bytes += s.Bytes
 		}
--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -27,9 +27,9 @@
 		job, id, m := fmt.Sprintf("j%d", i), fmt.Sprintf("r%d", i), []string{"notice", "chat"}[i%2]
 		r.Add(entry{Kind: "start", At: at, Job: job, ID: id, Worker: "w1", Pool: "main", Zone: "a"})
 		r.Add(entry{Kind: "end", At: at + sec/2, Job: job, ID: id, Worker: "w1", How: "done"})
-		r.Add(entry{Kind: "call", At: at - 1000, End: at + sec/2, Job: job, ID: id, Mapping: m, Status: 200, Whole: true, LeftMs: 4000, Worker: "s/w1", Vane: "v1", FirstUs: 5000})
+		r.Add(entry{Kind: "call", At: at - 1000, End: at + sec/2, Job: job, ID: id, Mapping: m, Status: 200, Whole: true, LeftMs: 4000, Worker: "s/w1", Router: "v1", FirstUs: 5000})
 	}
-	r.Add(entry{Kind: "call", At: 80 * sec, End: 80*sec + 100, Job: "shed", Mapping: "chat", Status: 503, Code: 301, NotRun: true, BackMs: 700, LeftMs: 4000, Vane: "v1"})
+	r.Add(entry{Kind: "call", At: 80 * sec, End: 80*sec + 100, Job: "shed", Mapping: "chat", Status: 503, Code: 301, NotRun: true, BackMs: 700, LeftMs: 4000, Router: "v1"})
 	for _, e := range []entry{
 		{How: "config-acknowledged", At: 1, Target: "1/x"}, {How: "config-acknowledged", At: 2, Target: "2/y"}, {How: "config-read", At: 99 * sec, Target: "2/y"},
 		{How: "leave", At: 5 * sec, Target: "w9"}, {How: "evacuate", At: 5 * sec, Target: "z9"}, {How: "startall", At: 5 * sec},
@@ -48,7 +48,7 @@
 		}
 	}
 	call := func(e entry) func(*Run) {
-		e.Kind, e.Vane, e.LeftMs, e.Mapping = "call", "v1", 4000, "chat"
+		e.Kind, e.Router, e.LeftMs, e.Mapping = "call", "v1", 4000, "chat"
 		if e.At == 0 {
 			e.At, e.End = 90*sec, 91*sec
 		}
--- a/internal/rig/simulator/core.go
+++ b/internal/rig/simulator/core.go
@@ -35,7 +35,7 @@
 	return all, out
 }
 
-// Core is a simulated barometer.
+// Core is a simulated controller.
 type Core struct {
 	common
 	*Proc
--- a/internal/rig/simulator/edge.go
+++ b/internal/rig/simulator/edge.go
@@ -19,7 +19,7 @@
 	"seamshunt/internal/units"
 )
 
-// Edge is a simulated vane.
+// Edge is a simulated router.
 type Edge struct {
 	common
 	*Proc
--- a/internal/rig/simulator/full_test.go
+++ b/internal/rig/simulator/full_test.go
@@ -13,7 +13,7 @@
 )
 
 // Every disk full at once: an evacuation and configurations are acknowledged from the reserve and outlive the loss of
-// all power; a leaving mark reaches every vane (TestEachTrouble); beyond the reserve a change is refused.
+// all power; a leaving mark reaches every router (TestEachTrouble); beyond the reserve a change is refused.
 func TestEveryDiskFull(t *testing.T) {
 	t.Parallel()
 	for seed := *from; seed < *from+4; seed++ {
@@ -52,7 +52,7 @@
 	}
 }
 
-// One core machine is cut off from the others alone, so that everybody still sees it by way of the vanes: whichever it
+// One core machine is cut off from the others alone, so that everybody still sees it by way of the routers: whichever it
 // is, changes and reads go on at the others.
 func TestCutOffFromTheCoreAlone(t *testing.T) {
 	t.Parallel()
@@ -85,7 +85,7 @@
 }
 
 // A storm of configurations of a thousand mappings each, with a core machine killed in it: each that is acknowledged is
-// in force in time on every vane, none slides back, and the last is read back.
+// in force in time on every router, none slides back, and the last is read back.
 func TestStormOfLargeConfigurations(t *testing.T) {
 	t.Parallel()
 	w := NewWorld(Council, *from)
--- a/internal/rig/simulator/grow_test.go
+++ b/internal/rig/simulator/grow_test.go
@@ -10,7 +10,7 @@
 	"seamshunt/internal/units"
 )
 
-// grown is a core of n machines in four zones, of which some disks don't count, and two vanes.
+// grown is a core of n machines in four zones, of which some disks don't count, and two routers.
 func grown(seed uint64, n int, lame ...int) *World { return grownIn(seed, n, 4, lame...) }
 
 // grownIn is the same in so many zones.
@@ -113,7 +113,7 @@
 		}
 		t.Logf("%d disks, %v don't count: all vote after %v at the latest", x.n, x.lame, most)
 	}
-	// Where no disk counts anywhere, all barometers hold the control state in memory.
+	// Where no disk counts anywhere, all controllers hold the control state in memory.
 	w := grown(*from, 3, 0, 1, 2)
 	all := func() bool {
 		for _, h := range w.coreH {
--- a/internal/rig/simulator/judge.go
+++ b/internal/rig/simulator/judge.go
@@ -53,7 +53,7 @@
 	NoClaims            int
 	Leaves              []time.Duration // last run begun on each marked worker, after its mark
 	Evacs               []time.Duration // last run begun in each evacuated zone, after the acknowledgement
-	InForce             []time.Duration // from an acknowledgement till each serving vane that had a path had it
+	InForce             []time.Duration // from an acknowledgement till each serving router that had a path had it
 	Gaps                []time.Duration // how long a listed worker had no keeper that lent
 	Backs               []time.Duration // from the start after a full loss till the first run
 }
--- a/internal/rig/simulator/load.go
+++ b/internal/rig/simulator/load.go
@@ -43,7 +43,7 @@
 	w.After(100*time.Millisecond, w.Load)
 }
 
-// prompt brings one to a vane that the platform finds ready.
+// prompt brings one to a router that the platform finds ready.
 func (w *World) prompt() {
 	var l []*Edge
 	for _, h := range w.edgeH {
@@ -201,10 +201,10 @@
 	finish = func() {
 		switch {
 		case e.H.life != life:
-			// The vane ended: the worker notices the broken wire.
+			// The router ended: the worker notices the broken wire.
 			delete(x.runs, r)
 		case e.H.Frozen:
-			delete(x.runs, r) // the worker is through; the vane hears of it when it wakes
+			delete(x.runs, r) // the worker is through; the router hears of it when it wakes
 			w.After(50*time.Millisecond, finish)
 		default:
 			delete(x.runs, r)
--- a/internal/rig/simulator/mishap.go
+++ b/internal/rig/simulator/mishap.go
@@ -116,7 +116,7 @@
 	}
 }
 
-// drain warns a vane: it takes nothing new, its streams end, then it leaves and is started again.
+// drain warns a router: it takes nothing new, its streams end, then it leaves and is started again.
 func (w *World) drain(h *Host) {
 	e := w.edges[h]
 	if !w.alive(h) {
--- a/internal/rig/simulator/operators.go
+++ b/internal/rig/simulator/operators.go
@@ -109,7 +109,7 @@
 	})
 }
 
-// watchConfig: in force within 2 s of the acknowledgement, or of the end of a cut, on every vane that serves and isn't cut off, never older again.
+// watchConfig: in force within 2 s of the acknowledgement, or of the end of a cut, on every router that serves and isn't cut off, never older again.
 func (w *World) watchConfig() {
 	for _, h := range w.edgeH {
 		e := w.edges[h]
--- a/internal/rig/simulator/orders_roll_test.go
+++ b/internal/rig/simulator/orders_roll_test.go
@@ -11,8 +11,8 @@
 	"seamshunt/internal/units"
 )
 
-// Two copies of a request by way of two vanes, three disks, and then all memory is lost: a third copy that comes to
-// vanes that know only what a majority of the disks gave them never gets the key too, in whatever order notes came.
+// Two copies of a request by way of two routers, three disks, and then all memory is lost: a third copy that comes to
+// routers that know only what a majority of the disks gave them never gets the key too, in whatever order notes came.
 func TestOrdersClaimsOutliveMemory(t *testing.T) {
 	disks := []units.Node{11, 12, 13}
 	won, again := 0, 0
@@ -76,7 +76,7 @@
 			beat(m)
 		}
 		if !rolls[11].Whole() || !m[1].Whole() {
-			t.Fatal("a new fleet's disks and vanes take no part")
+			t.Fatal("a new fleet's disks and routers take no part")
 		}
 		b.put(1, m[1].Claim(b.now, 111, "k", three))
 		b.put(2, m[2].Claim(b.now, 222, "k", three))
@@ -89,7 +89,7 @@
 			beat(m)
 		}
 		if !m[3].Whole() {
-			t.Fatal("the vanes still abstain, though a majority of the disks told them all")
+			t.Fatal("the routers still abstain, though a majority of the disks told them all")
 		}
 		b.put(3, m[3].Claim(b.now, 333, "k", three))
 		b.run(func(int) int { return 0 }, func() {})
--- a/internal/rig/simulator/orders_test.go
+++ b/internal/rig/simulator/orders_test.go
@@ -117,15 +117,15 @@
 func TestOrdersNews(t *testing.T) {
 	n := orders(6, func(choose func(int) int) {
 		b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
-		core, vane := configpush.New(1), configpush.New(2)
+		core, router := configpush.New(1), configpush.New(2)
 		b.step[1] = func(k message.Message) message.Effects { return core.Step(0, k) }
-		b.step[2] = func(k message.Message) message.Effects { return vane.Step(0, k) }
+		b.step[2] = func(k message.Message) message.Effects { return router.Step(0, k) }
 		for i := range 4 {
 			b.put(1, core.Spread(0, configpush.Item{Key: "config", Num: units.Num(i + 1), Data: []byte{byte(i)}}, []units.Node{2}))
 		}
 		last := units.Num(0)
 		b.run(choose, func() {
-			if it := vane.Items["config"]; it != nil {
+			if it := router.Items["config"]; it != nil {
 				if it.Num < last {
 					t.Fatalf("back from %d to %d", last, it.Num)
 				}
@@ -191,7 +191,7 @@
 	}
 }
 
-// A core machine that reaches only one vane: what that one hears goes on to the others, who ask for it by number.
+// A core machine that reaches only one router: what that one hears goes on to the others, who ask for it by number.
 func TestNewsGoesRoundACut(t *testing.T) {
 	b := &bag{step: map[units.Node]func(message.Message) message.Effects{}}
 	m := map[units.Node]*configpush.Feed{}
--- a/internal/rig/simulator/play.go
+++ b/internal/rig/simulator/play.go
@@ -93,9 +93,9 @@
 		do   func()
 	}
 	mild := []fault{
-		{"vane killed", func() { w.Kill(edge) }},
-		{"vane frozen", func() { w.Freeze(edge) }},
-		{"vane cut off", func() { edge.Dark = true }},
+		{"router killed", func() { w.Kill(edge) }},
+		{"router frozen", func() { w.Freeze(edge) }},
+		{"router cut off", func() { edge.Dark = true }},
 		{"platform gone", func() { w.mood = "gone" }},
 		{"crowd", func() { w.rate *= 3 }},
 		{"every disk full", func() { w.fill(time.Minute) }},
--- a/internal/rig/simulator/play_test.go
+++ b/internal/rig/simulator/play_test.go
@@ -157,7 +157,7 @@
 	}
 }
 
-// A vane is warned while every slot is wanted: those who take its workers over must count what it still holds.
+// A router is warned while every slot is wanted: those who take its workers over must count what it still holds.
 func TestDrainInACrowd(t *testing.T) {
 	t.Parallel()
 	for seed := *from; seed < *from+4; seed++ {
--- a/internal/rig/simulator/trouble.go
+++ b/internal/rig/simulator/trouble.go
@@ -15,15 +15,15 @@
 
 // Troubles are all of them, for scripts drawn from a seed.
 var Troubles = []Trouble{
-	{"kill vane", func(w *World, d time.Duration) { w.bounce(pick(w, w.edgeH), d, true) }},
-	{"kill barometer", func(w *World, d time.Duration) { w.bounce(pick(w, w.coreH), d, true) }},
-	{"power lost on a barometer", func(w *World, d time.Duration) { w.bounce(pick(w, w.coreH), d, false) }},
-	{"power lost on a vane", func(w *World, d time.Duration) { w.bounce(pick(w, w.edgeH), d, false) }},
-	{"freeze vane", func(w *World, d time.Duration) { w.freeze(pick(w, w.edgeH), d) }},
-	{"freeze vane past every permit", func(w *World, d time.Duration) { w.freeze(pick(w, w.edgeH), 22*time.Second) }},
-	{"freeze barometer", func(w *World, d time.Duration) { w.freeze(pick(w, w.coreH), d) }},
-	{"vane cut off", func(w *World, d time.Duration) { w.dark(pick(w, w.edgeH), d) }},
-	{"barometer cut off", func(w *World, d time.Duration) { w.dark(pick(w, w.coreH), d) }},
+	{"kill router", func(w *World, d time.Duration) { w.bounce(pick(w, w.edgeH), d, true) }},
+	{"kill controller", func(w *World, d time.Duration) { w.bounce(pick(w, w.coreH), d, true) }},
+	{"power lost on a controller", func(w *World, d time.Duration) { w.bounce(pick(w, w.coreH), d, false) }},
+	{"power lost on a router", func(w *World, d time.Duration) { w.bounce(pick(w, w.edgeH), d, false) }},
+	{"freeze router", func(w *World, d time.Duration) { w.freeze(pick(w, w.edgeH), d) }},
+	{"freeze router past every permit", func(w *World, d time.Duration) { w.freeze(pick(w, w.edgeH), 22*time.Second) }},
+	{"freeze controller", func(w *World, d time.Duration) { w.freeze(pick(w, w.coreH), d) }},
+	{"router cut off", func(w *World, d time.Duration) { w.dark(pick(w, w.edgeH), d) }},
+	{"controller cut off", func(w *World, d time.Duration) { w.dark(pick(w, w.coreH), d) }},
 	{"slow disk", func(w *World, d time.Duration) { w.slow(pick(w, w.coreH), 150*time.Millisecond, d) }},
 	{"stalled disk", func(w *World, d time.Duration) {
 		h := pick(w, w.coreH)
@@ -68,7 +68,7 @@
 		}
 		w.roll()
 	}},
-	{"vane drained and restarted", func(w *World, d time.Duration) { w.drain(pick(w, w.edgeH)) }},
+	{"router drained and restarted", func(w *World, d time.Duration) { w.drain(pick(w, w.edgeH)) }},
 	{"worker leaves", func(w *World, _ time.Duration) { w.leave() }},
 	{"worker lost and replaced", func(w *World, d time.Duration) { w.crash(d) }},
 	{"evacuation and withdrawal", func(w *World, d time.Duration) {
--- a/internal/router/capacity/busy.go
+++ b/internal/router/capacity/busy.go
@@ -1,7 +1,7 @@
 package capacity
 
 // Busy says whether the next tick may have something to do that can't wait long: a book that is not open yet, prompts
-// that wait, vanes that still have to report, or keepers to work out anew.
+// that wait, routers that still have to report, or keepers to work out anew.
 func (g *Ledger) Busy() bool {
 	if g.moved {
 		return true
--- a/internal/router/capacity/busy_test.go
+++ b/internal/router/capacity/busy_test.go
@@ -23,7 +23,7 @@
 	b.back(1)
 	busy(false, "it has gone in")
 	b.View([]Peer{{Node: 1}, {Node: 2}}, nil)
-	busy(true, "another vane came")
+	busy(true, "another router came")
 	g := New(1)
 	g.Workers(map[string]Worker{"s/w": {Cap: 1}})
 	g.View([]Peer{{Node: 1}}, nil)
--- a/internal/router/capacity/engine.go
+++ b/internal/router/capacity/engine.go
@@ -94,7 +94,7 @@
 	return w.Memory <= 0 || k.mem == 0 || k.mem+int(mem) <= w.Memory
 }
 
-// Allow sets what a cold worker's rate may be exceeded by, and which part of the known vanes this node sees live:
+// Allow sets what a cold worker's rate may be exceeded by, and which part of the known routers this node sees live:
 // keepers on two sides of a cut then lend no more together than one would (design 12).
 func (g *Ledger) Allow(excess float64, slack int, part float64) {
 	g.excess, g.slack, g.part = excess, slack, part
--- a/internal/router/capacity/ledger.go
+++ b/internal/router/capacity/ledger.go
@@ -16,7 +16,7 @@
 	reask      = 200 * time.Millisecond
 	burst      = 300 * time.Millisecond // after a process is known to be gone, till its runs are broken off
 	adaptGap   = time.Second
-	strangeFor = 5 * time.Second // till membership must show a vane that was heard of
+	strangeFor = 5 * time.Second // till membership must show a router that was heard of
 )
 
 type permit struct {
@@ -47,7 +47,7 @@
 	lent    map[permit]*loan
 	list    []ask // by deadline
 	need    map[units.Node]bool
-	late    map[units.Node]bool // vanes that came into view with the book open: they are asked too
+	late    map[units.Node]bool // routers that came into view with the book open: they are asked too
 	sent    units.Time
 	silent  map[units.Node]units.Time // until when a silent node may still hold what it was lent before
 	turn    time.Duration
@@ -65,11 +65,11 @@
 type Ledger struct {
 	self    units.Node
 	workers map[string]Worker
-	vanes   []Peer
+	routers []Peer
 	holds   map[units.Node]units.Time // processes not live, till when their runs may still be going
 	keeps   map[string]*keep
-	strange map[units.Node]units.Time // vanes that took a worker over before membership showed them here
-	moved   bool                      // the workers or the vanes are not those that the keepers were worked out for
+	strange map[units.Node]units.Time // routers that took a worker over before membership showed them here
+	moved   bool                      // the workers or the routers are not those that the keepers were worked out for
 	audited units.Time
 	excess  float64
 	slack   int
@@ -88,17 +88,17 @@
 	}
 }
 
-// View takes membership's view: the live vanes, and till when others' runs may still be going.
-func (g *Ledger) View(vanes []Peer, holds map[units.Node]units.Time) {
-	g.moved = g.moved || !slices.Equal(g.vanes, vanes)
-	for _, v := range vanes {
-		if !slices.ContainsFunc(g.vanes, func(o Peer) bool { return o.Node == v.Node }) {
+// View takes membership's view: the live routers, and till when others' runs may still be going.
+func (g *Ledger) View(routers []Peer, holds map[units.Node]units.Time) {
+	g.moved = g.moved || !slices.Equal(g.routers, routers)
+	for _, v := range routers {
+		if !slices.ContainsFunc(g.routers, func(o Peer) bool { return o.Node == v.Node }) {
 			for _, k := range g.keeps {
 				k.late[v.Node] = true
 			}
 		}
 	}
-	g.vanes, g.holds = vanes, holds
+	g.routers, g.holds = routers, holds
 }
 
 // Gone frees what a process held that is known to have ended: the kernel broke its runs' wires off.
@@ -122,7 +122,7 @@
 	g.moved = false
 	for _, name := range names {
 		w := g.workers[name]
-		mine := Keeper(g.vanes, name, w.Zone) == g.self
+		mine := Keeper(g.routers, name, w.Zone) == g.self
 		k := g.keeps[name]
 		if mine && k == nil {
 			g.begin(now, name, &out)
@@ -163,7 +163,7 @@
 	return out
 }
 
-// begin asks every live vane what it holds; until all have said so, nothing is lent.
+// begin asks every live router what it holds; until all have said so, nothing is lent.
 func (g *Ledger) begin(now units.Time, name string, out *message.Effects) {
 	k := &keep{lent: map[permit]*loan{}, adapted: now, begun: now, silent: maps.Clone(g.holds), late: map[units.Node]bool{}}
 	g.keeps[name] = k
@@ -181,10 +181,10 @@
 	g.collect(now, name, k, out)
 }
 
-// live lists the vanes that may hold something: those that membership shows, and those that it does not show yet.
+// live lists the routers that may hold something: those that membership shows, and those that it does not show yet.
 func (g *Ledger) live(now units.Time) []units.Node {
 	var l []units.Node
-	for _, v := range g.vanes {
+	for _, v := range g.routers {
 		l = append(l, v.Node)
 	}
 	for _, n := range message.Keys(g.strange) {
--- a/internal/router/capacity/ledger_test.go
+++ b/internal/router/capacity/ledger_test.go
@@ -146,7 +146,7 @@
 	}
 }
 
-// An unsure run keeps its slot till its own deadline; a lost vane's slots likewise.
+// An unsure run keeps its slot till its own deadline; a lost router's slots likewise.
 func TestUnsureKeepsItsSlot(t *testing.T) {
 	b := newBench(Worker{Cap: 1, Bound: 9})
 	b.ask(1, 2*time.Second, false)
--- a/internal/router/capacity/note.go
+++ b/internal/router/capacity/note.go
@@ -111,19 +111,19 @@
 	Lax      bool       // a new keeper lends without waiting out what silent nodes may hold
 }
 
-// Peer is one vane in membership's view.
+// Peer is one router in membership's view.
 type Peer struct {
 	Node   units.Node
 	Zone   string
 	Leaves bool // it drains: it holds permits and reports them, and keeps no worker
 }
 
-// Keeper gives the vane that keeps a worker: rendezvous order, the worker's zone first.
-func Keeper(vanes []Peer, worker, zone string) units.Node {
+// Keeper gives the router that keeps a worker: rendezvous order, the worker's zone first.
+func Keeper(routers []Peer, worker, zone string) units.Node {
 	var best units.Node
 	var top uint64
 	own := false
-	for _, v := range vanes {
+	for _, v := range routers {
 		near := v.Zone == zone
 		if v.Leaves {
 			continue
--- a/internal/router/capacity/step.go
+++ b/internal/router/capacity/step.go
@@ -47,7 +47,7 @@
 	case ReportAsk:
 		if n.From != g.self {
 			g.moved = true
-			if !slices.ContainsFunc(g.vanes, func(v Peer) bool { return v.Node == n.From }) {
+			if !slices.ContainsFunc(g.routers, func(v Peer) bool { return v.Node == n.From }) {
 				g.strange[n.From] = now
 			}
 			g.cede(name, k, &out) // another has taken the worker over; if views differ, the taking over is repeated
--- a/internal/router/capacity/upkeep.go
+++ b/internal/router/capacity/upkeep.go
@@ -53,7 +53,7 @@
 	k.waitSum, k.waitN = 0, 0
 }
 
-// latecomers asks vanes that came into view after the book was opened what they hold. A newcomer holds nothing; but
+// latecomers asks routers that came into view after the book was opened what they hold. A newcomer holds nothing; but
 // this node may be the newcomer, and have opened its book while it knew few of the others.
 func (g *Ledger) latecomers(now units.Time, name string, k *keep, out *message.Effects) {
 	if len(k.late) == 0 || now.Sub(k.sent) < reask {
--- a/internal/router/capacity/watch.go
+++ b/internal/router/capacity/watch.go
@@ -7,7 +7,7 @@
 	"seamshunt/internal/units"
 )
 
-// Watch keeps what membership says of the vanes: who is live, who fell silent and since when, and
+// Watch keeps what membership says of the routers: who is live, who fell silent and since when, and
 // who is known to have ended.
 type Watch struct {
 	Lax  bool // one that is only suspected keeps no worker: a needless change costs a few notes, a dark keeper seconds
--- a/internal/router/capacity/watch_test.go
+++ b/internal/router/capacity/watch_test.go
@@ -11,7 +11,7 @@
 // A cold worker's rate is shared with those that may be at work behind a cut; a process whose machine runs another in its
 // place, and one that was silent for long, are none of them. Two halves of a cut lend no more than the whole.
 func TestPartOfRates(t *testing.T) {
-	vane := func(n units.Node, addr string, s membership.State) membership.Member {
+	router := func(n units.Node, addr string, s membership.State) membership.Member {
 		return membership.Member{Node: n, Role: membership.Router, Addr: addr, State: s}
 	}
 	w := NewWatch()
@@ -19,24 +19,24 @@
 		peers, _ := w.See(units.Time(at), all)
 		return w.Part(units.Time(at), len(peers))
 	}
-	a, b, c := vane(1, "a", membership.Alive), vane(2, "b", membership.Alive), vane(3, "c", membership.Alive)
+	a, b, c := router(1, "a", membership.Alive), router(2, "b", membership.Alive), router(3, "c", membership.Alive)
 	if p := see(0, a, b, c); p != 1 {
 		t.Errorf("all live: %v", p)
 	}
-	gone := vane(2, "b", membership.Dead)
+	gone := router(2, "b", membership.Dead)
 	if p := see(time.Second, a, gone, c); p < 0.66 || p > 0.67 {
 		t.Errorf("one of three silent: %v", p)
 	}
-	if p := see(time.Second, a, gone, vane(3, "c", membership.Dead)); p != 0.5 {
+	if p := see(time.Second, a, gone, router(3, "c", membership.Dead)); p != 0.5 {
 		t.Errorf("two of three silent: %v", p)
 	}
-	if p := see(2*time.Second, a, gone, c, vane(4, "b", membership.Alive)); p != 1 {
+	if p := see(2*time.Second, a, gone, c, router(4, "b", membership.Alive)); p != 1 {
 		t.Errorf("started again in place: %v", p)
 	}
-	if p := see(3*time.Second, a, gone, vane(3, "c", membership.Dead), vane(4, "b", membership.Alive)); p > 0.7 {
+	if p := see(3*time.Second, a, gone, router(3, "c", membership.Dead), router(4, "b", membership.Alive)); p > 0.7 {
 		t.Errorf("another silent: %v", p)
 	}
-	if p := see(time.Minute, a, gone, vane(3, "c", membership.Dead), vane(4, "b", membership.Alive)); p != 1 {
+	if p := see(time.Minute, a, gone, router(3, "c", membership.Dead), router(4, "b", membership.Alive)); p != 1 {
 		t.Errorf("long silent: %v", p)
 	}
 }
--- a/internal/router/dark.go
+++ b/internal/router/dark.go
@@ -10,7 +10,7 @@
 )
 
 // errDark says that a worker took a prompt and has said nothing for longer than the service ever takes.
-var errDark = errors.New("vane: no first words in more than twice the usual time")
+var errDark = errors.New("router: no first words in more than twice the usual time")
 
 // again takes a further try from the budget, unless it was taken already.
 func (w *way) again(service string, now units.Time) bool {
@@ -45,7 +45,7 @@
 		now := v.Crew.Now()
 		if now > w.until {
 			t.Cancel()
-			return upstream.Event{Kind: upstream.Unknown, Err: errors.New("vane: out of time")}, false
+			return upstream.Event{Kind: upstream.Unknown, Err: errors.New("router: out of time")}, false
 		}
 		if !known || now.Sub(w.handed) < habit {
 			continue
--- a/internal/router/dark_test.go
+++ b/internal/router/dark_test.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// A vane that has lost sight of everybody else says so to the platform; one that never knew anybody is no such case.
+// A router that has lost sight of everybody else says so to the platform; one that never knew anybody is no such case.
 func TestAloneIsUnready(t *testing.T) {
 	t.Parallel()
 	a, _ := scripted(t)
--- a/internal/router/door_test.go
+++ b/internal/router/door_test.go
@@ -123,7 +123,7 @@
 	}
 }
 
-// gone says that the worker's wire was closed from the vane's side.
+// gone says that the worker's wire was closed from the router's side.
 func gone(t *testing.T, h hand) {
 	t.Helper()
 	if _, err := io.Copy(io.Discard, h); err != nil && !strings.Contains(err.Error(), "reset") {
--- a/internal/router/idempotency/claims.go
+++ b/internal/router/idempotency/claims.go
@@ -1,4 +1,4 @@
-// Package idempotency shelters what may not repeat: a caller's key is claimed at a majority of three vanes before
+// Package idempotency shelters what may not repeat: a caller's key is claimed at a majority of three routers before
 // the prompt is handed over (design 8).
 package idempotency
 
@@ -34,14 +34,14 @@
 	giveUp   = 450 * time.Millisecond
 	Keep     = 10 * time.Minute // how long a key is remembered
 	slots    = 3
-	coreWait = 200 * time.Millisecond // how long a claim that the vanes granted waits for the disks
+	coreWait = 200 * time.Millisecond // how long a claim that the routers granted waits for the disks
 	awayFor  = 2 * time.Second        // how long they are not waited for after that
 	settle   = 2 * time.Second        // till all nodes know of a new machine, and so agree on a key's holders
 )
 
 type head struct {
 	Token uint64
-	Ver   uint64 // the set of voters that the sender knows; none between vanes
+	Ver   uint64 // the set of voters that the sender knows; none between routers
 	State uint8
 }
 
@@ -79,7 +79,7 @@
 	born       units.Time
 	keys       map[string]entry
 	pends      map[uint64]*pending
-	late       map[uint64]*pending // granted by the vanes alone; the disks are told as soon as they can be
+	late       map[uint64]*pending // granted by the routers alone; the disks are told as soon as they can be
 	core       register.QuorumSet
 	away       units.Time // till then the disks are not waited for
 	heard      map[units.Node]heard
--- a/internal/router/idempotency/copy.go
+++ b/internal/router/idempotency/copy.go
@@ -76,7 +76,7 @@
 	return nil
 }
 
-// recall brings back what others remember after a start. It is all there once every live vane has given a whole
+// recall brings back what others remember after a start. It is all there once every live router has given a whole
 // memory; or, where some are as new as this one, once all have given what they have and so many voters theirs that
 // no claim on a majority of the disks can be missing.
 func (s *Claimant) recall(now units.Time, peers []units.Node, out *message.Effects) bool {
--- a/internal/router/idempotency/holders.go
+++ b/internal/router/idempotency/holders.go
@@ -8,7 +8,7 @@
 	"seamshunt/internal/units"
 )
 
-// Holders gives the three machines that hold a key's claim: rendezvous order over all vanes' addresses that are
+// Holders gives the three machines that hold a key's claim: rendezvous order over all routers' addresses that are
 // known, gone or not, from different zones as far as there are any. A machine that is gone stands as zero, so that
 // losing machines never moves a key to others that know nothing of it.
 func Holders(all []membership.Member, key string) []units.Node {
--- a/internal/router/idempotency/registry.go
+++ b/internal/router/idempotency/registry.go
@@ -20,7 +20,7 @@
 	empty bool // it holds no claim, so that it tells no more than a blank one
 }
 
-// Registry is a voter's copy of all claims, on its disk: what vanes remember is gone once they all are (design 8).
+// Registry is a voter's copy of all claims, on its disk: what routers remember is gone once they all are (design 8).
 type Registry struct {
 	self  units.Node
 	keys  map[string]entry
--- a/internal/router/relay_rig_test.go
+++ b/internal/router/relay_rig_test.go
@@ -105,7 +105,7 @@
 	t.Helper()
 	b := &boot.Boot{Name: "n1", Zone: "z1", Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), DrainMs: 1000, Bounds: boot.Bounds{WarmExcess: 1, RetryRatio: 1}}
 	b.Seeds = []string{b.Addr}
-	v := New(b, platform.New("", "vane"))
+	v := New(b, platform.New("", "router"))
 	if err := v.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/rig_test.go
+++ b/internal/router/rig_test.go
@@ -81,7 +81,7 @@
 	h.Close()
 }
 
-// rig is one vane alone, its news put in by hand; it keeps all workers itself.
+// rig is one router alone, its news put in by hand; it keeps all workers itself.
 func rig(t testing.TB, workers ...string) *Router {
 	t.Helper()
 	return rigOf(t, rigConfig, workers...)
@@ -106,7 +106,7 @@
 	v.Feed.Take(configpush.Item{Key: "workers/main", Num: 1, Data: config.PackWorkers(l)})
 	v.FeedMu.Unlock()
 	v.ready.Store(true)
-	weatherglass.Until(t, "the vane keeps its workers", func() bool {
+	weatherglass.Until(t, "the router keeps its workers", func() bool {
 		v.ledgerMu.Lock()
 		defer v.ledgerMu.Unlock()
 		k := v.ledger.Kept(v.Crew.Now())
@@ -117,7 +117,7 @@
 		}
 		return len(k) == len(workers)
 	})
-	weatherglass.Until(t, "the vane takes part in claims", func() bool {
+	weatherglass.Until(t, "the router takes part in claims", func() bool {
 		v.claimantMu.Lock()
 		defer v.claimantMu.Unlock()
 		return v.claimant.Whole()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,7 +55,7 @@
 	ready      atomic.Bool
 	departure  atomic.Pointer[departure] // nil: this node stays
 	closing    atomic.Bool               // nothing more is taken, however short
-	static     atomic.Int64              // since when no barometer has been heard, zero while one is
+	static     atomic.Int64              // since when no controller has been heard, zero while one is
 	began      units.Time
 	flight     atomic.Int64
 	web        *fasthttp.Server
@@ -66,7 +66,7 @@
 	stats      stats
 }
 
-// New builds a vane; with a book it speaks that world's words to clients and workers (design 11).
+// New builds a router; with a book it speaks that world's words to clients and workers (design 11).
 func New(b *boot.Boot, book *adapter.Adapter) *Router {
 	v := &Router{Tower: tower.New(b, tower.Random(), membership.Router), waiting: map[uint64]chan verdict{}, claims: map[uint64]chan synop.Code{}}
 	if v.Words = book; book != nil {
@@ -92,14 +92,14 @@
 func (v *Router) Start() error {
 	ln, err := listener.Listen(v.Boot.Web)
 	if err != nil {
-		return fmt.Errorf("vane: %w", err)
+		return fmt.Errorf("router: %w", err)
 	}
 	if err := v.Tower.Start(); err != nil {
 		ln.Close()
 		return err
 	}
 	v.began = v.Crew.Now()
-	v.web = &fasthttp.Server{Handler: v.serve, Name: "vane", MaxRequestBodySize: MaxPrompt, NoDefaultDate: true,
+	v.web = &fasthttp.Server{Handler: v.serve, Name: "router", MaxRequestBodySize: MaxPrompt, NoDefaultDate: true,
 		ReadTimeout: 30 * time.Second, Logger: quiet{}, ErrorHandler: v.malformed, Concurrency: 65536}
 	if v.Words != nil {
 		v.speak()
@@ -156,7 +156,7 @@
 	v.queue.Woke(now)
 	v.queueMu.Unlock()
 	v.tableMu.Lock()
-	v.table.fresh = true // the new keeper is told of all workers and vanes
+	v.table.fresh = true // the new keeper is told of all workers and routers
 	v.ledgerMu.Lock()
 	v.ledger = capacity.New(v.Self)
 	v.ledgerMu.Unlock()
--- a/internal/router/rules.go
+++ b/internal/router/rules.go
@@ -102,7 +102,7 @@
 	}
 }
 
-// confirm makes a starting or woken vane ready once nothing newer than its news stands anywhere (design 4).
+// confirm makes a starting or woken router ready once nothing newer than its news stands anywhere (design 4).
 func (v *Router) confirm(now units.Time) {
 	all := v.Members()
 	switch core, _ := configpush.Neighbours(all, v.Self); {
--- a/internal/router/speak.go
+++ b/internal/router/speak.go
@@ -64,9 +64,9 @@
 	}
 	ln, err := listener.Listen(v.Boot.Ready)
 	if err != nil {
-		return fmt.Errorf("vane: %w", err)
+		return fmt.Errorf("router: %w", err)
 	}
-	v.ask = &fasthttp.Server{Handler: v.readiness, Name: "vane", NoDefaultDate: true, Logger: quiet{}, ReduceMemoryUsage: true}
+	v.ask = &fasthttp.Server{Handler: v.readiness, Name: "router", NoDefaultDate: true, Logger: quiet{}, ReduceMemoryUsage: true}
 	v.Crew.Go(func() { _ = v.ask.Serve(ln) })
 	return nil
 }
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -134,6 +134,9 @@
 	x := a.NewObject()
 	if r := v.rules.Load(); r != nil {
 		x.Set("config", a.NewNumberInt(int(r.num)))
+		if r.Version > 0 {
+			x.Set("version", a.NewNumberInt(int(r.Version))) // the operator's own, where the outside world has one
+		}
 	}
 	n := 0
 	v.tableMu.Lock()
@@ -149,7 +152,7 @@
 func Member(a *fastjson.Arena, m membership.Member) *fastjson.Value {
 	x := a.NewObject()
 	x.Set("node", a.NewString(m.Node.String()))
-	x.Set("role", a.NewString([]string{"", "vane", "barometer"}[m.Role%3]))
+	x.Set("role", a.NewString([]string{"", "router", "controller"}[m.Role%3]))
 	x.Set("zone", a.NewString(m.Zone))
 	x.Set("addr", a.NewString(m.Addr))
 	x.Set("web", a.NewString(m.Web))
--- a/internal/router/steps_test.go
+++ b/internal/router/steps_test.go
@@ -23,7 +23,7 @@
 
 var markers atomic.Uint64
 
-// take gives the vane a change, and waits until it has been looked at: news is applied in its order, so a marker
+// take gives the router a change, and waits until it has been looked at: news is applied in its order, so a marker
 // behind it shows that.
 func take(t *testing.T, v *Router, its ...configpush.Item) {
 	t.Helper()
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -58,7 +58,7 @@
 	w.ctx.SetBodyStream(s, -1)
 }
 
-var errBroken = errors.New("vane: the worker's answer broke")
+var errBroken = errors.New("router: the worker's answer broke")
 
 // stream is the body of a caller's answer. An error from Read makes the server break the wire off
 // without a final chunk, so that a broken answer never looks whole.
--- a/internal/router/toll_test.go
+++ b/internal/router/toll_test.go
@@ -43,15 +43,15 @@
 	}
 }
 
-// What a vane adds: the same prompts at a worker directly and by way of one vane, each time on wires that callers
-// hold, and with a wire for each as the vane has towards workers, by one caller and by two; compare the rows of one run (docs/measurements.md).
+// What a router adds: the same prompts at a worker directly and by way of one router, each time on wires that callers
+// hold, and with a wire for each as the router has towards workers, by one caller and by two; compare the rows of one run (docs/measurements.md).
 func BenchmarkToll(b *testing.B) {
 	worker := instant(b)
 	v := rig(b, worker)
 	for _, x := range []struct {
 		name, addr, path string
 		fresh            bool
-	}{{"direct, held wire", worker, "/v1/generate", false}, {"direct, a wire each", worker, "/v1/generate", true}, {"by a vane", v.Boot.Web, "/chat", false}} {
+	}{{"direct, held wire", worker, "/v1/generate", false}, {"direct, a wire each", worker, "/v1/generate", true}, {"by a router", v.Boot.Web, "/chat", false}} {
 		for _, callers := range []int{1, 2} {
 			b.Run(fmt.Sprintf("%s/callers=%d", x.name, callers), func(b *testing.B) {
 				c := &fasthttp.HostClient{Addr: x.addr, MaxConns: 64, MaxIdemponentCallAttempts: 1}
--- a/internal/router/woke_test.go
+++ b/internal/router/woke_test.go
@@ -16,7 +16,7 @@
 	return 0, false
 }
 
-// After a freeze a vane throws its keeper's books away, collects them anew, and serves again; the permit that a
+// After a freeze a router throws its keeper's books away, collects them anew, and serves again; the permit that a
 // stream holds meanwhile is found again.
 func TestWokeKeepsAgain(t *testing.T) {
 	t.Parallel()
@@ -27,7 +27,7 @@
 	defer h.Close()
 	v.woke(v.Crew.Now())
 	if v.ready.Load() {
-		t.Error("a woken vane takes prompts before its news is confirmed")
+		t.Error("a woken router takes prompts before its news is confirmed")
 	}
 	weatherglass.Until(t, "it lends again", func() bool { n, open := lent(v); return open && n == 1 })
 }
--- a/internal/router/words_test.go
+++ b/internal/router/words_test.go
@@ -29,7 +29,7 @@
 	v.FeedMu.Lock()
 	v.Feed.Take(configpush.Item{Key: "workers/side", Num: 1, Data: config.PackWorkers([]config.Worker{{ID: "s1", Addr: b, Zone: "z1", Age: time.Hour}})})
 	v.FeedMu.Unlock()
-	weatherglass.Until(t, "the vane keeps both workers", func() bool {
+	weatherglass.Until(t, "the router keeps both workers", func() bool {
 		v.ledgerMu.Lock()
 		defer v.ledgerMu.Unlock()
 		k := v.ledger.Kept(v.Crew.Now())
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -74,17 +74,17 @@
 	return time.Duration(m.rng.ExpFloat64() / perSec * float64(time.Second))
 }
 
-// Call sends a request to one vane and judges what comes back.
-func Call(ctx context.Context, vane string, a Ask, key string) Entry {
-	e := Entry{Kind: "call", At: Now(), Job: a.Job, Mapping: a.Mapping, Vane: vane, LeftMs: a.LeftMs}
-	call(ctx, vane, a, key, &e)
+// Call sends a request to one router and judges what comes back.
+func Call(ctx context.Context, router string, a Ask, key string) Entry {
+	e := Entry{Kind: "call", At: Now(), Job: a.Job, Mapping: a.Mapping, Router: router, LeftMs: a.LeftMs}
+	call(ctx, router, a, key, &e)
 	e.End = Now()
 	return e
 }
 
-func call(ctx context.Context, vane string, a Ask, key string, e *Entry) {
+func call(ctx context.Context, router string, a Ask, key string, e *Entry) {
 	d := net.Dialer{Timeout: time.Second}
-	c, err := d.DialContext(ctx, "tcp", vane)
+	c, err := d.DialContext(ctx, "tcp", router)
 	if err != nil {
 		e.Fault = "unreached"
 		return
@@ -96,7 +96,7 @@
 	body, _ := json.Marshal(map[string]any{"prompt": a.Prompt, "job": a.Job, "pieces": a.Pieces})
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.SetRequestURI("http://" + vane + a.Path)
+	req.SetRequestURI("http://" + router + a.Path)
 	req.Header.SetMethod("POST")
 	req.Header.Set("Time-Left-Ms", strconv.Itoa(a.LeftMs))
 	if key != "" {
--- a/internal/standin/journal.go
+++ b/internal/standin/journal.go
@@ -22,7 +22,7 @@
 	Hit     float64 `json:"hit,omitempty"` // share of the prompt found in the prefix cache
 	Flight  int     `json:"flight,omitempty"`
 	Mapping string  `json:"mapping,omitempty"`
-	Vane    string  `json:"vane,omitempty"`
+	Router  string  `json:"router,omitempty"`
 	End     int64   `json:"end,omitempty"`
 	FirstUs int64   `json:"first_us,omitempty"`
 	LeftMs  int     `json:"left_ms,omitempty"`
--- a/internal/tower/tower.go
+++ b/internal/tower/tower.go
@@ -43,7 +43,7 @@
 	Woke    func(units.Time)                                   // after a freeze
 	Refused func(units.Time, []units.Node)                     // processes found to have ended
 	Moved   func()                                             // news came, or membership changed
-	Later   func(message.Effects)                              // disk work; nil on a vane
+	Later   func(message.Effects)                              // disk work; nil on a router
 	Dropped atomic.Uint64
 	open    atomic.Bool // the wires stand
 	Errors  atomic.Uint64
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Node names one process: a random number for a vane, the disk's id for a barometer.
+// Node names one process: a random number for a router, the disk's id for a controller.
 type Node uint64
 
 func (n Node) String() string {
