--- a/internal/hollow/core.go
+++ b/internal/hollow/core.go
@@ -26,7 +26,7 @@
 // core is package controller without its web side, its locks and its file.
 type core struct {
 	n       *node
-	replica    *register.Replica
+	replica *register.Replica
 	duty    *lease.Lease
 	iso     *antientropy.Syncer
 	roll    *idempotency.Registry
--- a/internal/hollow/node.go
+++ b/internal/hollow/node.go
@@ -16,10 +16,10 @@
 
 // How often the daemons' loops run: package tower's, the router's and the controller's.
 const (
-	towerGap = 50 * time.Millisecond
-	routerGap  = 20 * time.Millisecond
-	coreGap  = 50 * time.Millisecond
-	syncTime = 2 * time.Millisecond
+	towerGap  = 50 * time.Millisecond
+	routerGap = 20 * time.Millisecond
+	coreGap   = 50 * time.Millisecond
+	syncTime  = 2 * time.Millisecond
 )
 
 // node is one hollow process: what package tower holds, and a program.
--- a/internal/router/leave.go
+++ b/internal/router/leave.go
@@ -13,9 +13,10 @@
 	// lingerFor is how long a leaving node waits for requests at the least: clients come until its readiness has been asked
 	// twice.
 	lingerFor = 3 * time.Second
-	// openFor is how long a leaving node takes every request, however long it may run. It is shorter than lingerFor, since
-	// the warning may have been under way for a while, and at most openShare of the time there is.
-	openFor   = 2500 * time.Millisecond
+	// openFor is how long a leaving node takes every request, however long it may run, and at most openShare of the time
+	// there is. Clients that ask for readiness once a second and go by two answers know of the warning after 1 to 2 s, and
+	// what is sent later than 2 s behind it must not be cut; the warning may have been under way for a while.
+	openFor   = 1600 * time.Millisecond
 	openShare = 3
 	// endGap is how long before the end of its grace a leaving node answers whatever still waits: a request that nobody has
 	// begun to work on must not end with a cut (design 11).
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -72,6 +72,7 @@
 		status    int
 	}{
 		{"just warned, long", time.Second, 7 * time.Second, "15000", 200},
+		{"clients may have been told twice, long", 1900 * time.Millisecond, 5400 * time.Millisecond, "15000", 503},
 		{"open span over, long", 4 * time.Second, 4 * time.Second, "15000", 503},
 		{"open span over, ends in time", 4 * time.Second, 4 * time.Second, "3000", 200},
 		{"open span over, ends in the last moment", 4 * time.Second, 4 * time.Second, "3900", 503},
