--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -1,4 +1,5 @@
-// Package logbook keeps the last lines in memory and writes them out when something goes wrong (design 1).
+// Package logbook writes warnings out as they come, up to a bounded rate, and keeps the last other lines in memory until
+// something goes wrong (design 1).
 package logbook
 
 import (
@@ -10,31 +11,58 @@
 	"github.com/apex/log"
 )
 
+// How many warnings are written out at once: a storm of them must not cost the process its time. The rest stays in memory.
+const (
+	warningsMost = 20
+	warningsSpan = 5 * time.Second
+)
+
+// dumpGap is how long after one dump the next error waits in memory.
+const dumpGap = 5 * time.Second
+
 // Book is a ring of lines; it is a handler for apex/log.
 type Book struct {
 	mu   sync.Mutex
 	ring []string
 	at   int
 	out  io.Writer
-	last time.Time
+	last time.Time // of the last dump by an error
+
+	spanBegan time.Time // of warnings written out as they came
+	written   int       // warnings in that span
 }
 
 // New gives a ring of n lines that dumps to out.
 func New(n int, out io.Writer) *Book { return &Book{ring: make([]string, n), out: out} }
 
-// HandleLog takes a line into the ring; an error or worse dumps the ring, at most once in five seconds.
+// HandleLog writes a warning out or takes a line into the ring; an error or worse dumps the ring, at most once in dumpGap.
 func (b *Book) HandleLog(e *log.Entry) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ring[b.at%len(b.ring)] = fmt.Sprintf("%s %-5s %s %v", e.Timestamp.UTC().Format("15:04:05.000"), e.Level, e.Message, e.Fields)
+	line := fmt.Sprintf("%s %-5s %s %v", e.Timestamp.UTC().Format("15:04:05.000"), e.Level, e.Message, e.Fields)
+	if e.Level == log.WarnLevel && b.mayWrite(e.Timestamp) {
+		fmt.Fprintln(b.out, line)
+		return nil
+	}
+	b.ring[b.at%len(b.ring)] = line
 	b.at++
-	if e.Level >= log.ErrorLevel && e.Timestamp.Sub(b.last) > 5*time.Second {
+	if e.Level >= log.ErrorLevel && e.Timestamp.Sub(b.last) > dumpGap {
 		b.last = e.Timestamp
 		b.dump()
 	}
 	return nil
 }
 
+// mayWrite says whether one more warning may be written out in this span, and counts it. A time of day that jumps back
+// only makes a span longer or shorter.
+func (b *Book) mayWrite(now time.Time) bool {
+	if age := now.Sub(b.spanBegan); age < 0 || age > warningsSpan {
+		b.spanBegan, b.written = now, 0
+	}
+	b.written++
+	return b.written <= warningsMost
+}
+
 // Dump writes the ring out and empties it.
 func (b *Book) Dump() {
 	b.mu.Lock()
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -75,7 +75,7 @@
 				v.claimantMu.Lock()
 				delete(v.claims, token)
 				v.claimantMu.Unlock()
-				return w.hungUp(0)
+				return w.hungUp(0, stageClaim)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/router/metrics_test.go
@@ -0,0 +1,45 @@
+package router
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"seamshunt/internal/weatherglass"
+)
+
+// metricsText reads a router's metrics.
+func metricsText(v *Router) string {
+	var ctx fasthttp.RequestCtx
+	v.metrics(&ctx)
+	return string(bytes.Clone(ctx.Response.Body()))
+}
+
+// A client that leaves is counted by where its request stood, and so is each attempt to connect to a worker.
+func TestMetricsOfClientsThatLeave(t *testing.T) {
+	t.Parallel()
+	w := newScriptedWorker(t, "i-1")
+	v := relayRig(t, w)
+	c := clientConn(t, v)
+	c.send("effectful", "a", "prompt")
+	k := <-w.conns
+	k.request()
+	c.Close()
+	k.closedByRouter()
+	weatherglass.Until(t, "nothing is under way", func() bool { return v.flight.Load() == 0 })
+	text := metricsText(v)
+	for _, want := range []string{
+		`seamshunt_results_total{code="403"} 1`,
+		`seamshunt_client_left_total{stage="answer"} 1`,
+		`seamshunt_client_left_total{stage="admission"} 0`,
+		`seamshunt_upstream_dials_total{outcome="connected"} 1`,
+		`seamshunt_upstream_dials_total{outcome="timed_out"} 0`,
+		`seamshunt_upstream_unattended_requests_total 0`,
+	} {
+		if !strings.Contains(text, want+"\n") {
+			t.Errorf("no line %q in\n%s", want, text)
+		}
+	}
+}
--- a/internal/router/relay_try.go
+++ b/internal/router/relay_try.go
@@ -115,7 +115,7 @@
 			}
 			if upstream.HungUp(w.ctx.Conn()) {
 				v.cut(tag)
-				v.stats.count(synop.HungUp)
+				v.clientLeft(stageAdmission, v.Crew.Now().Sub(now))
 				w.ctx.SetConnectionClose()
 				w.end(synop.HungUp, 0)
 				return verdict{}, tag, false
@@ -189,6 +189,8 @@
 			v.passOver(name)
 		}
 		w.why = synop.NoWorker
+		v.Log.WithError(x.Err).WithField("worker", name).WithField("after", v.Crew.Now().Sub(now)).WithField("client_gone", upstream.HungUp(w.ctx.Conn())).
+			Warn("no connection to a worker")
 	case upstream.NotRun, upstream.Moved:
 		w.sent++
 		v.done(tag, false)
@@ -197,7 +199,9 @@
 	default:
 		w.sent++
 		w.ran = true
-		w.gone = errors.Is(x.Err, upstream.ErrGone)
+		if w.gone = errors.Is(x.Err, upstream.ErrGone); w.gone {
+			v.clientLeft(stageAnswer, v.Crew.Now().Sub(now))
+		}
 		w.why = synop.Unknown
 		v.done(tag, !x.Down)
 		v.passOver(name)
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -1,47 +1,14 @@
 package router
 
 import (
-	"fmt"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
 	"seamshunt/internal/cluster/membership"
-	"seamshunt/internal/synop"
 )
 
-// stats counts results and hand-overs.
-type stats struct {
-	mu    sync.Mutex
-	codes map[synop.Code]uint64
-	hands map[string]uint64 // hand-overs by the worker's zone
-	cross uint64            // bytes of prompts handed over to another zone
-}
-
-func (s *stats) count(c synop.Code) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.codes == nil {
-		s.codes = map[synop.Code]uint64{}
-	}
-	s.codes[c]++
-}
-
-func (s *stats) hand(zone, own string, n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.hands == nil {
-		s.hands = map[string]uint64{}
-	}
-	s.hands[zone]++
-	if zone != own {
-		s.cross += uint64(n)
-	}
-}
-
 func (v *Router) health(ctx *fasthttp.RequestCtx) {
 	v.tableMu.Lock()
 	out := v.table.out[v.Boot.Zone]
@@ -169,30 +136,3 @@
 	}
 	return a.NewFalse()
 }
-
-// metrics writes Prometheus text.
-func (v *Router) metrics(ctx *fasthttp.RequestCtx) {
-	ctx.SetContentType("text/plain; version=0.0.4")
-	s := &v.stats
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var codes []synop.Code
-	for c := range s.codes {
-		codes = append(codes, c)
-	}
-	slices.Sort(codes)
-	for _, c := range codes {
-		fmt.Fprintf(ctx, "seamshunt_results_total{code=\"%d\"} %d\n", c, s.codes[c])
-	}
-	v.tallies.metrics(ctx)
-	fmt.Fprintf(ctx, "seamshunt_cross_zone_prompt_bytes_total %d\n", s.cross)
-	fmt.Fprintf(ctx, "seamshunt_wire_bytes_total %d\n", v.Transport.Out.Load())
-	fmt.Fprintf(ctx, "seamshunt_in_flight %d\n", v.flight.Load())
-	fmt.Fprintf(ctx, "seamshunt_bad_frames_total %d\nseamshunt_bad_notes_total %d\n", v.Transport.Bad.Load(), v.Errors.Load())
-	fmt.Fprintf(ctx, "seamshunt_dropped_notes_total %d\n", v.Dropped.Load())
-	age := 0.0
-	if t := v.static.Load(); t > 0 {
-		age = v.Crew.Now().Sub(v.began).Seconds() - (time.Duration(t) - time.Duration(v.began)).Seconds()
-	}
-	fmt.Fprintf(ctx, "seamshunt_cut_from_control_seconds %g\n", age)
-}
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -114,7 +114,7 @@
 			return nil, errBroken
 		case <-tick.C:
 			if upstream.HungUp(s.w.ctx.Conn()) {
-				v.stats.count(synop.HungUp)
+				v.clientLeft(stageStream, v.Crew.Now().Sub(s.w.handed))
 				return nil, errBroken
 			}
 			if v.Crew.Now() > s.w.until {
--- a/internal/router/upstream/exchange.go
+++ b/internal/router/upstream/exchange.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -70,10 +69,13 @@
 	for again := false; ; again = true {
 		var err error
 		if x.c, x.Reused, err = p.take(o, again); err != nil {
-			x.Down = errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+			x.Down = refused(err)
 			return x.fail(NotSent, err)
 		}
 		x.c.begin(o)
+		if o.Gone != nil && o.Gone() {
+			p.Stats.Unattended.Add(1)
+		}
 		if err = x.send(); err == nil {
 			break
 		}
--- a/internal/router/upstream/pool.go
+++ b/internal/router/upstream/pool.go
@@ -28,12 +28,20 @@
 // Pool holds idle connections to workers, each belonging to one worker id: another worker may come to listen at the
 // same address (design 8 and 11). Idle ones hold no buffers.
 type Pool struct {
+	Stats Stats
 	n     adapter.Names
-	dials atomic.Uint64
 	mu    sync.Mutex
 	hosts map[string]*host
 }
 
+// Stats counts what became of connections and requests.
+type Stats struct {
+	Connected  atomic.Uint64
+	Refused    atomic.Uint64 // nobody listens there
+	TimedOut   atomic.Uint64 // nothing answered within the span for connecting
+	Unattended atomic.Uint64 // requests that were sent although nobody waited for them any more
+}
+
 // host is one worker: idle connections, the newest last, and how many are open in all.
 type host struct {
 	addr string
@@ -56,7 +64,7 @@
 }
 
 // Dials gives the connections made so far.
-func (p *Pool) Dials() uint64 { return p.dials.Load() }
+func (p *Pool) Dials() uint64 { return p.Stats.Connected.Load() }
 
 // Drop closes the idle connections of a worker that is gone; those in use close after their answer.
 func (p *Pool) Drop(worker string) {
@@ -179,9 +187,10 @@
 	}
 	nc, err := shield.Dial(o.Addr, min(dialMost, left))
 	if err != nil {
+		p.Stats.failed(err)
 		return nil, err
 	}
-	p.dials.Add(1)
+	p.Stats.Connected.Add(1)
 	if s, ok := nc.(syscall.Conn); ok {
 		if raw, err := s.SyscallConn(); err == nil {
 			_ = raw.Control(func(fd uintptr) {
@@ -192,6 +201,20 @@
 	return &conn{Conn: nc, at: time.Now()}, nil
 }
 
+// failed counts a connection that was not made.
+func (s *Stats) failed(err error) {
+	if refused(err) {
+		s.Refused.Add(1)
+	} else {
+		s.TimedOut.Add(1)
+	}
+}
+
+// refused says whether an attempt to connect failed because nobody listens there.
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
 const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of Linux, which package syscall lacks
 
 // put takes a connection back that may be used again until a time.
--- a/internal/router/way.go
+++ b/internal/router/way.go
@@ -84,7 +84,7 @@
 		tag := v.tag.Add(1)
 		x, hung := w.admit(now, tag, s)
 		if hung {
-			return w.hungUp(tag)
+			return w.hungUp(tag, stageAdmission)
 		}
 		if x.Code != synop.OK {
 			w.why, w.due = x.Code, x.Due
@@ -164,7 +164,7 @@
 	if hung {
 		t.Cancel()
 		w.sent++
-		return w.hungUp(tag)
+		return w.hungUp(tag, stageAnswer)
 	}
 	switch e.Kind {
 	case upstream.Piece, upstream.Sealed:
@@ -194,9 +194,9 @@
 	return w.m.Once && w.end()
 }
 
-func (w *way) hungUp(tag uint64) bool {
+func (w *way) hungUp(tag uint64, at stage) bool {
 	w.v.cut(tag)
-	w.v.stats.count(synop.HungUp)
+	w.v.clientLeft(at, w.v.Crew.Now().Sub(w.begun))
 	w.ctx.SetConnectionClose()
 	w.ctx.SetStatusCode(synop.HungUp.Status())
 	return true
