--- /dev/null
+++ b/internal/router/client_left_rig_test.go
@@ -0,0 +1,151 @@
+package router
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"seamshunt/internal/weatherglass"
+)
+
+// silentWorker is a worker whose machine answers no attempt to connect, until it wakes.
+type silentWorker struct {
+	*scriptedWorker
+	listener net.Listener
+	fillers  []net.Conn
+}
+
+// newSilentWorker gives a worker whose queue of new connections is full: what else comes is dropped without a word.
+func newSilentWorker(t testing.TB, id string) *silentWorker {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "silent worker")
+	defer file.Close()
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	w := &silentWorker{scriptedWorker: &scriptedWorker{id: id, addr: l.Addr().String(), conns: make(chan *workerConn, 256)}, listener: l}
+	for {
+		c, err := net.DialTimeout("tcp", w.addr, 100*time.Millisecond)
+		if err != nil {
+			return w
+		}
+		t.Cleanup(func() { c.Close() })
+		w.fillers = append(w.fillers, c)
+	}
+}
+
+// wake has the worker take connections from now on, those apart that filled its queue.
+func (w *silentWorker) wake() {
+	fillers := map[string]bool{}
+	for _, c := range w.fillers {
+		fillers[c.LocalAddr().String()] = true
+	}
+	go func() {
+		for {
+			c, err := w.listener.Accept()
+			if err != nil {
+				return
+			}
+			if fillers[c.RemoteAddr().String()] {
+				c.Close()
+				continue
+			}
+			_ = c.SetDeadline(time.Now().Add(30 * time.Second))
+			w.conns <- &workerConn{c, bufio.NewReader(c)}
+		}
+	}()
+}
+
+// received gives the ids of the requests that a worker got on connections that the test has not looked at. It comes after
+// the router is done: the test's own connection is the last one in the worker's queue.
+func (w *scriptedWorker) received(t testing.TB) (ids []string) {
+	t.Helper()
+	last, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer last.Close()
+	for c := range w.conns {
+		if c.RemoteAddr().String() == last.LocalAddr().String() {
+			return ids
+		}
+		for q := c.request(); q != nil; q = c.request() {
+			ids = append(ids, q.id+q.Header.Get("Request-Id"))
+		}
+	}
+	return ids
+}
+
+// leave closes a client's connection, and waits until the router's machine knows.
+func (c *workerConn) leave(t testing.TB) {
+	t.Helper()
+	client, router := c.LocalAddr().(*net.TCPAddr), c.RemoteAddr().(*net.TCPAddr)
+	c.Close()
+	weatherglass.Until(t, "the client's end has come", func() bool {
+		const closeWait = "08"
+		state, ok := socketState(t, router, client)
+		return ok && state == closeWait || !ok
+	})
+}
+
+// socketState gives the state of a connection as the kernel's table shows it.
+func socketState(t testing.TB, local, remote *net.TCPAddr) (state string, ok bool) {
+	t.Helper()
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry := func(a *net.TCPAddr) string {
+		ip := a.IP.To4()
+		return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
+	}
+	for line := range bytes.Lines(table) {
+		if f := strings.Fields(string(line)); len(f) > 3 && f[1] == entry(local) && f[2] == entry(remote) {
+			return f[3], true
+		}
+	}
+	return "", false
+}
+
+// taken waits until a request is under way at the router, and idle until none is.
+func taken(t testing.TB, v *Router) {
+	t.Helper()
+	weatherglass.Until(t, "a request is under way", func() bool { return v.flight.Load() > 0 })
+}
+
+func idle(t testing.TB, v *Router) {
+	t.Helper()
+	weatherglass.Until(t, "nothing is under way", func() bool { return v.flight.Load() == 0 })
+}
+
+// admitted waits until a permit is held.
+func admitted(t testing.TB, v *Router) {
+	t.Helper()
+	weatherglass.Until(t, "a permit is held", func() bool {
+		v.queueMu.Lock()
+		defer v.queueMu.Unlock()
+		n := 0
+		for _, k := range v.queue.Flight {
+			n += k
+		}
+		return n > 0
+	})
+}
