--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -2,6 +2,7 @@
 package crew
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -44,6 +45,16 @@
 // Sleep waits on the process's clock.
 func (c *Crew) Sleep(d time.Duration) { c.clock.Sleep(d) }
 
+// Wait waits on the process's clock, or until the context is done.
+func (c *Crew) Wait(ctx context.Context, d time.Duration) {
+	t := c.clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.Chan():
+	case <-ctx.Done():
+	}
+}
+
 // Stopped is closed when the crew is to go home.
 func (c *Crew) Stopped() <-chan struct{} { return c.stop }
 
--- /dev/null
+++ b/internal/router/cancel.go
@@ -0,0 +1,30 @@
+package router
+
+import (
+	"errors"
+
+	"seamshunt/internal/router/clientwatch"
+	"seamshunt/internal/synop"
+	"seamshunt/internal/units"
+)
+
+// cancelledAs looks whether a request is cancelled, and gives the code of the reason; 0 while somebody waits for it.
+func cancelledAs(client *clientwatch.Request) synop.Code {
+	switch err := client.Look(); {
+	case err == nil:
+		return 0
+	case errors.Is(err, clientwatch.ErrRouterEnds):
+		return synop.Draining
+	default:
+		return synop.HungUp
+	}
+}
+
+// over lets go of a client whose request began at a time and stood at a stage; nothing may be under way for it any more.
+func (v *Router) over(client *clientwatch.Request, at stage, begun units.Time, whole bool) {
+	if !whole && errors.Is(client.Look(), clientwatch.ErrClientLeft) {
+		v.clientLeft(at, v.Crew.Now().Sub(begun))
+	}
+	client.End()
+	v.flight.Add(-1)
+}
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -6,7 +6,6 @@
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/router/idempotency"
-	"seamshunt/internal/router/upstream"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -61,23 +60,19 @@
 		v.claims[token] = c
 		return v.claimant.Claim(v.Crew.Now(), token, key, holders)
 	})
-	t := time.NewTicker(peekAt)
-	defer t.Stop()
-	for {
-		select {
-		case code := <-c:
-			if code == synop.OK {
-				w.claimed, w.holders = key, holders
-			}
-			return w.claimedAs(code)
-		case <-t.C:
-			if upstream.HungUp(w.ctx.Conn()) {
-				v.claimantMu.Lock()
-				delete(v.claims, token)
-				v.claimantMu.Unlock()
-				return w.hungUp(0, stageClaim)
-			}
+	select {
+	case code := <-c:
+		if code == synop.OK {
+			w.claimed, w.holders = key, holders
 		}
+		return w.claimedAs(code)
+	case <-w.client.Done():
+		v.claimantMu.Lock()
+		delete(v.claims, token)
+		v.claimantMu.Unlock()
+		w.cancelled()
+		w.sure = false // the claim may stand, so nothing is promised for the key
+		return w.end()
 	}
 }
 
--- a/internal/router/client_left_rig_test.go
+++ b/internal/router/client_left_rig_test.go
@@ -1,78 +1,31 @@
 package router
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"net"
 	"os"
 	"strings"
-	"syscall"
 	"testing"
-	"time"
 
+	"seamshunt/internal/rig/netfault"
 	"seamshunt/internal/weatherglass"
 )
 
 // silentWorker is a worker whose machine answers no attempt to connect, until it wakes.
 type silentWorker struct {
 	*scriptedWorker
-	listener net.Listener
-	fillers  []net.Conn
+	listener *netfault.SilentListener
 }
 
-// newSilentWorker gives a worker whose queue of new connections is full: what else comes is dropped without a word.
 func newSilentWorker(t testing.TB, id string) *silentWorker {
 	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	file := os.NewFile(uintptr(fd), "silent worker")
-	defer file.Close()
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Listen(fd, 0); err != nil {
-		t.Fatal(err)
-	}
-	l, err := net.FileListener(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	w := &silentWorker{scriptedWorker: &scriptedWorker{id: id, addr: l.Addr().String(), conns: make(chan *workerConn, 256)}, listener: l}
-	for {
-		c, err := net.DialTimeout("tcp", w.addr, 100*time.Millisecond)
-		if err != nil {
-			return w
-		}
-		t.Cleanup(func() { c.Close() })
-		w.fillers = append(w.fillers, c)
-	}
+	l := netfault.Silent(t)
+	return &silentWorker{&scriptedWorker{id: id, addr: l.Addr().String(), conns: make(chan *workerConn, 256)}, l}
 }
 
-// wake has the worker take connections from now on, those apart that filled its queue.
-func (w *silentWorker) wake() {
-	fillers := map[string]bool{}
-	for _, c := range w.fillers {
-		fillers[c.LocalAddr().String()] = true
-	}
-	go func() {
-		for {
-			c, err := w.listener.Accept()
-			if err != nil {
-				return
-			}
-			if fillers[c.RemoteAddr().String()] {
-				c.Close()
-				continue
-			}
-			_ = c.SetDeadline(time.Now().Add(30 * time.Second))
-			w.conns <- &workerConn{c, bufio.NewReader(c)}
-		}
-	}()
-}
+// wake has the worker take connections from now on.
+func (w *silentWorker) wake() { go w.accept(w.listener) }
 
 // received gives the ids of the requests that a worker got on connections that the test has not looked at. It comes after
 // the router is done: the test's own connection is the last one in the worker's queue.
--- a/internal/router/dark.go
+++ b/internal/router/dark.go
@@ -27,25 +27,27 @@
 
 // first waits for the first thing that a try has to tell. A worker that is later than the service's habit is passed
 // over; what may repeat then leaves it, if the budget and the time left allow another (design 8).
-func (w *way) first(t *upstream.Try, s *config.Service, name string) (upstream.Event, bool) {
+func (w *way) first(t *upstream.Try, s *config.Service, name string) upstream.Event {
 	v := w.v
 	habit, known := v.habitOf(s.Name).Late()
 	noted := !known
-	tick := time.NewTicker(peekAt)
+	tick := time.NewTicker(lateEach)
 	defer tick.Stop()
 	for {
 		select {
 		case e := <-t.Events:
-			return e, false
+			return e
+		case <-w.client.Done():
+			if t.Abandon() {
+				return upstream.Event{Kind: upstream.NotSent, Err: w.client.Cause()}
+			}
+			return upstream.Event{Kind: upstream.Unknown, Err: w.client.Cause()}
 		case <-tick.C:
 		}
-		if upstream.HungUp(w.ctx.Conn()) {
-			return upstream.Event{}, true
-		}
 		now := v.Crew.Now()
 		if now > w.until {
 			t.Cancel()
-			return upstream.Event{Kind: upstream.Unknown, Err: errors.New("router: out of time")}, false
+			return upstream.Event{Kind: upstream.Unknown, Err: errors.New("router: out of time")}
 		}
 		if !known || now.Sub(w.handed) < habit {
 			continue
@@ -57,7 +59,7 @@
 		if !w.m.Once && w.more(1) && w.until.Sub(now) > 2*s.First && !w.paid && w.again(s.Name, now) {
 			w.paid = true
 			t.Cancel()
-			return upstream.Event{Kind: upstream.Unknown, Err: errDark}, false
+			return upstream.Event{Kind: upstream.Unknown, Err: errDark}
 		}
 	}
 }
--- a/internal/router/door.go
+++ b/internal/router/door.go
@@ -62,10 +62,10 @@
 // prompt takes one request its way over the compiled rules.
 func (v *Router) prompt(ctx *fasthttp.RequestCtx, path string) {
 	v.flight.Add(1)
-	w := &way{v: v, ctx: ctx, begun: v.Crew.Now(), rules: v.rules.Load()}
+	w := &way{v: v, ctx: ctx, begun: v.Crew.Now(), rules: v.rules.Load(), client: v.clients.Begin(ctx.Conn()), at: stageClaim}
 	defer func() {
 		if !w.streaming {
-			v.flight.Add(-1)
+			w.over(false)
 		}
 	}()
 	switch {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -105,8 +105,8 @@
 	for _, c := range []struct {
 		outcome string
 		n       *atomic.Uint64
-	}{{"connected", &s.Connected}, {"refused", &s.Refused}, {"timed_out", &s.TimedOut}} {
+	}{{"connected", &s.Connected}, {"refused", &s.Refused}, {"timed_out", &s.TimedOut}, {"cancelled", &s.Cancelled}} {
 		fmt.Fprintf(w, "seamshunt_upstream_dials_total{outcome=%q} %d\n", c.outcome, c.n.Load())
 	}
-	fmt.Fprintf(w, "seamshunt_upstream_unattended_requests_total %d\n", s.Unattended.Load())
+	fmt.Fprintf(w, "seamshunt_upstream_abandoned_requests_total %d\n", s.Abandoned.Load())
 }
--- a/internal/router/metrics_test.go
+++ b/internal/router/metrics_test.go
@@ -36,7 +36,7 @@
 		`seamshunt_client_left_total{stage="admission"} 0`,
 		`seamshunt_upstream_dials_total{outcome="connected"} 1`,
 		`seamshunt_upstream_dials_total{outcome="timed_out"} 0`,
-		`seamshunt_upstream_unattended_requests_total 0`,
+		`seamshunt_upstream_abandoned_requests_total 0`,
 	} {
 		if !strings.Contains(text, want+"\n") {
 			t.Errorf("no line %q in\n%s", want, text)
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -11,6 +11,7 @@
 	"seamshunt/internal/adapter"
 	"seamshunt/internal/config"
 	"seamshunt/internal/config/routing"
+	"seamshunt/internal/router/clientwatch"
 	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
@@ -32,7 +33,8 @@
 	last   string // the id of the last whole event that the client has
 	sent   int    // workers that the request was sent to
 	ran    bool   // it may have run
-	gone   bool   // the client has closed its connection
+	client *clientwatch.Request
+	at     stage  // where it stands
 	broke  string // the worker that broke off last
 	why    synop.Code
 	due    time.Duration
@@ -47,10 +49,10 @@
 // relay takes one request its way.
 func (v *Router) relay(ctx *fasthttp.RequestCtx) {
 	v.flight.Add(1)
-	w := &relay{v: v, ctx: ctx, begun: v.Crew.Now()}
+	w := &relay{v: v, ctx: ctx, begun: v.Crew.Now(), client: v.clients.Begin(ctx.Conn()), at: stageAdmission}
 	defer func() {
 		if w.reply == nil {
-			v.flight.Add(-1)
+			w.over()
 		}
 	}()
 	if !proper(&ctx.Request.Header) {
@@ -61,8 +63,8 @@
 	if v.leaving() {
 		ctx.SetConnectionClose()
 	}
-	for end := w.begun.Add(holdFor); !v.ready.Load() && v.Crew.Now() < end; {
-		v.Crew.Sleep(5 * time.Millisecond)
+	for end := w.begun.Add(holdFor); !v.ready.Load() && v.Crew.Now() < end && w.client.Err() == nil; {
+		v.Crew.Wait(w.client, 5*time.Millisecond)
 	}
 	w.rules = v.rules.Load()
 	if w.rules == nil || !v.ready.Load() {
@@ -89,6 +91,20 @@
 	routing.Run(do, routing.Hands{Limit: w.limit, Claim: func() bool { return false }, Share: w.share, Try: w.try, Refuse: w.refuse})
 }
 
+// over lets go of the client; nothing may be under way for it any more.
+func (w *relay) over() {
+	w.v.over(w.client, w.at, w.begun, w.reply != nil && w.reply.ended)
+}
+
+// cancelled looks whether the request is cancelled, and notes why.
+func (w *relay) cancelled() bool {
+	why := cancelledAs(w.client)
+	if why != 0 {
+		w.why = why
+	}
+	return why != 0
+}
+
 // hostOf is the host that the client names, without a port.
 func hostOf(ctx *fasthttp.RequestCtx) string {
 	h := strings.ToLower(string(ctx.Request.Header.Host()))
@@ -159,21 +175,30 @@
 	if c == 0 {
 		c = synop.NoWorker
 	}
-	s := w.rules.Services[w.m.To[0]]
-	w.v.tallies.count(w.m, func(t *tally) {
-		t.refused++
-		t.waited += w.v.Crew.Now().Sub(w.begun)
-	})
-	if w.ran {
+	if c == synop.HungUp {
+		w.ctx.SetConnectionClose()
+	} else {
+		w.v.tallies.count(w.m, func(t *tally) {
+			t.refused++
+			t.waited += w.v.Crew.Now().Sub(w.begun)
+		})
+	}
+	switch {
+	case w.ran:
 		w.end(synop.Unknown, 0)
-		return
+	case c == synop.HungUp:
+		w.end(c, 0)
+	default:
+		s := w.rules.Services[w.m.To[0]]
+		w.end(c, back(s.RetryAfter, s.Jitter, w.due))
 	}
-	w.end(c, back(s.RetryAfter, s.Jitter, w.due))
 }
 
 // end answers with a code of our own. A client is told when to come back only where the request did not run.
 func (w *relay) end(c synop.Code, after time.Duration) {
-	w.v.stats.count(c)
+	if c != synop.HungUp { // counted as the client left
+		w.v.stats.count(c)
+	}
 	r := &w.ctx.Response
 	r.Reset()
 	if w.v.leaving() {
--- a/internal/router/relay_rig_test.go
+++ b/internal/router/relay_rig_test.go
@@ -49,19 +49,22 @@
 	}
 	t.Cleanup(func() { ln.Close() })
 	w := &scriptedWorker{id: id, addr: ln.Addr().String(), conns: make(chan *workerConn, 256)}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			_ = c.SetDeadline(time.Now().Add(30 * time.Second)) // only ends a test that would hang
-			w.conns <- &workerConn{c, bufio.NewReader(c)}
-		}
-	}()
+	go w.accept(ln)
 	return w
 }
 
+// accept takes connections until the listener closes.
+func (w *scriptedWorker) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_ = c.SetDeadline(time.Now().Add(30 * time.Second)) // only ends a test that would hang
+		w.conns <- &workerConn{c, bufio.NewReader(c)}
+	}
+}
+
 // workerRequest is a request as a worker reads it.
 type workerRequest struct {
 	*http.Request
--- a/internal/router/relay_try.go
+++ b/internal/router/relay_try.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"errors"
 	"strconv"
 	"time"
 
@@ -25,12 +24,14 @@
 // may says whether the request may go to another worker, and takes the further try from the budget.
 func (w *relay) may(service string, now units.Time) bool {
 	switch {
+	case w.cancelled():
+		return false
 	case w.sent == 0:
 		return true
 	case w.v.ending():
 		w.why = synop.Draining
 		return false
-	case w.gone || w.sent >= w.most() || w.ran && w.m.Once:
+	case w.sent >= w.most() || w.ran && w.m.Once:
 		return false
 	case !w.v.budgetOf(service).Again(now, w.v.slack()):
 		w.why = synop.Budget
@@ -55,12 +56,9 @@
 		if !w.may(service, now) {
 			return false
 		}
-		x, tag, ok := w.admit(now, s)
-		if !ok {
-			return true
-		}
+		x, tag := w.admit(now, s)
 		if x.Code == synop.NoWorker && w.sent == 0 && now.Sub(w.begun) < holdFor {
-			v.Crew.Sleep(keeperGap) // the workers' keepers are changing: they answer in a moment (design 11)
+			v.Crew.Wait(w.client, keeperGap) // the workers' keepers are changing: they answer in a moment (design 11)
 			n--
 			continue
 		}
@@ -89,9 +87,18 @@
 	handed  units.Time
 }
 
-// admit asks for admission and waits for the verdict; false when the client hung up.
-func (w *relay) admit(now units.Time, s *config.Service) (verdict, uint64, bool) {
+// standing is the stage of a request that may be a stream under way already.
+func (w *relay) standing(at stage) stage {
+	if w.reply != nil {
+		return stageStream
+	}
+	return at
+}
+
+// admit asks for admission and waits for the verdict, or until the request is cancelled.
+func (w *relay) admit(now units.Time, s *config.Service) (verdict, uint64) {
 	v, tag := w.v, w.v.tag.Add(1)
+	w.at = w.standing(stageAdmission)
 	q := admission.Request{Tag: tag, Policy: s.Allow, Until: w.until, First: s.First, Worth: uint16(w.m.Promise.Worth), Tries: 3}
 	cands, keepers := v.place(now, s, w, &q)
 	q.Cands, q.Keeper = cands, func(n string) units.Node { return keepers[n] }
@@ -102,25 +109,13 @@
 	v.tell(now)
 	v.queueMu.Unlock()
 	v.Deliver(out)
-	t := time.NewTicker(2 * peekAt)
-	defer t.Stop()
-	for {
-		select {
-		case x := <-c:
-			return x, tag, true
-		case <-t.C:
-			if v.ending() {
-				v.cut(tag)
-				return verdict{Verdict: admission.Verdict{Code: synop.Draining}}, tag, true
-			}
-			if upstream.HungUp(w.ctx.Conn()) {
-				v.cut(tag)
-				v.clientLeft(stageAdmission, v.Crew.Now().Sub(now))
-				w.ctx.SetConnectionClose()
-				w.end(synop.HungUp, 0)
-				return verdict{}, tag, false
-			}
-		}
+	select {
+	case x := <-c:
+		return x, tag
+	case <-w.client.Done():
+		v.cut(tag)
+		w.cancelled()
+		return verdict{Verdict: admission.Verdict{Code: w.why}}, tag
 	}
 }
 
@@ -159,15 +154,15 @@
 	worker := name[len(s.Name)+1:]
 	req := w.request(worker, w.until.Sub(now))
 	o := &upstream.Order{Worker: worker, Addr: addr, ID: w.id, Req: req, Due: time.Now().Add(w.until.Sub(now)), Fresh: w.m.Once,
-		Most: v.connsOf(s), Gone: func() bool { return v.ending() || upstream.HungUp(w.ctx.Conn()) }}
+		Most: v.connsOf(s)}
 	v.stats.hand(zone, v.Boot.Zone, len(w.body))
 	if w.sent == 0 {
 		v.budgetOf(s.Name).First(now)
 	}
-	x := v.pool.Do(o)
+	w.at = w.standing(stageAnswer)
+	x := v.pool.Do(w.client, o)
 	fasthttp.ReleaseRequest(req)
-	switch x.Kind {
-	case upstream.Piece:
+	if x.Kind == upstream.Piece {
 		w.sent++
 		w.ran = true
 		if w.retries(x.Resp.StatusCode()) {
@@ -183,32 +178,42 @@
 		v.queue.Words(tag, took)
 		v.queueMu.Unlock()
 		return &run{Exchange: x, tag: tag, worker: name, service: s, handed: now}
-	case upstream.NotSent:
+	}
+	w.unanswered(tag, name, x)
+	x.End()
+	return nil
+}
+
+// unanswered notes what became of a hand-over without an answer.
+func (w *relay) unanswered(tag uint64, name string, x *upstream.Exchange) {
+	v := w.v
+	if x.Kind != upstream.NotSent {
+		w.sent++
+	}
+	switch cancelled := w.client.Err() != nil; {
+	case x.Kind == upstream.NotSent && cancelled:
+		v.done(tag, false)
+	case x.Kind == upstream.Unknown && cancelled: // broken off here: nothing is held against the worker
+		w.ran = true
+		v.cut(tag)
+	case x.Kind == upstream.NotSent:
 		v.done(tag, false)
 		if x.Down {
 			v.passOver(name)
 		}
 		w.why = synop.NoWorker
-		v.Log.WithError(x.Err).WithField("worker", name).WithField("after", v.Crew.Now().Sub(now)).WithField("client_gone", upstream.HungUp(w.ctx.Conn())).
-			Warn("no connection to a worker")
-	case upstream.NotRun, upstream.Moved:
-		w.sent++
+		v.Log.WithError(x.Err).WithField("worker", name).Warn("no connection to a worker")
+	case x.Kind == upstream.NotRun || x.Kind == upstream.Moved:
 		v.done(tag, false)
 		v.passOver(name)
 		w.why = synop.WorkerNo
 	default:
-		w.sent++
 		w.ran = true
-		if w.gone = errors.Is(x.Err, upstream.ErrGone); w.gone {
-			v.clientLeft(stageAnswer, v.Crew.Now().Sub(now))
-		}
 		w.why = synop.Unknown
 		v.done(tag, !x.Down)
 		v.passOver(name)
 		v.Log.WithError(x.Err).WithField("worker", name).Warn("a try of unknown outcome")
 	}
-	x.End()
-	return nil
 }
 
 // retries says whether a worker's own failure is worth another worker: only where the request may run again.
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -21,12 +21,14 @@
 		w.end(synop.Unknown, 0)
 		return
 	}
+	w.client.Answering()
 	v.tallies.count(w.m, func(t *tally) { t.firstWords(v.Crew.Now().Sub(w.begun)) })
 	w.heads(e)
 	r := &reply{w: w, run: e}
 	r.events.Last = w.last
 	if w.m.Stream || e.Length() < 0 || e.Length() > whole {
 		w.reply = r
+		w.at = stageStream
 		w.ctx.Response.ImmediateHeaderFlush = true
 		w.ctx.SetBodyStream(r, r.length())
 		return
@@ -146,6 +148,9 @@
 
 func (r *reply) broken(err error) {
 	v := r.w.v
+	if r.w.client.Err() != nil {
+		return // broken off here
+	}
 	v.stats.count(synop.BrokenStream)
 	v.passOver(r.worker)
 	v.Log.WithError(err).WithField("worker", r.worker).Warn("a stream broke")
@@ -166,8 +171,8 @@
 		if w.until.Sub(now) < r.service.First || !w.may(r.service.Name, now) {
 			return false
 		}
-		x, tag, ok := w.admit(now, r.service)
-		if !ok || x.Code != synop.OK {
+		x, tag := w.admit(now, r.service)
+		if x.Code != synop.OK {
 			return false
 		}
 		e := w.handOver(tag, x.Worker, r.service)
@@ -213,7 +218,7 @@
 		v.well(r.worker)
 	}
 	if w.reply == r {
-		v.flight.Add(-1)
+		w.over()
 	}
 	return nil
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"seamshunt/internal/listener"
 	"seamshunt/internal/router/admission"
 	"seamshunt/internal/router/capacity"
+	"seamshunt/internal/router/clientwatch"
 	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/router/placement"
 	"seamshunt/internal/router/upstream"
@@ -63,6 +64,8 @@
 	Words      *adapter.Adapter // the outside world's words; nil: the product's own interface
 	pool       *upstream.Pool
 	pace       crew.Pace // of the beat
+	clients    *clientwatch.Watcher
+	looks      crew.Pace // at the clients
 	stats      stats
 }
 
@@ -72,6 +75,7 @@
 	if v.Words = book; book != nil {
 		v.pool = upstream.NewPool(book.Names)
 	}
+	v.clients = clientwatch.New(v.looks.By)
 	v.queue = admission.New(v.Self)
 	v.ledger = capacity.New(v.Self)
 	v.claimant = idempotency.New(v.Self, v.Crew.Now())
@@ -108,6 +112,7 @@
 		ln.Close()
 		return err
 	}
+	v.looks.Start(v.Crew, clientwatch.LookEvery, func(units.Time) time.Duration { return v.clients.Look(v.ending()) })
 	v.Crew.Go(func() { _ = v.web.Serve(ln) })
 	v.pace.Start(v.Crew, often, v.beat)
 	return nil
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -22,6 +22,11 @@
 	if c == 0 {
 		c = synop.NoWorker
 	}
+	if c == synop.HungUp {
+		w.ctx.SetConnectionClose()
+		w.ctx.SetStatusCode(c.Status())
+		return
+	}
 	if !w.sure {
 		w.v.refuse(w.ctx, synop.Unknown, "the outcome is unknown: it may have run", false, 0)
 		return
@@ -47,7 +52,7 @@
 
 // stream begins the caller's answer; the rest is read from the try as it comes.
 func (w *way) stream(tag uint64, t *upstream.Try, first upstream.Event, worker string) {
-	w.streaming = true
+	w.streaming, w.at = true, stageStream
 	s := &stream{w: w, tag: tag, t: t, worker: worker, e: &first}
 	w.v.tallies.count(w.m, func(t *tally) { t.firstWords(w.v.Crew.Now().Sub(w.begun)) })
 	w.ctx.SetStatusCode(200)
@@ -98,31 +103,26 @@
 		return e, nil
 	}
 	v := s.w.v
-	tick := time.NewTicker(peekAt)
-	defer tick.Stop()
-	for {
-		select {
-		case e := <-s.t.Events:
-			if e.Kind == upstream.Piece || e.Kind == upstream.Sealed {
-				return &e, nil
-			}
-			var late net.Error
-			s.unsure = errors.As(e.Err, &late) && late.Timeout() // silence: nobody knows whether it still runs
-			v.stats.count(synop.BrokenStream)
-			v.passOver(s.worker)
-			v.Log.WithError(e.Err).WithField("worker", s.worker).Warn("a stream broke")
-			return nil, errBroken
-		case <-tick.C:
-			if upstream.HungUp(s.w.ctx.Conn()) {
-				v.clientLeft(stageStream, v.Crew.Now().Sub(s.w.handed))
-				return nil, errBroken
-			}
-			if v.Crew.Now() > s.w.until {
-				v.stats.count(synop.OutOfTime)
-				return nil, errBroken
-			}
+	timeout := time.NewTimer(s.w.until.Sub(v.Crew.Now()))
+	defer timeout.Stop()
+	select {
+	case e := <-s.t.Events:
+		if e.Kind == upstream.Piece || e.Kind == upstream.Sealed {
+			return &e, nil
+		}
+		if s.w.client.Err() != nil {
+			break // broken off here
 		}
+		var late net.Error
+		s.unsure = errors.As(e.Err, &late) && late.Timeout() // silence: nobody knows whether it still runs
+		v.stats.count(synop.BrokenStream)
+		v.passOver(s.worker)
+		v.Log.WithError(e.Err).WithField("worker", s.worker).Warn("a stream broke")
+	case <-s.w.client.Done():
+	case <-timeout.C:
+		v.stats.count(synop.OutOfTime)
 	}
+	return nil, errBroken
 }
 
 // Close ends the try and gives the slot back; the server calls it however the answer ended.
@@ -149,6 +149,6 @@
 	} else {
 		s.w.v.cut(s.tag)
 	}
-	s.w.v.flight.Add(-1)
+	s.w.over(s.whole && len(s.rest) == 0)
 	return nil
 }
--- a/internal/router/upstream/body.go
+++ b/internal/router/upstream/body.go
@@ -106,33 +106,24 @@
 // Length gives the length of the body, -1 when it comes in chunks.
 func (x *Exchange) Length() int { return x.length }
 
-// End gives the connection back, if the answer allows it, and releases the head.
+// End gives the connection back, if the answer allows it, and releases the head. It must come before the caller's own end.
 func (x *Exchange) End() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
 	if x.done {
 		return
 	}
 	x.done = true
-	if x.c != nil {
-		if x.keep && !x.cut && x.body.ended() && x.r.Size() == bufSize && x.r.Buffered() == 0 {
-			x.p.put(x.c, x.until())
-			x.c = nil
-		}
-		x.shut()
+	if x.c != nil && x.reusable() && x.c.release() {
+		x.p.put(x.c, x.until())
+		x.c = nil
 	}
+	x.shut()
 	fasthttp.ReleaseResponse(x.Resp)
 	x.Resp = nil
 }
 
-// Cancel breaks the connection off, from any goroutine.
-func (x *Exchange) Cancel() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if !x.done && x.c != nil {
-		x.cut = true
-		x.c.Close()
-	}
+// reusable says whether the answer leaves the connection fit for another order.
+func (x *Exchange) reusable() bool {
+	return x.r != nil && x.keep && x.body.ended() && x.r.Size() == bufSize && x.r.Buffered() == 0
 }
 
 // until gives how long the connection may stay idle by the answer's Keep-Alive.
--- a/internal/router/upstream/exchange.go
+++ b/internal/router/upstream/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -13,12 +12,6 @@
 	"seamshunt/internal/adapter"
 )
 
-// What ends an exchange before its answer.
-var (
-	ErrGone   = errors.New("upstream: the caller is gone")
-	ErrSilent = errors.New("upstream: no answer began in time")
-)
-
 const (
 	bufSize     = 4096
 	headMost    = 1 << 16
@@ -36,8 +29,6 @@
 	Due          time.Time         // the latest end
 	Fresh        bool              // not over a connection idle for longer than FreshFor: it may not be sent twice
 	Most         int               // connections that this node may have open to this worker; 0 for any
-	Gone         func() bool       // looked at every 50 ms until the head has come; true breaks off
-	Quiet        time.Duration     // how long a head may take once the request is written; 0 for any
 }
 
 // Exchange is one request and its answer. Kind is Piece when a head came and Read gives the body; else NotSent,
@@ -45,7 +36,7 @@
 type Exchange struct {
 	Kind   Kind
 	Err    error
-	Down   bool // nobody listens there
+	Down   bool // nobody answers an attempt to connect
 	Reused bool
 	Resp   *fasthttp.Response // the head; valid until End
 
@@ -57,25 +48,27 @@
 	length int
 	keep   bool // the worker allows that the connection is used again
 	early  bool // the worker closed before the whole request was written; an answer may lie there all the same
-	mu     sync.Mutex
-	cut    bool
 	done   bool
 }
 
-// Do sends one request and awaits the head of its answer. End must follow.
-func (p *Pool) Do(o *Order) *Exchange {
+// Do sends one request for a caller and awaits the head of its answer. End must follow. Once nobody waits any more nothing is
+// sent, and what is awaited ends with the caller's reason.
+func (p *Pool) Do(caller Caller, o *Order) *Exchange {
 	x := &Exchange{p: p, o: *o, Resp: fasthttp.AcquireResponse()}
-	defer func() { x.o.Req, x.o.Gone = nil, nil }()
+	defer func() { x.o.Req = nil }()
 	for again := false; ; again = true {
 		var err error
-		if x.c, x.Reused, err = p.take(o, again); err != nil {
-			x.Down = refused(err)
+		if x.c, x.Reused, err = p.take(caller, o, again); err != nil {
+			x.Down = unreachable(err)
 			return x.fail(NotSent, err)
 		}
-		x.c.begin(o)
-		if o.Gone != nil && o.Gone() {
-			p.Stats.Unattended.Add(1)
+		if err = caller.Look(); err != nil {
+			p.Stats.Abandoned.Add(1)
+			p.put(x.c, x.c.until)
+			x.c = nil
+			return x.fail(NotSent, err)
 		}
+		x.c.begin(caller, o)
 		if err = x.send(); err == nil {
 			break
 		}
@@ -84,7 +77,7 @@
 			x.early = true
 			break
 		}
-		if retry := !sent && x.Reused && !again && x.c.check(time.Now()) == nil; !retry {
+		if retry := !sent && x.Reused && !again; !retry {
 			if sent {
 				return x.fail(Unknown, err)
 			}
@@ -94,8 +87,8 @@
 	}
 	if x.early {
 		x.c.due = earlier(x.c.due, time.Now().Add(drainFor))
+		x.c.readUntil(x.c.due)
 	}
-	x.c.hush()
 	x.r = readers.Get().(*bufio.Reader)
 	x.r.Reset(x.c)
 	if err := x.await(p.n); err != nil {
@@ -104,7 +97,6 @@
 		}
 		return x.fail(Unknown, err)
 	}
-	x.c.watch(false)
 	if x.Kind != Piece {
 		x.drain()
 	}
@@ -126,6 +118,7 @@
 	}
 	x.r = nil
 	if x.c != nil {
+		x.c.release()
 		x.p.drop(x.c)
 		x.c = nil
 	}
@@ -222,7 +215,7 @@
 	if x.length < -1 || x.length > smallMost {
 		return
 	}
-	_ = x.c.SetReadDeadline(earlier(x.c.due, time.Now().Add(drainFor)))
+	x.c.readUntil(earlier(x.c.due, time.Now().Add(drainFor)))
 	b, err := io.ReadAll(io.LimitReader(x.rest(), smallMost+1))
 	if err == nil && x.body.ended() {
 		x.Resp.SetBody(b)
--- a/internal/router/upstream/exchange_test.go
+++ b/internal/router/upstream/exchange_test.go
@@ -189,7 +189,7 @@
 func TestExchangeRefusalKeepsItsBody(t *testing.T) {
 	p := NewPool(names)
 	addr := once(t, "HTTP/1.1 503 Full\nNot-Run: 1\nRetry-After: 0.3\nContent-Length: 2\n\nno", false)
-	x := p.Do(order(addr, "a"))
+	x := p.Do(waiting(t), order(addr, "a"))
 	if x.Kind != NotRun || string(x.Resp.Body()) != "no" || string(x.Resp.Header.Peek("Retry-After")) != "0.3" {
 		t.Fatal(x.Kind, x.Err, x.Resp)
 	}
@@ -200,8 +200,8 @@
 	wantCounts(t, p, 1, 1)
 	// One whose body doesn't come is believed all the same; only its connection is lost.
 	p = NewPool(names)
-	addr, ended := closed(t, "HTTP/1.1 503 Full\nNot-Run: 1\nContent-Length: 2\n\nn")
-	x = p.Do(order(addr, "a"))
+	addr, ended := closed(t, "HTTP/1.1 503 Full\nNot-Run: 1\nContent-Length: 2\n\nn", func() {})
+	x = p.Do(waiting(t), order(addr, "a"))
 	if x.Kind != NotRun || bytes.Contains(x.Resp.Body(), []byte("n")) {
 		t.Fatal(x.Kind, x.Err)
 	}
--- a/internal/router/upstream/owed_test.go
+++ b/internal/router/upstream/owed_test.go
@@ -65,7 +65,7 @@
 		if x := wantKind(t, p, order(addr, "b"), Unknown); !x.Reused {
 			t.Fatal("not on the used connection")
 		}
-		if x := p.Do(order(addr, "c")); x.Kind != NotRun && x.Kind != Moved || x.Reused {
+		if x := p.Do(waiting(t), order(addr, "c")); x.Kind != NotRun && x.Kind != Moved || x.Reused {
 			t.Fatalf("%d on a new connection: kind %d", status, x.Kind)
 		} else {
 			x.End()
@@ -130,7 +130,7 @@
 			c.Conn = &cutting{shield.Bare(c.Conn).(*net.TCPConn), 4000, cut, full}
 			o := order(addr, "b")
 			o.Req.SetBodyString(strings.Repeat("x", 1<<16))
-			y := p.Do(o)
+			y := p.Do(waiting(t), o)
 			if y.Kind != x.kind || !y.Reused {
 				t.Fatalf("%v, %q: kind %d, %v", cut, x.say, y.Kind, y.Err)
 			}
@@ -155,7 +155,7 @@
 	o.Due = time.Now().Add(200 * time.Millisecond)
 	due, cancel := context.WithDeadline(t.Context(), o.Due.Add(50*time.Millisecond))
 	defer cancel()
-	c, _, err := p.take(o, false)
+	c, _, err := p.take(waiting(t), o, false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/upstream/pool.go
+++ b/internal/router/upstream/pool.go
@@ -1,23 +1,18 @@
 package upstream
 
 import (
+	"context"
 	"errors"
-	"fmt"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"seamshunt/internal/adapter"
-	"seamshunt/internal/shield"
 )
 
 // FreshFor is how long a connection may have been idle for what may not be sent twice.
 const FreshFor = 300 * time.Millisecond
 
 const (
-	dialMost  = 500 * time.Millisecond
-	ackMost   = 3 * time.Second // what was sent is acknowledged within it, or the machine is dark
 	idleFor   = 4 * time.Second // without a Keep-Alive in the answer
 	idleLeast = 500 * time.Millisecond
 )
@@ -34,14 +29,6 @@
 	hosts map[string]*host
 }
 
-// Stats counts what became of connections and requests.
-type Stats struct {
-	Connected  atomic.Uint64
-	Refused    atomic.Uint64 // nobody listens there
-	TimedOut   atomic.Uint64 // nothing answered within the span for connecting
-	Unattended atomic.Uint64 // requests that were sent although nobody waited for them any more
-}
-
 // host is one worker: idle connections, the newest last, and how many are open in all.
 type host struct {
 	addr string
@@ -133,7 +120,7 @@
 }
 
 // take gives a connection to the order's worker: an idle one that is well or, with fresh, a new one.
-func (p *Pool) take(o *Order, fresh bool) (c *conn, reused bool, err error) {
+func (p *Pool) take(ctx context.Context, o *Order, fresh bool) (c *conn, reused bool, err error) {
 	now := time.Now()
 	for {
 		p.mu.Lock()
@@ -167,7 +154,7 @@
 		h.open++
 		era := h.era
 		p.mu.Unlock()
-		if c, err = p.dial(o); err != nil {
+		if c, err = p.dial(ctx, o); err != nil {
 			p.mu.Lock()
 			h.open--
 			p.tidy(o.Worker, h)
@@ -179,44 +166,6 @@
 	}
 }
 
-// dial makes a connection. Go sets TCP_NODELAY itself.
-func (p *Pool) dial(o *Order) (*conn, error) {
-	left := time.Until(o.Due)
-	if left <= 0 {
-		return nil, fmt.Errorf("upstream: no time left to dial %s", o.Addr)
-	}
-	nc, err := shield.Dial(o.Addr, min(dialMost, left))
-	if err != nil {
-		p.Stats.failed(err)
-		return nil, err
-	}
-	p.Stats.Connected.Add(1)
-	if s, ok := nc.(syscall.Conn); ok {
-		if raw, err := s.SyscallConn(); err == nil {
-			_ = raw.Control(func(fd uintptr) {
-				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackMost/time.Millisecond))
-			})
-		}
-	}
-	return &conn{Conn: nc, at: time.Now()}, nil
-}
-
-// failed counts a connection that was not made.
-func (s *Stats) failed(err error) {
-	if refused(err) {
-		s.Refused.Add(1)
-	} else {
-		s.TimedOut.Add(1)
-	}
-}
-
-// refused says whether an attempt to connect failed because nobody listens there.
-func refused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-}
-
-const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of Linux, which package syscall lacks
-
 // put takes a connection back that may be used again until a time.
 func (p *Pool) put(c *conn, until time.Time) {
 	p.mu.Lock()
--- a/internal/router/upstream/pool_test.go
+++ b/internal/router/upstream/pool_test.go
@@ -22,7 +22,7 @@
 		}
 	}
 	wantCounts(t, p, 1, 1)
-	if c := p.hosts["w"].idle[0]; c.gone != nil || c.until.Sub(c.at) != idleFor {
+	if c := p.hosts["w"].idle[0]; c.caller != nil || c.stop != nil || c.until.Sub(c.at) != idleFor {
 		t.Fatal("the idle connection isn't as it should be")
 	}
 	// The same id doesn't go over a connection where its own surplus answer may lie.
@@ -136,7 +136,7 @@
 	p := NewPool(names)
 	addr := serve(t, echo)
 	few := func(id string) *Order { o := order(addr, id); o.Most = 1; return o }
-	x := p.Do(few("a"))
+	x := p.Do(waiting(t), few("a"))
 	if x.Kind != Piece {
 		t.Fatal(x.Err)
 	}
@@ -159,7 +159,7 @@
 func TestPoolDropReachesThoseInUse(t *testing.T) {
 	p := NewPool(names)
 	addr := serve(t, echo)
-	x := p.Do(order(addr, "a"))
+	x := p.Do(waiting(t), order(addr, "a"))
 	p.Drop("w")
 	var b [9]byte
 	if n, err := x.Read(b[:]); n != 1 || err != nil {
--- a/internal/router/upstream/try.go
+++ b/internal/router/upstream/try.go
@@ -2,12 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -40,31 +40,43 @@
 	Down bool // nobody listens there
 }
 
-// Try is one hand-over of a prompt to one worker, on a wire of its own that is never reused.
+// Try is one hand-over of a prompt to one worker, on a connection of its own that is never reused. Once its caller or the try
+// itself is cancelled nothing is sent any more, and what was sent is broken off.
 type Try struct {
 	Addr   string
 	ID     string
 	Body   []byte
 	Left   time.Duration
 	Events chan Event
-	quit   chan struct{}
-	once   sync.Once
-	c      atomic.Pointer[net.Conn]
+	caller Caller
+	ctx    context.Context
+	cancel context.CancelFunc
+	state  atomic.Int32
 }
 
-// NewTry prepares a try.
-func NewTry(addr, id string, body []byte, left time.Duration) *Try {
-	return &Try{Addr: addr, ID: id, Body: body, Left: left, Events: make(chan Event, 64), quit: make(chan struct{})}
+// States of a try. It leaves pending once, for one of the others.
+const (
+	pending   int32 = iota // nothing was sent
+	sending                // the request may have left
+	abandoned              // nothing was sent and nothing will be
+)
+
+// Abandon has the try send nothing. False says that the request may have left already.
+func (t *Try) Abandon() bool {
+	t.Cancel()
+	return t.state.CompareAndSwap(pending, abandoned)
 }
 
-// Cancel breaks the wire off, so that the worker stops the run.
-func (t *Try) Cancel() {
-	t.once.Do(func() { close(t.quit) })
-	if c := t.c.Load(); c != nil {
-		(*c).Close()
-	}
+// NewTry prepares a try for a caller.
+func NewTry(caller Caller, addr, id string, body []byte, left time.Duration) *Try {
+	t := &Try{Addr: addr, ID: id, Body: body, Left: left, Events: make(chan Event, 64), caller: caller}
+	t.ctx, t.cancel = context.WithCancel(caller)
+	return t
 }
 
+// Cancel breaks the connection off, so that the worker stops the run.
+func (t *Try) Cancel() { t.cancel() }
+
 // counted tells whether any byte left.
 type counted struct {
 	net.Conn
@@ -86,29 +98,24 @@
 func (t *Try) tell(e Event) {
 	select {
 	case t.Events <- e:
-	case <-t.quit:
-	}
-}
-
-func (t *Try) gone() bool {
-	select {
-	case <-t.quit:
-		return true
-	default:
-		return false
+	case <-t.ctx.Done():
 	}
 }
 
 func (t *Try) run() Event {
 	due := time.Now().Add(t.Left)
-	nc, err := shield.Dial(t.Addr, min(t.Left, 500*time.Millisecond))
+	nc, err := shield.DialContext(t.ctx, t.Addr, min(t.Left, dialMost))
 	if err != nil {
-		return Event{Kind: NotSent, Err: err, Down: true}
+		return Event{Kind: NotSent, Err: err, Down: t.ctx.Err() == nil}
 	}
 	defer nc.Close()
-	t.c.Store(&nc)
-	if t.gone() {
-		return Event{Kind: NotSent, Err: errors.New("upstream: given up before sending")}
+	stop := context.AfterFunc(t.ctx, func() { nc.Close() })
+	defer stop()
+	if err := t.caller.Look(); err != nil {
+		return Event{Kind: NotSent, Err: err}
+	}
+	if !t.state.CompareAndSwap(pending, sending) {
+		return Event{Kind: NotSent, Err: context.Cause(t.ctx)}
 	}
 	_ = nc.SetDeadline(due)
 	c := &counted{Conn: nc}
--- a/internal/router/upstream/wire.go
+++ b/internal/router/upstream/wire.go
@@ -1,16 +1,15 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
+	"sync"
 	"time"
 )
 
-const lookEvery = 50 * time.Millisecond
-
-// conn is a connection to a worker. While an order watches it, its reads and writes wait in steps, so that a caller
-// that is gone is noticed without a goroutine.
+// conn is a connection to a worker. While it serves an order, the end of that order's caller ends every wait on it.
 type conn struct {
 	net.Conn
 	host   *host
@@ -21,60 +20,59 @@
 	ids    recentIDs // of its last requests
 	sent   int64     // bytes that left, of this request
 	err    error     // what ended its last read
-	due    time.Time
-	quiet  time.Duration
-	silent time.Time // when a head is late
-	gone   func() bool
-	steps  bool
+	due    time.Time // the latest end of the order
+
+	caller      Caller      // nil while it is idle
+	stop        func() bool // ends the wait for the caller's end
+	mu          sync.Mutex
+	interrupted bool // the caller's end has come
 }
 
 // begin readies it for one order.
-func (c *conn) begin(o *Order) {
+func (c *conn) begin(caller Caller, o *Order) {
 	c.ids.add(o.ID)
-	c.sent, c.err, c.due, c.gone = 0, nil, o.Due, o.Gone
-	c.quiet, c.silent = o.Quiet, time.Time{}
-	c.watch(o.Gone != nil)
+	c.sent, c.err, c.due, c.caller = 0, nil, o.Due, caller
+	_ = c.SetDeadline(c.due)
+	c.stop = context.AfterFunc(caller, c.interrupt)
 }
 
-// hush is called once the request is written: from then on a head is awaited.
-func (c *conn) hush() {
-	if c.quiet > 0 {
-		c.silent = time.Now().Add(c.quiet)
-		c.steps = true
+// release lets go of the order's caller. False says that the caller's end has come meanwhile: the connection can't be used
+// for another order.
+func (c *conn) release() bool {
+	if c.stop == nil {
+		return true
 	}
+	free := c.stop()
+	c.stop, c.caller = nil, nil
+	return free
 }
 
-// watch says whether the waits go in steps; without them the latest end alone bounds them.
-func (c *conn) watch(on bool) {
-	c.steps = on
-	if !on {
-		c.gone, c.silent = nil, time.Time{}
-	}
-	_ = c.Conn.SetDeadline(c.due)
+// interrupt ends all waits, those to come too.
+func (c *conn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupted = true
+	_ = c.SetDeadline(time.Unix(1, 0))
 }
 
-// check gives why to wait no longer.
-func (c *conn) check(now time.Time) error {
-	switch {
-	case !now.Before(c.due):
-		return os.ErrDeadlineExceeded
-	case !c.silent.IsZero() && !now.Before(c.silent):
-		return ErrSilent
-	case c.gone != nil && c.gone():
-		return ErrGone
+// readUntil bounds reads by a time, unless the caller's end has come.
+func (c *conn) readUntil(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.interrupted {
+		_ = c.SetReadDeadline(t)
 	}
-	return nil
 }
 
-func (c *conn) step() time.Time {
-	t := c.due
-	if c.gone != nil {
-		t = earlier(t, time.Now().Add(lookEvery))
+// cause gives why a wait was ended: the caller's reason rather than the deadline that was set for it.
+func (c *conn) cause(err error) error {
+	if c.caller == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
 	}
-	if !c.silent.IsZero() {
-		t = earlier(t, c.silent)
+	if reason := context.Cause(c.caller); reason != nil {
+		return reason
 	}
-	return t
+	return err
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -85,41 +83,20 @@
 }
 
 func (c *conn) Read(b []byte) (int, error) {
-	for {
-		if c.steps {
-			_ = c.SetReadDeadline(c.step())
-		}
-		n, err := c.Conn.Read(b)
-		if n > 0 {
-			c.at = time.Now()
-		}
-		if n > 0 || err == nil {
-			return n, nil // an error comes again
-		}
-		if c.steps && errors.Is(err, os.ErrDeadlineExceeded) {
-			if err = c.check(time.Now()); err == nil {
-				continue
-			}
-		}
-		c.err = err
-		return 0, err
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.at = time.Now()
+		return n, nil // an error comes again
 	}
+	if err != nil {
+		c.err = c.cause(err)
+		return 0, c.err
+	}
+	return 0, nil
 }
 
 func (c *conn) Write(b []byte) (int, error) {
-	all := 0
-	for {
-		if c.steps {
-			_ = c.SetWriteDeadline(c.step())
-		}
-		n, err := c.Conn.Write(b[all:])
-		c.sent += int64(n)
-		all += n
-		if c.steps && all < len(b) && errors.Is(err, os.ErrDeadlineExceeded) {
-			if err = c.check(time.Now()); err == nil {
-				continue
-			}
-		}
-		return all, err
-	}
+	n, err := c.Conn.Write(b)
+	c.sent += int64(n)
+	return n, c.cause(err)
 }
--- a/internal/router/upstream/worker_test.go
+++ b/internal/router/upstream/worker_test.go
@@ -85,7 +85,7 @@
 // all does one order, reads its body whole and ends it.
 func all(t *testing.T, p *Pool, o *Order) (body string, x *Exchange, err error) {
 	t.Helper()
-	x = p.Do(o)
+	x = p.Do(waiting(t), o)
 	defer x.End()
 	if x.Kind != Piece {
 		return "", x, x.Err
--- a/internal/router/way.go
+++ b/internal/router/way.go
@@ -9,6 +9,7 @@
 
 	"seamshunt/internal/config"
 	"seamshunt/internal/router/admission"
+	"seamshunt/internal/router/clientwatch"
 	"seamshunt/internal/router/placement"
 	"seamshunt/internal/router/upstream"
 	"seamshunt/internal/synop"
@@ -35,13 +36,15 @@
 	claimed   string // the key whose claim was granted, with its mapping
 	holders   []units.Node
 	due       time.Duration
+	client    *clientwatch.Request
+	at        stage // where it stands
 	streaming bool
 }
 
 const (
 	triesMost = 3
 	staleAt   = 300 * time.Millisecond // a verdict older than this is not acted on: the process may have been frozen
-	peekAt    = 50 * time.Millisecond
+	lateEach  = 50 * time.Millisecond  // how often an answer that has not begun is looked at
 )
 
 // limit bounds the caller's time left by the mapping's.
@@ -70,6 +73,9 @@
 	v := w.v
 	for range max(triesMost, w.m.Tries) {
 		now := v.Crew.Now()
+		if w.cancelled() {
+			return w.end()
+		}
 		if w.until.Sub(now) < s.First {
 			w.why = synop.OutOfTime
 			return w.sent > 0 && w.end()
@@ -82,10 +88,7 @@
 			return w.end()
 		}
 		tag := v.tag.Add(1)
-		x, hung := w.admit(now, tag, s)
-		if hung {
-			return w.hungUp(tag, stageAdmission)
-		}
+		x := w.admit(now, tag, s)
 		if x.Code != synop.OK {
 			w.why, w.due = x.Code, x.Due
 			return w.sent > 0 && w.end()
@@ -104,9 +107,10 @@
 	return w.sent > 0 && w.end()
 }
 
-// admit asks for admission and waits for the verdict, noticing a caller that hangs up.
-func (w *way) admit(now units.Time, tag uint64, s *config.Service) (verdict, bool) {
+// admit asks for admission and waits for the verdict, or until the request is cancelled.
+func (w *way) admit(now units.Time, tag uint64, s *config.Service) verdict {
 	v := w.v
+	w.at = stageAdmission
 	cands, keepers := v.cands(now, s, placement.Fingerprint(w.text, s.Prefix))
 	c := make(chan verdict, 1)
 	v.queueMu.Lock()
@@ -116,17 +120,13 @@
 	v.tell(now)
 	v.queueMu.Unlock()
 	v.Deliver(out)
-	t := time.NewTicker(peekAt)
-	defer t.Stop()
-	for {
-		select {
-		case x := <-c:
-			return x, false
-		case <-t.C:
-			if upstream.HungUp(w.ctx.Conn()) {
-				return verdict{}, true
-			}
-		}
+	select {
+	case x := <-c:
+		return x
+	case <-w.client.Done():
+		v.cut(tag)
+		w.cancelled()
+		return verdict{Verdict: admission.Verdict{Code: w.why}}
 	}
 }
 
@@ -153,21 +153,20 @@
 	}
 	now := v.Crew.Now()
 	id := fmt.Sprintf("%s-%s", v.Self, strconv.FormatUint(tag, 16))
-	t := upstream.NewTry(addr, id, w.body, w.until.Sub(now))
+	t := upstream.NewTry(w.client, addr, id, w.body, w.until.Sub(now))
 	v.stats.hand(zone, v.Boot.Zone, len(w.body))
 	v.Crew.Go(t.Run)
 	if w.sent == 0 {
 		v.budgetOf(s.Name).First(now)
 	}
-	w.handed = now
-	e, hung := w.first(t, s, name)
-	if hung {
-		t.Cancel()
-		w.sent++
-		return w.hungUp(tag, stageAnswer)
+	w.handed, w.at = now, stageAnswer
+	e := w.first(t, s, name)
+	if w.client.Err() != nil && e.Kind != upstream.Piece && e.Kind != upstream.Sealed {
+		return w.brokenOff(tag, e)
 	}
 	switch e.Kind {
 	case upstream.Piece, upstream.Sealed:
+		w.client.Answering()
 		v.habitOf(s.Name).Add(v.Crew.Now().Sub(now))
 		w.stream(tag, t, e, name)
 		return true
@@ -194,10 +193,27 @@
 	return w.m.Once && w.end()
 }
 
-func (w *way) hungUp(tag uint64, at stage) bool {
+// brokenOff ends the way of a request that was cancelled while a worker had it, or was about to get it.
+func (w *way) brokenOff(tag uint64, e upstream.Event) bool {
+	w.cancelled()
+	if e.Kind == upstream.NotSent {
+		w.v.done(tag, false)
+		return w.end()
+	}
+	w.sent++
+	w.sure = false
 	w.v.cut(tag)
-	w.v.clientLeft(at, w.v.Crew.Now().Sub(w.begun))
-	w.ctx.SetConnectionClose()
-	w.ctx.SetStatusCode(synop.HungUp.Status())
-	return true
+	return w.end()
+}
+
+// cancelled looks whether the request is cancelled, and notes why.
+func (w *way) cancelled() bool {
+	why := cancelledAs(w.client)
+	if why != 0 {
+		w.why = why
+	}
+	return why != 0
 }
+
+// over lets go of the client; nothing may be under way for it any more.
+func (w *way) over(whole bool) { w.v.over(w.client, w.at, w.begun, whole) }
--- a/internal/shield/cuts.go
+++ b/internal/shield/cuts.go
@@ -4,12 +4,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -58,23 +60,31 @@
 	return n > 0 && rand.IntN(100) < n
 }
 
-// Dial opens a wire; through a cut nothing comes back, not even a refusal.
+// Dial opens a connection; through a cut nothing comes back, not even a refusal.
 func Dial(addr string, limit time.Duration) (net.Conn, error) {
+	return DialContext(context.Background(), addr, limit)
+}
+
+// DialContext opens a connection, unless the context ends first.
+func DialContext(ctx context.Context, addr string, limit time.Duration) (net.Conn, error) {
 	end := time.Now().Add(limit)
-	if !open(addr, end) {
+	if !open(ctx, addr, end) {
 		return nil, os.ErrDeadlineExceeded
 	}
-	c, err := net.DialTimeout("tcp", addr, time.Until(end))
+	d := net.Dialer{Deadline: end}
+	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	return &wire{TCPConn: c.(*net.TCPConn), addr: addr, end: time.Now().Add(time.Hour)}, nil
+	w := &wire{TCPConn: c.(*net.TCPConn), addr: addr}
+	w.end.Store(time.Now().Add(time.Hour).UnixNano())
+	return w, nil
 }
 
 // open waits until an address is not wholly cut off.
-func open(addr string, end time.Time) bool {
+func open(ctx context.Context, addr string, end time.Time) bool {
 	for share(addr) >= 100 {
-		if time.Now().After(end) {
+		if time.Now().After(end) || ctx.Err() != nil {
 			return false
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -86,24 +96,24 @@
 type wire struct {
 	*net.TCPConn
 	addr string
-	end  time.Time
+	end  atomic.Int64 // the deadline, in nanoseconds of the clock
 }
 
 func (w *wire) SetDeadline(t time.Time) error {
-	w.end = t
+	w.end.Store(t.UnixNano())
 	return w.TCPConn.SetDeadline(t)
 }
 
 func (w *wire) Read(b []byte) (int, error) {
 	n, err := w.TCPConn.Read(b)
-	if !open(w.addr, w.end) {
+	if !open(context.Background(), w.addr, time.Unix(0, w.end.Load())) {
 		return 0, os.ErrDeadlineExceeded
 	}
 	return n, err
 }
 
 func (w *wire) Write(b []byte) (int, error) {
-	if !open(w.addr, w.end) {
+	if !open(context.Background(), w.addr, time.Unix(0, w.end.Load())) {
 		return 0, os.ErrDeadlineExceeded
 	}
 	return w.TCPConn.Write(b)
--- a/internal/shield/open.go
+++ b/internal/shield/open.go
@@ -3,6 +3,7 @@
 package shield
 
 import (
+	"context"
 	"net"
 	"time"
 )
@@ -13,10 +14,16 @@
 // Lost says whether a note to an address is lost on its way.
 func Lost(string) bool { return false }
 
-// Dial opens a wire.
+// Dial opens a connection.
 func Dial(addr string, limit time.Duration) (net.Conn, error) {
 	return net.DialTimeout("tcp", addr, limit)
 }
 
+// DialContext opens a connection, unless the context ends first.
+func DialContext(ctx context.Context, addr string, limit time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: limit}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
 // Bare is the wire itself, for an event loop that wants its descriptor.
 func Bare(c net.Conn) net.Conn { return c }
