Testbed: clients that leave, workers that fall silent, and a judge of requests sent on for nobody

Stand-ins: Ask.Patience, Worker.Silence and Wake over netfault.Listener (a full queue of connections: SYNs are dropped), the time a request arrived in the workers' notes.

--- a/cmd/testbed/play.go
+++ b/cmd/testbed/play.go
@@ -12,6 +12,7 @@
 
 	"seamshunt/internal/cluster/transport"
 	"seamshunt/internal/fleet"
+	"seamshunt/internal/rig/netfault"
 	"seamshunt/platform"
 	"seamshunt/platform/standin"
 )
@@ -25,6 +26,7 @@
 	list  *standin.List
 	op    *standin.Operator
 	lns   []net.Listener
+	work  map[string]*standin.Worker
 	docMu sync.Mutex
 	doc   standin.Doc // as it was acknowledged last
 	mu    sync.Mutex
@@ -39,6 +41,20 @@
 	return ln, err
 }
 
+// workerListener gives one that can fall silent where the plan has the worker do so: its queue is short, so that a crowd of
+// new connections may have to come again.
+func (p *play) workerListener(worker string) (net.Listener, error) {
+	silenced := slices.ContainsFunc(p.plan, func(e fleet.Event) bool { return e.Verb == "silence" && e.On == worker })
+	if !silenced {
+		return p.listen()
+	}
+	l, err := netfault.Listen()
+	if err == nil {
+		p.lns = append(p.lns, l)
+	}
+	return l, err
+}
+
 func (p *play) close() {
 	for _, ln := range p.lns {
 		ln.Close()
@@ -55,13 +71,15 @@
 	}
 	p.f.Crew.Go(func() { _ = p.list.Serve(ln) })
 	p.place = standin.Site{Machines: standin.Machines(p.machines, p.zones, p.disks), List: ln.Addr().String(), Rate: 44, LagMs: 800, GraceS: 8}
+	p.work = map[string]*standin.Worker{}
 	for i := range p.workers {
-		wl, err := p.listen()
+		wl, err := p.workerListener(fmt.Sprint("w", i+1))
 		if err != nil {
 			return err
 		}
-		w := &standin.Worker{Instance: standin.Instance{ID: fmt.Sprint("w", i+1), Service: "llm", Addr: wl.Addr().String(), Zone: fmt.Sprintf("z%d", i%p.zones+1), Slots: 8},
+		w := &standin.Worker{Listener: wl, Instance: standin.Instance{ID: fmt.Sprint("w", i+1), Service: "llm", Addr: wl.Addr().String(), Zone: fmt.Sprintf("z%d", i%p.zones+1), Slots: 8},
 			Queue: 4, Work: 30 * time.Millisecond, Events: 8, Pace: 20 * time.Millisecond, Size: 800, Sink: j, Crew: p.f.Crew}
+		p.work[w.ID] = w
 		p.f.Crew.Go(func() { _ = w.Serve(wl) })
 		p.list.Set(w.Instance)
 	}
@@ -210,6 +228,9 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		c, route := clients[rng.IntN(len(clients))], routes[rng.IntN(len(routes))]
 		a := standin.Ask{Route: route, Path: fmt.Sprint("q", n), Body: fmt.Appendf(nil, "question %d", n), Left: time.Duration(route.DeadlineMs) * time.Millisecond, Tries: 2, Chunked: n%3 == 0}
+		if rng.Float64() < p.leave {
+			a.Patience = time.Duration(1 + rng.Int64N(int64(p.patience)))
+		}
 		wg.Add(1)
 		p.f.Crew.Go(func() {
 			defer wg.Done()
--- a/cmd/testbed/play_events.go
+++ b/cmd/testbed/play_events.go
@@ -39,6 +39,12 @@
 	case "leave":
 		p.list.Drain(e.On)
 		return nil
+	case "silence":
+		p.f.Event(e.Verb, e.On)
+		return p.work[e.On].Silence()
+	case "wake":
+		p.f.Event(e.Verb, e.On)
+		return p.work[e.On].Wake()
 	case "storm":
 		return p.storm()
 	case "killall", "startall":
--- a/cmd/testbed/site.go
+++ b/cmd/testbed/site.go
@@ -22,7 +22,8 @@
 type site struct {
 	machines, zones, disks, workers int
 	secs                            int
-	rate, served                    float64
+	rate, served, leave             float64
+	patience                        time.Duration
 	seed                            uint64
 	events, dir                     string
 	plan                            []fleet.Event
@@ -48,13 +49,15 @@
 	f.IntVar(&x.secs, "seconds", 20, "how long traffic lasts, from when the nodes are ready")
 	f.Float64Var(&x.rate, "rate", 30, "requests a second")
 	f.Float64Var(&x.served, "served", 0.5, "least share of requests to be answered whole and on time")
+	f.Float64Var(&x.leave, "leave", 0, "share of the clients that leave without waiting for their answer's end")
+	f.DurationVar(&x.patience, "patience", 300*time.Millisecond, "how long those wait at the most")
 	f.Uint64Var(&x.seed, "seed", 1, "seed of the requests")
 	f.StringVar(&x.events, "events", "", "what happens: SECONDS:VERB:NAME,... of "+strings.Join(siteVerbs, " ")+"; the time counts from the traffic's beginning")
 	f.StringVar(&x.dir, "dir", "", "where the run's files go and stay; a passing folder unless given")
 	return c
 }
 
-var siteVerbs = []string{"kill", "stop", "start", "restart", "freeze", "thaw", "killall", "startall", "evacuate", "readmit", "leave", "storm"}
+var siteVerbs = []string{"kill", "stop", "start", "restart", "freeze", "thaw", "killall", "startall", "evacuate", "readmit", "leave", "silence", "wake", "storm"}
 
 // check reads what can be wrong before anything starts.
 func (x *site) check() (err error) {
@@ -67,8 +70,10 @@
 		return errors.New("--workers is 1 to 200")
 	case x.secs < 1 || x.rate <= 0:
 		return errors.New("--seconds and --rate are above 0")
+	case x.leave < 0 || x.leave > 1 || x.patience <= 0:
+		return errors.New("--leave is 0 to 1, --patience above 0")
 	}
-	if x.plan, err = fleet.ParseEvents(x.events); err != nil {
+	if x.plan, err = fleet.ParseEvents(x.events, "silence", "wake"); err != nil {
 		return err
 	}
 	var machines, zones, workers []string
@@ -86,7 +91,7 @@
 		switch e.Verb {
 		case "evacuate", "readmit":
 			names = zones
-		case "leave":
+		case "leave", "silence", "wake":
 			names = workers
 		case "killall", "startall", "storm":
 			names = []string{e.On}
@@ -142,8 +147,8 @@
 		fmt.Printf("%-7s %-9s %s: %s\n", word, x.Rule, x.Promise, x.Seen)
 	}
 	for _, m := range r.Measure(0, 1<<62) {
-		fmt.Printf("%-8s %5d sent, %5.1f%% on time, %d refused, %d broken, %d other; first words %.0f ms, 95th %.0f ms\n", m.Mapping, m.Sent,
-			100*float64(m.OnTime)/float64(max(1, m.Sent)), m.Refused, m.Broken, m.Other, m.First50, m.First9)
+		fmt.Printf("%-8s %5d sent, %5.1f%% on time, %d refused, %d broken, %d other, %d left; first words %.0f ms, 95th %.0f ms\n", m.Mapping, m.Sent,
+			100*float64(m.OnTime)/float64(max(1, m.Sent)), m.Refused, m.Broken, m.Other, m.Left, m.First50, m.First9)
 	}
 	if !good {
 		return console.ErrPromise
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -23,8 +23,9 @@
 var verbs = []string{"kill", "stop", "start", "restart", "freeze", "thaw", "evacuate", "readmit", "leave", "drop", "mood",
 	"wipe", "apply", "rate", "killall", "startall", "killzone", "startzone", "join", "storm", "cut", "heal", "lossy", "bounce", "release"}
 
-// ParseEvents reads a list like "12:kill:n1,15:start:n1".
-func ParseEvents(s string) ([]Event, error) {
+// ParseEvents reads a list like "12:kill:n1,15:start:n1", of the usual verbs and more of the harness's own.
+func ParseEvents(s string, more ...string) ([]Event, error) {
+	verbs := append(slices.Clone(verbs), more...)
 	var l []Event
 	for _, x := range strings.Split(s, ",") {
 		if x = strings.TrimSpace(x); x == "" {
--- a/internal/observer/more.go
+++ b/internal/observer/more.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"seamshunt/internal/standin"
 )
 
 // config: the harness writes down what was acknowledged and what was read back at the end.
@@ -41,7 +43,7 @@
 }
 
 // hard are events after which a stream may break: its node or its worker was taken away.
-var hard = map[string]bool{"kill": true, "freeze": true, "thaw": true, "wipe": true, "killall": true, "wrong": true, "bounce": true}
+var hard = map[string]bool{"kill": true, "freeze": true, "thaw": true, "wipe": true, "killall": true, "wrong": true, "bounce": true, "silence": true, "wake": true}
 
 // cuts: a stream that began may break only where its worker or its router was taken away by force.
 func (r *Run) cuts() Finding {
@@ -49,7 +51,7 @@
 	broken := 0
 	parted := r.spans("cut", "heal")
 	for _, c := range r.Calls {
-		if c.Status != 200 || c.Whole {
+		if c.Status != 200 || c.Whole || c.Fault == standin.Left {
 			continue
 		}
 		broken++
@@ -141,6 +143,7 @@
 	OnTime          int // whole, and within the caller's time left
 	Refused, Broken int
 	Other           int
+	Left            int     // their callers left; not counted as sent
 	First50, First9 float64 // ms to first words: median and 95th
 }
 
@@ -157,6 +160,10 @@
 			f = &Figures{Mapping: c.Mapping}
 			by[c.Mapping] = f
 		}
+		if c.Fault == standin.Left {
+			f.Left++
+			continue
+		}
 		f.Sent++
 		switch {
 		case c.Status == 200 && c.Whole && c.Fault == "" && (c.End-c.At)/1000 <= int64(c.LeftMs):
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -54,6 +54,7 @@
 	Cold     = "no cold worker is flooded"
 	Served   = "callers are served"
 	Back     = "after a full loss, service is back within 12 s"
+	Attended = "nothing is sent on for a caller that has left"
 	ReadBack = "the configuration read back is the newest acknowledged one, as sent"
 )
 
@@ -145,7 +146,7 @@
 	}
 	l := []Finding{
 		r.once(u, calls, runs), r.notRun(runs), r.whole(runs), r.service(u, calls),
-		r.atOnce(), r.leaving(u), r.zones(u), r.config(), r.cuts(),
+		r.atOnce(), r.leaving(u), r.zones(u), r.config(), r.cuts(), r.attended(calls),
 	}
 	if u.Window == 0 {
 		l = append(l, r.retries(u))
--- /dev/null
+++ b/internal/rig/netfault/listener.go
@@ -0,0 +1,143 @@
+// Package netfault makes faults of a network that an ordinary listener doesn't have.
+package netfault
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// fillerLimit is how long an attempt to connect may take while the queue is filled; on loopback one that is answered takes far
+// less.
+const fillerLimit = 100 * time.Millisecond
+
+// Listener is a listener on loopback that can fall silent: then it answers no attempt to connect, like a machine without
+// power.
+type Listener struct {
+	net.Listener
+	mu      sync.Mutex
+	changed sync.Cond
+	silent  bool
+	closed  bool
+	fillers map[string]net.Conn // connections that fill the queue, by their own address
+	held    []net.Conn          // what was accepted as it fell silent
+}
+
+// Listen opens one that is not silent. Its queue of new connections is the shortest that the kernel allows.
+func Listen() (*Listener, error) {
+	inner, err := listenWithoutQueue()
+	if err != nil {
+		return nil, fmt.Errorf("netfault: %w", err)
+	}
+	l := &Listener{Listener: inner, fillers: map[string]net.Conn{}}
+	l.changed.L = &l.mu
+	return l, nil
+}
+
+func listenWithoutQueue() (net.Listener, error) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	file := os.NewFile(uintptr(fd), "listener")
+	defer file.Close()
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		return nil, err
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		return nil, err
+	}
+	return net.FileListener(file)
+}
+
+// Silence fills the queue of new connections; the kernel then drops what else comes.
+func (l *Listener) Silence() error {
+	l.mu.Lock()
+	l.silent = true
+	l.mu.Unlock()
+	for {
+		c, err := net.DialTimeout("tcp", l.Addr().String(), fillerLimit)
+		if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("netfault: %w", err)
+		}
+		l.mu.Lock()
+		l.fillers[c.LocalAddr().String()] = c
+		l.mu.Unlock()
+	}
+}
+
+// Wake ends the silence; connections that were made meanwhile are closed.
+func (l *Listener) Wake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = false
+	l.release()
+	l.changed.Broadcast()
+}
+
+// release closes what fills the queue. Callers hold the lock.
+func (l *Listener) release() {
+	for _, c := range l.fillers {
+		c.Close()
+	}
+	for _, c := range l.held {
+		c.Close()
+	}
+	l.held = nil
+}
+
+// Accept gives the next connection that comes while it is not silent.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		l.await()
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.keeps(c) {
+			return c, nil
+		}
+	}
+}
+
+// await waits while it is silent.
+func (l *Listener) await() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.silent && !l.closed {
+		l.changed.Wait()
+	}
+}
+
+// keeps says whether a connection is for the caller of Accept; one that came in the silence is held.
+func (l *Listener) keeps(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	from := c.RemoteAddr().String()
+	switch {
+	case l.silent:
+		l.held = append(l.held, c)
+	case l.fillers[from] != nil:
+		delete(l.fillers, from)
+		c.Close()
+	default:
+		return true
+	}
+	return false
+}
+
+// Close ends it, and the silence.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	l.release()
+	l.changed.Broadcast()
+	return l.Listener.Close()
+}
--- /dev/null
+++ b/internal/rig/netfault/listener_test.go
@@ -0,0 +1,56 @@
+package netfault
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// answers says whether an attempt to connect is answered soon.
+func answers(l *Listener) bool {
+	c, err := net.DialTimeout("tcp", l.Addr().String(), fillerLimit)
+	if err != nil {
+		return false
+	}
+	c.Close()
+	return true
+}
+
+// A silent listener answers no attempt to connect; before and behind its silence it gives out every connection.
+func TestSilence(t *testing.T) {
+	l, err := Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	got := make(chan net.Conn)
+	go func() {
+		defer close(got)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			got <- c
+		}
+	}()
+	for range 3 {
+		c, err := net.DialTimeout("tcp", l.Addr().String(), 10*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s := <-got; s.RemoteAddr().String() != c.LocalAddr().String() {
+			t.Fatal("another connection was given out")
+		}
+		c.Close()
+		if err := l.Silence(); err != nil {
+			t.Fatal(err)
+		}
+		for range 3 {
+			if answers(l) {
+				t.Fatal("it answers in its silence")
+			}
+		}
+		l.Wake()
+	}
+}
--- a/internal/router/client_left_rig_test.go
+++ b/internal/router/client_left_rig_test.go
@@ -15,7 +15,7 @@
 // silentWorker is a worker whose machine answers no attempt to connect, until it wakes.
 type silentWorker struct {
 	*scriptedWorker
-	listener *netfault.SilentListener
+	listener *netfault.Listener
 }
 
 func newSilentWorker(t testing.TB, id string) *silentWorker {
@@ -25,7 +25,10 @@
 }
 
 // wake has the worker take connections from now on.
-func (w *silentWorker) wake() { go w.accept(w.listener) }
+func (w *silentWorker) wake() {
+	w.listener.Wake()
+	go w.accept(w.listener)
+}
 
 // received gives the ids of the requests that a worker got on connections that the test has not looked at. It comes after
 // the router is done: the test's own connection is the last one in the worker's queue.
--- a/internal/standin/journal.go
+++ b/internal/standin/journal.go
@@ -38,8 +38,12 @@
 	Sum     string  `json:"sum,omitempty"`   // of method, path and body: as sent, as arrived
 	Order   string  `json:"order,omitempty"` // what is wrong in the order of a stream's pieces, whole or not
 	Cold    bool    `json:"cold,omitempty"`
+	Came    int64   `json:"came,omitempty"` // when the request had arrived at the worker
 }
 
+// Left is the fault of a call whose caller left before its end.
+const Left = "the caller left"
+
 // Journal is a file of entries.
 type Journal struct {
 	mu sync.Mutex
