--- a/cmd/testbed/play.go
+++ b/cmd/testbed/play.go
@@ -70,7 +70,7 @@
 		return err
 	}
 	p.f.Crew.Go(func() { _ = p.list.Serve(ln) })
-	p.place = standin.Site{Machines: standin.Machines(p.machines, p.zones, p.disks), List: ln.Addr().String(), Rate: 44, LagMs: 800, GraceS: 8}
+	p.place = standin.Site{Machines: p.nodes, List: ln.Addr().String(), Rate: 44, LagMs: 800, GraceS: 8}
 	p.work = map[string]*standin.Worker{}
 	for i := range p.workers {
 		wl, err := p.workerListener(fmt.Sprint("w", i+1))
@@ -191,20 +191,10 @@
 			p.f.Crew.Sleep(200 * time.Millisecond)
 		}
 	})
-	wait := func(at time.Duration) {
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Until(start.Add(at))):
-		}
-	}
-	for _, e := range p.plan {
-		wait(e.At)
-		fmt.Printf("%6.1f s: %s %s\n", time.Since(start).Seconds(), e.Verb, e.On)
-		if err := p.event(e); err != nil {
-			return fmt.Errorf("event %s %s: %w", e.Verb, e.On, err)
-		}
+	if err := p.carryOut(ctx, start); err != nil {
+		return err
 	}
-	wait(time.Duration(p.secs) * time.Second)
+	wait(ctx, start.Add(time.Duration(p.secs)*time.Second))
 	cancel()
 	<-sent
 	status, b, err := p.op.Get()
--- a/cmd/testbed/play_events.go
+++ b/cmd/testbed/play_events.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"syscall"
 	"time"
@@ -10,6 +12,42 @@
 	"seamshunt/platform/standin"
 )
 
+// wait waits until a time, or the context's end.
+func wait(ctx context.Context, until time.Time) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(until)):
+	}
+}
+
+// carryOut has every event happen at its time. Those on one thing come one behind the other, those on several overlap.
+func (p *play) carryOut(ctx context.Context, start time.Time) error {
+	series := map[string][]fleet.Event{}
+	for _, e := range p.plan {
+		series[e.On] = append(series[e.On], e)
+	}
+	failed := make(chan error, len(series))
+	for _, events := range series {
+		p.f.Crew.Go(func() { failed <- p.inSeries(ctx, start, events) })
+	}
+	var err error
+	for range series {
+		err = errors.Join(err, <-failed)
+	}
+	return err
+}
+
+func (p *play) inSeries(ctx context.Context, start time.Time, events []fleet.Event) error {
+	for _, e := range events {
+		wait(ctx, start.Add(e.At))
+		fmt.Printf("%6.1f s: %s %s\n", time.Since(start).Seconds(), e.Verb, e.On)
+		if err := p.event(e); err != nil {
+			return fmt.Errorf("event %s %s: %w", e.Verb, e.On, err)
+		}
+	}
+	return nil
+}
+
 func (p *play) procs(machine string) []string {
 	var l []string
 	for _, m := range p.place.Machines {
--- /dev/null
+++ b/cmd/testbed/random_plan_test.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"seamshunt/platform/standin"
+)
+
+// endOf names what ends each trouble that lasts.
+var endOf = map[string]string{"kill": "start", "freeze": "thaw", "evacuate": "readmit", "silence": "wake"}
+
+// A random plan ends what it begins, overlaps, and never takes more of the core or of the workers than the site bears.
+func TestRandomPlan(t *testing.T) {
+	machines := standin.Machines(8, 3, 5)
+	disk := map[string]bool{}
+	for _, m := range machines {
+		disk[m.Name] = m.Disk
+	}
+	workers := []string{"w1", "w2", "w3", "w4", "w5"}
+	overlaps := 0
+	for seed := range uint64(200) {
+		plan := newRandomPlan(rand.New(rand.NewPCG(seed, 12)), machines, 5, workers, 30*time.Second)
+		open := map[string]string{} // what ends the trouble that a thing is in
+		silent, down := 0, 0
+		for i, e := range plan {
+			if i > 0 && e.At < plan[i-1].At || e.At > 30*time.Second {
+				t.Fatalf("seed %d: %v is out of order", seed, e)
+			}
+			if end := endOf[e.Verb]; end != "" {
+				if open[e.On] != "" {
+					t.Fatalf("seed %d: %v while another trouble lasts there", seed, e)
+				}
+				open[e.On] = end
+			} else if open[e.On] == e.Verb {
+				delete(open, e.On)
+			}
+			switch {
+			case e.Verb == "silence":
+				silent++
+			case e.Verb == "wake":
+				silent--
+			case disk[e.On] && (e.Verb == "kill" || e.Verb == "freeze"):
+				down++
+			case disk[e.On] && (e.Verb == "start" || e.Verb == "thaw"):
+				down--
+			}
+			if silent > len(workers)/2 || down > 2 {
+				t.Fatalf("seed %d: %d silent workers, %d of the core down", seed, silent, down)
+			}
+			if len(open) > 1 {
+				overlaps++
+			}
+		}
+		if len(open) > 0 || len(plan) == 0 {
+			t.Fatalf("seed %d: %d events, left behind: %v", seed, len(plan), open)
+		}
+	}
+	if overlaps < 1000 {
+		t.Errorf("%d events beside another trouble: it shows nothing", overlaps)
+	}
+}
--- a/cmd/testbed/site.go
+++ b/cmd/testbed/site.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
@@ -25,8 +26,10 @@
 	rate, served, leave             float64
 	patience                        time.Duration
 	seed                            uint64
+	random                          bool
 	events, dir                     string
 	plan                            []fleet.Event
+	nodes                           []standin.Machine
 }
 
 // siteCmd runs a fleet by way of settings files, with stand-ins of the platform, and judges the run.
@@ -53,6 +56,7 @@
 	f.DurationVar(&x.patience, "patience", 300*time.Millisecond, "how long those wait at the most")
 	f.Uint64Var(&x.seed, "seed", 1, "seed of the requests")
 	f.StringVar(&x.events, "events", "", "what happens: SECONDS:VERB:NAME,... of "+strings.Join(siteVerbs, " ")+"; the time counts from the traffic's beginning")
+	f.BoolVar(&x.random, "random", false, "draw what happens by the seed, in series and overlapping, within what the site bears")
 	f.StringVar(&x.dir, "dir", "", "where the run's files go and stay; a passing folder unless given")
 	return c
 }
@@ -77,7 +81,8 @@
 		return err
 	}
 	var machines, zones, workers []string
-	for _, m := range standin.Machines(x.machines, x.zones, x.disks) {
+	x.nodes = standin.Machines(x.machines, x.zones, x.disks)
+	for _, m := range x.nodes {
 		machines = append(machines, m.Name)
 		if !slices.Contains(zones, m.Zone) {
 			zones = append(zones, m.Zone)
@@ -86,6 +91,9 @@
 	for i := range x.workers {
 		workers = append(workers, fmt.Sprint("w", i+1))
 	}
+	if x.random {
+		x.plan = append(x.plan, newRandomPlan(rand.New(rand.NewPCG(x.seed, 12)), x.nodes, x.disks, workers, time.Duration(x.secs)*time.Second)...)
+	}
 	for _, e := range x.plan {
 		names := machines
 		switch e.Verb {
--- a/cmd/testbed/site_test.go
+++ b/cmd/testbed/site_test.go
@@ -27,3 +27,20 @@
 		t.Errorf("exit code %d\n%s", c.ProcessState.ExitCode(), out)
 	}
 }
+
+// Troubles drawn by the seed, in series and overlapping, while clients leave early and workers fall silent.
+func TestSiteRandom(t *testing.T) {
+	if testing.Short() {
+		t.Skip("a run of real processes")
+	}
+	bin := build(t)
+	for _, seed := range []string{"1", "2"} {
+		c := exec.Command(filepath.Join(bin, "testbed"), "site", "--machines", "7", "--workers", "6", "--seconds", "14", "--rate", "40",
+			"--leave", "0.4", "--random", "--seed", seed)
+		out, err := c.CombinedOutput()
+		if err != nil || strings.Contains(string(out), " 0 callers left") {
+			t.Errorf("seed %s: %v\n%s", seed, err, out)
+		}
+		t.Logf("%s", out)
+	}
+}
