A client's end is seen behind bytes that it sent before

Where bytes wait the look asks for POLLRDHUP too (golang.org/x/sys/unix, which gnet brings already). Before: TestNothingIsSentAfterTheClientLeft/pipelining fails on all four kinds of route (the workers ran on for 15.6 s); it was committed with the mend, since the test is new. After: it passes, 3 of 3 under -race, and TestHungUp looks behind bytes.

--- a/internal/router/client_left_test.go
+++ b/internal/router/client_left_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	"held for news":       leftWhileHeldForNews,
 	"held for keepers":    leftWhileHeldForKeepers,
 	"frozen at admission": leftWhileFrozen,
+	"pipelining":          leftBehindFurtherBytes,
 }
 
 // Once a client has left, its request reaches no worker any more, wherever it stood.
@@ -108,6 +110,22 @@
 	return w
 }
 
+// leftBehindFurtherBytes is a client whose end stands behind the beginning of a further request.
+func leftBehindFurtherBytes(t *testing.T, route string) *scriptedWorker {
+	w := newScriptedWorker(t, "i-1")
+	v := relayRig(t, w)
+	v.queueMu.Lock()
+	c := clientConn(t, v)
+	c.send(route, "s", "prompt")
+	taken(t, v)
+	_, _ = io.WriteString(c, requestText(route, "next", "prompt")[:20]) // stays in the socket
+	c.leave(t)
+	v.queueMu.Unlock()
+	idle(t, v)
+	v.pool.Drop(w.id)
+	return w
+}
+
 // leftBeforeResumption has a stream break at its worker after its client left.
 func leftBeforeResumption(t *testing.T) *scriptedWorker {
 	a, b := newScriptedWorker(t, "i-1"), newScriptedWorker(t, "i-2")
--- a/internal/router/upstream/peek.go
+++ b/internal/router/upstream/peek.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // socketState is what a look at a socket shows.
@@ -11,7 +13,7 @@
 const (
 	socketQuiet    socketState = iota // open, and nothing to read
 	socketReadable                    // bytes wait to be read
-	socketClosed                      // closed or reset by the other side, or closed here
+	socketClosed                      // closed or reset by the other side, even behind bytes, or closed here
 	socketUnknown                     // no socket that can be looked at
 )
 
@@ -45,11 +47,25 @@
 			return socketQuiet
 		case err != nil || n == 0:
 			return socketClosed
+		case endLiesBehind(fd):
+			return socketClosed
 		}
 		return socketReadable
 	}
 }
 
+// endLiesBehind says whether the other side has closed its connection behind bytes that wait to be read.
+func endLiesBehind(fd int) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	for {
+		_, err := unix.Poll(fds, 0)
+		if err == unix.EINTR {
+			continue
+		}
+		return err == nil && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP) != 0
+	}
+}
+
 // HungUp looks, without waiting or taking anything, whether the other side has closed its connection. Closing the
 // write side alone looks the same.
 func HungUp(c net.Conn) bool { return peek(c) == socketClosed }
--- a/internal/router/upstream/peek_test.go
+++ b/internal/router/upstream/peek_test.go
@@ -49,6 +49,8 @@
 	if HungUp(here) {
 		t.Error("a next request is taken for a hang-up")
 	}
+	_ = there.CloseWrite()
+	until(t, here, socketClosed) // behind those bytes
 	here, there = pair(t)
 	_ = there.CloseWrite()
 	until(t, here, socketClosed)
