--- a/imports_test.go
+++ b/imports_test.go
@@ -63,7 +63,7 @@
 	"internal/shield":       base,
 	"internal/standin":      rig,
 	"internal/storage":      storage,
-	"internal/synop":        base,
+	"internal/codes":        base,
 	"internal/tower":        process,
 	"internal/units":        base,
 	"internal/weatherglass": rig,
--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -6,8 +6,8 @@
 	"github.com/valyala/fasthttp"
 
 	"seamshunt/internal/boot"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/config"
-	"seamshunt/internal/synop"
 )
 
 // Names are the headers of requests and answers.
@@ -41,10 +41,10 @@
 
 // Control is what the control plane does for operators. Version is the configuration's own.
 type Control struct {
-	Read   func() (data []byte, version uint64, code synop.Code)
-	Put    func(builds uint64, data []byte) (synop.Code, []*synop.Fault)
-	Change func(builds uint64, change []byte) (synop.Code, []*synop.Fault)
-	Zone   func(zone string, out bool) synop.Code
+	Read   func() (data []byte, version uint64, code codes.Code)
+	Put    func(builds uint64, data []byte) (codes.Code, []*codes.Fault)
+	Change func(builds uint64, change []byte) (codes.Code, []*codes.Fault)
+	Zone   func(zone string, out bool) codes.Code
 }
 
 // Adapter is one outside world.
@@ -55,9 +55,9 @@
 	// Prompt reads what a request's headers tell of its prompt; false when they tell nothing.
 	Prompt func(h *fasthttp.RequestHeader) (Prompt, bool)
 	// Config takes an operator's bytes to a compiled configuration, or to all its faults.
-	Config func(data []byte) (*config.Config, []*synop.Fault)
+	Config func(data []byte) (*config.Config, []*codes.Fault)
 	// Change applies changes by item to a configuration's bytes and gives the whole.
-	Change func(old, change []byte) ([]byte, []*synop.Fault)
+	Change func(old, change []byte) ([]byte, []*codes.Fault)
 	// Workers asks for all workers of all services; get asks the platform for one path, once.
 	Workers func(get func(path string) (status int, body []byte, err error)) ([]config.Worker, error)
 	// Control serves operators' calls.
--- a/internal/synop/synop.go
+++ b/internal/codes/codes.go
@@ -1,5 +1,5 @@
-// Package synop holds the numbered result codes; docs/codes.md is their table.
-package synop
+// Package codes holds the numbered result codes; docs/codes.md is their table.
+package codes
 
 import "fmt"
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,10 +4,10 @@
 import (
 	"time"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/config/routing"
 	"seamshunt/internal/router/admission"
 	"seamshunt/internal/router/placement"
-	"seamshunt/internal/synop"
 )
 
 // MaxConfig bounds a configuration's bytes.
@@ -93,12 +93,12 @@
 
 // faults are collected and looked at once.
 type faults struct {
-	list []*synop.Fault
+	list []*codes.Fault
 }
 
-func (f *faults) add(c synop.Code, place, text string) {
+func (f *faults) add(c codes.Code, place, text string) {
 	if len(f.list) < 20 {
-		f.list = append(f.list, &synop.Fault{Code: c, Place: place, Text: text, NotRun: true})
+		f.list = append(f.list, &codes.Fault{Code: c, Place: place, Text: text, NotRun: true})
 	}
 }
 
--- a/internal/control/controller/adapter_calls.go
+++ b/internal/control/controller/adapter_calls.go
@@ -12,9 +12,9 @@
 
 	"seamshunt/internal/adapter"
 	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/config"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -24,7 +24,7 @@
 }
 
 // compile reads a configuration in the format of the outside world.
-func (c *Controller) compile(data []byte) (*config.Config, []*synop.Fault) {
+func (c *Controller) compile(data []byte) (*config.Config, []*codes.Fault) {
 	if c.adapter != nil {
 		return c.adapter.Config(data)
 	}
@@ -72,49 +72,49 @@
 }
 
 // newest is the configuration in force, confirmed with a majority.
-func (c *Controller) newest() ([]byte, uint64, synop.Code) {
+func (c *Controller) newest() ([]byte, uint64, codes.Code) {
 	ctx, done := answerTime(register.AnswerTimeout)
 	defer done()
 	r := c.Submit(ctx, register.Request{Key: keyConfig})
-	if r.Code != synop.OK {
+	if r.Code != codes.OK {
 		return nil, 0, r.Code
 	}
 	if r.Num == 0 {
-		return nil, 0, synop.NotFound
+		return nil, 0, codes.NotFound
 	}
 	ver, _ := c.versionOf(r.Num, r.Data)
-	return r.Data, ver, synop.OK
+	return r.Data, ver, codes.OK
 }
 
 // base finds the configuration that a change builds on. What this node has heard will do when it is that one or newer:
 // versions only rise, and the owner checks the number when it writes. Else, and where nothing was heard of, the newest is
 // read with a majority.
-func (c *Controller) base(ctx context.Context, builds uint64) (num units.Num, data []byte, ver uint64, code synop.Code) {
+func (c *Controller) base(ctx context.Context, builds uint64) (num units.Num, data []byte, ver uint64, code codes.Code) {
 	num, data = c.heardOf(keyConfig)
 	ver, _ = c.versionOf(num, data)
 	if num > 0 && ver >= builds {
-		return num, data, ver, synop.OK
+		return num, data, ver, codes.OK
 	}
 	r := c.Submit(ctx, register.Request{Key: keyConfig})
-	if r.Code != synop.OK {
+	if r.Code != codes.OK {
 		return 0, nil, 0, r.Code
 	}
 	ver, _ = c.versionOf(r.Num, r.Data)
-	return r.Num, r.Data, ver, synop.OK
+	return r.Num, r.Data, ver, codes.OK
 }
 
 // put takes a whole configuration.
-func (c *Controller) put(builds uint64, data []byte) (synop.Code, []*synop.Fault) {
+func (c *Controller) put(builds uint64, data []byte) (codes.Code, []*codes.Fault) {
 	next, fs := c.compile(data)
 	if len(fs) > 0 {
 		return fs[0].Code, fs
 	}
-	return c.write(requestID("put", builds, data), builds, func([]byte) ([]byte, *config.Config, []*synop.Fault) { return data, next, nil })
+	return c.write(requestID("put", builds, data), builds, func([]byte) ([]byte, *config.Config, []*codes.Fault) { return data, next, nil })
 }
 
 // alter takes a change by item; what is stored is the whole.
-func (c *Controller) alter(builds uint64, change []byte) (synop.Code, []*synop.Fault) {
-	return c.write(requestID("change", builds, change), builds, func(old []byte) ([]byte, *config.Config, []*synop.Fault) {
+func (c *Controller) alter(builds uint64, change []byte) (codes.Code, []*codes.Fault) {
+	return c.write(requestID("change", builds, change), builds, func(old []byte) ([]byte, *config.Config, []*codes.Fault) {
 		data, fs := c.adapter.Change(old, change)
 		if len(fs) > 0 {
 			return nil, nil, fs
@@ -132,11 +132,11 @@
 
 // write makes a change under the version that it builds on. One that lost its race, or is refused, never comes into force:
 // it is written under the number whose version was looked at, or not at all.
-func (c *Controller) write(requestID string, builds uint64, whole func(old []byte) ([]byte, *config.Config, []*synop.Fault)) (synop.Code, []*synop.Fault) {
+func (c *Controller) write(requestID string, builds uint64, whole func(old []byte) ([]byte, *config.Config, []*codes.Fault)) (codes.Code, []*codes.Fault) {
 	ctx, done := answerTime(register.AnswerTimeout)
 	defer done()
 	num, old, ver, code := c.base(ctx, builds)
-	if code != synop.OK {
+	if code != codes.OK {
 		return code, nil
 	}
 	if ver != builds {
@@ -150,10 +150,10 @@
 		if num > 0 && bytes.Equal(data, old) {
 			return c.unchanged(ctx, num), nil
 		}
-		return synop.BadConfig, []*synop.Fault{{Code: synop.BadConfig, Text: fmt.Sprintf("version %d is not above %d, which is in force", next.Version, ver)}}
+		return codes.BadConfig, []*codes.Fault{{Code: codes.BadConfig, Text: fmt.Sprintf("version %d is not above %d, which is in force", next.Version, ver)}}
 	}
 	r := c.record(ctx, register.Request{Key: keyConfig, Expect: num, RequestID: requestID, Data: data})
-	if r.Code == synop.OK && r.Num == num+1 {
+	if r.Code == codes.OK && r.Num == num+1 {
 		c.taken.note(r.Num, next)
 	}
 	return r.Code, nil
@@ -170,16 +170,16 @@
 
 // outcome asks whether a change was taken that builds on a version which is not in force: OK if it was; Conflict if it
 // was not; Forgotten if it may have been, but so many changes ago that its outcome is no longer kept.
-func (c *Controller) outcome(ctx context.Context, requestID string, lowest units.Num) synop.Code {
+func (c *Controller) outcome(ctx context.Context, requestID string, lowest units.Num) codes.Code {
 	return c.Submit(ctx, register.Request{Key: keyConfig, Write: true, Lookup: true, Expect: lowest, RequestID: requestID}).Code
 }
 
 // unchanged acknowledges an order that would leave the configuration as it is under a number, once a majority has
 // confirmed that this number is still in force.
-func (c *Controller) unchanged(ctx context.Context, num units.Num) synop.Code {
+func (c *Controller) unchanged(ctx context.Context, num units.Num) codes.Code {
 	r := c.Submit(ctx, register.Request{Key: keyConfig})
-	if r.Code == synop.OK && r.Num != num {
-		return synop.Conflict
+	if r.Code == codes.OK && r.Num != num {
+		return codes.Conflict
 	}
 	return r.Code
 }
@@ -187,19 +187,19 @@
 // checkZoneExists looks for a zone among those that the boot file names or, where it names none, that members are in. A
 // controller that is cut off, or has just started, may not know all members: it says that there is no such zone only while
 // a majority answers it.
-func (c *Controller) checkZoneExists(ctx context.Context, zone string) synop.Code {
+func (c *Controller) checkZoneExists(ctx context.Context, zone string) codes.Code {
 	if len(c.Boot.Zones) > 0 {
 		if slices.Contains(c.Boot.Zones, zone) {
-			return synop.OK
+			return codes.OK
 		}
-		return synop.BadZone
+		return codes.BadZone
 	}
 	inZone := func(m membership.Member) bool { return m.Zone == zone }
 	if slices.ContainsFunc(c.Members(), inZone) {
-		return synop.OK
+		return codes.OK
 	}
-	if r := c.Submit(ctx, register.Request{Key: keyConfig}); r.Code != synop.OK {
+	if r := c.Submit(ctx, register.Request{Key: keyConfig}); r.Code != codes.OK {
 		return r.Code
 	}
-	return synop.BadZone
+	return codes.BadZone
 }
--- a/internal/control/controller/cut_off_test.go
+++ b/internal/control/controller/cut_off_test.go
@@ -11,8 +11,8 @@
 	"seamshunt/internal/cluster/configpush"
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/cluster/transport"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 	"seamshunt/internal/weatherglass"
 )
@@ -42,7 +42,7 @@
 
 type controlCall struct {
 	name string
-	do   func(adapter.Control) synop.Code
+	do   func(adapter.Control) codes.Code
 }
 
 // cutOffCalls are calls of every kind, on what the controller has heard of, on older and on newer versions.
@@ -50,19 +50,19 @@
 	for _, builds := range []uint64{0, 3, 5, 9} {
 		doc := fmt.Appendf(nil, `{"v":%d,"x":"b"}`, builds+2)
 		l = append(l,
-			controlCall{fmt.Sprint("PUT on ", builds), func(c adapter.Control) synop.Code { code, _ := c.Put(builds, doc); return code }},
-			controlCall{fmt.Sprint("PATCH on ", builds), func(c adapter.Control) synop.Code { code, _ := c.Change(builds, doc); return code }})
+			controlCall{fmt.Sprint("PUT on ", builds), func(c adapter.Control) codes.Code { code, _ := c.Put(builds, doc); return code }},
+			controlCall{fmt.Sprint("PATCH on ", builds), func(c adapter.Control) codes.Code { code, _ := c.Change(builds, doc); return code }})
 	}
-	return append(l, controlCall{"PUT of what it has heard of", func(c adapter.Control) synop.Code { code, _ := c.Put(5, []byte(`{"v":5,"x":"a"}`)); return code }},
-		controlCall{"GET", func(c adapter.Control) synop.Code { _, _, code := c.Read(); return code }},
-		controlCall{"evacuation", func(c adapter.Control) synop.Code { return c.Zone("z0", true) }},
-		controlCall{"withdrawal", func(c adapter.Control) synop.Code { return c.Zone("z0", false) }})
+	return append(l, controlCall{"PUT of what it has heard of", func(c adapter.Control) codes.Code { code, _ := c.Put(5, []byte(`{"v":5,"x":"a"}`)); return code }},
+		controlCall{"GET", func(c adapter.Control) codes.Code { _, _, code := c.Read(); return code }},
+		controlCall{"evacuation", func(c adapter.Control) codes.Code { return c.Zone("z0", true) }},
+		controlCall{"withdrawal", func(c adapter.Control) codes.Code { return c.Zone("z0", false) }})
 }
 
 // Every call on a controller that is cut off gets a 5xx within AnswerTimeout of virtual time, however many requests the call
 // would make; once the controller knows that no majority answers, at once. Nothing is confirmed and nothing refused.
 func TestCutOffControllerAnswersInTime(t *testing.T) {
-	unknown := controlCall{"evacuation of a zone whose members it has not heard of", func(c adapter.Control) synop.Code { return c.Zone("z7", true) }}
+	unknown := controlCall{"evacuation of a zone whose members it has not heard of", func(c adapter.Control) codes.Code { return c.Zone("z7", true) }}
 	for _, call := range append(cutOffCalls(), unknown) {
 		t.Run(call.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -71,7 +71,7 @@
 					began := time.Now()
 					code := call.do(c.Control())
 					took := time.Since(began)
-					if code != synop.Unsure && code != synop.NoMajority {
+					if code != codes.Unsure && code != codes.NoMajority {
 						t.Errorf("call %d: %d", i, code)
 					}
 					if most := register.AnswerTimeout; took > most || i > 2 && took > 0 {
@@ -88,7 +88,7 @@
 func TestCutOffOwnerConfirmsNothing(t *testing.T) {
 	t.Parallel()
 	cs := grownCore(t, 3, toyBook())
-	if code := sure(t, func() (synop.Code, []*synop.Fault) { return cs[0].Control().Put(0, []byte(`{"v":5,"x":"a"}`)) }); code != synop.OK {
+	if code := sure(t, func() (codes.Code, []*codes.Fault) { return cs[0].Control().Put(0, []byte(`{"v":5,"x":"a"}`)) }); code != codes.OK {
 		t.Fatalf("the first: %d", code)
 	}
 	weatherglass.Until(t, "all have heard of it", func() bool { num, _ := cs[0].heardOf(keyConfig); return num == 1 })
@@ -99,7 +99,7 @@
 	answers := 0
 	for range 4 {
 		for _, call := range cutOffCalls() {
-			if code := call.do(cs[0].Control()); code != synop.Unsure && code != synop.NoMajority {
+			if code := call.do(cs[0].Control()); code != codes.Unsure && code != codes.NoMajority {
 				t.Errorf("%s: %d", call.name, code)
 			}
 			answers++
@@ -129,11 +129,11 @@
 	}
 	// A change that was left open may have come into force since; no other document may.
 	_, version, code := sureRead(t, cs[0].Control())
-	if code != synop.OK || version != 5 && version != 7 {
+	if code != codes.OK || version != 5 && version != 7 {
 		t.Errorf("back in touch: %d, version %d", code, version)
 	}
 	next := fmt.Appendf(nil, `{"v":%d}`, version+1)
-	if code := sure(t, func() (synop.Code, []*synop.Fault) { return cs[4].Control().Put(version, next) }); code != synop.OK {
+	if code := sure(t, func() (codes.Code, []*codes.Fault) { return cs[4].Control().Put(version, next) }); code != codes.OK {
 		t.Errorf("a change after the cut: %d", code)
 	}
 }
--- a/internal/control/controller/linear_test.go
+++ b/internal/control/controller/linear_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/rig/linearizability"
-	"seamshunt/internal/synop"
 )
 
 // door is one operator at an adapter's calls, with a chance for each answer to be lost.
@@ -40,7 +40,7 @@
 	for range 200 {
 		from := d.now()
 		data, version, code := d.at().Control().Read()
-		if code == synop.OK || code == synop.NotFound {
+		if code == codes.OK || code == codes.NotFound {
 			d.keep(linearizability.Call{From: from, To: d.now(), Position: version, Data: string(data), Outcome: linearizability.Done})
 			return version
 		}
@@ -59,10 +59,10 @@
 	taken, refused := false, false
 	for range 30 {
 		code, _ := d.at().Control().Put(builds, []byte(c.Data))
-		taken, refused = taken || code == synop.OK, refused || code == synop.Conflict
-		if isClear := code == synop.OK || code == synop.Conflict; isClear && d.rng.Float64() >= d.lost {
+		taken, refused = taken || code == codes.OK, refused || code == codes.Conflict
+		if isClear := code == codes.OK || code == codes.Conflict; isClear && d.rng.Float64() >= d.lost {
 			c.To, c.Outcome = d.now(), linearizability.Refused
-			if code == synop.OK {
+			if code == codes.OK {
 				c.Outcome = linearizability.Done
 			}
 			break
@@ -108,15 +108,15 @@
 func TestLateEvacuationUndoesNothing(t *testing.T) {
 	t.Parallel()
 	cores := grownCore(t, 3, toyBook())
-	set := func(c *Controller, out bool) synop.Code {
-		return sure(t, func() (synop.Code, []*synop.Fault) { return c.Control().Zone("z9", out), nil })
+	set := func(c *Controller, out bool) codes.Code {
+		return sure(t, func() (codes.Code, []*codes.Fault) { return c.Control().Zone("z9", out), nil })
 	}
-	if a, b := set(cores[0], true), set(cores[1], false); a != synop.OK || b != synop.OK {
+	if a, b := set(cores[0], true), set(cores[1], false); a != codes.OK || b != codes.OK {
 		t.Fatalf("set and withdrawn: %d, %d", a, b)
 	}
 	num, state := cores[0].heardOf("zone/z9")
 	for _, c := range cores {
-		if code := set(c, false); code != synop.OK {
+		if code := set(c, false); code != codes.OK {
 			t.Errorf("withdrawn again: %d", code)
 		}
 	}
@@ -126,9 +126,9 @@
 	// A call that a node was held up with since before the withdrawal, when the zone was set or was not yet.
 	on, off := []byte(`{"evacuated":true}`), []byte(`{"evacuated":false}`)
 	for _, state := range [][]byte{on, off} {
-		code := sure(t, func() (synop.Code, []*synop.Fault) {
+		code := sure(t, func() (codes.Code, []*codes.Fault) {
 			code := cores[2].setFrom(context.Background(), 1, state, "zone/z9", on)
-			if code == synop.Unsure { // the clear answer that is wanted here
+			if code == codes.Unsure { // the clear answer that is wanted here
 				return 0, nil
 			}
 			return code, nil
--- a/internal/control/controller/outcome_test.go
+++ b/internal/control/controller/outcome_test.go
@@ -6,7 +6,7 @@
 	"sync"
 	"testing"
 
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 	"seamshunt/internal/weatherglass"
 )
@@ -34,13 +34,13 @@
 	t.Parallel()
 	c := grownCore(t, 1, toyBook())[0]
 	doc := func(v int) []byte { return fmt.Appendf(nil, `{"v":%d,"x":"a"}`, v) }
-	put := func(builds uint64, v int) synop.Code {
-		return sure(t, func() (synop.Code, []*synop.Fault) { return c.Control().Put(builds, doc(v)) })
+	put := func(builds uint64, v int) codes.Code {
+		return sure(t, func() (codes.Code, []*codes.Fault) { return c.Control().Put(builds, doc(v)) })
 	}
-	if a, b := put(0, 1), put(1, 1); a != synop.OK || b != synop.OK {
+	if a, b := put(0, 1), put(1, 1); a != codes.OK || b != codes.OK {
 		t.Fatalf("taken %d, again %d", a, b)
 	}
-	if code := c.unchanged(context.Background(), 7); code != synop.Conflict {
+	if code := c.unchanged(context.Background(), 7); code != codes.Conflict {
 		t.Errorf("under another number: %d", code)
 	}
 	var once sync.Once
@@ -62,7 +62,7 @@
 			return false
 		}
 	})
-	if code, _ := c.Control().Put(1, doc(1)); code == synop.OK {
+	if code, _ := c.Control().Put(1, doc(1)); code == codes.OK {
 		t.Error("acknowledged without a majority")
 	}
 }
--- a/internal/control/controller/submit.go
+++ b/internal/control/controller/submit.go
@@ -9,9 +9,9 @@
 	"github.com/valyala/fasthttp"
 
 	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/changelog"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/tower"
 )
 
@@ -26,7 +26,7 @@
 // knows that it does not reach a majority answers so at once, and sends nothing.
 func (c *Controller) Submit(ctx context.Context, a register.Request) register.Result {
 	if a.Write && !a.Lookup && c.noRoom() {
-		return register.Result{Code: synop.DiskFull}
+		return register.Result{Code: codes.DiskFull}
 	}
 	if a.Write && a.RequestID == "" {
 		a.RequestID = tower.Random().String() // so that it may be sent on when its key changes owners
@@ -37,7 +37,7 @@
 	c.replicaMu.Lock()
 	if !c.replica.ReachesMajority(now) {
 		c.replicaMu.Unlock()
-		return register.Result{Code: synop.NoMajority}
+		return register.Result{Code: codes.NoMajority}
 	}
 	c.waits[a.Tag] = ch
 	out := c.replica.Submit(now, a)
@@ -99,7 +99,7 @@
 func (c *Controller) record(ctx context.Context, a register.Request) register.Result {
 	a.Write = true
 	r := c.Submit(ctx, a)
-	if r.Code == synop.OK {
+	if r.Code == codes.OK {
 		sum := sha256.Sum256(a.Data)
 		c.note(ctx, changelog.Entry{Unix: time.Now().Unix(), Key: a.Key, Number: uint64(r.Num), Plan: a.RequestID, SHA256: hex.EncodeToString(sum[:])})
 	}
--- a/internal/control/controller/web.go
+++ b/internal/control/controller/web.go
@@ -11,8 +11,8 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -46,12 +46,12 @@
 	case c.door != nil && !strings.HasPrefix(path, "/v1/"):
 		c.door(ctx)
 	default:
-		c.fail(ctx, &synop.Fault{Code: synop.NotFound, Text: m + " " + path + " means nothing here"})
+		c.fail(ctx, &codes.Fault{Code: codes.NotFound, Text: m + " " + path + " means nothing here"})
 	}
 }
 
 // fail answers with all faults found; the first one's code gives the status.
-func (c *Controller) fail(ctx *fasthttp.RequestCtx, fs ...*synop.Fault) {
+func (c *Controller) fail(ctx *fasthttp.RequestCtx, fs ...*codes.Fault) {
 	var a fastjson.Arena
 	l := a.NewArray()
 	for i, f := range fs {
@@ -71,18 +71,18 @@
 	ctx.SetBody(append(o.MarshalTo(nil), '\n'))
 }
 
-var texts = map[synop.Code]string{
-	synop.Conflict:   "another change came first: read, and plan again",
-	synop.Unsure:     "the outcome is not known: send the same plan again to learn it",
-	synop.Forgotten:  "so many changes came since that the outcome is no longer kept: read what is in force",
-	synop.NoMajority: "no majority of the disks answers; nothing was written by this call",
-	synop.DiskFull:   "the disks are full; nothing was written by this call",
+var texts = map[codes.Code]string{
+	codes.Conflict:   "another change came first: read, and plan again",
+	codes.Unsure:     "the outcome is not known: send the same plan again to learn it",
+	codes.Forgotten:  "so many changes came since that the outcome is no longer kept: read what is in force",
+	codes.NoMajority: "no majority of the disks answers; nothing was written by this call",
+	codes.DiskFull:   "the disks are full; nothing was written by this call",
 }
 
 func (c *Controller) result(ctx *fasthttp.RequestCtx, r register.Result) {
-	if r.Code != synop.OK {
-		f := &synop.Fault{Code: r.Code, Text: texts[r.Code]}
-		if r.Code == synop.Conflict {
+	if r.Code != codes.OK {
+		f := &codes.Fault{Code: r.Code, Text: texts[r.Code]}
+		if r.Code == codes.Conflict {
 			f.Place = fmt.Sprintf("number %d", r.Num)
 		}
 		c.fail(ctx, f)
@@ -101,12 +101,12 @@
 	within, done := answerTime(register.RequestTimeout)
 	defer done()
 	r := c.Submit(within, register.Request{Key: key})
-	if r.Code != synop.OK {
+	if r.Code != codes.OK {
 		c.result(ctx, r)
 		return
 	}
 	if r.Num == 0 {
-		c.fail(ctx, &synop.Fault{Code: synop.NotFound, Text: "nothing was ever set here"})
+		c.fail(ctx, &codes.Fault{Code: codes.NotFound, Text: "nothing was ever set here"})
 		return
 	}
 	ctx.Response.Header.Set("Number", strconv.FormatUint(uint64(r.Num), 10))
@@ -130,7 +130,7 @@
 	s := string(ctx.QueryArgs().Peek("number"))
 	n, err := strconv.ParseUint(s, 10, 62)
 	if err != nil {
-		c.fail(ctx, &synop.Fault{Code: synop.BadCall, Place: "?number=", Text: "the number that the change builds on is wanted; 0 for the first"})
+		c.fail(ctx, &codes.Fault{Code: codes.BadCall, Place: "?number=", Text: "the number that the change builds on is wanted; 0 for the first"})
 		return 0, false
 	}
 	return units.Num(n), true
@@ -168,21 +168,21 @@
 	c.change(within, ctx, register.Request{Key: "zone/" + zone, Expect: num, RequestID: operatorsID(ctx, body), Data: body})
 }
 
-func (c *Controller) checkZone(ctx context.Context, zone string, body []byte) *synop.Fault {
+func (c *Controller) checkZone(ctx context.Context, zone string, body []byte) *codes.Fault {
 	switch code := c.checkZoneExists(ctx, zone); code {
-	case synop.OK:
-	case synop.BadZone:
-		return &synop.Fault{Code: code, Text: "no member is in zone " + zone}
+	case codes.OK:
+	case codes.BadZone:
+		return &codes.Fault{Code: code, Text: "no member is in zone " + zone}
 	default:
-		return &synop.Fault{Code: code, Text: texts[code]}
+		return &codes.Fault{Code: code, Text: texts[code]}
 	}
 	v, err := fastjson.ParseBytes(body)
 	if err != nil {
-		return &synop.Fault{Code: synop.BadCall, Place: place(err), Text: `{"evacuated": true} or false is wanted`}
+		return &codes.Fault{Code: codes.BadCall, Place: place(err), Text: `{"evacuated": true} or false is wanted`}
 	}
 	x := v.Get("evacuated")
 	if x == nil || x.Type() != fastjson.TypeTrue && x.Type() != fastjson.TypeFalse {
-		return &synop.Fault{Code: synop.BadCall, Place: "$.evacuated", Text: "true or false is wanted"}
+		return &codes.Fault{Code: codes.BadCall, Place: "$.evacuated", Text: "true or false is wanted"}
 	}
 	return nil
 }
--- a/internal/control/register/change.go
+++ b/internal/control/register/change.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 )
 
@@ -148,7 +148,7 @@
 		b.Results = append(b.Results, r)
 		return
 	}
-	if t := b.transfer; t != nil && r.Code == synop.OK && t.awaits(r.Tag) {
+	if t := b.transfer; t != nil && r.Code == codes.OK && t.awaits(r.Tag) {
 		t.done[r.Tag] = true
 		b.changeTick(now, out)
 	}
--- a/internal/control/register/cluster_test.go
+++ b/internal/control/register/cluster_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 )
 
@@ -59,7 +59,7 @@
 }
 
 // want asks and compares.
-func (c *cluster) want(t *testing.T, what string, at units.Node, a Request, code synop.Code, num units.Num) {
+func (c *cluster) want(t *testing.T, what string, at units.Node, a Request, code codes.Code, num units.Num) {
 	t.Helper()
 	if r := c.ask(at, a); r.Code != code || r.Num != num {
 		t.Errorf("%s: %d, number %d; want %d, number %d", what, r.Code, r.Num, code, num)
--- a/internal/control/register/dropped_test.go
+++ b/internal/control/register/dropped_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 )
 
@@ -30,7 +30,7 @@
 	}
 	b.SetEligible(nil)
 	deliver(b.Tick(now.Add(time.Second)))
-	if len(b.Results) != 1 || b.Results[0].Code != synop.Unsure {
+	if len(b.Results) != 1 || b.Results[0].Code != codes.Unsure {
 		t.Errorf("results: %+v", b.Results)
 	}
 }
--- a/internal/control/register/messages.go
+++ b/internal/control/register/messages.go
@@ -2,7 +2,7 @@
 
 import (
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 )
 
@@ -134,7 +134,7 @@
 // Result answers the Request of the same Tag.
 type Result struct {
 	Tag  uint64
-	Code synop.Code
+	Code codes.Code
 	Num  units.Num
 	Data []byte
 }
--- a/internal/control/register/model_checker_test.go
+++ b/internal/control/register/model_checker_test.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 )
 
@@ -87,7 +87,7 @@
 		}
 	case Reply:
 		k.clients.replied(n, d, k.decided)
-		if clientOperation := k.clients.operations[d.head.Tag]; clientOperation != nil && !clientOperation.write && synop.Code(d.head.Code) == synop.OK {
+		if clientOperation := k.clients.operations[d.head.Tag]; clientOperation != nil && !clientOperation.write && codes.Code(d.head.Code) == codes.OK {
 			k.decidedUnder(n.replica.quorum.Version)
 		}
 	}
--- a/internal/control/register/model_clients_test.go
+++ b/internal/control/register/model_clients_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 )
 
@@ -78,7 +78,7 @@
 // replied checks the set under which an owner acknowledges.
 func (l *modelClients) replied(owner *modelNode, d decoded, decided units.Num) {
 	o := l.operations[d.head.Tag]
-	if o == nil || synop.Code(d.head.Code) != synop.OK {
+	if o == nil || codes.Code(d.head.Code) != codes.OK {
 		return
 	}
 	if version := owner.replica.quorum.Version; version < o.decided {
@@ -96,20 +96,20 @@
 	detail := fmt.Sprintf("tag %d code %v num %d data %q", r.Tag, r.Code, int64(r.Num), r.Data)
 	l.cluster.record(modelEvent{action: "answer", node: n.id, detail: detail})
 	switch {
-	case r.Code == synop.Conflict && o.write:
+	case r.Code == codes.Conflict && o.write:
 		l.refused[o.requestID] = true
 		for num, data := range checker.values[o.key] {
 			if data == o.requestID {
 				checker.fail("the write %q was chosen as %d and is refused", data, num)
 			}
 		}
-	case r.Code == synop.OK && o.write:
+	case r.Code == codes.OK && o.write:
 		if r.Num <= o.floor {
 			checker.fail("the write %q got number %d though %d was acknowledged before it began", o.requestID, r.Num, o.floor)
 		}
 		checker.chosen(o.key, r.Num, o.requestID)
 		l.acked[o.key] = max(l.acked[o.key], r.Num)
-	case r.Code == synop.OK:
+	case r.Code == codes.OK:
 		if r.Num < o.floor {
 			checker.fail("a read of %q got number %d though %d was acknowledged before it began", o.key, r.Num, o.floor)
 		}
--- a/internal/control/register/model_input_test.go
+++ b/internal/control/register/model_input_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 )
 
@@ -142,7 +142,7 @@
 	r := c.node(2).replica
 	r.Submit(c.now, Request{Tag: tag, Key: "b"})
 	reply := func(key string) message.Message {
-		h := head{Tag: tag, Code: uint16(synop.OK), Num: 3}
+		h := head{Tag: tag, Code: uint16(codes.OK), Num: 3}
 		return message.Message{From: 1, To: 2, Kind: Reply, Body: message.Pack(h, r.quorum.Pack(), []byte(key), []byte(key))}
 	}
 	if r.Step(c.now, reply("a")); len(r.Results) != 0 {
--- a/internal/control/register/outcomes.go
+++ b/internal/control/register/outcomes.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 )
 
@@ -59,11 +59,11 @@
 
 // absent answers a request that the table does not name and that can't be written any more. It can't have got a number
 // below earliest. Conflict is certain while the table reaches back that far; else its outcome may have been cut.
-func (t Outcomes) absent(earliest, newest units.Num) synop.Code {
+func (t Outcomes) absent(earliest, newest units.Num) codes.Code {
 	if earliest < t.oldest(newest) {
-		return synop.Forgotten
+		return codes.Forgotten
 	}
-	return synop.Conflict
+	return codes.Conflict
 }
 
 func (t Outcomes) pack() []byte {
--- a/internal/control/register/outcomes_test.go
+++ b/internal/control/register/outcomes_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 )
 
@@ -20,7 +20,7 @@
 		for by := range c.replicas {
 			c.believe(by, at)
 		}
-		if r := c.ask(at, Request{Expect: units.Num(n), RequestID: id(n)}); r.Code != synop.OK || r.Num != units.Num(n)+1 {
+		if r := c.ask(at, Request{Expect: units.Num(n), RequestID: id(n)}); r.Code != codes.OK || r.Num != units.Num(n)+1 {
 			t.Fatalf("change %d: %+v", n, r)
 		}
 	}
@@ -28,15 +28,15 @@
 	for _, lookup := range []bool{false, true} {
 		for n := range last {
 			r := c.ask(units.Node(n%3+1), Request{Lookup: lookup, Expect: units.Num(n), RequestID: id(n)})
-			if n < more && r.Code != synop.Forgotten || n >= more && (r.Code != synop.OK || r.Num != units.Num(n)+1) {
+			if n < more && r.Code != codes.Forgotten || n >= more && (r.Code != codes.OK || r.Num != units.Num(n)+1) {
 				t.Fatalf("change %d again, lookup %v: %+v", n, lookup, r)
 			}
 		}
-		c.want(t, "a loser", 2, Request{Lookup: lookup, Expect: last - 1, RequestID: "x"}, synop.Conflict, last)
-		c.want(t, "the oldest loser that is known", 2, Request{Lookup: lookup, Expect: more, RequestID: "x"}, synop.Conflict, last)
-		c.want(t, "one that may have been taken", 2, Request{Lookup: lookup, Expect: more - 1, RequestID: "x"}, synop.Forgotten, last)
+		c.want(t, "a loser", 2, Request{Lookup: lookup, Expect: last - 1, RequestID: "x"}, codes.Conflict, last)
+		c.want(t, "the oldest loser that is known", 2, Request{Lookup: lookup, Expect: more, RequestID: "x"}, codes.Conflict, last)
+		c.want(t, "one that may have been taken", 2, Request{Lookup: lookup, Expect: more - 1, RequestID: "x"}, codes.Forgotten, last)
 	}
-	c.want(t, "the next", 3, Request{Expect: last, RequestID: "y"}, synop.OK, last+1)
+	c.want(t, "the next", 3, Request{Expect: last, RequestID: "y"}, codes.OK, last+1)
 	if body := c.replicas[1].states["config"].Body; len(body) > MaxOutcomes*fingerprintSize+64 {
 		t.Errorf("the body has grown to %d bytes", len(body))
 	}
@@ -48,10 +48,10 @@
 	for by := range c.replicas {
 		c.believe(by, 1)
 	}
-	c.want(t, "the first", 1, Request{Expect: 0}, synop.OK, 1)
-	c.want(t, "with an id", 2, Request{Expect: 1, RequestID: "a"}, synop.OK, 2)
-	c.want(t, "another without", 1, Request{Expect: 0}, synop.Conflict, 2)
-	c.want(t, "known", 3, Request{Expect: 1, RequestID: "a"}, synop.OK, 2)
+	c.want(t, "the first", 1, Request{Expect: 0}, codes.OK, 1)
+	c.want(t, "with an id", 2, Request{Expect: 1, RequestID: "a"}, codes.OK, 2)
+	c.want(t, "another without", 1, Request{Expect: 0}, codes.Conflict, 2)
+	c.want(t, "known", 3, Request{Expect: 1, RequestID: "a"}, codes.OK, 2)
 }
 
 // malformed bodies, by what is wrong with them; all are sent under number 2.
@@ -77,7 +77,7 @@
 		for by := range c.replicas {
 			c.believe(by, 1)
 		}
-		c.want(t, "the first", 1, Request{Expect: 0, RequestID: "a", Data: []byte("one")}, synop.OK, 1)
+		c.want(t, "the first", 1, Request{Expect: 0, RequestID: "a", Data: []byte("one")}, codes.OK, 1)
 		before := *c.replicas[2].states["config"]
 		note := func(k message.Kind, h head) message.Message {
 			h.N, h.By = before.Promised.N+5, 109
@@ -116,7 +116,7 @@
 			best := &c.replicas[1].owned["config"].best
 			for b.Loop() {
 				best.Num, best.Body = number, packBody(outcomes, data)
-				if r := c.ask(1, Request{Expect: number, RequestID: "next", Data: data}); r.Code != synop.OK {
+				if r := c.ask(1, Request{Expect: number, RequestID: "next", Data: data}); r.Code != codes.OK {
 					b.Fatal(r)
 				}
 			}
@@ -133,7 +133,7 @@
 		c.believe(by, 1)
 	}
 	for n := range 20 {
-		c.want(t, "a change", 1, Request{Expect: units.Num(n), RequestID: fmt.Sprint(n)}, synop.OK, units.Num(n)+1)
+		c.want(t, "a change", 1, Request{Expect: units.Num(n), RequestID: fmt.Sprint(n)}, codes.OK, units.Num(n)+1)
 	}
 	c.replicas[3].states["config"] = &State{}
 	c.deliver(1, c.replicas[1].Resend(3, "config"))
@@ -143,5 +143,5 @@
 	delete(c.replicas, 2) // 3 is needed for a majority, and owns the key
 	c.believe(1, 3)
 	c.believe(3, 3)
-	c.want(t, "the first again", 1, Request{Expect: 0, RequestID: "0"}, synop.OK, 1)
+	c.want(t, "the first again", 1, Request{Expect: 0, RequestID: "0"}, codes.OK, 1)
 }
--- a/internal/control/register/owner.go
+++ b/internal/control/register/owner.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 )
 
@@ -45,7 +45,7 @@
 	case none:
 		if o.by != nil {
 			// The write may or may not stand; a resend of the plan finds out.
-			b.reply(*o.by, synop.Unsure, 0, nil, out)
+			b.reply(*o.by, codes.Unsure, 0, nil, out)
 			o.by = nil
 		}
 		b.highestEpoch = max(b.highestEpoch, b.state(o.key).Promised.N) + 1
@@ -169,7 +169,7 @@
 		o.phase = holding
 		if a := o.asks[0]; !a.Write {
 			o.asks = o.asks[1:]
-			b.reply(a, synop.OK, o.best.Num, Data(o.best.Body), out)
+			b.reply(a, codes.OK, o.best.Num, Data(o.best.Body), out)
 		} // a write that only asked whether the key is still ours goes on
 		b.push(now, o, out)
 	}
@@ -195,7 +195,7 @@
 		b.Chosen = append(b.Chosen, ChosenValue{Key: o.key, Num: o.best.Num, Data: Data(o.best.Body)})
 	}
 	if a != nil {
-		b.reply(*a, synop.OK, o.best.Num, nil, out)
+		b.reply(*a, codes.OK, o.best.Num, nil, out)
 	}
 	if o.phase == holding {
 		b.serve(now, o, out)
--- a/internal/control/register/replica.go
+++ b/internal/control/register/replica.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 )
 
@@ -149,10 +149,10 @@
 	for _, o := range b.sorted() {
 		if b.Owner(o.key) != b.self {
 			if o.by != nil {
-				b.reply(*o.by, synop.Unsure, 0, nil, &out)
+				b.reply(*o.by, codes.Unsure, 0, nil, &out)
 			}
 			for _, a := range o.asks {
-				b.reply(a, synop.Unsure, 0, nil, &out)
+				b.reply(a, codes.Unsure, 0, nil, &out)
 			}
 			delete(b.owned, o.key)
 			continue
@@ -203,12 +203,12 @@
 	}
 	a.RequestID = string(plan)
 	if b.Owner(key) != b.self {
-		b.reply(a, synop.NoMajority, 0, nil, out)
+		b.reply(a, codes.NoMajority, 0, nil, out)
 		return
 	}
 	o := b.own(key)
 	if len(o.asks) >= 256 {
-		b.reply(a, synop.NoMajority, 0, nil, out)
+		b.reply(a, codes.NoMajority, 0, nil, out)
 		return
 	}
 	o.asks = append(o.asks, a)
@@ -217,6 +217,6 @@
 	}
 }
 
-func (b *Replica) reply(a Request, c synop.Code, num units.Num, data []byte, out *message.Effects) {
+func (b *Replica) reply(a Request, c codes.Code, num units.Num, data []byte, out *message.Effects) {
 	out.Send(a.From, Reply, b.pack(head{Tag: a.Tag, Code: uint16(c), Num: uint64(num)}, a.Key, data))
 }
--- a/internal/control/register/request.go
+++ b/internal/control/register/request.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 )
 
@@ -23,11 +23,11 @@
 const AnswerTimeout = 900 * time.Millisecond
 
 // TimeoutCode is what a request is answered with when its time is up: a read has no effect, a write may still have one.
-func (a Request) TimeoutCode() synop.Code {
+func (a Request) TimeoutCode() codes.Code {
 	if a.Write {
-		return synop.Unsure
+		return codes.Unsure
 	}
-	return synop.NoMajority
+	return codes.NoMajority
 }
 
 // Submit forwards a request to the owner that this node sees for its key. The Result is appended to Results; without a
@@ -36,7 +36,7 @@
 	a.From = b.self
 	to := b.Owner(a.Key)
 	if b.quorum.Version == 0 || to == 0 {
-		b.result(now, Result{Tag: a.Tag, Code: synop.NoMajority}, &out)
+		b.result(now, Result{Tag: a.Tag, Code: codes.NoMajority}, &out)
 		return out
 	}
 	w := &pendingRequest{Request: a, to: to, at: now}
@@ -79,8 +79,8 @@
 	if w == nil || w.Key != key {
 		return
 	}
-	code := synop.Code(h.Code)
-	if (code == synop.Unsure || code == synop.NoMajority) && b.again(h.Tag) {
+	code := codes.Code(h.Code)
+	if (code == codes.Unsure || code == codes.NoMajority) && b.again(h.Tag) {
 		return
 	}
 	delete(b.requests, h.Tag)
--- a/internal/control/register/serve.go
+++ b/internal/control/register/serve.go
@@ -2,7 +2,7 @@
 
 import (
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 )
 
@@ -19,9 +19,9 @@
 }
 
 // settled answers a write that is not to be made: it was made before, or can't be made any more.
-func (a *Request) settled(newest units.Num, outcomes Outcomes) (synop.Code, units.Num, bool) {
+func (a *Request) settled(newest units.Num, outcomes Outcomes) (codes.Code, units.Num, bool) {
 	if num, known := outcomes.find(fingerprintOf(a.RequestID), newest); known {
-		return synop.OK, num, true
+		return codes.OK, num, true
 	}
 	if a.Lookup || a.Expect != AnyNumber && a.Expect != newest {
 		return outcomes.absent(a.Expect+1, newest), newest, true
--- a/internal/control/register/stale_disk_test.go
+++ b/internal/control/register/stale_disk_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 )
 
@@ -89,7 +89,7 @@
 func (g *trio) write(t *testing.T, at units.Node, n int) {
 	t.Helper()
 	r, ok := g.ask(at, Request{Write: true, Expect: units.Num(n - 1), RequestID: fmt.Sprint("plan", n), Data: fmt.Append(nil, "value ", n)})
-	if !ok || r.Code != synop.OK || r.Num != units.Num(n) {
+	if !ok || r.Code != codes.OK || r.Num != units.Num(n) {
 		t.Fatalf("change %d: %+v", n, r)
 	}
 }
@@ -142,9 +142,9 @@
 		Request
 		want Result
 	}{
-		{Request{}, Result{Code: synop.OK, Num: 1000, Data: []byte("value 1000")}},
-		{Request{Write: true, Expect: 10, RequestID: "x", Data: []byte("x")}, Result{Code: synop.Conflict, Num: 1000}},
-		{Request{Write: true, Expect: 1000, RequestID: "y", Data: []byte("y")}, Result{Code: synop.OK, Num: 1001}},
+		{Request{}, Result{Code: codes.OK, Num: 1000, Data: []byte("value 1000")}},
+		{Request{Write: true, Expect: 10, RequestID: "x", Data: []byte("x")}, Result{Code: codes.Conflict, Num: 1000}},
+		{Request{Write: true, Expect: 1000, RequestID: "y", Data: []byte("y")}, Result{Code: codes.OK, Num: 1001}},
 	} {
 		g := stale(t)
 		g.cut = map[units.Node]bool{3: true}
--- a/internal/hollow/load.go
+++ b/internal/hollow/load.go
@@ -7,10 +7,10 @@
 
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/config"
 	"seamshunt/internal/router/admission"
 	"seamshunt/internal/router/idempotency"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -31,9 +31,9 @@
 	traffic   bool
 	claims    bool
 	Polls     int
-	Done      map[synop.Code]int // operators' changes by their outcome
-	Verdicts  map[synop.Code]int
-	Claimed   map[synop.Code]int
+	Done      map[codes.Code]int // operators' changes by their outcome
+	Verdicts  map[codes.Code]int
+	Claimed   map[codes.Code]int
 	asked     map[units.Num]units.Time
 	taken     map[units.Num]int
 	Force     time.Duration // the longest from an operator's change to its being in force on the last router
@@ -42,7 +42,7 @@
 }
 
 func newLoad(s Shape) *load {
-	l := &load{pool: map[string][]int{}, Done: map[synop.Code]int{}, Verdicts: map[synop.Code]int{}, Claimed: map[synop.Code]int{},
+	l := &load{pool: map[string][]int{}, Done: map[codes.Code]int{}, Verdicts: map[codes.Code]int{}, Claimed: map[codes.Code]int{},
 		asked: map[units.Num]units.Time{}, taken: map[units.Num]int{}}
 	for i := range s.Models {
 		l.poolNames = append(l.poolNames, fmt.Sprintf("pool%02d", i))
@@ -144,7 +144,7 @@
 	w, life := v.n.w, v.n.life
 	for _, x := range v.queue.Verdicts {
 		w.Verdicts[x.Code]++
-		if x.Code != synop.OK {
+		if x.Code != codes.OK {
 			continue
 		}
 		run := min(time.Duration(w.rng.ExpFloat64()*float64(meanRun)), deadline-time.Second)
--- a/internal/rig/simulator/cut_off_controller_test.go
+++ b/internal/rig/simulator/cut_off_controller_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -59,9 +59,9 @@
 			return
 		case r.Now.Sub(sent) > time.Second:
 			r.fault("the cut controller answered after %v", r.Now.Sub(sent))
-		case x.Code == synop.OK && !r.passes && r.Now < until:
+		case x.Code == codes.OK && !r.passes && r.Now < until:
 			r.fault("the cut controller acknowledged %+v with %+v", a, x)
-		case x.Code != synop.OK && x.Code != synop.Unsure && x.Code != synop.NoMajority && !r.passes && r.Now < until:
+		case x.Code != codes.OK && x.Code != codes.Unsure && x.Code != codes.NoMajority && !r.passes && r.Now < until:
 			r.fault("the cut controller refused %+v with %+v", a, x)
 		}
 		r.calls[fmt.Sprint("cut off: ", x.Code)]++
@@ -93,12 +93,12 @@
 			took := r.Now.Sub(began)
 			r.longAt = max(r.longAt, took)
 			switch x.Code {
-			case synop.OK:
+			case codes.OK:
 				if took > ackLimit {
 					r.fault("an order at the others was acknowledged after %v", took)
 				}
 				r.After(200*time.Millisecond, func() { r.atOthers(until) })
-			case synop.Conflict: // another's change came first: a new order on it
+			case codes.Conflict: // another's change came first: a new order on it
 				base, began = x.Num, r.Now
 				r.serial++
 				id = fmt.Sprint("others", r.serial)
@@ -156,7 +156,7 @@
 	r.Run(end)
 	back, ok := r.until(touchLimit, func() bool {
 		done := false
-		r.order(r.cores[r.cut], register.Request{Key: "config"}, func(x register.Result) { done = x.Code == synop.OK })
+		r.order(r.cores[r.cut], register.Request{Key: "config"}, func(x register.Result) { done = x.Code == codes.OK })
 		r.Run(r.Now.Add(callPause))
 		return done
 	})
--- a/internal/rig/simulator/edge.go
+++ b/internal/rig/simulator/edge.go
@@ -9,13 +9,13 @@
 	"seamshunt/internal/cluster/discovery"
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/config"
 	"seamshunt/internal/control/register"
 	"seamshunt/internal/router/admission"
 	"seamshunt/internal/router/capacity"
 	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/router/placement"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -35,7 +35,7 @@
 	ledger   *capacity.Ledger
 	watch    *capacity.Watch
 	claimant *idempotency.Claimant
-	claims   map[uint64]func(synop.Code, bool)
+	claims   map[uint64]func(codes.Code, bool)
 	placer   placement.Placer
 	peers    []capacity.Peer
 	began    units.Time
@@ -49,7 +49,7 @@
 	return s.Add(addr, zone, nil, func(h *Host) *Proc {
 		self := units.Node(s.Rng.Uint64() | 1)
 		e := &Edge{common: s.common(h, self, membership.Router, seeds), H: h, Pools: map[string][]config.Worker{}, Out: map[string]bool{},
-			sky: discovery.New(), queue: admission.New(self), ledger: capacity.New(self), watch: capacity.NewWatch(), claimant: idempotency.New(self, s.Now), claims: map[uint64]func(synop.Code, bool){}, began: s.Now,
+			sky: discovery.New(), queue: admission.New(self), ledger: capacity.New(self), watch: capacity.NewWatch(), claimant: idempotency.New(self, s.Now), claims: map[uint64]func(codes.Code, bool){}, began: s.Now,
 			verdict: map[uint64]func(admission.Verdict){}, tag: s.Rng.Uint64() >> 8}
 		e.Proc = &Proc{Self: self, Step: e.step, Tick: e.tick, Woke: func(now units.Time) {
 			e.unready()
--- a/internal/rig/simulator/grow_loss_test.go
+++ b/internal/rig/simulator/grow_loss_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -142,7 +142,7 @@
 					text := configText(round)
 					num := units.Num(0)
 					w.change("config", text, func(o *Op) {
-						if o.Code != synop.OK {
+						if o.Code != codes.OK {
 							return
 						}
 						num = o.Num
@@ -197,7 +197,7 @@
 			w.Run(w.Now.Add(10 * time.Second))
 			ok := 0
 			for _, o := range w.History[len(w.History)-2:] {
-				if o.Code == synop.OK {
+				if o.Code == codes.OK {
 					ok++
 				}
 			}
--- a/internal/rig/simulator/grow_power_test.go
+++ b/internal/rig/simulator/grow_power_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -37,7 +37,7 @@
 		var got *Op
 		w.Call(register.Request{Key: "zone/" + zone}, func(o *Op) { got = o })
 		w.Run(w.Now.Add(time.Second))
-		if got != nil && got.Code == synop.OK {
+		if got != nil && got.Code == codes.OK {
 			return got.Data, true
 		}
 	}
@@ -70,7 +70,7 @@
 				for round := 1; round <= 4; round++ {
 					next, nextNum := configText(round), units.Num(0)
 					w.change("config", next, func(o *Op) {
-						if o.Code == synop.OK {
+						if o.Code == codes.OK {
 							nextNum = o.Num
 						}
 					})
--- a/internal/rig/simulator/grow_test.go
+++ b/internal/rig/simulator/grow_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -62,7 +62,7 @@
 	t.Helper()
 	text = configText(n)
 	w.change("config", text, func(o *Op) {
-		if o.Code == synop.OK {
+		if o.Code == codes.OK {
 			num = o.Num
 		}
 	})
@@ -85,7 +85,7 @@
 	var got *Op
 	for range 12 {
 		w.Call(register.Request{Key: "config"}, func(o *Op) { got = o })
-		if w.Run(w.Now.Add(time.Second)); got != nil && got.Code == synop.OK {
+		if w.Run(w.Now.Add(time.Second)); got != nil && got.Code == codes.OK {
 			return got
 		}
 	}
--- a/internal/rig/simulator/history.go
+++ b/internal/rig/simulator/history.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/units"
 )
 
@@ -14,7 +14,7 @@
 	var bad []string
 	by := map[string][]Op{}
 	for _, o := range h {
-		if o.To != 0 && o.Code == synop.OK {
+		if o.To != 0 && o.Code == codes.OK {
 			by[o.Key] = append(by[o.Key], o)
 		}
 	}
--- a/internal/rig/simulator/linearizable_test.go
+++ b/internal/rig/simulator/linearizable_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/rig/linearizability"
-	"seamshunt/internal/synop"
 )
 
 // linearizable checks the operators' calls of a world, key by key, beside Linear: also that each refusal had its cause, and
@@ -20,11 +20,11 @@
 			c.Kind, c.Builds, c.Position = linearizability.Write, uint64(o.Expect), uint64(o.Expect)+1
 		}
 		switch {
-		case o.To != 0 && o.Code == synop.OK && o.Write && o.Num != o.Expect+1:
+		case o.To != 0 && o.Code == codes.OK && o.Write && o.Num != o.Expect+1:
 			bad = append(bad, fmt.Sprintf("%s: a write on %d got number %d", o.Key, o.Expect, o.Num))
-		case o.To != 0 && o.Code == synop.OK:
+		case o.To != 0 && o.Code == codes.OK:
 			c.Outcome = linearizability.Done
-		case o.To != 0 && o.Code == synop.Conflict:
+		case o.To != 0 && o.Code == codes.Conflict:
 			c.Outcome = linearizability.Refused
 		}
 		calls[o.Key] = append(calls[o.Key], c)
--- a/internal/rig/simulator/load.go
+++ b/internal/rig/simulator/load.go
@@ -5,11 +5,11 @@
 	"strings"
 	"time"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/router/admission"
 	"seamshunt/internal/router/capacity"
 	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/router/placement"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -90,20 +90,20 @@
 	token := e.tag<<8 ^ uint64(e.Self)
 	until := w.Now.Add(4 * time.Second)
 	holders := idempotency.Holders(e.gossip.All(), key)
-	e.claims[token] = func(c synop.Code, kept bool) {
-		if w.Figures.Claims++; c == synop.NoClaim {
+	e.claims[token] = func(c codes.Code, kept bool) {
+		if w.Figures.Claims++; c == codes.NoClaim {
 			w.Figures.NoClaims++
 		}
-		if c == synop.OK && !kept {
+		if c == codes.OK && !kept {
 			if _, ok := w.weak[key]; !ok { // the first copy's claim is the one that may be forgotten
 				w.weak[key] = w.Now
 			}
 			w.Figures.Weak++
 		}
 		switch {
-		case c == synop.OK && w.Now < until:
+		case c == codes.OK && w.Now < until:
 			w.admit(e, until, w.topic(), key)
-		case c == synop.OK || c == synop.Burned:
+		case c == codes.OK || c == codes.Burned:
 			w.notRun(e, key)
 		}
 	}
@@ -151,7 +151,7 @@
 }
 
 func (w *World) verdict(e *Edge, tag uint64, until units.Time, key string, v admission.Verdict) {
-	if v.Code != synop.OK {
+	if v.Code != codes.OK {
 		w.notRun(e, key)
 		return
 	}
--- a/internal/rig/simulator/old_quorum_test.go
+++ b/internal/rig/simulator/old_quorum_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -50,7 +50,7 @@
 	request := register.Request{Key: "config", Write: true, Expect: base, RequestID: "next", Data: []byte(configText(1))}
 	acked := func() bool {
 		q.callAt(q.cores[q.coreH[2]], request, func(o *Op) {
-			if o.Code == synop.OK {
+			if o.Code == codes.OK {
 				num = o.Num
 			}
 		})
--- a/internal/rig/simulator/operators.go
+++ b/internal/rig/simulator/operators.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -16,7 +16,7 @@
 	Write    bool
 	From, To units.Time // To is zero while it is open
 	Expect   units.Num
-	Code     synop.Code
+	Code     codes.Code
 	Num      units.Num
 	Data     string
 	at       string
@@ -62,10 +62,10 @@
 	c.Submit(w.Sim, a, func(r register.Result) {
 		o := &w.History[i]
 		o.To, o.Code, o.Num = w.Now, r.Code, r.Num
-		if !a.Write && r.Code == synop.OK {
+		if !a.Write && r.Code == codes.OK {
 			o.Data = string(r.Data)
 		}
-		if a.Write && r.Code == synop.OK && a.Key == "config" {
+		if a.Write && r.Code == codes.OK && a.Key == "config" {
 			w.acked = append(w.acked, ackedConfig{r.Num, w.Now, string(a.Data)})
 		}
 		if done != nil {
@@ -77,7 +77,7 @@
 // change reads a key and writes on the number found.
 func (w *World) change(key, data string, done func(*Op)) {
 	w.Call(register.Request{Key: key}, func(o *Op) {
-		if o.Code != synop.OK {
+		if o.Code != codes.OK {
 			return
 		}
 		w.Call(register.Request{Key: key, Write: true, Expect: o.Num, RequestID: fmt.Sprintf("p%d", w.Rng.Uint64()), Data: []byte(data)}, done)
@@ -101,7 +101,7 @@
 	}
 	w.evac[zone] = 0
 	w.change("zone/"+zone, fmt.Sprintf(`{"evacuated":%v}`, on), func(o *Op) {
-		if o.Code == synop.OK && on {
+		if o.Code == codes.OK && on {
 			w.evac[zone], w.lateZ[zone] = w.Now, 0
 		} else if !on {
 			delete(w.evac, zone)
--- a/internal/rig/simulator/orders_core_test.go
+++ b/internal/rig/simulator/orders_core_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -33,7 +33,7 @@
 		acked := map[units.Num]byte{}
 		for _, x := range []units.Node{1, 2} {
 			for _, r := range m[x].Results {
-				if r.Code == synop.OK {
+				if r.Code == codes.OK {
 					if o, ok := acked[r.Num]; ok {
 						t.Fatalf("number %d was acknowledged to %d and %d", r.Num, o, x)
 					}
@@ -49,7 +49,7 @@
 			b.put(3, m[3].Tick(b.now))
 			b.run(func(int) int { return 0 }, func() {})
 		}
-		if len(m[3].Results) != 1 || m[3].Results[0].Code != synop.OK {
+		if len(m[3].Results) != 1 || m[3].Results[0].Code != codes.OK {
 			t.Fatalf("the third owner reads %v", m[3].Results)
 		}
 		r := m[3].Results[0]
@@ -167,7 +167,7 @@
 	}
 	two := false
 	for _, r := range m[1].Results {
-		two = two || r.Tag == 2 && r.Code == synop.OK
+		two = two || r.Tag == 2 && r.Code == codes.OK
 	}
 	if two {
 		acked.Add(1)
@@ -182,7 +182,7 @@
 	m[owner].Results = nil
 	b.put(owner, m[owner].Submit(b.now, register.Request{Tag: 3, Key: "k"}))
 	quiet(21500, 3, owner)
-	if len(m[owner].Results) != 1 || m[owner].Results[0].Code != synop.OK {
+	if len(m[owner].Results) != 1 || m[owner].Results[0].Code != codes.OK {
 		t.Fatalf("owner %d of set %v reads %v", owner, m[owner].Quorum(), m[owner].Results)
 	}
 	if got := string(m[owner].Results[0].Data); two && got != "two" || got != "one" && got != "two" {
--- a/internal/rig/simulator/orders_roll_test.go
+++ b/internal/rig/simulator/orders_roll_test.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
 	"seamshunt/internal/router/idempotency"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -61,7 +61,7 @@
 		count := func(m map[units.Node]*idempotency.Claimant) (k int) {
 			for _, x := range m {
 				for _, r := range x.Results {
-					if r.Code == synop.OK {
+					if r.Code == codes.OK {
 						if k++; !r.Kept {
 							t.Fatal("granted without the disks, which all answer")
 						}
--- a/internal/rig/simulator/orders_test.go
+++ b/internal/rig/simulator/orders_test.go
@@ -7,11 +7,11 @@
 
 	"seamshunt/internal/cluster/configpush"
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/lease"
 	"seamshunt/internal/router/admission"
 	"seamshunt/internal/router/capacity"
 	"seamshunt/internal/router/idempotency"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -98,7 +98,7 @@
 		k := 0
 		for _, x := range m {
 			for _, r := range x.Results {
-				if r.Code == synop.OK {
+				if r.Code == codes.OK {
 					k++
 				}
 			}
--- a/internal/rig/simulator/play.go
+++ b/internal/rig/simulator/play.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
 	"seamshunt/internal/router/admission"
 	"seamshunt/internal/router/capacity"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -54,7 +54,7 @@
 			continue
 		}
 		w.callAt(w.cores[h], register.Request{Key: "config"}, func(o *Op) { last = o })
-		if w.Run(w.Now.Add(6 * time.Second)); last != nil && last.Code == synop.OK {
+		if w.Run(w.Now.Add(6 * time.Second)); last != nil && last.Code == codes.OK {
 			break
 		}
 	}
@@ -65,7 +65,7 @@
 		}
 	}
 	switch {
-	case last == nil || last.Code != synop.OK:
+	case last == nil || last.Code != codes.OK:
 		w.fault("the configuration can't be read back")
 	case last.Num < newest.num || last.Num == newest.num && last.Data != newest.data:
 		w.fault("read back number %d, acknowledged %d", last.Num, newest.num)
@@ -157,7 +157,7 @@
 	w.Run(w.Now.Add(25 * time.Second)) // whatever ran has ended, whatever was waited out is over
 	for _, h := range w.edgeH {
 		e := w.edges[h]
-		tags, got := map[string]uint64{}, map[string]synop.Code{}
+		tags, got := map[string]uint64{}, map[string]codes.Code{}
 		for _, l := range w.listed {
 			if !e.Ready || l.Leaving || e.Out[l.Zone] || !w.workers[l.ID].up {
 				continue
@@ -174,7 +174,7 @@
 		w.Run(w.Now.Add(600 * time.Millisecond))
 		for _, name := range message.Keys(tags) {
 			w.Inject(h, func(now units.Time) message.Effects { return e.queue.Done(now, tags[name], false) })
-			if got[name] != synop.OK {
+			if got[name] != codes.OK {
 				w.fault("%s gets no slot of %s: %d", h.Addr, name, got[name])
 			}
 		}
--- a/internal/rig/simulator/replace_member_test.go
+++ b/internal/rig/simulator/replace_member_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -75,7 +75,7 @@
 	t.Helper()
 	text, num := configText(number), units.Num(0)
 	w.change("config", text, func(o *Op) {
-		if o.Code != synop.OK {
+		if o.Code != codes.OK {
 			return
 		}
 		num = o.Num
@@ -220,14 +220,14 @@
 		w.After(time.Second, send)
 		if !read {
 			w.Call(register.Request{Key: "config"}, func(o *Op) {
-				if o.Code == synop.OK && !read {
+				if o.Code == codes.OK && !read {
 					read, write.Expect = true, o.Num
 				}
 			})
 			return
 		}
 		w.Call(write, func(o *Op) {
-			if o.Code == synop.OK {
+			if o.Code == codes.OK {
 				num = o.Num
 			}
 		})
--- a/internal/rig/simulator/resend_test.go
+++ b/internal/rig/simulator/resend_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
 	"seamshunt/internal/rig/linearizability"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -24,7 +24,7 @@
 	heard   register.Result
 }
 
-func isClear(code synop.Code) bool { return code == synop.OK || code == synop.Conflict }
+func isClear(code codes.Code) bool { return code == codes.OK || code == codes.Conflict }
 
 // operators are clients that send an order again, to any machine, until a clear answer comes through.
 type operators struct {
@@ -39,7 +39,7 @@
 func (p *operators) read(then func(units.Num)) {
 	from, w := p.w.Now, p.w
 	w.Call(register.Request{Key: "config"}, func(o *Op) {
-		if o.Code != synop.OK {
+		if o.Code != codes.OK {
 			w.After(200*time.Millisecond, func() { p.read(then) })
 			return
 		}
@@ -90,11 +90,11 @@
 		refused := false
 		for _, r := range x.answers {
 			switch {
-			case r.Code == synop.Conflict:
+			case r.Code == codes.Conflict:
 				refused = true
-			case r.Code == synop.OK && (r.Num != x.request.Expect+1 || got != 0 && r.Num != got):
+			case r.Code == codes.OK && (r.Num != x.request.Expect+1 || got != 0 && r.Num != got):
 				bad = append(bad, fmt.Sprintf("order %d on %d got number %d and %d", i, x.request.Expect, got, r.Num))
-			case r.Code == synop.OK:
+			case r.Code == codes.OK:
 				got = r.Num
 			}
 		}
@@ -119,9 +119,9 @@
 		c := linearizability.Call{Kind: linearizability.Write, From: int64(x.from), To: int64(x.to), Builds: uint64(x.request.Expect),
 			Position: uint64(x.request.Expect) + 1, Data: string(x.request.Data)}
 		switch x.heard.Code {
-		case synop.OK:
+		case codes.OK:
 			c.Outcome = linearizability.Done
-		case synop.Conflict:
+		case codes.Conflict:
 			c.Outcome = linearizability.Refused
 		}
 		calls = append(calls, c)
@@ -215,7 +215,7 @@
 		for _, x := range p.orders {
 			took := 0
 			for _, r := range x.answers {
-				if r.Code == synop.OK {
+				if r.Code == codes.OK {
 					took++
 				}
 			}
--- a/internal/router/admission/queue.go
+++ b/internal/router/admission/queue.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/router/capacity"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -32,7 +32,7 @@
 type Verdict struct {
 	Tag    uint64
 	Worker string // set when it goes in
-	Code   synop.Code
+	Code   codes.Code
 	Due    time.Duration // when refused: how long the shortest waitlist seen would take
 }
 
@@ -70,7 +70,7 @@
 // open lets everything in at the first worker.
 func (h *Queue) open(now units.Time, r *Request, out *message.Effects) {
 	if len(r.Cands) == 0 {
-		h.shed(r, synop.NoWorker)
+		h.shed(r, codes.NoWorker)
 		return
 	}
 	r.worker = r.Cands[0]
@@ -111,7 +111,7 @@
 	r.opts = append(r.opts[:best:best], r.opts[best+1:]...)
 	if now.Add(o.due+r.First) > r.Until {
 		r.why = capacity.Late
-		h.shed(r, synop.WaitLate)
+		h.shed(r, codes.WaitLate)
 		return
 	}
 	r.tried++
@@ -120,14 +120,14 @@
 	h.ask(now, r, true, out)
 }
 
-func why(reason uint8) synop.Code {
+func why(reason uint8) codes.Code {
 	switch reason {
 	case capacity.Full, capacity.Busy:
-		return synop.WaitFull
+		return codes.WaitFull
 	case capacity.Late:
-		return synop.WaitLate
+		return codes.WaitLate
 	}
-	return synop.NoWorker
+	return codes.NoWorker
 }
 
 func (h *Queue) ask(now units.Time, r *Request, wait bool, out *message.Effects) {
@@ -153,10 +153,10 @@
 	r.stage = held
 	h.Flight[r.worker]++
 	h.sent[r.worker] = append(h.lately(now, r.worker), now)
-	h.Verdicts = append(h.Verdicts, Verdict{Tag: r.Tag, Worker: r.worker, Code: synop.OK})
+	h.Verdicts = append(h.Verdicts, Verdict{Tag: r.Tag, Worker: r.worker, Code: codes.OK})
 }
 
-func (h *Queue) shed(r *Request, c synop.Code) {
+func (h *Queue) shed(r *Request, c codes.Code) {
 	delete(h.reqs, r.Tag)
 	h.Verdicts = append(h.Verdicts, Verdict{Tag: r.Tag, Code: c, Due: r.due})
 }
--- a/internal/router/admission/step.go
+++ b/internal/router/admission/step.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/router/capacity"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -24,7 +24,7 @@
 			switch {
 			case now.Add(r.First) > r.Until:
 				h.drop(r, &out)
-				h.shed(r, synop.WaitLate)
+				h.shed(r, codes.WaitLate)
 			case now.Sub(r.heard) >= lostAt:
 				h.drop(r, &out)
 				h.refused(now, r, capacity.Silent, 0, &out)
@@ -147,7 +147,7 @@
 	}
 	if now.Add(r.First) > r.Until {
 		out.Send(from, capacity.Return, back)
-		h.shed(r, synop.WaitLate)
+		h.shed(r, codes.WaitLate)
 		return
 	}
 	h.enter(now, r)
--- a/internal/router/cancel.go
+++ b/internal/router/cancel.go
@@ -3,20 +3,20 @@
 import (
 	"errors"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/router/clientwatch"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
 // cancelledAs looks whether a request is cancelled, and gives the code of the reason; 0 while somebody waits for it.
-func cancelledAs(client *clientwatch.Request) synop.Code {
+func cancelledAs(client *clientwatch.Request) codes.Code {
 	switch err := client.Look(); {
 	case err == nil:
 		return 0
 	case errors.Is(err, clientwatch.ErrRouterEnds):
-		return synop.Draining
+		return codes.Draining
 	default:
-		return synop.HungUp
+		return codes.HungUp
 	}
 }
 
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -5,8 +5,8 @@
 
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/router/idempotency"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -54,7 +54,7 @@
 	v := w.v
 	key := w.m.Name + "/" + w.key
 	token := v.tag.Add(1)<<8 ^ uint64(v.Self)
-	c := make(chan synop.Code, 1)
+	c := make(chan codes.Code, 1)
 	holders := idempotency.Holders(v.Members(), key)
 	v.screened(func() message.Effects {
 		v.claims[token] = c
@@ -62,7 +62,7 @@
 	})
 	select {
 	case code := <-c:
-		if code == synop.OK {
+		if code == codes.OK {
 			w.claimed, w.holders = key, holders
 		}
 		return w.claimedAs(code)
@@ -76,13 +76,13 @@
 	}
 }
 
-func (w *way) claimedAs(c synop.Code) bool {
+func (w *way) claimedAs(c codes.Code) bool {
 	switch c {
-	case synop.OK:
+	case codes.OK:
 		return false
-	case synop.Claimed:
+	case codes.Claimed:
 		w.v.refuse(w.ctx, c, "the key is claimed already: its request ran, or may run", false, 0)
-	case synop.Burned:
+	case codes.Burned:
 		w.v.refuse(w.ctx, c, "the key's request was said not to run, and it never will: take a new key", true, 0)
 	default:
 		w.v.refuse(w.ctx, c, "the key could not be claimed: a copy of the request may run elsewhere", false, time.Second)
--- a/internal/router/door_test.go
+++ b/internal/router/door_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/weatherglass"
 )
 
@@ -19,19 +19,19 @@
 	for _, x := range []struct {
 		name, path, head, body string
 		status                 int
-		code                   synop.Code
+		code                   codes.Code
 	}{
-		{"no time left", "/chat", "", prompt, 400, synop.NoTimeLeft},
-		{"time left no number", "/chat", "Time-Left-Ms: soon\r\n", prompt, 400, synop.BadTimeLeft},
-		{"time left zero", "/chat", "Time-Left-Ms: 0\r\n", prompt, 400, synop.BadTimeLeft},
-		{"time left negative", "/chat", "Time-Left-Ms: -5\r\n", prompt, 400, synop.BadTimeLeft},
-		{"no mapping", "/other", left, prompt, 404, synop.NoMapping},
-		{"no JSON", "/chat", left, "{", 400, synop.BadBody},
-		{"no prompt", "/chat", left, "{}", 400, synop.BadBody},
-		{"prompt no text", "/chat", left, `{"prompt":7}`, 400, synop.BadBody},
-		{"prompt empty", "/chat", left, `{"prompt":""}`, 400, synop.BadBody},
-		{"long key", "/notice", left + "Idempotency-Key: " + strings.Repeat("k", 201) + "\r\n", prompt, 400, synop.BadKey},
-		{"too late", "/chat", "Time-Left-Ms: 10\r\n", prompt, 503, synop.OutOfTime},
+		{"no time left", "/chat", "", prompt, 400, codes.NoTimeLeft},
+		{"time left no number", "/chat", "Time-Left-Ms: soon\r\n", prompt, 400, codes.BadTimeLeft},
+		{"time left zero", "/chat", "Time-Left-Ms: 0\r\n", prompt, 400, codes.BadTimeLeft},
+		{"time left negative", "/chat", "Time-Left-Ms: -5\r\n", prompt, 400, codes.BadTimeLeft},
+		{"no mapping", "/other", left, prompt, 404, codes.NoMapping},
+		{"no JSON", "/chat", left, "{", 400, codes.BadBody},
+		{"no prompt", "/chat", left, "{}", 400, codes.BadBody},
+		{"prompt no text", "/chat", left, `{"prompt":7}`, 400, codes.BadBody},
+		{"prompt empty", "/chat", left, `{"prompt":""}`, 400, codes.BadBody},
+		{"long key", "/notice", left + "Idempotency-Key: " + strings.Repeat("k", 201) + "\r\n", prompt, 400, codes.BadKey},
+		{"too late", "/chat", "Time-Left-Ms: 10\r\n", prompt, 503, codes.OutOfTime},
 	} {
 		c := dial(t, v)
 		c.post(x.path, x.head, x.body)
@@ -157,7 +157,7 @@
 			})
 			v.stats.mu.Lock()
 			defer v.stats.mu.Unlock()
-			if n := v.stats.codes[synop.HungUp]; n != 1 {
+			if n := v.stats.codes[codes.HungUp]; n != 1 {
 				t.Errorf("%d hang-ups were noticed; the run ended for another reason", n)
 			}
 		})
--- a/internal/router/idempotency/claimant.go
+++ b/internal/router/idempotency/claimant.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -42,7 +42,7 @@
 	return out
 }
 
-func (s *Claimant) end(token uint64, c synop.Code, kept bool) {
+func (s *Claimant) end(token uint64, c codes.Code, kept bool) {
 	delete(s.pends, token)
 	s.Results = append(s.Results, Result{token, c, kept})
 }
@@ -65,7 +65,7 @@
 	if !kept {
 		s.late[token] = p
 	}
-	s.end(token, synop.OK, kept)
+	s.end(token, codes.OK, kept)
 }
 
 // tell lets the disks know of claims that were granted without them.
@@ -100,9 +100,9 @@
 	}
 	switch h.State {
 	case taken:
-		s.end(h.Token, synop.Claimed, false)
+		s.end(h.Token, codes.Claimed, false)
 	case burned:
-		s.end(h.Token, synop.Burned, false)
+		s.end(h.Token, codes.Burned, false)
 	case granted:
 		p.got[from] = true
 		if p.held == 0 && (register.QuorumSet{Members: p.holders}).Majority(p.got) {
--- a/internal/router/idempotency/claims.go
+++ b/internal/router/idempotency/claims.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -64,7 +64,7 @@
 // Result of a claim: OK, Claimed, Burned or NoClaim.
 type Result struct {
 	Token uint64
-	Code  synop.Code
+	Code  codes.Code
 	Kept  bool // on a majority of the core's disks too
 }
 
@@ -106,7 +106,7 @@
 		case p.held != 0:
 			s.settled(now, token, p)
 		case now.Sub(p.since) >= giveUp:
-			s.end(token, synop.NoClaim, false) // nothing is burned: another copy may hold the key and run
+			s.end(token, codes.NoClaim, false) // nothing is burned: another copy may hold the key and run
 		case now.Sub(p.sent) >= again:
 			s.ask(now, token, p, &out)
 		}
--- a/internal/router/idempotency/voters_test.go
+++ b/internal/router/idempotency/voters_test.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
 	"seamshunt/internal/router/idempotency"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -109,7 +109,7 @@
 		}
 		f.put(n, s.Tick(f.now, others, time.Hour))
 		for _, r := range s.Results {
-			if r.Code == synop.OK {
+			if r.Code == codes.OK {
 				f.granted++
 				f.kept = f.kept || r.Kept
 			}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -10,13 +11,13 @@
 
 	"github.com/valyala/fasthttp"
 
-	"seamshunt/internal/synop"
+	"seamshunt/internal/codes"
 )
 
 // stats counts results and hand-overs.
 type stats struct {
 	mu    sync.Mutex
-	codes map[synop.Code]uint64
+	codes map[codes.Code]uint64
 	hands map[string]uint64 // hand-overs by the worker's zone
 	cross uint64            // bytes of prompts handed over to another zone
 	left  [stages]uint64    // requests whose client left, by where they stood
@@ -37,18 +38,18 @@
 
 // clientLeft counts and logs a request whose client left while it stood at a stage, and how long it had stood there.
 func (v *Router) clientLeft(at stage, after time.Duration) {
-	v.stats.count(synop.HungUp)
+	v.stats.count(codes.HungUp)
 	v.stats.mu.Lock()
 	v.stats.left[at]++
 	v.stats.mu.Unlock()
 	v.Log.WithField("stage", at.String()).WithField("after", after).Info("a client left")
 }
 
-func (s *stats) count(c synop.Code) {
+func (s *stats) count(c codes.Code) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.codes == nil {
-		s.codes = map[synop.Code]uint64{}
+		s.codes = map[codes.Code]uint64{}
 	}
 	s.codes[c]++
 }
@@ -71,12 +72,7 @@
 	s := &v.stats
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var codes []synop.Code
-	for c := range s.codes {
-		codes = append(codes, c)
-	}
-	slices.Sort(codes)
-	for _, c := range codes {
+	for _, c := range slices.Sorted(maps.Keys(s.codes)) {
 		fmt.Fprintf(ctx, "seamshunt_results_total{code=\"%d\"} %d\n", c, s.codes[c])
 	}
 	for at := range stages {
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -9,10 +9,10 @@
 	"github.com/valyala/fasthttp"
 
 	"seamshunt/internal/adapter"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/config"
 	"seamshunt/internal/config/routing"
 	"seamshunt/internal/router/clientwatch"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -36,7 +36,7 @@
 	client *clientwatch.Request
 	at     stage  // where it stands
 	broke  string // the worker that broke off last
-	why    synop.Code
+	why    codes.Code
 	due    time.Duration
 	urge   uint8
 	reply  *reply // while a stream goes on
@@ -56,7 +56,7 @@
 		}
 	}()
 	if !proper(&ctx.Request.Header) {
-		w.end(synop.BadBody, 0)
+		w.end(codes.BadBody, 0)
 		ctx.SetConnectionClose()
 		return
 	}
@@ -68,7 +68,7 @@
 	}
 	w.rules = v.rules.Load()
 	if w.rules == nil || !v.ready.Load() {
-		w.end(synop.NotReady, 200*time.Millisecond)
+		w.end(codes.NotReady, 200*time.Millisecond)
 		return
 	}
 	path, host := ctx.Request.Header.RequestURI(), hostOf(ctx)
@@ -77,12 +77,12 @@
 	}
 	do, ok := w.rules.Program.Find(routing.Ask{Host: host, Path: string(path), Header: func(n string) string { return string(ctx.Request.Header.Peek(n)) }})
 	if !ok {
-		w.end(synop.NoMapping, 0)
+		w.end(codes.NoMapping, 0)
 		return
 	}
 	w.m = w.rules.Mappings[do[0].Mapping]
 	if over(ctx, w.rules.Limits) {
-		w.end(synop.TooLarge, 0)
+		w.end(codes.TooLarge, 0)
 		ctx.SetConnectionClose()
 		return
 	}
@@ -139,7 +139,7 @@
 		return false
 	}
 	w.v.tallies.count(w.m, func(t *tally) { t.refused++ })
-	w.end(synop.Draining, leaveBack)
+	w.end(codes.Draining, leaveBack)
 	return true
 }
 
@@ -173,9 +173,9 @@
 func (w *relay) refuse() {
 	c := w.why
 	if c == 0 {
-		c = synop.NoWorker
+		c = codes.NoWorker
 	}
-	if c == synop.HungUp {
+	if c == codes.HungUp {
 		w.ctx.SetConnectionClose()
 	} else {
 		w.v.tallies.count(w.m, func(t *tally) {
@@ -185,8 +185,8 @@
 	}
 	switch {
 	case w.ran:
-		w.end(synop.Unknown, 0)
-	case c == synop.HungUp:
+		w.end(codes.Unknown, 0)
+	case c == codes.HungUp:
 		w.end(c, 0)
 	default:
 		s := w.rules.Services[w.m.To[0]]
@@ -195,8 +195,8 @@
 }
 
 // end answers with a code of our own. A client is told when to come back only where the request did not run.
-func (w *relay) end(c synop.Code, after time.Duration) {
-	if c != synop.HungUp { // counted as the client left
+func (w *relay) end(c codes.Code, after time.Duration) {
+	if c != codes.HungUp { // counted as the client left
 		w.v.stats.count(c)
 	}
 	r := &w.ctx.Response
@@ -212,17 +212,17 @@
 	r.SetBodyString(`{"code":` + strconv.Itoa(int(c)) + `,"text":"` + reasonOf(c) + "\"}\n")
 }
 
-func reasonOf(c synop.Code) string {
+func reasonOf(c codes.Code) string {
 	switch c {
-	case synop.NoMapping:
+	case codes.NoMapping:
 		return "no mapping takes this request"
-	case synop.NotReady:
+	case codes.NotReady:
 		return "this node has no confirmed configuration yet"
-	case synop.Unknown:
+	case codes.Unknown:
 		return "the outcome is unknown: it may have run"
-	case synop.BadBody:
+	case codes.BadBody:
 		return "the request could not be read"
-	case synop.TooLarge:
+	case codes.TooLarge:
 		return "the request is over the limits"
 	}
 	return reasons[c]
--- a/internal/router/relay_try.go
+++ b/internal/router/relay_try.go
@@ -6,10 +6,10 @@
 
 	"github.com/valyala/fasthttp"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/config"
 	"seamshunt/internal/router/admission"
 	"seamshunt/internal/router/upstream"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -29,12 +29,12 @@
 	case w.sent == 0:
 		return true
 	case w.v.ending():
-		w.why = synop.Draining
+		w.why = codes.Draining
 		return false
 	case w.sent >= w.most() || w.ran && w.m.Once:
 		return false
 	case !w.v.budgetOf(service).Again(now, w.v.slack()):
-		w.why = synop.Budget
+		w.why = codes.Budget
 		return false
 	}
 	w.v.tallies.count(w.m, func(t *tally) { t.again++ })
@@ -50,19 +50,19 @@
 	for n := 0; n < triesMost+2; n++ { // what never left this node may look further as well
 		now := v.Crew.Now()
 		if w.until.Sub(now) < s.First {
-			w.why = synop.OutOfTime
+			w.why = codes.OutOfTime
 			return false
 		}
 		if !w.may(service, now) {
 			return false
 		}
 		x, tag := w.admit(now, s)
-		if x.Code == synop.NoWorker && w.sent == 0 && now.Sub(w.begun) < holdFor {
+		if x.Code == codes.NoWorker && w.sent == 0 && now.Sub(w.begun) < holdFor {
 			v.Crew.Wait(w.client, keeperGap) // the workers' keepers are changing: they answer in a moment (design 11)
 			n--
 			continue
 		}
-		if x.Code != synop.OK {
+		if x.Code != codes.OK {
 			w.why, w.due = x.Code, x.Due
 			return false
 		}
@@ -147,7 +147,7 @@
 	addr, zone, ok := v.address(name, s)
 	if !ok || !w.m.Reaches(s.Name) {
 		v.done(tag, false)
-		w.why = synop.NoWorker
+		w.why = codes.NoWorker
 		return nil
 	}
 	now := v.Crew.Now()
@@ -169,7 +169,7 @@
 			x.End()
 			v.done(tag, false)
 			v.passOver(name)
-			w.why = synop.WorkerNo
+			w.why = codes.WorkerNo
 			return nil
 		}
 		took := v.Crew.Now().Sub(now)
@@ -201,15 +201,15 @@
 		if x.Down {
 			v.passOver(name)
 		}
-		w.why = synop.NoWorker
+		w.why = codes.NoWorker
 		v.Log.WithError(x.Err).WithField("worker", name).Warn("no connection to a worker")
 	case x.Kind == upstream.NotRun || x.Kind == upstream.Moved:
 		v.done(tag, false)
 		v.passOver(name)
-		w.why = synop.WorkerNo
+		w.why = codes.WorkerNo
 	default:
 		w.ran = true
-		w.why = synop.Unknown
+		w.why = codes.Unknown
 		v.done(tag, !x.Down)
 		v.passOver(name)
 		v.Log.WithError(x.Err).WithField("worker", name).Warn("a try of unknown outcome")
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -5,8 +5,8 @@
 
 	"github.com/valyala/fasthttp"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/router/upstream"
-	"seamshunt/internal/synop"
 )
 
 // smallest answers are read whole before the first byte goes to the client: a broken one is then no success.
@@ -18,7 +18,7 @@
 	if c := e.Resp.StatusCode(); c == 408 || c == 421 || c == 429 || c == 503 {
 		e.End() // a refusal that does not say that it has not run promises what nobody knows
 		v.done(e.tag, false)
-		w.end(synop.Unknown, 0)
+		w.end(codes.Unknown, 0)
 		return
 	}
 	w.client.Answering()
@@ -40,7 +40,7 @@
 		if w.try(e.service.Name) { // which takes it from the budget
 			return
 		}
-		w.end(synop.Unknown, 0)
+		w.end(codes.Unknown, 0)
 		return
 	}
 	w.ctx.Response.SetBodyRaw(b)
@@ -151,7 +151,7 @@
 	if r.w.client.Err() != nil {
 		return // broken off here
 	}
-	v.stats.count(synop.BrokenStream)
+	v.stats.count(codes.BrokenStream)
 	v.passOver(r.worker)
 	v.Log.WithError(err).WithField("worker", r.worker).Warn("a stream broke")
 }
@@ -172,7 +172,7 @@
 			return false
 		}
 		x, tag := w.admit(now, r.service)
-		if x.Code != synop.OK {
+		if x.Code != codes.OK {
 			return false
 		}
 		e := w.handOver(tag, x.Worker, r.service)
@@ -214,7 +214,7 @@
 		}
 	}
 	if r.ended {
-		v.stats.count(synop.OK)
+		v.stats.count(codes.OK)
 		v.well(r.worker)
 	}
 	if w.reply == r {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,6 +13,7 @@
 	"seamshunt/internal/boot"
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/cluster/message"
+	"seamshunt/internal/codes"
 	"seamshunt/internal/crew"
 	"seamshunt/internal/listener"
 	"seamshunt/internal/router/admission"
@@ -21,7 +22,6 @@
 	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/router/placement"
 	"seamshunt/internal/router/upstream"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
 )
@@ -47,7 +47,7 @@
 	ledger     *capacity.Ledger
 	claimantMu sync.Mutex
 	claimant   *idempotency.Claimant
-	claims     map[uint64]chan synop.Code
+	claims     map[uint64]chan codes.Code
 	placer     placement.Placer
 	budget     sync.Map // service to *upstream.Budget
 	habits     sync.Map // service to *upstream.Habit
@@ -71,7 +71,7 @@
 
 // New builds a router; with a book it speaks that world's words to clients and workers (design 11).
 func New(b *boot.Boot, book *adapter.Adapter) *Router {
-	v := &Router{Tower: tower.New(b, tower.Random(), membership.Router), waiting: map[uint64]chan verdict{}, claims: map[uint64]chan synop.Code{}}
+	v := &Router{Tower: tower.New(b, tower.Random(), membership.Router), waiting: map[uint64]chan verdict{}, claims: map[uint64]chan codes.Code{}}
 	if v.Words = book; book != nil {
 		v.pool = upstream.NewPool(book.Names)
 	}
--- a/internal/router/speak.go
+++ b/internal/router/speak.go
@@ -8,9 +8,9 @@
 
 	"github.com/valyala/fasthttp"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/config"
 	"seamshunt/internal/listener"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -89,7 +89,7 @@
 }
 
 // compile reads a configuration in whichever words it was given.
-func (v *Router) compile(b []byte) (*config.Config, []*synop.Fault) {
+func (v *Router) compile(b []byte) (*config.Config, []*codes.Fault) {
 	if v.Words != nil {
 		return v.Words.Config(b)
 	}
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -6,8 +6,8 @@
 	"net"
 	"time"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/router/upstream"
-	"seamshunt/internal/synop"
 )
 
 // end gives the final answer at once, with its code and when to come back.
@@ -20,15 +20,15 @@
 func (w *way) refuse() {
 	c := w.why
 	if c == 0 {
-		c = synop.NoWorker
+		c = codes.NoWorker
 	}
-	if c == synop.HungUp {
+	if c == codes.HungUp {
 		w.ctx.SetConnectionClose()
 		w.ctx.SetStatusCode(c.Status())
 		return
 	}
 	if !w.sure {
-		w.v.refuse(w.ctx, synop.Unknown, "the outcome is unknown: it may have run", false, 0)
+		w.v.refuse(w.ctx, codes.Unknown, "the outcome is unknown: it may have run", false, 0)
 		return
 	}
 	w.burn()
@@ -40,14 +40,14 @@
 	w.v.refuse(w.ctx, c, reasons[c], true, back(s.RetryAfter, s.Jitter, w.due))
 }
 
-var reasons = map[synop.Code]string{
-	synop.WaitFull:  "every waitlist is full",
-	synop.WaitLate:  "the time left does not reach to an answer",
-	synop.NoWorker:  "no worker can be reached",
-	synop.OutOfTime: "out of time",
-	synop.Draining:  "this node is leaving",
-	synop.Budget:    "no further try is left in the budget",
-	synop.WorkerNo:  "the workers refused",
+var reasons = map[codes.Code]string{
+	codes.WaitFull:  "every waitlist is full",
+	codes.WaitLate:  "the time left does not reach to an answer",
+	codes.NoWorker:  "no worker can be reached",
+	codes.OutOfTime: "out of time",
+	codes.Draining:  "this node is leaving",
+	codes.Budget:    "no further try is left in the budget",
+	codes.WorkerNo:  "the workers refused",
 }
 
 // stream begins the caller's answer; the rest is read from the try as it comes.
@@ -115,12 +115,12 @@
 		}
 		var late net.Error
 		s.unsure = errors.As(e.Err, &late) && late.Timeout() // silence: nobody knows whether it still runs
-		v.stats.count(synop.BrokenStream)
+		v.stats.count(codes.BrokenStream)
 		v.passOver(s.worker)
 		v.Log.WithError(e.Err).WithField("worker", s.worker).Warn("a stream broke")
 	case <-s.w.client.Done():
 	case <-timeout.C:
-		v.stats.count(synop.OutOfTime)
+		v.stats.count(codes.OutOfTime)
 	}
 	return nil, errBroken
 }
@@ -141,7 +141,7 @@
 		}
 	})
 	if s.whole && len(s.rest) == 0 {
-		s.w.v.stats.count(synop.OK)
+		s.w.v.stats.count(codes.OK)
 		s.w.v.well(s.worker)
 	}
 	if s.whole || s.unsure {
--- a/internal/router/way.go
+++ b/internal/router/way.go
@@ -7,12 +7,12 @@
 
 	"github.com/valyala/fasthttp"
 
+	"seamshunt/internal/codes"
 	"seamshunt/internal/config"
 	"seamshunt/internal/router/admission"
 	"seamshunt/internal/router/clientwatch"
 	"seamshunt/internal/router/placement"
 	"seamshunt/internal/router/upstream"
-	"seamshunt/internal/synop"
 	"seamshunt/internal/units"
 )
 
@@ -32,7 +32,7 @@
 	sent      int  // hand-overs whose bytes may have left
 	paid      bool // the next try was taken from the budget already
 	sure      bool
-	why       synop.Code
+	why       codes.Code
 	claimed   string // the key whose claim was granted, with its mapping
 	holders   []units.Node
 	due       time.Duration
@@ -77,19 +77,19 @@
 			return w.end()
 		}
 		if w.until.Sub(now) < s.First {
-			w.why = synop.OutOfTime
+			w.why = codes.OutOfTime
 			return w.sent > 0 && w.end()
 		}
 		if !w.more(0) {
 			return w.end()
 		}
 		if w.sent > 0 && !w.again(service, now) {
-			w.why = synop.Budget
+			w.why = codes.Budget
 			return w.end()
 		}
 		tag := v.tag.Add(1)
 		x := w.admit(now, tag, s)
-		if x.Code != synop.OK {
+		if x.Code != codes.OK {
 			w.why, w.due = x.Code, x.Due
 			return w.sent > 0 && w.end()
 		}
@@ -102,7 +102,7 @@
 		}
 	}
 	if w.why == 0 {
-		w.why = synop.NoWorker
+		w.why = codes.NoWorker
 	}
 	return w.sent > 0 && w.end()
 }
@@ -148,7 +148,7 @@
 	addr, zone, ok := v.address(name, s)
 	if !ok || !w.m.Reaches(s.Name) {
 		v.done(tag, false)
-		w.why = synop.NoWorker
+		w.why = codes.NoWorker
 		return false
 	}
 	now := v.Crew.Now()
@@ -175,18 +175,18 @@
 		if e.Down {
 			v.passOver(name)
 		}
-		w.why = synop.NoWorker
+		w.why = codes.NoWorker
 		return false
 	case upstream.NotRun:
 		v.done(tag, false)
-		w.why = synop.WorkerNo
+		w.why = codes.WorkerNo
 		w.sent++
 		return false
 	}
 	// It may have run: only a mapping that may repeat is tried again.
 	w.sent++
 	w.sure = false
-	w.why = synop.Unknown
+	w.why = codes.Unknown
 	v.done(tag, !e.Down)
 	v.passOver(name)
 	v.Log.WithError(e.Err).WithField("worker", name).Warn("a try of unknown outcome")
