--- a/cmd/testbed/play.go
+++ b/cmd/testbed/play.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	p.f.Crew.Go(func() { _ = p.list.Serve(ln) })
+	p.f.Tasks.Go(func() { _ = p.list.Serve(ln) })
 	p.place = standin.Site{Machines: p.nodes, List: ln.Addr().String(), Rate: 44, LagMs: 800, GraceS: 8}
 	p.work = map[string]*standin.Worker{}
 	for i := range p.workers {
@@ -78,9 +78,9 @@
 			return err
 		}
 		w := &standin.Worker{Listener: wl, Instance: standin.Instance{ID: fmt.Sprint("w", i+1), Service: "llm", Addr: wl.Addr().String(), Zone: fmt.Sprintf("z%d", i%p.zones+1), Slots: 8},
-			Queue: 4, Work: 30 * time.Millisecond, Events: 8, Pace: 20 * time.Millisecond, Size: 800, Sink: j, Crew: p.f.Crew}
+			Queue: 4, Work: 30 * time.Millisecond, Events: 8, Pace: 20 * time.Millisecond, Size: 800, Sink: j, Tasks: p.f.Tasks}
 		p.work[w.ID] = w
-		p.f.Crew.Go(func() { _ = w.Serve(wl) })
+		p.f.Tasks.Go(func() { _ = w.Serve(wl) })
 		p.list.Set(w.Instance)
 	}
 	var control []string
@@ -102,7 +102,7 @@
 			control = append(control, m.Control())
 		}
 	}
-	p.op = &standin.Operator{Nodes: func() []string { return control }, Sink: j, Crew: p.f.Crew}
+	p.op = &standin.Operator{Nodes: func() []string { return control }, Sink: j, Tasks: p.f.Tasks}
 	p.doc = standin.Doc{Generation: 1, Targets: []standin.Service{{Name: "llm", Probe: "/health", Conns: 200, Protocol: "h1"}}, Limits: &standin.Bounds{Head: 16384, Body: 1 << 20, HeadMs: 3000, IdleMs: 15000}}
 	p.doc.Routes = routes
 	if status, err := p.op.Put(0, p.doc); status != 200 {
@@ -121,7 +121,7 @@
 		if time.Now().After(end) || ctx.Err() != nil {
 			return fmt.Errorf("site: %d of %d nodes are ready after 20 s; their logs are in %s", n, len(p.place.Machines), p.f.Dir)
 		}
-		p.f.Crew.Sleep(50 * time.Millisecond)
+		p.f.Tasks.Sleep(50 * time.Millisecond)
 	}
 	for _, m := range p.place.Machines { // the very first start is over
 		for _, program := range []string{"controller", "router"} {
@@ -181,14 +181,14 @@
 	tctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sent := make(chan struct{})
-	p.f.Crew.Go(func() {
+	p.f.Tasks.Go(func() {
 		defer close(sent)
 		p.traffic(tctx)
 	})
-	p.f.Crew.Go(func() {
+	p.f.Tasks.Go(func() {
 		for tctx.Err() == nil {
 			p.look()
-			p.f.Crew.Sleep(200 * time.Millisecond)
+			p.f.Tasks.Sleep(200 * time.Millisecond)
 		}
 	})
 	if err := p.carryOut(ctx, start); err != nil {
@@ -212,7 +212,7 @@
 	var clients []*standin.Client
 	for i := range 4 * p.zones {
 		zone := fmt.Sprintf("z%d", i%p.zones+1)
-		clients = append(clients, &standin.Client{Fronts: func() []string { return p.fronts(zone) }, Keep: i%2 == 0, Eager: i%7 == 6, Sink: p.f.Journal, Crew: p.f.Crew})
+		clients = append(clients, &standin.Client{Fronts: func() []string { return p.fronts(zone) }, Keep: i%2 == 0, Eager: i%7 == 6, Sink: p.f.Journal, Tasks: p.f.Tasks})
 	}
 	var wg sync.WaitGroup
 	for n := 0; ctx.Err() == nil; n++ {
@@ -222,7 +222,7 @@
 			a.Patience = time.Duration(1 + rng.Int64N(int64(p.patience)))
 		}
 		wg.Add(1)
-		p.f.Crew.Go(func() {
+		p.f.Tasks.Go(func() {
 			defer wg.Done()
 			c.Do(context.WithoutCancel(ctx), a)
 		})
--- a/cmd/testbed/play_events.go
+++ b/cmd/testbed/play_events.go
@@ -28,7 +28,7 @@
 	}
 	failed := make(chan error, len(series))
 	for _, events := range series {
-		p.f.Crew.Go(func() { failed <- p.inSeries(ctx, start, events) })
+		p.f.Tasks.Go(func() { failed <- p.inSeries(ctx, start, events) })
 	}
 	var err error
 	for range series {
@@ -139,7 +139,7 @@
 		for side := range 2 {
 			d := p.doc
 			d.Generation = g + 1 + uint64(side)
-			p.f.Crew.Go(func() {
+			p.f.Tasks.Go(func() {
 				status, _ := p.op.Put(g, d)
 				if status == 200 {
 					p.op.Acknowledged(d.Generation, standin.JSON(d))
--- a/internal/cluster/transport/transport.go
+++ b/internal/cluster/transport/transport.go
@@ -13,8 +13,8 @@
 	"github.com/panjf2000/gnet/v2/pkg/logging"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/crew"
 	"seamshunt/internal/shield"
+	"seamshunt/internal/tasks"
 	"seamshunt/internal/units"
 )
 
@@ -40,7 +40,7 @@
 type Transport struct {
 	gnet.BuiltinEventEngine
 	Self    units.Node
-	crew    *crew.Crew
+	tasks   *tasks.Group
 	take    func(message.Message)
 	refused func(addr string)
 	eng     gnet.Engine
@@ -71,8 +71,8 @@
 var _ logging.Logger = quiet{}
 
 // Open listens on addr and gives notes to take, which must not block.
-func Open(self units.Node, addr string, c *crew.Crew, take func(message.Message), refused func(string)) (*Transport, error) {
-	t := &Transport{Self: self, crew: c, take: take, refused: refused, up: make(chan error, 2),
+func Open(self units.Node, addr string, c *tasks.Group, take func(message.Message), refused func(string)) (*Transport, error) {
+	t := &Transport{Self: self, tasks: c, take: take, refused: refused, up: make(chan error, 2),
 		wires: map[string]*wire{}, addrs: map[units.Node]string{}}
 	cli, err := gnet.NewClient(&outSide{t: t}, gnet.WithLogger(quiet{}), gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay))
 	if err != nil {
@@ -190,7 +190,7 @@
 			w.link = nil
 		}
 	}
-	now := t.crew.Now()
+	now := t.tasks.Now()
 	if now < w.next || len(w.wait) >= waitMost {
 		t.mu.Unlock()
 		return
@@ -200,7 +200,7 @@
 	w.dial = true
 	t.mu.Unlock()
 	if start {
-		t.crew.Go(func() { t.dial(addr, w) })
+		t.tasks.Go(func() { t.dial(addr, w) })
 	}
 }
 
@@ -216,7 +216,7 @@
 	w.wait = nil
 	if err != nil {
 		w.back = min(max(2*w.back, 50*time.Millisecond), backMost)
-		w.next = t.crew.Now().Add(w.back)
+		w.next = t.tasks.Now().Add(w.back)
 		t.mu.Unlock()
 		if errors.Is(err, syscall.ECONNREFUSED) && t.refused != nil {
 			t.refused(addr)
--- a/internal/cluster/transport/transport_test.go
+++ b/internal/cluster/transport/transport_test.go
@@ -11,8 +11,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/crew"
 	"seamshunt/internal/standin"
+	"seamshunt/internal/tasks"
 )
 
 func pair(t *testing.T, take func(message.Message)) *Transport {
@@ -21,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := crew.New(clockwork.NewRealClock(), 1)
+	c := tasks.New(clockwork.NewRealClock(), 1)
 	x, err := Open(1, addr, c, take, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/control/controller/adapter_calls_test.go
+++ b/internal/control/controller/adapter_calls_test.go
@@ -14,7 +14,7 @@
 	"seamshunt/internal/boot"
 	"seamshunt/internal/codes"
 	"seamshunt/internal/config"
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 )
 
 // toyBook is an outside world whose configurations are {"v": VERSION, "x": TEXT}; a change gives a version and a text to
@@ -52,7 +52,7 @@
 	var bs []*boot.Boot
 	var seeds []string
 	for i := range n {
-		b := &boot.Boot{Name: fmt.Sprint("c", i), Zone: fmt.Sprint("z", i), Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), Data: t.TempDir(), Platform: weatherglass.Addr(t),
+		b := &boot.Boot{Name: fmt.Sprint("c", i), Zone: fmt.Sprint("z", i), Addr: testutil.Addr(t), Web: testutil.Addr(t), Data: t.TempDir(), Platform: testutil.Addr(t),
 			PollMs: 500, Reserve: 64 << 10, Grow: true, First: true, Counts: true, Zones: []string{"z0", "z9"}, LostMachines: (n - 1) / 2}
 		bs = append(bs, b)
 		if len(seeds) < 3 {
@@ -73,7 +73,7 @@
 		cs = append(cs, c)
 	}
 	members := n - 1 + n%2 // the largest odd number: one of an even number stands by
-	weatherglass.Until(t, "all know a whole set", func() bool {
+	testutil.Until(t, "all know a whole set", func() bool {
 		inSet := 0
 		for _, c := range cs {
 			v := c.voters()
@@ -93,7 +93,7 @@
 func sure(t *testing.T, f func() (codes.Code, []*codes.Fault)) codes.Code {
 	t.Helper()
 	var code codes.Code
-	weatherglass.Until(t, "a clear answer", func() bool {
+	testutil.Until(t, "a clear answer", func() bool {
 		code, _ = f()
 		return code != codes.Unsure && code != codes.NoMajority
 	})
--- a/internal/control/controller/audit.go
+++ b/internal/control/controller/audit.go
@@ -41,7 +41,7 @@
 	var l *changelog.Log
 	for {
 		select {
-		case <-c.Crew.Stopped():
+		case <-c.Tasks.Stopped():
 			if l != nil {
 				l.Close()
 			}
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -20,8 +20,8 @@
 	"seamshunt/internal/control/lease"
 	"seamshunt/internal/control/register"
 	"seamshunt/internal/listener"
+	"seamshunt/internal/node"
 	"seamshunt/internal/router/idempotency"
-	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
 )
 
@@ -29,7 +29,7 @@
 
 // Controller is one process of the control plane.
 type Controller struct {
-	*tower.Tower
+	*node.Base
 	replicaMu sync.Mutex
 	replica   *register.Replica
 	claims    *idempotency.Registry // claims; under replicaMu, as what it says goes through the same queue
@@ -65,11 +65,11 @@
 		return nil, err
 	}
 	a, self := o.log, o.self
-	c := &Controller{Tower: tower.New(b, self, membership.Controller), waits: map[uint64]chan register.Result{}, planner: newPlanner(b), catalog: discovery.New(), adapter: book}
+	c := &Controller{Base: node.New(b, self, membership.Controller), waits: map[uint64]chan register.Result{}, planner: newPlanner(b), catalog: discovery.New(), adapter: book}
 	c.audit, c.heir = make(chan entry, 256), o.heir
 	c.disk.file = a
 	c.disk.wake = make(chan struct{}, 1)
-	c.replica = register.New(self, tower.Random())
+	c.replica = register.New(self, node.Random())
 	if err := c.replica.Load(a.Live()); err != nil {
 		return nil, fmt.Errorf("controller: %w", err)
 	}
@@ -79,16 +79,16 @@
 	if book != nil && book.Control != nil {
 		c.door = book.Control(c.Control())
 	}
-	c.claims = idempotency.LoadRegistry(self, c.Crew.Now(), a.Live())
+	c.claims = idempotency.LoadRegistry(self, c.Tasks.Now(), a.Live())
 	if o.damage != nil {
 		c.sayDamage(o.damage)
 	}
 	if o.blank {
 		c.Log.Warn("a blank disk: this node has no vote yet")
 	}
-	c.tag.Store(uint64(tower.Random()) >> 2)
-	c.lease = lease.New(self, "platform", func() []units.Node { return c.voters().Members }, c.Crew.Now(), mrand.New(mrand.NewPCG(uint64(tower.Random()), 1)))
-	c.syncer = antientropy.New(self, c.Crew.Now(), mrand.New(mrand.NewPCG(uint64(tower.Random()), 2)))
+	c.tag.Store(uint64(node.Random()) >> 2)
+	c.lease = lease.New(self, "platform", func() []units.Node { return c.voters().Members }, c.Tasks.Now(), mrand.New(mrand.NewPCG(uint64(node.Random()), 1)))
+	c.syncer = antientropy.New(self, c.Tasks.Now(), mrand.New(mrand.NewPCG(uint64(node.Random()), 2)))
 	c.Later = c.later
 	c.Steps[message.KindAntiEntropy] = func(_ units.Time, n message.Message) {
 		c.replicaMu.Lock()
@@ -137,17 +137,17 @@
 	if err != nil {
 		return fmt.Errorf("controller: %w", err)
 	}
-	if err := c.Tower.Start(); err != nil {
+	if err := c.Base.Start(); err != nil {
 		ln.Close()
 		return err
 	}
 	c.web = &fasthttp.Server{Handler: c.serve, Name: "controller", MaxRequestBodySize: 16 << 20, NoDefaultDate: true, Logger: quiet{}}
-	c.Crew.Go(func() { _ = c.web.Serve(ln) })
-	c.Crew.Go(c.writer)
-	c.Crew.Go(c.recorder)
-	c.Crew.Every(50*time.Millisecond, c.beat)
+	c.Tasks.Go(func() { _ = c.web.Serve(ln) })
+	c.Tasks.Go(c.writer)
+	c.Tasks.Go(c.recorder)
+	c.Tasks.Every(50*time.Millisecond, c.beat)
 	for _, p := range c.Boot.Pools {
-		c.Crew.Go(func() { c.poller(p) })
+		c.Tasks.Go(func() { c.poller(p) })
 	}
 	return nil
 }
--- a/internal/control/controller/cut_off_test.go
+++ b/internal/control/controller/cut_off_test.go
@@ -13,8 +13,8 @@
 	"seamshunt/internal/cluster/transport"
 	"seamshunt/internal/codes"
 	"seamshunt/internal/control/register"
+	"seamshunt/internal/testutil"
 	"seamshunt/internal/units"
-	"seamshunt/internal/weatherglass"
 )
 
 // cutOff gives a controller, one of three voters, that never gets an answer from the others and believes one of them to be
@@ -26,7 +26,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		c.Crew.Stop(time.Second)
+		c.Tasks.Stop(time.Second)
 		c.disk.file.Close()
 	})
 	c.Transport = &transport.Transport{Self: c.Self}
@@ -35,7 +35,7 @@
 		t.Fatal(err)
 	}
 	c.replica.SetEligible([]units.Node{2})
-	c.replica.Tick(c.Crew.Now()) // it begins to ask the others whether they answer
+	c.replica.Tick(c.Tasks.Now()) // it begins to ask the others whether they answer
 	c.Feed.Take(configpush.Item{Key: keyConfig, Num: 3, Data: []byte(`{"v":5,"x":"a"}`)})
 	return c
 }
@@ -91,7 +91,7 @@
 	if code := sure(t, func() (codes.Code, []*codes.Fault) { return cs[0].Control().Put(0, []byte(`{"v":5,"x":"a"}`)) }); code != codes.OK {
 		t.Fatalf("the first: %d", code)
 	}
-	weatherglass.Until(t, "all have heard of it", func() bool { num, _ := cs[0].heardOf(keyConfig); return num == 1 })
+	testutil.Until(t, "all have heard of it", func() bool { num, _ := cs[0].heardOf(keyConfig); return num == 1 })
 	others := cs[1:]
 	for _, c := range others {
 		c.Drain()
--- a/internal/control/controller/damage_test.go
+++ b/internal/control/controller/damage_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 )
 
 // logged runs f with the standard error stream in a file, and gives what f wrote there.
@@ -35,7 +35,7 @@
 func TestDamagedDiskSaysSo(t *testing.T) {
 	dir := t.TempDir()
 	c := alone(t, dir)
-	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
+	testutil.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
 	if _, b := call(t, c, "GET", "/metrics", ""); !bytes.Contains(b, []byte("seamshunt_disk_damaged 0\n")) {
 		t.Error("a whole disk is said to be damaged")
 	}
--- a/internal/control/controller/disk.go
+++ b/internal/control/controller/disk.go
@@ -48,7 +48,7 @@
 	d := &c.disk
 	for {
 		select {
-		case <-c.Crew.Stopped():
+		case <-c.Tasks.Stopped():
 			d.file.Close()
 			return
 		case <-d.wake:
@@ -56,7 +56,7 @@
 		d.mu.Lock()
 		batch := d.queue
 		d.queue = nil
-		d.since = c.Crew.Now()
+		d.since = c.Tasks.Now()
 		sick, fault := d.sick, d.fault
 		d.mu.Unlock()
 		if sick {
@@ -74,7 +74,7 @@
 		}
 		d.mu.Lock()
 		d.low = d.file.Low()
-		d.slow = c.Crew.Now().Sub(d.since)
+		d.slow = c.Tasks.Now().Sub(d.since)
 		d.since = 0
 		d.sick = d.sick || err != nil && !errors.Is(err, wal.ErrFull)
 		if len(rs) > 0 {
--- a/internal/control/controller/disk_test.go
+++ b/internal/control/controller/disk_test.go
@@ -14,7 +14,7 @@
 	"seamshunt/internal/boot"
 	"seamshunt/internal/control/changelog"
 	"seamshunt/internal/storage/wal"
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 )
 
 const configText = `{"services":[{"name":"a","pool":"main","cap":2}],"promises":[{"name":"p","first_ms":100,"deadline_ms":3000}],
@@ -23,7 +23,7 @@
 // alone starts a core of one disk; edit may change it before it runs.
 func alone(t *testing.T, dir string, edit ...func(*Controller)) *Controller {
 	t.Helper()
-	b := &boot.Boot{Name: "c", Zone: "z", Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), Data: dir, Founders: 1, Platform: weatherglass.Addr(t), Pools: []string{"main"}, PollMs: 500, Reserve: 64 << 10}
+	b := &boot.Boot{Name: "c", Zone: "z", Addr: testutil.Addr(t), Web: testutil.Addr(t), Data: dir, Founders: 1, Platform: testutil.Addr(t), Pools: []string{"main"}, PollMs: 500, Reserve: 64 << 10}
 	b.Seeds = []string{b.Addr}
 	c, err := New(b, nil)
 	if err != nil {
@@ -61,7 +61,7 @@
 	t.Parallel()
 	dir := t.TempDir()
 	c := alone(t, dir)
-	weatherglass.Until(t, "it founds itself", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 404 })
+	testutil.Until(t, "it founds itself", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 404 })
 	if code, b := call(t, c, "PUT", "/v1/config?number=0", `{"services":[]}`); code != 400 || !bytes.Contains(b, []byte(`"code":501`)) {
 		t.Errorf("a bad one: %d %s", code, b)
 	}
@@ -101,7 +101,7 @@
 	c.Drain()
 	c = alone(t, dir)
 	t.Cleanup(c.Drain)
-	weatherglass.Until(t, "it is read back", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 200 })
+	testutil.Until(t, "it is read back", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 200 })
 	if _, b := call(t, c, "GET", "/v1/config", ""); string(b) != configText {
 		t.Errorf("read back %q", b)
 	}
@@ -152,21 +152,21 @@
 	t.Parallel()
 	c := alone(t, t.TempDir())
 	t.Cleanup(c.Drain)
-	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
+	testutil.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
 	c.disk.mu.Lock()
 	c.disk.fault = func() error { return fmt.Errorf("%w: planted", wal.ErrFull) }
 	c.disk.mu.Unlock()
 	if code, b := call(t, c, "PUT", "/v1/config?number=1", configText+" "); code != 502 {
 		t.Errorf("the write that finds it full has an unknown outcome: %d %s", code, b)
 	}
-	weatherglass.Until(t, "it says so", func() bool {
+	testutil.Until(t, "it says so", func() bool {
 		code, b := call(t, c, "PUT", "/v1/config?number=1", configText+" ")
 		return code == 503 && bytes.Contains(b, []byte(`"code":515`))
 	})
 	c.disk.mu.Lock()
 	c.disk.fault = nil
 	c.disk.mu.Unlock()
-	weatherglass.Until(t, "writes go on", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=1", configText+"  "); return code == 200 })
+	testutil.Until(t, "writes go on", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=1", configText+"  "); return code == 200 })
 	if _, b := call(t, c, "GET", "/v1/config", ""); string(b) != configText+"  " {
 		t.Errorf("read back %q", b)
 	}
@@ -178,7 +178,7 @@
 	dir := t.TempDir()
 	c := alone(t, dir)
 	t.Cleanup(c.Drain)
-	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
+	testutil.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
 	if code, b := call(t, c, "PUT", "/v1/config?number=0", configText); code != 409 {
 		t.Errorf("a conflict: %d %s", code, b)
 	}
--- a/internal/control/controller/grow_test.go
+++ b/internal/control/controller/grow_test.go
@@ -13,7 +13,7 @@
 
 	"seamshunt/internal/boot"
 	"seamshunt/internal/config"
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 )
 
 // What a disk bears of the very first start: a process that comes back without being told of it, and with other seeds,
@@ -57,7 +57,7 @@
 	var bs []*boot.Boot
 	var seeds []string
 	for i := range 3 {
-		b := &boot.Boot{Name: fmt.Sprint("c", i), Zone: "z", Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), Data: t.TempDir(), Platform: weatherglass.Addr(t), PollMs: 500, Reserve: 64 << 10, Grow: true, First: true, Counts: true}
+		b := &boot.Boot{Name: fmt.Sprint("c", i), Zone: "z", Addr: testutil.Addr(t), Web: testutil.Addr(t), Data: t.TempDir(), Platform: testutil.Addr(t), PollMs: 500, Reserve: 64 << 10, Grow: true, First: true, Counts: true}
 		bs, seeds = append(bs, b), append(seeds, b.Addr)
 	}
 	start := func(b *boot.Boot) *Controller {
@@ -75,7 +75,7 @@
 	}
 	one, two := start(bs[0]), start(bs[1])
 	t.Cleanup(two.Drain)
-	weatherglass.Until(t, "it waits for the third", func() bool {
+	testutil.Until(t, "it waits for the third", func() bool {
 		_, b := call(t, one, "GET", "/status", "")
 		return strings.Contains(string(b), "founding: 2 of 3 seeds seen")
 	})
@@ -86,7 +86,7 @@
 	t.Cleanup(one.Drain)
 	three := start(bs[2])
 	t.Cleanup(three.Drain)
-	weatherglass.Until(t, "all three vote", func() bool { v := three.voters(); return len(v.Members) == 3 && v.Has(id) })
+	testutil.Until(t, "all three vote", func() bool { v := three.voters(); return len(v.Members) == 3 && v.Has(id) })
 }
 
 // One list for all services, over a wire that is held: pages that fail or an empty list change nothing and are counted; a
@@ -144,12 +144,12 @@
 		c.adapter, c.Boot.Platform, c.Boot.Pools, c.Boot.PollMs = book, ln.Addr().String(), []string{allPools}, 50
 	})
 	t.Cleanup(c.Drain)
-	weatherglass.Until(t, "the first is taken", func() bool {
+	testutil.Until(t, "the first is taken", func() bool {
 		code, _ := c.Control().Put(0, []byte(`{"v":1}`))
 		return code == 100
 	})
 	mode.Store("w1 s 0\nw2 s 1000\nw3 r 0")
-	weatherglass.Until(t, "three workers", func() bool { return len(c.listed(allPools)) == 3 })
+	testutil.Until(t, "three workers", func() bool { return len(c.listed(allPools)) == 3 })
 	for _, w := range c.listed(allPools) {
 		if want := map[string]time.Duration{"w1": longAgo, "w2": 2 * time.Second, "w3": longAgo}[w.ID]; w.Age != want {
 			t.Errorf("%s is %v old, %v wanted: its service's workers are cold for 3 s", w.ID, w.Age, want)
@@ -163,13 +163,13 @@
 	for _, m := range []string{"429", "broken", ""} {
 		_, bad := counts()
 		mode.Store(m)
-		weatherglass.Until(t, "it is counted: "+m, func() bool { _, b := counts(); return b > bad+1 })
+		testutil.Until(t, "it is counted: "+m, func() bool { _, b := counts(); return b > bad+1 })
 		if n := len(c.listed(allPools)); n != 3 {
 			t.Errorf("%q: %d workers left", m, n)
 		}
 	}
 	mode.Store("w1 s 0\nw3 r 0")
-	weatherglass.Until(t, "one is gone", func() bool { return len(c.listed(allPools)) == 2 })
+	testutil.Until(t, "one is gone", func() bool { return len(c.listed(allPools)) == 2 })
 	if n := wires.Load(); n > 2 {
 		t.Errorf("%d wires were opened", n)
 	}
--- a/internal/control/controller/open_disk.go
+++ b/internal/control/controller/open_disk.go
@@ -6,8 +6,8 @@
 	"seamshunt/internal/boot"
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/control/register"
+	"seamshunt/internal/node"
 	"seamshunt/internal/storage/wal"
-	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
 )
 
@@ -40,7 +40,7 @@
 			return o, nil
 		}
 	}
-	o.self, o.blank = tower.Random(), true
+	o.self, o.blank = node.Random(), true
 	var seeds []string
 	if b.Grow && b.First && b.Counts && !o.heir {
 		seeds = b.Seeds
--- a/internal/control/controller/outcome_test.go
+++ b/internal/control/controller/outcome_test.go
@@ -7,8 +7,8 @@
 	"testing"
 
 	"seamshunt/internal/codes"
+	"seamshunt/internal/testutil"
 	"seamshunt/internal/units"
-	"seamshunt/internal/weatherglass"
 )
 
 // The bound is never above the number whose document bore the version, whatever steps the versions took.
@@ -53,8 +53,8 @@
 	}
 	c.disk.mu.Unlock()
 	t.Cleanup(func() { close(held) })
-	c.Crew.Go(func() { c.Control().Put(1, doc(2)) })
-	weatherglass.Until(t, "the disk stands still", func() bool {
+	c.Tasks.Go(func() { c.Control().Put(1, doc(2)) })
+	testutil.Until(t, "the disk stands still", func() bool {
 		select {
 		case <-writing:
 			return true
--- a/internal/control/controller/plan.go
+++ b/internal/control/controller/plan.go
@@ -14,7 +14,7 @@
 	"seamshunt/internal/codes"
 	"seamshunt/internal/config"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/tower"
+	"seamshunt/internal/node"
 	"seamshunt/internal/units"
 )
 
@@ -36,7 +36,7 @@
 	within, done := answerTime(register.RequestTimeout)
 	defer done()
 	body := append([]byte(nil), ctx.PostBody()...)
-	p := &plan{key: keyConfig, data: body, made: c.Crew.Now()}
+	p := &plan{key: keyConfig, data: body, made: c.Tasks.Now()}
 	var next *config.Config
 	if zone := string(ctx.QueryArgs().Peek("zone")); zone != "" {
 		if f := c.checkZone(within, zone, body); f != nil {
@@ -75,7 +75,7 @@
 		}
 		return true
 	})
-	id := c.Self.String() + "-" + tower.Random().String()
+	id := c.Self.String() + "-" + node.Random().String()
 	c.plans.Store(id, p)
 	c.showPlan(ctx, id, p, d)
 }
--- a/internal/control/controller/platform_poll.go
+++ b/internal/control/controller/platform_poll.go
@@ -10,22 +10,22 @@
 	"seamshunt/internal/cluster/discovery"
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/control/register"
+	"seamshunt/internal/node"
 	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/storage/wal"
-	"seamshunt/internal/tower"
 	"seamshunt/internal/units"
 )
 
 // reload rebuilds the machine from what the disk holds, and drops what the old one still wanted to say.
 func (c *Controller) reload(a *wal.Log) {
-	b := register.New(c.Self, tower.Random())
+	b := register.New(c.Self, node.Random())
 	if err := b.Load(a.Live()); err != nil {
 		c.Log.WithError(err).Error("the disk's records can't be read")
 		return
 	}
 	c.replicaMu.Lock()
 	defer c.replicaMu.Unlock()
-	c.replica, c.claims = b, idempotency.LoadRegistry(c.Self, c.Crew.Now(), a.Live())
+	c.replica, c.claims = b, idempotency.LoadRegistry(c.Self, c.Tasks.Now(), a.Live())
 	c.syncer.CatchUp()
 	c.disk.mu.Lock()
 	c.disk.queue = nil // what the old machine said rests on writes that the disk has not
@@ -54,11 +54,11 @@
 	defer t.Stop()
 	for {
 		select {
-		case <-c.Crew.Stopped():
+		case <-c.Tasks.Stopped():
 			return
 		case <-t.C:
 		}
-		now := c.Crew.Now()
+		now := c.Tasks.Now()
 		c.leaseMu.Lock()
 		share := c.lease.Share(now)
 		c.leaseMu.Unlock()
@@ -68,12 +68,12 @@
 		if !c.leaving.Load() && (turn.Due(now, share, gap) || !known) {
 			c.ask(pool)
 		}
-		t.Reset(turn.Next(c.Crew.Now(), share, gap))
+		t.Reset(turn.Next(c.Tasks.Now(), share, gap))
 	}
 }
 
 func (c *Controller) ask(pool string) {
-	now := c.Crew.Now()
+	now := c.Tasks.Now()
 	c.catalogMu.Lock()
 	a := c.catalog.Ask(now, pool, c.Self, time.Now().UnixMilli())
 	known := len(c.catalog.List(pool))
@@ -83,7 +83,7 @@
 		err = errors.New("an empty list is not believed")
 	}
 	c.polled.mu.Lock()
-	if c.polled.at, c.polled.last = c.Crew.Now(), ""; err == nil {
+	if c.polled.at, c.polled.last = c.Tasks.Now(), ""; err == nil {
 		c.polled.ok++
 	} else {
 		c.polled.bad++
@@ -98,13 +98,13 @@
 	data, news := c.catalog.Heard(a, l)
 	c.catalogMu.Unlock()
 	if news {
-		c.spread(c.Crew.Now(), []register.ChosenValue{{Key: discovery.Key(pool, c.Self), Num: a.Num, Data: data}})
+		c.spread(c.Tasks.Now(), []register.ChosenValue{{Key: discovery.Key(pool, c.Self), Num: a.Num, Data: data}})
 	}
 }
 
 // yield leaves the duty to others when this node can't reach the platform at all.
 func (c *Controller) yield() {
-	now := c.Crew.Now()
+	now := c.Tasks.Now()
 	c.leaseMu.Lock()
 	var out message.Effects
 	if c.lease.Holds(now) {
--- a/internal/control/controller/promises.go
+++ b/internal/control/controller/promises.go
@@ -34,7 +34,7 @@
 		limit = min(limit, time.Until(end))
 	}
 	for _, w := range webs {
-		c.Crew.Go(func() {
+		c.Tasks.Go(func() {
 			code, b, _, err := transport.HTTP("GET", w, "/status", nil, nil, limit)
 			if err != nil || code != 200 {
 				ch <- nil
--- a/internal/control/controller/reserve_test.go
+++ b/internal/control/controller/reserve_test.go
@@ -11,7 +11,7 @@
 	"testing"
 
 	"seamshunt/internal/cluster/membership"
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 )
 
 // With the disk full, an evacuation and configurations of usual size are still taken, from the reserve, and are read
@@ -30,7 +30,7 @@
 		}
 	}
 	c := alone(t, dir, fill)
-	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
+	testutil.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
 	full.Store(true)
 	text := func(n int) string { return configText + strings.Repeat(" ", 2000+n) }
 	if code, b := call(t, c, "PUT", "/v1/zones/z?number=0", `{"evacuated":true}`); code != 200 {
@@ -51,7 +51,7 @@
 	c.Drain()
 	c = alone(t, dir, fill)
 	t.Cleanup(func() { c.Drain() })
-	weatherglass.Until(t, "it is read back", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 200 })
+	testutil.Until(t, "it is read back", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 200 })
 	if _, b := call(t, c, "GET", "/v1/config", ""); string(b) != text(20) {
 		t.Errorf("read back %d bytes, %d sent", len(b), len(text(20)))
 	}
@@ -60,12 +60,12 @@
 	if code, b := call(t, c, "PUT", "/v1/config?number=21", large); code != 502 {
 		t.Errorf("larger than the reserve: %d %s", code, b)
 	}
-	weatherglass.Until(t, "it says so", func() bool {
+	testutil.Until(t, "it says so", func() bool {
 		code, b := call(t, c, "PUT", "/v1/config?number=21", large)
 		return code == 503 && bytes.Contains(b, []byte(`"code":515`))
 	})
 	full.Store(false)
-	weatherglass.Until(t, "writes go on", func() bool {
+	testutil.Until(t, "writes go on", func() bool {
 		code, _ := call(t, c, "PUT", "/v1/config?number=21", text(21))
 		return code == 200 || code == 409
 	})
@@ -91,7 +91,7 @@
 			return bytes.Contains(b, []byte(want))
 		}
 	}
-	weatherglass.Until(t, "it says that one is missing", says("founding: 1 of 2 blank disks seen"))
+	testutil.Until(t, "it says that one is missing", says("founding: 1 of 2 blank disks seen"))
 	if code, b := call(t, c, "PUT", "/v1/config?number=0", configText); code != 503 || !bytes.Contains(b, []byte(`"code":514`)) {
 		t.Errorf("a change before the founding: %d %s", code, b)
 	}
@@ -100,5 +100,5 @@
 		x.Gossip = membership.New(membership.Member{Node: x.Self, Inc: 1, Role: membership.Controller, Addr: x.Boot.Addr, Web: x.Boot.Web, Zone: "z"}, []string{seed}, rand.New(rand.NewPCG(1, 2)))
 	})
 	t.Cleanup(late.Drain)
-	weatherglass.Until(t, "both are voters", says(`"state":"voter"`))
+	testutil.Until(t, "both are voters", says(`"state":"voter"`))
 }
--- a/internal/control/controller/shortfall_test.go
+++ b/internal/control/controller/shortfall_test.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"testing"
 
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 )
 
 // Settings that ask for more than the disks there are can bear are served all the same, and said in status and metrics.
@@ -12,13 +12,13 @@
 	t.Parallel()
 	c := alone(t, t.TempDir(), func(c *Controller) { c.Boot.LostMachines = 1 })
 	t.Cleanup(c.Drain)
-	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
+	testutil.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
 	says := func(path, text string) func() bool {
 		return func() bool {
 			_, b := call(t, c, "GET", path, "")
 			return bytes.Contains(b, []byte(text))
 		}
 	}
-	weatherglass.Until(t, "status says it", says("/status", `"voters_fall_short":"1 members bear the loss of 0, not of 1: 3 disks that count are wanted"`))
-	weatherglass.Until(t, "metrics say it", says("/metrics", "seamshunt_voters_fall_short 1"))
+	testutil.Until(t, "status says it", says("/status", `"voters_fall_short":"1 members bear the loss of 0, not of 1: 3 disks that count are wanted"`))
+	testutil.Until(t, "metrics say it", says("/metrics", "seamshunt_voters_fall_short 1"))
 }
--- a/internal/control/controller/stall_test.go
+++ b/internal/control/controller/stall_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"seamshunt/internal/storage/wal"
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 )
 
 // A stalled disk blocks neither the wires nor the loops nor the operators' door: the node says that it is unfit,
@@ -15,7 +15,7 @@
 	t.Parallel()
 	c := alone(t, t.TempDir())
 	t.Cleanup(c.Drain)
-	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
+	testutil.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
 	held := make(chan struct{})
 	c.disk.mu.Lock()
 	c.disk.fault = func() error { <-held; return nil }
@@ -42,13 +42,13 @@
 		}
 		return false
 	}
-	weatherglass.Until(t, "it says that it is unfit", unfit)
+	testutil.Until(t, "it says that it is unfit", unfit)
 	c.disk.mu.Lock()
 	c.disk.fault = nil
 	c.disk.mu.Unlock()
 	close(held)
-	weatherglass.Until(t, "it is fit again", func() bool { return !unfit() })
-	weatherglass.Until(t, "writes go on", func() bool {
+	testutil.Until(t, "it is fit again", func() bool { return !unfit() })
+	testutil.Until(t, "writes go on", func() bool {
 		code, _ := call(t, c, "PUT", "/v1/config?number=1", configText+" ")
 		return code == 200 || code == 409
 	})
@@ -59,7 +59,7 @@
 	t.Parallel()
 	c := alone(t, t.TempDir())
 	t.Cleanup(c.Drain)
-	weatherglass.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
+	testutil.Until(t, "the first is taken", func() bool { code, _ := call(t, c, "PUT", "/v1/config?number=0", configText); return code == 200 })
 	c.disk.mu.Lock()
 	c.disk.fault = func() error {
 		c.disk.mu.Lock()
@@ -69,7 +69,7 @@
 	}
 	c.disk.mu.Unlock()
 	code, _ := call(t, c, "PUT", "/v1/config?number=1", configText+"   ")
-	weatherglass.Until(t, "it reads again", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 200 })
+	testutil.Until(t, "it reads again", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 200 })
 	_, b := call(t, c, "GET", "/v1/config", "")
 	if code == 200 && string(b) != configText+"   " || code != 200 && string(b) != configText && string(b) != configText+"   " {
 		t.Errorf("answered %d, read back %q", code, b)
@@ -82,18 +82,18 @@
 	t.Parallel()
 	c := alone(t, t.TempDir())
 	t.Cleanup(c.Drain)
-	weatherglass.Until(t, "it founds itself", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 404 })
+	testutil.Until(t, "it founds itself", func() bool { code, _ := call(t, c, "GET", "/v1/config", ""); return code == 404 })
 	slow := func() {
 		c.disk.mu.Lock()
 		c.disk.slow = 2 * stallAt
 		c.disk.mu.Unlock()
 	}
-	weatherglass.Until(t, "it owns nothing", func() bool {
+	testutil.Until(t, "it owns nothing", func() bool {
 		slow()
 		c.replicaMu.Lock()
 		defer c.replicaMu.Unlock()
 		return c.replica.Owner(keyConfig) == 0
 	})
 	slow()
-	weatherglass.Until(t, "it is fit again", func() bool { return !c.disk.unfit(c.Crew.Now()) })
+	testutil.Until(t, "it is fit again", func() bool { return !c.disk.unfit(c.Tasks.Now()) })
 }
--- a/internal/control/controller/status.go
+++ b/internal/control/controller/status.go
@@ -15,7 +15,7 @@
 
 // status tells operators all there is to know of this node.
 func (c *Controller) status(ctx *fasthttp.RequestCtx) {
-	now := c.Crew.Now()
+	now := c.Tasks.Now()
 	var a fastjson.Arena
 	o := a.NewObject()
 	o.Set("node", a.NewString(c.Self.String()))
@@ -153,7 +153,7 @@
 
 // metrics writes Prometheus text.
 func (c *Controller) metrics(ctx *fasthttp.RequestCtx) {
-	now := c.Crew.Now()
+	now := c.Tasks.Now()
 	ctx.SetContentType("text/plain; version=0.0.4")
 	c.replicaMu.Lock()
 	fmt.Fprintf(ctx, "seamshunt_claims_kept %d\n", c.claims.Len())
--- a/internal/control/controller/submit.go
+++ b/internal/control/controller/submit.go
@@ -12,7 +12,7 @@
 	"seamshunt/internal/codes"
 	"seamshunt/internal/control/changelog"
 	"seamshunt/internal/control/register"
-	"seamshunt/internal/tower"
+	"seamshunt/internal/node"
 )
 
 // answerTime gives the time that one operator's call has, from now until its answer: register.AnswerTimeout through an
@@ -29,11 +29,11 @@
 		return register.Result{Code: codes.DiskFull}
 	}
 	if a.Write && a.RequestID == "" {
-		a.RequestID = tower.Random().String() // so that it may be sent on when its key changes owners
+		a.RequestID = node.Random().String() // so that it may be sent on when its key changes owners
 	}
 	a.Tag = c.tag.Add(1)
 	ch := make(chan register.Result, 1)
-	now := c.Crew.Now()
+	now := c.Tasks.Now()
 	c.replicaMu.Lock()
 	if !c.replica.ReachesMajority(now) {
 		c.replicaMu.Unlock()
@@ -65,9 +65,9 @@
 // leaveQuorum waits until this node is out of the quorum set, where the set can do without it: what only this disk and few
 // others hold is on a majority of the next set before this one ends.
 func (c *Controller) leaveQuorum() {
-	until := c.Crew.Now().Add(min(leaveWithin, c.Boot.Bounds.Grace/2))
-	for c.Crew.Now() < until && c.givesUpSeat() {
-		c.Crew.Sleep(leaveLookEach)
+	until := c.Tasks.Now().Add(min(leaveWithin, c.Boot.Bounds.Grace/2))
+	for c.Tasks.Now() < until && c.givesUpSeat() {
+		c.Tasks.Sleep(leaveLookEach)
 	}
 }
 
@@ -84,7 +84,7 @@
 	c.lease.Drop()
 	c.leaseMu.Unlock()
 	c.Flag(membership.Draining, true)
-	c.Crew.Sleep(handOver) // the others take the keys over under higher epochs
+	c.Tasks.Sleep(handOver) // the others take the keys over under higher epochs
 	c.leaveQuorum()
 	_ = c.web.Shutdown()
 	c.Goodbye()
--- a/internal/fleet/cut.go
+++ b/internal/fleet/cut.go
@@ -204,7 +204,7 @@
 		}
 	}
 	f.mu.Unlock()
-	f.Crew.Go(func() {
+	f.Tasks.Go(func() {
 		for _, n := range l {
 			if err := f.replace(n); err != nil {
 				f.Event("release-failed", n+": "+err.Error())
@@ -227,7 +227,7 @@
 	if err := f.leave(Event{Verb: "leave", On: name}); err != nil {
 		return err
 	}
-	f.Crew.Go(func() {
+	f.Tasks.Go(func() {
 		time.Sleep(25 * time.Second) // longer than any stream lasts
 		_ = f.leave(Event{Verb: "drop", On: name})
 	})
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -132,7 +132,7 @@
 	}
 	done := make(chan error, 2)
 	for side := range 2 {
-		f.Crew.Go(func() {
+		f.Tasks.Go(func() {
 			for i := range n {
 				// A conflict is the race's own outcome; what counts is what was acknowledged.
 				_ = f.Apply(append(slices.Clone(b), strings.Repeat(" ", 1+2*i+side)...))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,9 +14,9 @@
 	"github.com/jonboulle/clockwork"
 
 	"seamshunt/internal/config"
-	"seamshunt/internal/crew"
 	"seamshunt/internal/shield"
 	"seamshunt/internal/standin"
+	"seamshunt/internal/tasks"
 )
 
 // proc is one process of the fleet.
@@ -40,7 +40,7 @@
 	Wrong    map[string]string
 	Journal  *standin.Journal
 	Platform *standin.Platform
-	Crew     *crew.Crew
+	Tasks    *tasks.Group
 	mu       sync.Mutex
 	procs    map[string]*proc
 	order    []string
@@ -59,7 +59,7 @@
 	if len(old) > 0 {
 		return nil, fmt.Errorf("fleet: %s holds the journals of an earlier run", dir)
 	}
-	f := &Fleet{Dir: dir, Bin: bin, procs: map[string]*proc{}, Wrong: map[string]string{}, Crew: crew.New(clockwork.NewRealClock(), 1)}
+	f := &Fleet{Dir: dir, Bin: bin, procs: map[string]*proc{}, Wrong: map[string]string{}, Tasks: tasks.New(clockwork.NewRealClock(), 1)}
 	var err error
 	f.Journal, err = standin.Open(filepath.Join(dir, "harness.jsonl"))
 	return f, err
@@ -143,7 +143,7 @@
 
 // Up starts every process.
 func (f *Fleet) Up() error {
-	f.Crew.Go(func() { _ = f.Platform.Serve(f.ln) })
+	f.Tasks.Go(func() { _ = f.Platform.Serve(f.ln) })
 	for _, n := range f.order {
 		if err := f.Start(n); err != nil {
 			return err
@@ -195,7 +195,7 @@
 	f.mu.Lock()
 	p.cmd, p.done, p.frozen = c, done, false
 	f.mu.Unlock()
-	f.Crew.Go(func() {
+	f.Tasks.Go(func() {
 		_ = c.Wait()
 		f.mu.Lock()
 		p.cmd = nil
--- a/internal/fleet/proc.go
+++ b/internal/fleet/proc.go
@@ -53,7 +53,7 @@
 	if f.ln != nil {
 		f.ln.Close()
 	}
-	f.Crew.Stop(5 * time.Second)
+	f.Tasks.Stop(5 * time.Second)
 	f.Journal.Close()
 }
 
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -54,7 +54,7 @@
 	tctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sent := make(chan struct{})
-	f.Crew.Go(func() {
+	f.Tasks.Go(func() {
 		defer close(sent)
 		if sleep(tctx, start.Add(p.From)) == nil {
 			f.Event("traffic", "")
--- a/internal/fleet/traffic.go
+++ b/internal/fleet/traffic.go
@@ -42,7 +42,7 @@
 func (t *Traffic) Run(ctx context.Context) {
 	t.ready = t.f.Ready()
 	look := make(chan struct{})
-	t.f.Crew.Go(func() {
+	t.f.Tasks.Go(func() {
 		defer close(look)
 		for ctx.Err() == nil {
 			r := t.f.Ready()
@@ -62,7 +62,7 @@
 		}
 		t.Sent++
 		t.wg.Add(1)
-		t.f.Crew.Go(func() {
+		t.f.Tasks.Go(func() {
 			defer t.wg.Done()
 			t.f.Journal.Write(standin.Call(context.WithoutCancel(ctx), t.pick(zone), a, key))
 		})
--- a/internal/hollow/frames.go
+++ b/internal/hollow/frames.go
@@ -11,14 +11,14 @@
 
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/cluster/transport"
-	"seamshunt/internal/crew"
+	"seamshunt/internal/tasks"
 	"seamshunt/internal/units"
 )
 
 // Frames sends real frames of some size over loopback by the daemons' own wires, one at a time as a quiet node's go,
 // and gives the processor time of one, sent and taken.
 func Frames(n, size int) (time.Duration, error) {
-	c := crew.New(clockwork.NewRealClock(), 4)
+	c := tasks.New(clockwork.NewRealClock(), 4)
 	defer c.Stop(time.Second)
 	var came atomic.Int64
 	wake := make(chan struct{}, 1)
--- a/internal/hollow/node.go
+++ b/internal/hollow/node.go
@@ -14,7 +14,7 @@
 	"seamshunt/internal/units"
 )
 
-// How often the daemons' loops run: package tower's, the router's and the controller's.
+// How often the daemons' loops run: package node's, the router's and the controller's.
 const (
 	towerGap  = 50 * time.Millisecond
 	routerGap = 20 * time.Millisecond
@@ -22,7 +22,7 @@
 	syncTime  = 2 * time.Millisecond
 )
 
-// node is one hollow process: what package tower holds, and a program.
+// node is one hollow process: what package node holds, and a program.
 type node struct {
 	w          *World
 	self       units.Node
@@ -102,7 +102,7 @@
 	n.w.After(time.Duration(n.w.rng.Int64N(int64(gap))), tick)
 }
 
-// beat is package tower's: membership, then news.
+// beat is package node's: membership, then news.
 func (n *node) beat(now units.Time) message.Effects {
 	n.membership.News = n.bull.Sum
 	out := n.membership.Tick(now)
@@ -117,7 +117,7 @@
 	n.deliver(out)
 }
 
-// take gives a note to its machine, as package tower does.
+// take gives a note to its machine, as package node does.
 func (n *node) take(x message.Message) {
 	kind := x.Kind &^ 15
 	n.timed(kind, func() message.Effects {
--- a/internal/tower/calm.go
+++ b/internal/node/calm.go
@@ -1,4 +1,4 @@
-package tower
+package node
 
 import (
 	"time"
@@ -15,7 +15,7 @@
 )
 
 // saw notes membership's version and says whether it is a new one.
-func (t *Tower) saw(now units.Time, ver uint64) bool {
+func (t *Base) saw(now units.Time, ver uint64) bool {
 	if ver == t.ver.Load() {
 		return false
 	}
@@ -25,11 +25,11 @@
 	return true
 }
 
-func (t *Tower) moved() {
+func (t *Base) moved() {
 	if t.Moved != nil {
 		t.Moved()
 	}
 }
 
 // Calm says whether membership has stood still for a while.
-func (t *Tower) Calm(now units.Time) bool { return now.Sub(units.Time(t.since.Load())) > calmFor }
+func (t *Base) Calm(now units.Time) bool { return now.Sub(units.Time(t.since.Load())) > calmFor }
--- a/internal/tower/tower.go
+++ b/internal/node/node.go
@@ -1,5 +1,5 @@
-// Package tower is what both programs stand on: the crew, the wires, membership and news (design 1, 4, 5).
-package tower
+// Package node is what both programs stand on: goroutines, connections, membership and news (design 1, 4, 5).
+package node
 
 import (
 	"crypto/rand"
@@ -19,17 +19,17 @@
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/cluster/transport"
-	"seamshunt/internal/crew"
 	"seamshunt/internal/logbook"
+	"seamshunt/internal/tasks"
 	"seamshunt/internal/units"
 )
 
-// Tower holds the shared tables. Lock order: membership, configpush, control state, rules, admission queue, capacity ledger,
+// Base holds the shared tables. Lock order: membership, configpush, control state, rules, admission queue, capacity ledger,
 // idempotency claimant, disk queue, wires.
-type Tower struct {
+type Base struct {
 	Boot      *boot.Boot
 	Self      units.Node
-	Crew      *crew.Crew
+	Tasks     *tasks.Group
 	Transport *transport.Transport
 	Book      *logbook.Book
 	Log       *log.Logger
@@ -48,7 +48,7 @@
 	open    atomic.Bool // the wires stand
 	Errors  atomic.Uint64
 	last    units.Time
-	pace    crew.Pace
+	pace    tasks.Loop
 	ver     atomic.Uint64 // of membership's table, as last seen
 	since   atomic.Int64  // when that changed
 }
@@ -61,8 +61,8 @@
 }
 
 // New builds the tables; Start brings them to life.
-func New(b *boot.Boot, self units.Node, role membership.Role) *Tower {
-	t := &Tower{Boot: b, Self: self, Crew: crew.New(clockwork.NewRealClock(), 4), Book: logbook.New(512, os.Stderr),
+func New(b *boot.Boot, self units.Node, role membership.Role) *Base {
+	t := &Base{Boot: b, Self: self, Tasks: tasks.New(clockwork.NewRealClock(), 4), Book: logbook.New(512, os.Stderr),
 		Feed: configpush.New(self), Steps: map[message.Kind]func(units.Time, message.Message){}}
 	t.Log = &log.Logger{Handler: t.Book, Level: log.DebugLevel}
 	me := membership.Member{Node: self, Inc: uint64(time.Now().UnixMilli()), Role: role, Addr: b.Addr, Web: b.Web, Zone: b.Zone}
@@ -71,20 +71,20 @@
 }
 
 // Start opens the wires and begins the common loops.
-func (t *Tower) Start() error {
-	tel, err := transport.Open(t.Self, t.Boot.Addr, t.Crew, t.take, t.refused)
+func (t *Base) Start() error {
+	tel, err := transport.Open(t.Self, t.Boot.Addr, t.Tasks, t.take, t.refused)
 	if err != nil {
-		return fmt.Errorf("tower: %w", err)
+		return fmt.Errorf("node: %w", err)
 	}
 	t.Transport = tel
-	t.last = t.Crew.Now()
+	t.last = t.Tasks.Now()
 	t.open.Store(true)
-	t.pace.Start(t.Crew, often, t.beat)
+	t.pace.Start(t.Tasks, often, t.beat)
 	return nil
 }
 
 // beat is all that goes by the clock; it gives how long the next may wait.
-func (t *Tower) beat(now units.Time) time.Duration {
+func (t *Base) beat(now units.Time) time.Duration {
 	if gap := now.Sub(t.last); gap > time.Second && t.Woke != nil {
 		t.Log.WithField("gap", gap).Error("woke from a freeze: nothing held before is trusted")
 		t.Woke(now)
@@ -113,16 +113,16 @@
 	return Seldom
 }
 
-// take is called on the wires' loop and only passes the note to the crew. One that comes before the wires stand here is
+// take is called on the wires' loop and only passes the note to a goroutine of the group. One that comes before the wires stand here is
 // lost, as on any net.
-func (t *Tower) take(n message.Message) {
-	if !t.open.Load() || !t.Crew.Do(func() { t.step(n) }) {
+func (t *Base) take(n message.Message) {
+	if !t.open.Load() || !t.Tasks.Do(func() { t.step(n) }) {
 		t.Dropped.Add(1)
 	}
 }
 
-func (t *Tower) step(n message.Message) {
-	now := t.Crew.Now()
+func (t *Base) step(n message.Message) {
+	now := t.Tasks.Now()
 	switch n.Kind &^ 15 {
 	case message.KindMembership:
 		t.GossipMu.Lock()
@@ -154,7 +154,7 @@
 }
 
 // Deliver sends what a step gave out and looks at its errors once.
-func (t *Tower) Deliver(out message.Effects) {
+func (t *Base) Deliver(out message.Effects) {
 	for _, n := range out.Messages {
 		t.Transport.Send(n)
 	}
@@ -171,8 +171,8 @@
 	}
 }
 
-func (t *Tower) refused(addr string) {
-	now := t.Crew.Now()
+func (t *Base) refused(addr string) {
+	now := t.Tasks.Now()
 	t.GossipMu.Lock()
 	l := t.Gossip.Refused(now, addr)
 	t.GossipMu.Unlock()
@@ -182,33 +182,33 @@
 }
 
 // Again takes a boot file that has changed: only the seeds may be others.
-func (t *Tower) Again(b *boot.Boot) {
+func (t *Base) Again(b *boot.Boot) {
 	t.GossipMu.Lock()
 	t.Gossip.Seeds(b.Seeds)
 	t.GossipMu.Unlock()
 }
 
 // Flag sets what this node says of itself.
-func (t *Tower) Flag(f uint16, on bool) {
+func (t *Base) Flag(f uint16, on bool) {
 	t.GossipMu.Lock()
 	t.Gossip.Flag(f, on)
 	t.GossipMu.Unlock()
 }
 
 // Members lists all members.
-func (t *Tower) Members() []membership.Member {
+func (t *Base) Members() []membership.Member {
 	t.GossipMu.Lock()
 	defer t.GossipMu.Unlock()
 	return t.Gossip.All()
 }
 
 // Goodbye tells the others and closes the wires.
-func (t *Tower) Goodbye() {
+func (t *Base) Goodbye() {
 	t.GossipMu.Lock()
 	out := t.Gossip.Leave()
 	t.GossipMu.Unlock()
 	t.Deliver(out)
-	t.Crew.Sleep(100 * time.Millisecond) // lets the goodbye leave the machine
+	t.Tasks.Sleep(100 * time.Millisecond) // lets the goodbye leave the machine
 	t.Transport.Close()
-	t.Crew.Stop(400 * time.Millisecond) // a dial under way may hang as the wires close; the grace does not wait for it
+	t.Tasks.Stop(400 * time.Millisecond) // a dial under way may hang as the wires close; the grace does not wait for it
 }
--- a/internal/rig/simulator/core.go
+++ b/internal/rig/simulator/core.go
@@ -16,7 +16,7 @@
 	"seamshunt/internal/units"
 )
 
-// common is what both programs share, as package tower has it in the daemons.
+// common is what both programs share, as package node has it in the daemons.
 type common struct {
 	gossip *membership.Gossip
 	feed   *configpush.Feed
--- a/internal/router/beat.go
+++ b/internal/router/beat.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"seamshunt/internal/cluster/message"
-	"seamshunt/internal/tower"
+	"seamshunt/internal/node"
 	"seamshunt/internal/units"
 )
 
@@ -31,7 +31,7 @@
 	if busy || v.Words == nil || !v.ready.Load() || !v.Calm(now) {
 		return often
 	}
-	return tower.Seldom
+	return node.Seldom
 }
 
 // often is how long the beat waits while something is due: prompts that wait, books that are opened, a fleet that moves.
--- a/internal/router/cancel.go
+++ b/internal/router/cancel.go
@@ -23,7 +23,7 @@
 // over lets go of a client whose request began at a time and stood at a stage; nothing may be under way for it any more.
 func (v *Router) over(client *clientwatch.Request, at stage, begun units.Time, whole bool) {
 	if !whole && errors.Is(client.Look(), clientwatch.ErrClientLeft) {
-		v.clientLeft(at, v.Crew.Now().Sub(begun))
+		v.clientLeft(at, v.Tasks.Now().Sub(begun))
 	}
 	client.End()
 	v.flight.Add(-1)
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -58,7 +58,7 @@
 	holders := idempotency.Holders(v.Members(), key)
 	v.screened(func() message.Effects {
 		v.claims[token] = c
-		return v.claimant.Claim(v.Crew.Now(), token, key, holders)
+		return v.claimant.Claim(v.Tasks.Now(), token, key, holders)
 	})
 	select {
 	case code := <-c:
--- a/internal/router/dark.go
+++ b/internal/router/dark.go
@@ -44,7 +44,7 @@
 			return upstream.Event{Kind: upstream.Unknown, Err: w.client.Cause()}
 		case <-tick.C:
 		}
-		now := v.Crew.Now()
+		now := v.Tasks.Now()
 		if now > w.until {
 			t.Cancel()
 			return upstream.Event{Kind: upstream.Unknown, Err: errors.New("router: out of time")}
@@ -78,7 +78,7 @@
 func (v *Router) passOver(name string) {
 	v.tableMu.Lock()
 	defer v.tableMu.Unlock()
-	now := v.Crew.Now()
+	now := v.Tasks.Now()
 	b := v.table.down[name]
 	if now < b.until {
 		return
--- a/internal/router/dark_test.go
+++ b/internal/router/dark_test.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"seamshunt/internal/cluster/membership"
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 )
 
 // A worker that takes a prompt and says nothing is left for another once first words are later than the service's
@@ -25,7 +25,7 @@
 			v := rig(t, a, b)
 			for range 40 {
 				v.habitOf("advice").Add(10 * time.Millisecond)
-				v.budgetOf("advice").First(v.Crew.Now())
+				v.budgetOf("advice").First(v.Tasks.Now())
 			}
 			c := ask(t, v, path)
 			other := hb
@@ -68,7 +68,7 @@
 	case h = <-ha:
 	case h = <-hb:
 	}
-	weatherglass.Until(t, "it is late", func() bool {
+	testutil.Until(t, "it is late", func() bool {
 		v.tableMu.Lock()
 		defer v.tableMu.Unlock()
 		return len(v.table.down) == 1
@@ -77,7 +77,7 @@
 	if status, body := c.reply(t); status != 200 || !strings.Contains(body, `"seal"`) || len(ha)+len(hb) > 0 {
 		t.Errorf("%d %s", status, body)
 	}
-	weatherglass.Until(t, "it is well again", func() bool {
+	testutil.Until(t, "it is well again", func() bool {
 		v.tableMu.Lock()
 		defer v.tableMu.Unlock()
 		return len(v.table.down) == 0
@@ -107,15 +107,15 @@
 	if !ready() {
 		t.Fatal("a fleet of one is ready")
 	}
-	other := membership.New(membership.Member{Node: 9, Inc: 1, Role: membership.Controller, Addr: weatherglass.Addr(t), Zone: "z2"}, []string{v.Boot.Addr}, rand.New(rand.NewPCG(1, 1)))
+	other := membership.New(membership.Member{Node: 9, Inc: 1, Role: membership.Controller, Addr: testutil.Addr(t), Zone: "z2"}, []string{v.Boot.Addr}, rand.New(rand.NewPCG(1, 1)))
 	v.GossipMu.Lock()
 	for _, n := range other.Tick(0).Messages {
 		n.From = 9
-		v.Gossip.Step(v.Crew.Now(), n)
+		v.Gossip.Step(v.Tasks.Now(), n)
 	}
 	v.GossipMu.Unlock()
 	if !ready() {
 		t.Error("it sees another")
 	}
-	weatherglass.Until(t, "it is alone", func() bool { return !ready() })
+	testutil.Until(t, "it is alone", func() bool { return !ready() })
 }
--- a/internal/router/desk.go
+++ b/internal/router/desk.go
@@ -45,8 +45,8 @@
 func (v *Router) cut(tag uint64) {
 	v.queueMu.Lock()
 	delete(v.waiting, tag)
-	out := v.queue.Cut(v.Crew.Now(), tag)
-	v.tell(v.Crew.Now())
+	out := v.queue.Cut(v.Tasks.Now(), tag)
+	v.tell(v.Tasks.Now())
 	v.queueMu.Unlock()
 	v.Deliver(out)
 }
@@ -54,8 +54,8 @@
 func (v *Router) done(tag uint64, unsure bool) {
 	v.queueMu.Lock()
 	delete(v.waiting, tag)
-	out := v.queue.Done(v.Crew.Now(), tag, unsure)
-	v.tell(v.Crew.Now())
+	out := v.queue.Done(v.Tasks.Now(), tag, unsure)
+	v.tell(v.Tasks.Now())
 	v.queueMu.Unlock()
 	v.Deliver(out)
 }
--- a/internal/router/door_test.go
+++ b/internal/router/door_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"seamshunt/internal/codes"
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 )
 
 // Every bad prompt gets its code, and is said not to run.
@@ -150,10 +150,10 @@
 			}
 			c.Close()
 			gone(t, h)
-			weatherglass.Until(t, "the slot is free", func() bool {
+			testutil.Until(t, "the slot is free", func() bool {
 				v.ledgerMu.Lock()
 				defer v.ledgerMu.Unlock()
-				return v.ledger.Kept(v.Crew.Now())[0].Lent == 0 && v.flight.Load() == 0
+				return v.ledger.Kept(v.Tasks.Now())[0].Lent == 0 && v.flight.Load() == 0
 			})
 			v.stats.mu.Lock()
 			defer v.stats.mu.Unlock()
@@ -177,15 +177,15 @@
 	waiting := func() int {
 		v.ledgerMu.Lock()
 		defer v.ledgerMu.Unlock()
-		return v.ledger.Kept(v.Crew.Now())[0].Waiting
+		return v.ledger.Kept(v.Tasks.Now())[0].Waiting
 	}
 	c := ask(t, v, "/chat")
-	weatherglass.Until(t, "the third waits", func() bool { return waiting() == 1 })
+	testutil.Until(t, "the third waits", func() bool { return waiting() == 1 })
 	if status, body := ask(t, v, "/chat").reply(t); status != 503 || !strings.Contains(body, `"code":301`) || !strings.Contains(body, `"retry_after_ms"`) {
 		t.Errorf("the fourth finds the waitlist full: %d %s", status, body)
 	}
 	c.Close()
-	weatherglass.Until(t, "the third has left", func() bool { return waiting() == 0 })
+	testutil.Until(t, "the third has left", func() bool { return waiting() == 0 })
 	if len(hands) > 0 {
 		t.Error("more than the cap reached the worker")
 	}
--- a/internal/router/leave.go
+++ b/internal/router/leave.go
@@ -57,7 +57,7 @@
 // ending says whether what has no answer yet gets its final one.
 func (v *Router) ending() bool {
 	d := v.departure.Load()
-	return d != nil && d.ending(v.Crew.Now())
+	return d != nil && d.ending(v.Tasks.Now())
 }
 
 // begins says whether a request that is over at until at the latest may be begun here.
@@ -68,7 +68,7 @@
 
 // Drain gives this node's duties away and lets what is under way end within the grace.
 func (v *Router) Drain() {
-	now := v.Crew.Now()
+	now := v.Tasks.Now()
 	d := newDeparture(now, time.Duration(v.Boot.DrainMs)*time.Millisecond)
 	v.departure.Store(d)
 	v.Flag(membership.Draining, true)
@@ -83,8 +83,8 @@
 	if v.Words != nil {
 		least = least.Add(lingerFor)
 	}
-	for quietSince := d.warned; v.Crew.Now() < d.end; v.Crew.Sleep(leaveLookEach) {
-		now := v.Crew.Now()
+	for quietSince := d.warned; v.Tasks.Now() < d.end; v.Tasks.Sleep(leaveLookEach) {
+		now := v.Tasks.Now()
 		if v.flight.Load() > 0 {
 			quietSince = now
 		}
--- a/internal/router/leave_random_test.go
+++ b/internal/router/leave_random_test.go
@@ -82,11 +82,11 @@
 			_ = nc.SetDeadline(time.Now().Add(30 * time.Second))
 			c = &workerConn{nc, bufio.NewReader(nc)}
 		}
-		a := asked{route: routes[rng.IntN(len(routes))], timeLeft: time.Duration(50+rng.IntN(4000)) * time.Millisecond, sent: v.Crew.Now()}
+		a := asked{route: routes[rng.IntN(len(routes))], timeLeft: time.Duration(50+rng.IntN(4000)) * time.Millisecond, sent: v.Tasks.Now()}
 		text := requestText(a.route, fmt.Sprintf("c%d-%d", client, n), "")
 		_, _ = c.Write([]byte(strings.Replace(text, "Time-Left-Ms: 15000", fmt.Sprint("Time-Left-Ms: ", a.timeLeft.Milliseconds()), 1)))
 		_, a.clientAnswer = c.receiveHead()
-		a.ended = v.Crew.Now()
+		a.ended = v.Tasks.Now()
 		note(a)
 		if a.status == 0 || !a.whole || a.close {
 			c.Close()
@@ -115,11 +115,11 @@
 			for client := range pressingClients {
 				clients.Go(func() { askUntilClosed(v, rand.New(rand.NewPCG(seed, uint64(client))), client, note) })
 			}
-			d := newDeparture(v.Crew.Now(), 1800*time.Millisecond)
+			d := newDeparture(v.Tasks.Now(), 1800*time.Millisecond)
 			v.departure.Store(d) // without the flags of Drain: it is alone, so nobody else could keep its workers
 			v.awaitQuiet(d)
 			v.Close()
-			gone := v.Crew.Now()
+			gone := v.Tasks.Now()
 			clients.Wait()
 			late, refused := 0, 0
 			for _, a := range all {
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -41,7 +41,7 @@
 
 // departing is a router that was warned some time ago and has some time left.
 func departing(v *Router, ago, left time.Duration) *departure {
-	now := v.Crew.Now()
+	now := v.Tasks.Now()
 	d := &departure{warned: now.Add(-ago), end: now.Add(left)}
 	v.departure.Store(d)
 	return d
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -87,7 +87,7 @@
 	fmt.Fprintf(ctx, "seamshunt_dropped_notes_total %d\n", v.Dropped.Load())
 	age := 0.0
 	if t := v.static.Load(); t > 0 {
-		age = v.Crew.Now().Sub(v.began).Seconds() - (time.Duration(t) - time.Duration(v.began)).Seconds()
+		age = v.Tasks.Now().Sub(v.began).Seconds() - (time.Duration(t) - time.Duration(v.began)).Seconds()
 	}
 	fmt.Fprintf(ctx, "seamshunt_cut_from_control_seconds %g\n", age)
 }
--- a/internal/router/metrics_test.go
+++ b/internal/router/metrics_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 )
 
 // metricsText reads a router's metrics.
@@ -28,7 +28,7 @@
 	k.request()
 	c.Close()
 	k.closedByRouter()
-	weatherglass.Until(t, "nothing is under way", func() bool { return v.flight.Load() == 0 })
+	testutil.Until(t, "nothing is under way", func() bool { return v.flight.Load() == 0 })
 	text := metricsText(v)
 	for _, want := range []string{
 		`seamshunt_results_total{code="403"} 1`,
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -49,7 +49,7 @@
 // relay takes one request its way.
 func (v *Router) relay(ctx *fasthttp.RequestCtx) {
 	v.flight.Add(1)
-	w := &relay{v: v, ctx: ctx, begun: v.Crew.Now(), client: v.clients.Begin(ctx.Conn()), at: stageAdmission}
+	w := &relay{v: v, ctx: ctx, begun: v.Tasks.Now(), client: v.clients.Begin(ctx.Conn()), at: stageAdmission}
 	defer func() {
 		if w.reply == nil {
 			w.over()
@@ -63,8 +63,8 @@
 	if v.leaving() {
 		ctx.SetConnectionClose()
 	}
-	for end := w.begun.Add(holdFor); !v.ready.Load() && v.Crew.Now() < end && w.client.Err() == nil; {
-		v.Crew.Wait(w.client, 5*time.Millisecond)
+	for end := w.begun.Add(holdFor); !v.ready.Load() && v.Tasks.Now() < end && w.client.Err() == nil; {
+		v.Tasks.Wait(w.client, 5*time.Millisecond)
 	}
 	w.rules = v.rules.Load()
 	if w.rules == nil || !v.ready.Load() {
@@ -135,7 +135,7 @@
 // limit bounds the client's time left by the mapping's. A leaving node ends the way of what might outlast it.
 func (w *relay) limit(ms int) bool {
 	w.until = w.begun.Add(min(w.left, time.Duration(ms)*time.Millisecond))
-	if w.v.begins(w.v.Crew.Now(), w.until) {
+	if w.v.begins(w.v.Tasks.Now(), w.until) {
 		return false
 	}
 	w.v.tallies.count(w.m, func(t *tally) { t.refused++ })
@@ -180,7 +180,7 @@
 	} else {
 		w.v.tallies.count(w.m, func(t *tally) {
 			t.refused++
-			t.waited += w.v.Crew.Now().Sub(w.begun)
+			t.waited += w.v.Tasks.Now().Sub(w.begun)
 		})
 	}
 	switch {
--- a/internal/router/relay_client_test.go
+++ b/internal/router/relay_client_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 )
 
 // Two requests in one segment, the second cut anywhere: each reaches a worker as it was sent, one behind the other,
@@ -126,7 +126,7 @@
 				if got := c.receive(); half && got.status != 502 && got.status != 499 && got.status != 0 {
 					t.Errorf("answered %+v", got)
 				}
-				weatherglass.Until(t, "nothing is under way", func() bool { return v.flight.Load() == 0 })
+				testutil.Until(t, "nothing is under way", func() bool { return v.flight.Load() == 0 })
 				if !none(a, b) {
 					t.Error("it was sent on")
 				}
--- a/internal/router/relay_rig_test.go
+++ b/internal/router/relay_rig_test.go
@@ -14,7 +14,7 @@
 	"seamshunt/internal/boot"
 	"seamshunt/internal/cluster/configpush"
 	"seamshunt/internal/config"
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 	"seamshunt/platform"
 )
 
@@ -106,7 +106,7 @@
 // relayRig is one router alone in the platform's words; it keeps all workers itself. Its budget allows further tries.
 func relayRig(t testing.TB, workers ...*scriptedWorker) *Router {
 	t.Helper()
-	b := &boot.Boot{Name: "n1", Zone: "z1", Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), DrainMs: 1000, Bounds: boot.Bounds{WarmExcess: 1, RetryRatio: 1}}
+	b := &boot.Boot{Name: "n1", Zone: "z1", Addr: testutil.Addr(t), Web: testutil.Addr(t), DrainMs: 1000, Bounds: boot.Bounds{WarmExcess: 1, RetryRatio: 1}}
 	b.Seeds = []string{b.Addr}
 	v := New(b, platform.New("", "router"))
 	if err := v.Start(); err != nil {
@@ -122,11 +122,11 @@
 	v.Feed.Take(configpush.Item{Key: "workers/" + platform.Pool, Num: 1, Data: config.PackWorkers(l)})
 	v.FeedMu.Unlock()
 	v.ready.Store(true)
-	weatherglass.Until(t, "the router keeps its workers", func() bool {
+	testutil.Until(t, "the router keeps its workers", func() bool {
 		v.ledgerMu.Lock()
 		defer v.ledgerMu.Unlock()
 		open := 0
-		for _, k := range v.ledger.Kept(v.Crew.Now()) {
+		for _, k := range v.ledger.Kept(v.Tasks.Now()) {
 			if k.Open {
 				open++
 			}
@@ -134,7 +134,7 @@
 		return open == len(workers)
 	})
 	for range 20 {
-		v.budgetOf("svc").First(v.Crew.Now())
+		v.budgetOf("svc").First(v.Tasks.Now())
 	}
 	return v
 }
--- a/internal/router/relay_try.go
+++ b/internal/router/relay_try.go
@@ -48,7 +48,7 @@
 func (w *relay) try(service string) bool {
 	s, v := w.rules.Services[service], w.v
 	for n := 0; n < triesMost+2; n++ { // what never left this node may look further as well
-		now := v.Crew.Now()
+		now := v.Tasks.Now()
 		if w.until.Sub(now) < s.First {
 			w.why = codes.OutOfTime
 			return false
@@ -58,7 +58,7 @@
 		}
 		x, tag := w.admit(now, s)
 		if x.Code == codes.NoWorker && w.sent == 0 && now.Sub(w.begun) < holdFor {
-			v.Crew.Wait(w.client, keeperGap) // the workers' keepers are changing: they answer in a moment (design 11)
+			v.Tasks.Wait(w.client, keeperGap) // the workers' keepers are changing: they answer in a moment (design 11)
 			n--
 			continue
 		}
@@ -66,7 +66,7 @@
 			w.why, w.due = x.Code, x.Due
 			return false
 		}
-		if v.Crew.Now().Sub(x.at) > staleAt {
+		if v.Tasks.Now().Sub(x.at) > staleAt {
 			v.done(tag, false)
 			continue
 		}
@@ -150,7 +150,7 @@
 		w.why = codes.NoWorker
 		return nil
 	}
-	now := v.Crew.Now()
+	now := v.Tasks.Now()
 	worker := name[len(s.Name)+1:]
 	req := w.request(worker, w.until.Sub(now))
 	o := &upstream.Order{Worker: worker, Addr: addr, ID: w.id, Req: req, Due: time.Now().Add(w.until.Sub(now)), Fresh: w.m.Once,
@@ -172,7 +172,7 @@
 			w.why = codes.WorkerNo
 			return nil
 		}
-		took := v.Crew.Now().Sub(now)
+		took := v.Tasks.Now().Sub(now)
 		v.habitOf(s.Name).Add(took)
 		v.queueMu.Lock()
 		v.queue.Words(tag, took)
@@ -218,5 +218,5 @@
 
 // retries says whether a worker's own failure is worth another worker: only where the request may run again.
 func (w *relay) retries(status int) bool {
-	return status >= 500 && !w.m.Once && w.sent < w.most() && w.v.Crew.Now().Add(w.m.Promise.First/4) < w.until
+	return status >= 500 && !w.m.Once && w.sent < w.most() && w.v.Tasks.Now().Add(w.m.Promise.First/4) < w.until
 }
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -22,7 +22,7 @@
 		return
 	}
 	w.client.Answering()
-	v.tallies.count(w.m, func(t *tally) { t.firstWords(v.Crew.Now().Sub(w.begun)) })
+	v.tallies.count(w.m, func(t *tally) { t.firstWords(v.Tasks.Now().Sub(w.begun)) })
 	w.heads(e)
 	r := &reply{w: w, run: e}
 	r.events.Last = w.last
@@ -167,7 +167,7 @@
 	w.v.cut(r.tag)
 	r.run.tag = 0
 	for {
-		now := w.v.Crew.Now()
+		now := w.v.Tasks.Now()
 		if w.until.Sub(now) < r.service.First || !w.may(r.service.Name, now) {
 			return false
 		}
@@ -198,7 +198,7 @@
 	r.closed = true
 	v, w := r.w.v, r.w
 	r.run.End()
-	now := v.Crew.Now()
+	now := v.Tasks.Now()
 	v.tallies.count(w.m, func(t *tally) {
 		t.ended++
 		t.held += now.Sub(r.handed)
--- a/internal/router/rig_test.go
+++ b/internal/router/rig_test.go
@@ -16,7 +16,7 @@
 	"seamshunt/internal/boot"
 	"seamshunt/internal/cluster/configpush"
 	"seamshunt/internal/config"
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 )
 
 const rigConfig = `{"services":[{"name":"advice","pool":"main","cap":2,"warm_ms":0,"first_ms":20,"waitlist":1}],
@@ -90,7 +90,7 @@
 // rigOf is a rig with a configuration of its own.
 func rigOf(t testing.TB, configText string, workers ...string) *Router {
 	t.Helper()
-	b := &boot.Boot{Name: "n1", Zone: "z1", Addr: weatherglass.Addr(t), Web: weatherglass.Addr(t), DrainMs: 1000, Bounds: boot.Bounds{WarmExcess: 1}}
+	b := &boot.Boot{Name: "n1", Zone: "z1", Addr: testutil.Addr(t), Web: testutil.Addr(t), DrainMs: 1000, Bounds: boot.Bounds{WarmExcess: 1}}
 	b.Seeds = []string{b.Addr}
 	v := New(b, nil)
 	if err := v.Start(); err != nil {
@@ -106,10 +106,10 @@
 	v.Feed.Take(configpush.Item{Key: "workers/main", Num: 1, Data: config.PackWorkers(l)})
 	v.FeedMu.Unlock()
 	v.ready.Store(true)
-	weatherglass.Until(t, "the router keeps its workers", func() bool {
+	testutil.Until(t, "the router keeps its workers", func() bool {
 		v.ledgerMu.Lock()
 		defer v.ledgerMu.Unlock()
-		k := v.ledger.Kept(v.Crew.Now())
+		k := v.ledger.Kept(v.Tasks.Now())
 		for _, x := range k {
 			if !x.Open {
 				return false
@@ -117,7 +117,7 @@
 		}
 		return len(k) == len(workers)
 	})
-	weatherglass.Until(t, "the router takes part in claims", func() bool {
+	testutil.Until(t, "the router takes part in claims", func() bool {
 		v.claimantMu.Lock()
 		defer v.claimantMu.Unlock()
 		return v.claimant.Whole()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,15 +14,15 @@
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/cluster/message"
 	"seamshunt/internal/codes"
-	"seamshunt/internal/crew"
 	"seamshunt/internal/listener"
+	"seamshunt/internal/node"
 	"seamshunt/internal/router/admission"
 	"seamshunt/internal/router/capacity"
 	"seamshunt/internal/router/clientwatch"
 	"seamshunt/internal/router/idempotency"
 	"seamshunt/internal/router/placement"
 	"seamshunt/internal/router/upstream"
-	"seamshunt/internal/tower"
+	"seamshunt/internal/tasks"
 	"seamshunt/internal/units"
 )
 
@@ -36,7 +36,7 @@
 
 // Router is one process of the data plane.
 type Router struct {
-	*tower.Tower
+	*node.Base
 	rules      atomic.Pointer[rules]
 	tableMu    sync.Mutex
 	table      table
@@ -63,25 +63,25 @@
 	ask        *fasthttp.Server // answers whether this node is ready, where that has an address of its own
 	Words      *adapter.Adapter // the outside world's words; nil: the product's own interface
 	pool       *upstream.Pool
-	pace       crew.Pace // of the beat
+	pace       tasks.Loop // of the beat
 	clients    *clientwatch.Watcher
-	looks      crew.Pace // at the clients
+	looks      tasks.Loop // at the clients
 	stats      stats
 }
 
 // New builds a router; with a book it speaks that world's words to clients and workers (design 11).
 func New(b *boot.Boot, book *adapter.Adapter) *Router {
-	v := &Router{Tower: tower.New(b, tower.Random(), membership.Router), waiting: map[uint64]chan verdict{}, claims: map[uint64]chan codes.Code{}}
+	v := &Router{Base: node.New(b, node.Random(), membership.Router), waiting: map[uint64]chan verdict{}, claims: map[uint64]chan codes.Code{}}
 	if v.Words = book; book != nil {
 		v.pool = upstream.NewPool(book.Names)
 	}
 	v.clients = clientwatch.New(v.looks.By)
 	v.queue = admission.New(v.Self)
 	v.ledger = capacity.New(v.Self)
-	v.claimant = idempotency.New(v.Self, v.Crew.Now())
+	v.claimant = idempotency.New(v.Self, v.Tasks.Now())
 	v.table = newTable()
 	v.table.watch.Lax = book != nil
-	v.tag.Store(uint64(tower.Random()) >> 1)
+	v.tag.Store(uint64(node.Random()) >> 1)
 	v.Woke = v.woke
 	v.Refused = v.gone
 	v.Moved = v.soon
@@ -98,11 +98,11 @@
 	if err != nil {
 		return fmt.Errorf("router: %w", err)
 	}
-	if err := v.Tower.Start(); err != nil {
+	if err := v.Base.Start(); err != nil {
 		ln.Close()
 		return err
 	}
-	v.began = v.Crew.Now()
+	v.began = v.Tasks.Now()
 	v.web = &fasthttp.Server{Handler: v.serve, Name: "router", MaxRequestBodySize: MaxPrompt, NoDefaultDate: true,
 		ReadTimeout: 30 * time.Second, Logger: quiet{}, ErrorHandler: v.malformed, Concurrency: 65536}
 	if v.Words != nil {
@@ -112,9 +112,9 @@
 		ln.Close()
 		return err
 	}
-	v.looks.Start(v.Crew, clientwatch.LookEvery, func(units.Time) time.Duration { return v.clients.Look(v.ending()) })
-	v.Crew.Go(func() { _ = v.web.Serve(ln) })
-	v.pace.Start(v.Crew, often, v.beat)
+	v.looks.Start(v.Tasks, clientwatch.LookEvery, func(units.Time) time.Duration { return v.clients.Look(v.ending()) })
+	v.Tasks.Go(func() { _ = v.web.Serve(ln) })
+	v.pace.Start(v.Tasks, often, v.beat)
 	return nil
 }
 
--- a/internal/router/speak.go
+++ b/internal/router/speak.go
@@ -25,7 +25,7 @@
 	w.CloseOnShutdown = true
 	w.DisablePreParseMultipartForm = true
 	w.ReduceMemoryUsage = true
-	v.Crew.Every(time.Second, func(units.Time) { v.pool.Sweep() })
+	v.Tasks.Every(time.Second, func(units.Time) { v.pool.Sweep() })
 }
 
 // proper says whether a request may be passed on: none whose end two readers could see at different places, none of a
@@ -67,7 +67,7 @@
 		return fmt.Errorf("router: %w", err)
 	}
 	v.ask = &fasthttp.Server{Handler: v.readiness, Name: "router", NoDefaultDate: true, Logger: quiet{}, ReduceMemoryUsage: true}
-	v.Crew.Go(func() { _ = v.ask.Serve(ln) })
+	v.Tasks.Go(func() { _ = v.ask.Serve(ln) })
 	return nil
 }
 
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -39,7 +39,7 @@
 
 // status tells operators all there is to know of this node.
 func (v *Router) status(ctx *fasthttp.RequestCtx) {
-	now := v.Crew.Now()
+	now := v.Tasks.Now()
 	var a fastjson.Arena
 	o := a.NewObject()
 	o.Set("node", a.NewString(v.Self.String()))
--- a/internal/router/steps_test.go
+++ b/internal/router/steps_test.go
@@ -14,7 +14,7 @@
 	"seamshunt/internal/config"
 	"seamshunt/internal/router/capacity"
 	"seamshunt/internal/router/idempotency"
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 )
 
 const stepConfig = `{"services":[{"name":"big","pool":"main","cap":1,"warm_ms":0,"first_ms":20,"waitlist":1},{"name":"small","pool":"side","cap":1,"warm_ms":0,"first_ms":20,"waitlist":1}],
@@ -36,7 +36,7 @@
 	v.FeedMu.Lock()
 	v.Feed.Take(configpush.Item{Key: "zone/" + marker, Num: 1, Data: []byte(`{"evacuated":true}`)})
 	v.FeedMu.Unlock()
-	weatherglass.Until(t, "the news is looked at", func() bool {
+	testutil.Until(t, "the news is looked at", func() bool {
 		v.tableMu.Lock()
 		defer v.tableMu.Unlock()
 		return v.table.out[marker]
@@ -52,10 +52,10 @@
 	v := rig(t, a)
 	take(t, v, configpush.Item{Key: "config", Num: 2, Data: []byte(stepConfig)},
 		configpush.Item{Key: "workers/side", Num: 1, Data: config.PackWorkers([]config.Worker{{ID: "s1", Addr: b, Zone: "z1", Age: 1 << 40}})})
-	weatherglass.Until(t, "both workers are kept", func() bool {
+	testutil.Until(t, "both workers are kept", func() bool {
 		v.ledgerMu.Lock()
 		defer v.ledgerMu.Unlock()
-		k := v.ledger.Kept(v.Crew.Now())
+		k := v.ledger.Kept(v.Tasks.Now())
 		return len(k) == 2 && k[0].Open && k[1].Open
 	})
 	ask(t, v, "/stepped")
@@ -63,10 +63,10 @@
 	defer first.Close()
 	waits := ask(t, v, "/stepped") // waits for big: its list has room
 	defer waits.Close()
-	weatherglass.Until(t, "one waits", func() bool {
+	testutil.Until(t, "one waits", func() bool {
 		v.ledgerMu.Lock()
 		defer v.ledgerMu.Unlock()
-		return v.ledger.Kept(v.Crew.Now())[0].Waiting == 1
+		return v.ledger.Kept(v.Tasks.Now())[0].Waiting == 1
 	})
 	if status, body := ask(t, v, "/plain").reply(t); status != 503 || !strings.Contains(body, `"code":301`) || !strings.Contains(body, `"not_run":true`) {
 		t.Errorf("no step named: %d %s", status, body)
@@ -101,7 +101,7 @@
 	if status, body := ask(t, v, "/plain").reply(t); status != 503 || !strings.Contains(body, `"code":303`) {
 		t.Errorf("the zone is evacuated: %d %s", status, body)
 	}
-	v.departure.Store(newDeparture(v.Crew.Now(), time.Minute)) // as a warning would
+	v.departure.Store(newDeparture(v.Tasks.Now(), time.Minute)) // as a warning would
 	if status, body := ask(t, v, "/plain").reply(t); status != 503 || !strings.Contains(body, `"code":305`) {
 		t.Errorf("leaving: %d %s", status, body)
 	}
@@ -138,10 +138,10 @@
 	v := rig(t, a)
 	take(t, v, configpush.Item{Key: "workers/main/ff", Num: 9, Data: []byte(`{"workers":[{"id":""}]}`)})
 	for _, k := range []message.Kind{capacity.Ask, capacity.Report, capacity.Grant, idempotency.Claim, idempotency.Copy} {
-		v.Steps[k&^15](v.Crew.Now(), message.Message{From: 77, Kind: k, Body: []byte{1}})
+		v.Steps[k&^15](v.Tasks.Now(), message.Message{From: 77, Kind: k, Body: []byte{1}})
 	}
 	v.ledgerMu.Lock()
-	kept := v.ledger.Kept(v.Crew.Now())
+	kept := v.ledger.Kept(v.Tasks.Now())
 	v.ledgerMu.Unlock()
 	if len(kept) != 1 || kept[0].Lent != 0 {
 		t.Errorf("kept %+v", kept)
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -34,7 +34,7 @@
 	w.burn()
 	w.v.tallies.count(w.m, func(t *tally) {
 		t.refused++
-		t.waited += w.v.Crew.Now().Sub(w.begun)
+		t.waited += w.v.Tasks.Now().Sub(w.begun)
 	})
 	s := w.rules.Services[w.m.To[0]]
 	w.v.refuse(w.ctx, c, reasons[c], true, back(s.RetryAfter, s.Jitter, w.due))
@@ -54,7 +54,7 @@
 func (w *way) stream(tag uint64, t *upstream.Try, first upstream.Event, worker string) {
 	w.streaming, w.at = true, stageStream
 	s := &stream{w: w, tag: tag, t: t, worker: worker, e: &first}
-	w.v.tallies.count(w.m, func(t *tally) { t.firstWords(w.v.Crew.Now().Sub(w.begun)) })
+	w.v.tallies.count(w.m, func(t *tally) { t.firstWords(w.v.Tasks.Now().Sub(w.begun)) })
 	w.ctx.SetStatusCode(200)
 	w.ctx.SetContentType("application/x-ndjson")
 	w.ctx.Response.Header.Set("Request-Id", t.ID)
@@ -103,7 +103,7 @@
 		return e, nil
 	}
 	v := s.w.v
-	timeout := time.NewTimer(s.w.until.Sub(v.Crew.Now()))
+	timeout := time.NewTimer(s.w.until.Sub(v.Tasks.Now()))
 	defer timeout.Stop()
 	select {
 	case e := <-s.t.Events:
@@ -132,7 +132,7 @@
 	}
 	s.closed = true
 	s.t.Cancel()
-	now := s.w.v.Crew.Now()
+	now := s.w.v.Tasks.Now()
 	s.w.v.tallies.count(s.w.m, func(t *tally) {
 		t.ended++
 		t.held += now.Sub(s.w.handed)
--- a/internal/router/tries_test.go
+++ b/internal/router/tries_test.go
@@ -16,7 +16,7 @@
 	b, hb := scripted(t)
 	v := rig(t, a, b)
 	for range 50 {
-		v.budgetOf("advice").First(v.Crew.Now()) // the budget would allow it
+		v.budgetOf("advice").First(v.Tasks.Now()) // the budget would allow it
 	}
 	c := ask(t, v, "/notice")
 	var h hand
@@ -41,7 +41,7 @@
 	b, hb := scripted(t)
 	v := rig(t, a, b)
 	for range 20 {
-		v.budgetOf("advice").First(v.Crew.Now())
+		v.budgetOf("advice").First(v.Tasks.Now())
 	}
 	c := ask(t, v, "/notice")
 	var h, next hand
--- a/internal/router/way.go
+++ b/internal/router/way.go
@@ -72,7 +72,7 @@
 	s := w.rules.Services[service]
 	v := w.v
 	for range max(triesMost, w.m.Tries) {
-		now := v.Crew.Now()
+		now := v.Tasks.Now()
 		if w.cancelled() {
 			return w.end()
 		}
@@ -93,7 +93,7 @@
 			w.why, w.due = x.Code, x.Due
 			return w.sent > 0 && w.end()
 		}
-		if v.Crew.Now().Sub(x.at) > staleAt {
+		if v.Tasks.Now().Sub(x.at) > staleAt {
 			v.done(tag, false)
 			continue
 		}
@@ -151,11 +151,11 @@
 		w.why = codes.NoWorker
 		return false
 	}
-	now := v.Crew.Now()
+	now := v.Tasks.Now()
 	id := fmt.Sprintf("%s-%s", v.Self, strconv.FormatUint(tag, 16))
 	t := upstream.NewTry(w.client, addr, id, w.body, w.until.Sub(now))
 	v.stats.hand(zone, v.Boot.Zone, len(w.body))
-	v.Crew.Go(t.Run)
+	v.Tasks.Go(t.Run)
 	if w.sent == 0 {
 		v.budgetOf(s.Name).First(now)
 	}
@@ -167,7 +167,7 @@
 	switch e.Kind {
 	case upstream.Piece, upstream.Sealed:
 		w.client.Answering()
-		v.habitOf(s.Name).Add(v.Crew.Now().Sub(now))
+		v.habitOf(s.Name).Add(v.Tasks.Now().Sub(now))
 		w.stream(tag, t, e, name)
 		return true
 	case upstream.NotSent:
--- a/internal/router/woke_test.go
+++ b/internal/router/woke_test.go
@@ -3,14 +3,14 @@
 import (
 	"testing"
 
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 )
 
 // lent gives the permits out and whether the one worker's slots are lent at all.
 func lent(v *Router) (n int, open bool) {
 	v.ledgerMu.Lock()
 	defer v.ledgerMu.Unlock()
-	for _, k := range v.ledger.Kept(v.Crew.Now()) {
+	for _, k := range v.ledger.Kept(v.Tasks.Now()) {
 		return k.Lent, k.Open
 	}
 	return 0, false
@@ -25,11 +25,11 @@
 	ask(t, v, "/chat")
 	h := <-hands
 	defer h.Close()
-	v.woke(v.Crew.Now())
+	v.woke(v.Tasks.Now())
 	if v.ready.Load() {
 		t.Error("a woken router takes prompts before its news is confirmed")
 	}
-	weatherglass.Until(t, "it lends again", func() bool { n, open := lent(v); return open && n == 1 })
+	testutil.Until(t, "it lends again", func() bool { n, open := lent(v); return open && n == 1 })
 }
 
 // The slot of a run that was cut short is free only after its worker had time to notice the broken wire.
@@ -39,11 +39,11 @@
 	v := rig(t, a)
 	c := ask(t, v, "/chat")
 	h := <-hands
-	began := v.Crew.Now()
+	began := v.Tasks.Now()
 	c.Close()
 	gone(t, h)
-	weatherglass.Until(t, "the slot is free", func() bool { n, _ := lent(v); return n == 0 })
-	if d := v.Crew.Now().Sub(began); d < 250_000_000 {
+	testutil.Until(t, "the slot is free", func() bool { n, _ := lent(v); return n == 0 })
+	if d := v.Tasks.Now().Sub(began); d < 250_000_000 {
 		t.Errorf("the slot was free after %v, when the worker may still have been running", d)
 	}
 }
--- a/internal/router/words_test.go
+++ b/internal/router/words_test.go
@@ -9,7 +9,7 @@
 	"seamshunt/internal/cluster/configpush"
 	"seamshunt/internal/codes"
 	"seamshunt/internal/config"
-	"seamshunt/internal/weatherglass"
+	"seamshunt/internal/testutil"
 )
 
 const wordsConfig = `{"limits":{"body_bytes":200},
@@ -29,10 +29,10 @@
 	v.FeedMu.Lock()
 	v.Feed.Take(configpush.Item{Key: "workers/side", Num: 1, Data: config.PackWorkers([]config.Worker{{ID: "s1", Addr: b, Zone: "z1", Age: time.Hour}})})
 	v.FeedMu.Unlock()
-	weatherglass.Until(t, "the router keeps both workers", func() bool {
+	testutil.Until(t, "the router keeps both workers", func() bool {
 		v.ledgerMu.Lock()
 		defer v.ledgerMu.Unlock()
-		k := v.ledger.Kept(v.Crew.Now())
+		k := v.ledger.Kept(v.Tasks.Now())
 		return len(k) == 2 && k[0].Open && k[1].Open
 	})
 	return v, big, small
--- a/internal/crew/crew.go
+++ b/internal/tasks/group.go
@@ -1,5 +1,5 @@
-// Package crew is the one place that starts goroutines (design 1).
-package crew
+// Package tasks is the one place that starts goroutines (design 1).
+package tasks
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 	"seamshunt/internal/units"
 )
 
-// Crew runs a process's work and waits for it at the end.
-type Crew struct {
+// Group runs a process's work and waits for it at the end.
+type Group struct {
 	clock clockwork.Clock
 	zero  time.Time
 	stop  chan struct{}
@@ -21,10 +21,10 @@
 	jobs  chan func()
 }
 
-// New gives a crew with a pool of hands for short jobs.
-func New(clock clockwork.Clock, hands int) *Crew {
-	c := &Crew{clock: clock, zero: clock.Now(), stop: make(chan struct{}), jobs: make(chan func(), 8192)}
-	for range hands {
+// New gives a group with a pool of goroutines for short jobs.
+func New(clock clockwork.Clock, size int) *Group {
+	c := &Group{clock: clock, zero: clock.Now(), stop: make(chan struct{}), jobs: make(chan func(), 8192)}
+	for range size {
 		c.Go(func() {
 			for {
 				select {
@@ -40,13 +40,13 @@
 }
 
 // Now reads the process's monotonic clock.
-func (c *Crew) Now() units.Time { return units.Time(c.clock.Since(c.zero)) }
+func (c *Group) Now() units.Time { return units.Time(c.clock.Since(c.zero)) }
 
 // Sleep waits on the process's clock.
-func (c *Crew) Sleep(d time.Duration) { c.clock.Sleep(d) }
+func (c *Group) Sleep(d time.Duration) { c.clock.Sleep(d) }
 
 // Wait waits on the process's clock, or until the context is done.
-func (c *Crew) Wait(ctx context.Context, d time.Duration) {
+func (c *Group) Wait(ctx context.Context, d time.Duration) {
 	t := c.clock.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -55,11 +55,11 @@
 	}
 }
 
-// Stopped is closed when the crew is to go home.
-func (c *Crew) Stopped() <-chan struct{} { return c.stop }
+// Stopped is closed when the group is to end.
+func (c *Group) Stopped() <-chan struct{} { return c.stop }
 
 // Go starts a long piece of work.
-func (c *Crew) Go(f func()) {
+func (c *Group) Go(f func()) {
 	c.wg.Add(1)
 	go func() {
 		defer c.wg.Done()
@@ -68,7 +68,7 @@
 }
 
 // Do hands a short job to the pool; it says false when the pool is swamped.
-func (c *Crew) Do(f func()) bool {
+func (c *Group) Do(f func()) bool {
 	select {
 	case c.jobs <- f:
 		return true
@@ -77,8 +77,8 @@
 	}
 }
 
-// Every runs f again and again until the crew stops.
-func (c *Crew) Every(gap time.Duration, f func(units.Time)) {
+// Every runs f again and again until the group stops.
+func (c *Group) Every(gap time.Duration, f func(units.Time)) {
 	c.Go(func() {
 		t := c.clock.NewTicker(gap)
 		defer t.Stop()
@@ -94,7 +94,7 @@
 }
 
 // Stop tells everyone and waits up to limit.
-func (c *Crew) Stop(limit time.Duration) {
+func (c *Group) Stop(limit time.Duration) {
 	c.once.Do(func() { close(c.stop) })
 	done := make(chan struct{})
 	go func() { c.wg.Wait(); close(done) }()
--- a/internal/crew/pace.go
+++ b/internal/tasks/loop.go
@@ -1,4 +1,4 @@
-package crew
+package tasks
 
 import (
 	"sync"
@@ -9,10 +9,10 @@
 	"seamshunt/internal/units"
 )
 
-// Pace is a loop that runs as often as its work needs: each call says how long the next may wait, and whoever has
+// Loop is a loop that runs as often as its work needs: each call says how long the next may wait, and whoever has
 // something for it brings the next call forward.
-type Pace struct {
-	c  *Crew
+type Loop struct {
+	c  *Group
 	mu sync.Mutex
 	t  clockwork.Timer
 	at units.Time // when the next call is due
@@ -20,9 +20,9 @@
 
 const never = units.Time(1<<63 - 1)
 
-// Start runs f until the crew stops, first after a gap. Waits end at multiples of their own length on the crew's clock,
+// Start runs f until the group stops, first after a gap. Waits end at multiples of their own length on the group's clock,
 // so that loops that wait equally long wake the process once for all of them.
-func (p *Pace) Start(c *Crew, gap time.Duration, f func(units.Time) time.Duration) {
+func (p *Loop) Start(c *Group, gap time.Duration, f func(units.Time) time.Duration) {
 	p.mu.Lock()
 	p.c, p.t, p.at = c, c.clock.NewTimer(gap), c.Now().Add(gap)
 	p.mu.Unlock()
@@ -45,7 +45,7 @@
 }
 
 // By has the next call come within d. Before the start it does nothing.
-func (p *Pace) By(d time.Duration) {
+func (p *Loop) By(d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.c == nil {
--- a/internal/crew/pace_test.go
+++ b/internal/tasks/loop_test.go
@@ -1,4 +1,4 @@
-package crew
+package tasks
 
 import (
 	"testing"
@@ -16,7 +16,7 @@
 	defer c.Stop(0)
 	calls := make(chan units.Time)
 	gaps := make(chan time.Duration)
-	var p Pace
+	var p Loop
 	p.By(time.Millisecond) // nothing yet
 	p.Start(c, 20*time.Millisecond, func(now units.Time) time.Duration {
 		calls <- now
@@ -52,7 +52,7 @@
 	defer c.Stop(0)
 	calls := make(chan units.Time)
 	gaps := make(chan time.Duration)
-	var p Pace
+	var p Loop
 	p.Start(c, time.Second, func(now units.Time) time.Duration {
 		calls <- now
 		return <-gaps
--- a/internal/weatherglass/weatherglass.go
+++ b/internal/testutil/testutil.go
@@ -1,5 +1,5 @@
-// Package weatherglass is what tests of the daemons share: waiting for a thing to come true, and free addresses.
-package weatherglass
+// Package testutil is what tests of the daemons share: waiting for a thing to come true, and free addresses.
+package testutil
 
 import (
 	"testing"
