--- a/internal/router/upstream/dial.go
+++ b/internal/router/upstream/dial.go
@@ -75,12 +75,4 @@
 // unreachable says whether an attempt to connect failed for a reason that lies with the worker.
 func unreachable(err error) bool { return refused(err) || errors.Is(err, errSilent) }
 
-// doubt closes a worker's idle connections once its machine was found silent: a request that is sent over one of them may
-// lie there until its bytes are given up (ackMost).
-func (p *Pool) doubt(worker string, err error) {
-	if errors.Is(err, errSilent) || errors.Is(err, syscall.ETIMEDOUT) {
-		p.Drop(worker)
-	}
-}
-
 const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of Linux, which package syscall lacks
--- a/internal/router/upstream/exchange.go
+++ b/internal/router/upstream/exchange.go
@@ -60,7 +60,6 @@
 		var err error
 		if x.c, x.Reused, err = p.take(caller, o, again); err != nil {
 			x.Down = unreachable(err)
-			p.doubt(o.Worker, err)
 			return x.fail(NotSent, err)
 		}
 		if err = caller.Look(); err != nil {
@@ -96,7 +95,6 @@
 		if x.c.err != nil {
 			err = x.c.err // what fasthttp makes of it says less
 		}
-		p.doubt(o.Worker, err)
 		return x.fail(Unknown, err)
 	}
 	if x.Kind != Piece {
