--- a/internal/codes/codes.go
+++ b/internal/codes/codes.go
@@ -29,7 +29,7 @@
 	NoClaim      Code = 309
 	Unknown      Code = 401
 	BrokenStream Code = 402
-	HungUp       Code = 403
+	ClientLeft   Code = 403
 	BadConfig    Code = 501
 	BadRule      Code = 502
 	Duplicate    Code = 503
@@ -76,7 +76,7 @@
 		return 409
 	case Unknown, BrokenStream, Unsure:
 		return 502
-	case HungUp:
+	case ClientLeft:
 		return 499
 	}
 	switch {
--- a/internal/router/cancel.go
+++ b/internal/router/cancel.go
@@ -16,7 +16,7 @@
 	case errors.Is(err, clientwatch.ErrRouterEnds):
 		return codes.Draining
 	default:
-		return codes.HungUp
+		return codes.ClientLeft
 	}
 }
 
@@ -26,5 +26,5 @@
 		v.clientLeft(at, v.Tasks.Now().Sub(begun))
 	}
 	client.End()
-	v.flight.Add(-1)
+	v.inFlight.Add(-1)
 }
--- a/internal/router/desk.go
+++ b/internal/router/candidates.go
@@ -9,15 +9,15 @@
 	"seamshunt/internal/units"
 )
 
-// cands asks the placement policy for the workers' order, and finds each one's keeper.
-func (v *Router) cands(now units.Time, s *config.Service, prefix uint64) ([]string, map[string]units.Node) {
+// candidates asks the placement policy for the workers' order, and finds each one's keeper.
+func (v *Router) candidates(now units.Time, s *config.Service, prefix uint64) ([]string, map[string]units.Node) {
 	q := placement.Query{Prefix: prefix, Zone: v.Boot.Zone, Spread: s.Spread}
 	keepers := map[string]units.Node{}
 	var over []placement.Spot // passed over, but better than none
 	v.tableMu.Lock()
 	for _, x := range v.table.pools[s.Pool] {
 		name := s.Name + "/" + x.ID
-		if x.Leaving || v.table.out[x.Zone] || x.Service != "" && x.Service != s.Name {
+		if x.Leaving || v.table.evacuated[x.Zone] || x.Service != "" && x.Service != s.Name {
 			continue
 		}
 		keepers[name] = capacity.Keeper(v.table.peers, name, x.Zone)
@@ -46,7 +46,7 @@
 	v.queueMu.Lock()
 	delete(v.waiting, tag)
 	out := v.queue.Cut(v.Tasks.Now(), tag)
-	v.tell(v.Tasks.Now())
+	v.deliverVerdicts(v.Tasks.Now())
 	v.queueMu.Unlock()
 	v.Deliver(out)
 }
@@ -55,7 +55,7 @@
 	v.queueMu.Lock()
 	delete(v.waiting, tag)
 	out := v.queue.Done(v.Tasks.Now(), tag, unsure)
-	v.tell(v.Tasks.Now())
+	v.deliverVerdicts(v.Tasks.Now())
 	v.queueMu.Unlock()
 	v.Deliver(out)
 }
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -47,7 +47,7 @@
 }
 
 // claim takes the caller's key for a mapping that may not repeat, before anything is handed over (design 8).
-func (w *way) claim() bool {
+func (w *ownRequest) claim() bool {
 	if w.key == "" {
 		return false
 	}
@@ -76,7 +76,7 @@
 	}
 }
 
-func (w *way) claimedAs(c codes.Code) bool {
+func (w *ownRequest) claimedAs(c codes.Code) bool {
 	switch c {
 	case codes.OK:
 		return false
@@ -91,7 +91,7 @@
 }
 
 // burn keeps "not run" true for a key whose copy may still be on its way.
-func (w *way) burn() {
+func (w *ownRequest) burn() {
 	if w.claimed != "" {
 		w.v.screened(func() message.Effects { return w.v.claimant.Burn(w.claimed, w.holders) })
 	}
--- a/internal/router/client_left_rig_test.go
+++ b/internal/router/client_left_rig_test.go
@@ -84,12 +84,12 @@
 // taken waits until a request is under way at the router, and idle until none is.
 func taken(t testing.TB, v *Router) {
 	t.Helper()
-	testutil.Until(t, "a request is under way", func() bool { return v.flight.Load() > 0 })
+	testutil.Until(t, "a request is under way", func() bool { return v.inFlight.Load() > 0 })
 }
 
 func idle(t testing.TB, v *Router) {
 	t.Helper()
-	testutil.Until(t, "nothing is under way", func() bool { return v.flight.Load() == 0 })
+	testutil.Until(t, "nothing is under way", func() bool { return v.inFlight.Load() == 0 })
 }
 
 // admitted waits until a permit is held.
--- a/internal/router/dark.go
+++ b/internal/router/late_worker.go
@@ -9,11 +9,11 @@
 	"seamshunt/internal/units"
 )
 
-// errDark says that a worker took a prompt and has said nothing for longer than the service ever takes.
-var errDark = errors.New("router: no first words in more than twice the usual time")
+// errLate says that a worker took a prompt and has said nothing for longer than the service ever takes.
+var errLate = errors.New("router: no first words in more than twice the usual time")
 
 // again takes a further try from the budget, unless it was taken already.
-func (w *way) again(service string, now units.Time) bool {
+func (w *ownRequest) again(service string, now units.Time) bool {
 	if w.paid {
 		w.paid = false
 		return true
@@ -27,7 +27,7 @@
 
 // first waits for the first thing that a try has to tell. A worker that is later than the service's habit is passed
 // over; what may repeat then leaves it, if the budget and the time left allow another (design 8).
-func (w *way) first(t *upstream.Try, s *config.Service, name string) upstream.Event {
+func (w *ownRequest) first(t *upstream.Try, s *config.Service, name string) upstream.Event {
 	v := w.v
 	habit, known := v.habitOf(s.Name).Late()
 	noted := !known
@@ -54,28 +54,28 @@
 		}
 		if !noted {
 			noted = true
-			v.passOver(name)
+			v.markDown(name)
 		}
 		if !w.m.Once && w.more(1) && w.until.Sub(now) > 2*s.First && !w.paid && w.again(s.Name, now) {
 			w.paid = true
 			t.Cancel()
-			return upstream.Event{Kind: upstream.Unknown, Err: errDark}
+			return upstream.Event{Kind: upstream.Unknown, Err: errLate}
 		}
 	}
 }
 
-// bad is a worker that this node passes over, for longer each time until it answers again.
-type bad struct {
+// outage is a worker that this node passes over, for longer each time until it answers again.
+type outage struct {
 	until units.Time
 	span  time.Duration
 }
 
 const (
-	overLeast = time.Second
-	overMost  = 16 * time.Second
+	downLeast = time.Second
+	downMost  = 16 * time.Second
 )
 
-func (v *Router) passOver(name string) {
+func (v *Router) markDown(name string) {
 	v.tableMu.Lock()
 	defer v.tableMu.Unlock()
 	now := v.Tasks.Now()
@@ -83,13 +83,13 @@
 	if now < b.until {
 		return
 	}
-	b.span = min(max(2*b.span, overLeast), overMost)
+	b.span = min(max(2*b.span, downLeast), downMost)
 	b.until = now.Add(b.span)
 	v.table.down[name] = b
 }
 
-// well forgets what was held against a worker that answers.
-func (v *Router) well(name string) {
+// markUp forgets what was held against a worker that answers.
+func (v *Router) markUp(name string) {
 	v.tableMu.Lock()
 	delete(v.table.down, name)
 	v.tableMu.Unlock()
--- a/internal/router/leave.go
+++ b/internal/router/leave.go
@@ -80,19 +80,19 @@
 // awaitQuiet returns once nothing is under way and nothing more is taken, or when the grace is over.
 func (v *Router) awaitQuiet(d *departure) {
 	least := d.warned
-	if v.Words != nil {
+	if v.Adapter != nil {
 		least = least.Add(lingerFor)
 	}
 	for quietSince := d.warned; v.Tasks.Now() < d.end; v.Tasks.Sleep(leaveLookEach) {
 		now := v.Tasks.Now()
-		if v.flight.Load() > 0 {
+		if v.inFlight.Load() > 0 {
 			quietSince = now
 		}
 		if now <= least || now.Sub(quietSince) <= quietFor {
 			continue
 		}
 		v.closing.Store(true) // before the last look: a request that came in between either saw it or is seen
-		if v.flight.Load() == 0 {
+		if v.inFlight.Load() == 0 {
 			return
 		}
 	}
@@ -103,9 +103,9 @@
 func (v *Router) Close() {
 	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
-	_ = v.web.ShutdownWithContext(ctx)
-	if v.ask != nil {
-		_ = v.ask.ShutdownWithContext(ctx)
+	_ = v.server.ShutdownWithContext(ctx)
+	if v.readinessServer != nil {
+		_ = v.readinessServer.ShutdownWithContext(ctx)
 	}
 	v.Goodbye()
 }
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -38,7 +38,7 @@
 
 // clientLeft counts and logs a request whose client left while it stood at a stage, and how long it had stood there.
 func (v *Router) clientLeft(at stage, after time.Duration) {
-	v.stats.count(codes.HungUp)
+	v.stats.count(codes.ClientLeft)
 	v.stats.mu.Lock()
 	v.stats.left[at]++
 	v.stats.mu.Unlock()
@@ -82,7 +82,7 @@
 	v.upstreamMetrics(ctx)
 	fmt.Fprintf(ctx, "seamshunt_cross_zone_prompt_bytes_total %d\n", s.cross)
 	fmt.Fprintf(ctx, "seamshunt_wire_bytes_total %d\n", v.Transport.Out.Load())
-	fmt.Fprintf(ctx, "seamshunt_in_flight %d\n", v.flight.Load())
+	fmt.Fprintf(ctx, "seamshunt_in_flight %d\n", v.inFlight.Load())
 	fmt.Fprintf(ctx, "seamshunt_bad_frames_total %d\nseamshunt_bad_notes_total %d\n", v.Transport.Bad.Load(), v.Errors.Load())
 	fmt.Fprintf(ctx, "seamshunt_dropped_notes_total %d\n", v.Dropped.Load())
 	age := 0.0
--- a/internal/router/door.go
+++ b/internal/router/own_interface.go
@@ -61,8 +61,8 @@
 
 // prompt takes one request its way over the compiled rules.
 func (v *Router) prompt(ctx *fasthttp.RequestCtx, path string) {
-	v.flight.Add(1)
-	w := &way{v: v, ctx: ctx, begun: v.Tasks.Now(), rules: v.rules.Load(), client: v.clients.Begin(ctx.Conn()), at: stageClaim}
+	v.inFlight.Add(1)
+	w := &ownRequest{v: v, ctx: ctx, begun: v.Tasks.Now(), rules: v.rules.Load(), client: v.clients.Begin(ctx.Conn()), at: stageClaim}
 	defer func() {
 		if !w.streaming {
 			w.over(false)
@@ -95,7 +95,7 @@
 }
 
 // read checks what every prompt must bring.
-func (w *way) read() bool {
+func (w *ownRequest) read() bool {
 	ctx, v := w.ctx, w.v
 	if !ctx.IsPost() {
 		v.refuse(ctx, codes.BadBody, "a prompt is a POST", true, 0)
--- a/internal/router/door_test.go
+++ b/internal/router/own_interface_test.go
@@ -153,11 +153,11 @@
 			testutil.Until(t, "the slot is free", func() bool {
 				v.ledgerMu.Lock()
 				defer v.ledgerMu.Unlock()
-				return v.ledger.Kept(v.Tasks.Now())[0].Lent == 0 && v.flight.Load() == 0
+				return v.ledger.Kept(v.Tasks.Now())[0].Lent == 0 && v.inFlight.Load() == 0
 			})
 			v.stats.mu.Lock()
 			defer v.stats.mu.Unlock()
-			if n := v.stats.codes[codes.HungUp]; n != 1 {
+			if n := v.stats.codes[codes.ClientLeft]; n != 1 {
 				t.Errorf("%d hang-ups were noticed; the run ended for another reason", n)
 			}
 		})
--- a/internal/router/way.go
+++ b/internal/router/own_request.go
@@ -16,8 +16,8 @@
 	"seamshunt/internal/units"
 )
 
-// way is one request on its way.
-type way struct {
+// ownRequest is one request of the product's own interface on its way.
+type ownRequest struct {
 	v         *Router
 	ctx       *fasthttp.RequestCtx
 	rules     *rules
@@ -48,14 +48,14 @@
 )
 
 // limit bounds the caller's time left by the mapping's.
-func (w *way) limit(ms int) bool {
+func (w *ownRequest) limit(ms int) bool {
 	w.sure = true
 	w.until = w.begun.Add(min(w.left, time.Duration(ms)*time.Millisecond))
 	return false
 }
 
 // share draws the service among those that share the mapping: by the caller's key, so that its copies draw the same.
-func (w *way) share() bool {
+func (w *ownRequest) share() bool {
 	id := w.key
 	if id == "" {
 		id = strconv.FormatUint(w.v.tag.Add(1), 16)
@@ -65,10 +65,10 @@
 }
 
 // more says whether the mapping lets the prompt go to another worker, besides those that have it now.
-func (w *way) more(now int) bool { return w.m.Tries == 0 || w.sent+now < w.m.Tries }
+func (w *ownRequest) more(now int) bool { return w.m.Tries == 0 || w.sent+now < w.m.Tries }
 
 // try offers the prompt to one service. True ends the request's way.
-func (w *way) try(service string) bool {
+func (w *ownRequest) try(service string) bool {
 	s := w.rules.Services[service]
 	v := w.v
 	for range max(triesMost, w.m.Tries) {
@@ -108,16 +108,16 @@
 }
 
 // admit asks for admission and waits for the verdict, or until the request is cancelled.
-func (w *way) admit(now units.Time, tag uint64, s *config.Service) verdict {
+func (w *ownRequest) admit(now units.Time, tag uint64, s *config.Service) verdict {
 	v := w.v
 	w.at = stageAdmission
-	cands, keepers := v.cands(now, s, placement.Fingerprint(w.text, s.Prefix))
+	cands, keepers := v.candidates(now, s, placement.Fingerprint(w.text, s.Prefix))
 	c := make(chan verdict, 1)
 	v.queueMu.Lock()
 	v.waiting[tag] = c
 	out := v.queue.Arrive(now, admission.Request{Tag: tag, Policy: s.Allow, Cands: cands, Tries: s.Spread + 4, Until: w.until, First: s.First, Worth: uint16(w.m.Promise.Worth),
 		Keeper: func(n string) units.Node { return keepers[n] }})
-	v.tell(now)
+	v.deliverVerdicts(now)
 	v.queueMu.Unlock()
 	v.Deliver(out)
 	select {
@@ -136,14 +136,14 @@
 	defer v.tableMu.Unlock()
 	for _, x := range v.table.pools[s.Pool] {
 		if s.Name+"/"+x.ID == name {
-			return x.Addr, x.Zone, !x.Leaving && !v.table.out[x.Zone]
+			return x.Addr, x.Zone, !x.Leaving && !v.table.evacuated[x.Zone]
 		}
 	}
 	return "", "", false
 }
 
 // handOver sends the prompt to the worker. True ends the request's way; false lets it look further.
-func (w *way) handOver(tag uint64, name string, s *config.Service) bool {
+func (w *ownRequest) handOver(tag uint64, name string, s *config.Service) bool {
 	v := w.v
 	addr, zone, ok := v.address(name, s)
 	if !ok || !w.m.Reaches(s.Name) {
@@ -173,7 +173,7 @@
 	case upstream.NotSent:
 		v.done(tag, false)
 		if e.Down {
-			v.passOver(name)
+			v.markDown(name)
 		}
 		w.why = codes.NoWorker
 		return false
@@ -188,13 +188,13 @@
 	w.sure = false
 	w.why = codes.Unknown
 	v.done(tag, !e.Down)
-	v.passOver(name)
+	v.markDown(name)
 	v.Log.WithError(e.Err).WithField("worker", name).Warn("a try of unknown outcome")
 	return w.m.Once && w.end()
 }
 
 // brokenOff ends the way of a request that was cancelled while a worker had it, or was about to get it.
-func (w *way) brokenOff(tag uint64, e upstream.Event) bool {
+func (w *ownRequest) brokenOff(tag uint64, e upstream.Event) bool {
 	w.cancelled()
 	if e.Kind == upstream.NotSent {
 		w.v.done(tag, false)
@@ -207,7 +207,7 @@
 }
 
 // cancelled looks whether the request is cancelled, and notes why.
-func (w *way) cancelled() bool {
+func (w *ownRequest) cancelled() bool {
 	why := cancelledAs(w.client)
 	if why != 0 {
 		w.why = why
@@ -216,4 +216,4 @@
 }
 
 // over lets go of the client; nothing may be under way for it any more.
-func (w *way) over(whole bool) { w.v.over(w.client, w.at, w.begun, whole) }
+func (w *ownRequest) over(whole bool) { w.v.over(w.client, w.at, w.begun, whole) }
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -48,7 +48,7 @@
 
 // relay takes one request its way.
 func (v *Router) relay(ctx *fasthttp.RequestCtx) {
-	v.flight.Add(1)
+	v.inFlight.Add(1)
 	w := &relay{v: v, ctx: ctx, begun: v.Tasks.Now(), client: v.clients.Begin(ctx.Conn()), at: stageAdmission}
 	defer func() {
 		if w.reply == nil {
@@ -116,7 +116,7 @@
 
 // read takes what the headers tell.
 func (w *relay) read() {
-	n, h := &w.v.Words.Names, &w.ctx.Request.Header
+	n, h := &w.v.Adapter.Names, &w.ctx.Request.Header
 	w.id = string(h.Peek(n.Try))
 	w.last = string(h.Peek(n.After))
 	w.left = w.m.Promise.Longest
@@ -124,8 +124,8 @@
 		w.left = time.Duration(ms * float64(time.Millisecond))
 	}
 	w.body = bytes.Clone(w.ctx.PostBody()) // outlives the handler
-	if w.v.Words.Prompt != nil {
-		w.prompt, w.sized = w.v.Words.Prompt(h)
+	if w.v.Adapter.Prompt != nil {
+		w.prompt, w.sized = w.v.Adapter.Prompt(h)
 	}
 }
 
@@ -175,7 +175,7 @@
 	if c == 0 {
 		c = codes.NoWorker
 	}
-	if c == codes.HungUp {
+	if c == codes.ClientLeft {
 		w.ctx.SetConnectionClose()
 	} else {
 		w.v.tallies.count(w.m, func(t *tally) {
@@ -186,7 +186,7 @@
 	switch {
 	case w.ran:
 		w.end(codes.Unknown, 0)
-	case c == codes.HungUp:
+	case c == codes.ClientLeft:
 		w.end(c, 0)
 	default:
 		s := w.rules.Services[w.m.To[0]]
@@ -196,7 +196,7 @@
 
 // end answers with a code of our own. A client is told when to come back only where the request did not run.
 func (w *relay) end(c codes.Code, after time.Duration) {
-	if c != codes.HungUp { // counted as the client left
+	if c != codes.ClientLeft { // counted as the client left
 		w.v.stats.count(c)
 	}
 	r := &w.ctx.Response
--- a/internal/router/relay_size.go
+++ b/internal/router/relay_size.go
@@ -20,7 +20,7 @@
 		}
 	}
 	q.Urge = w.urge
-	cands, keepers := v.cands(now, s, homeKey(w.prompt, w.sized))
+	cands, keepers := v.candidates(now, s, homeKey(w.prompt, w.sized))
 	if w.broke != "" && len(cands) > 1 && cands[0] == w.broke {
 		cands = append(cands[1:], cands[0])
 	}
--- a/internal/router/relay_try.go
+++ b/internal/router/relay_try.go
@@ -106,7 +106,7 @@
 	v.queueMu.Lock()
 	v.waiting[tag] = c
 	out := v.queue.Arrive(now, q)
-	v.tell(now)
+	v.deliverVerdicts(now)
 	v.queueMu.Unlock()
 	v.Deliver(out)
 	select {
@@ -121,7 +121,7 @@
 
 // request lays out what goes to the worker: the client's bytes, and what the worker is told besides.
 func (w *relay) request(worker string, left time.Duration) *fasthttp.Request {
-	n, r := &w.v.Words.Names, fasthttp.AcquireRequest()
+	n, r := &w.v.Adapter.Names, fasthttp.AcquireRequest()
 	w.ctx.Request.Header.CopyTo(&r.Header)
 	for _, h := range hops {
 		r.Header.Del(h)
@@ -168,7 +168,7 @@
 		if w.retries(x.Resp.StatusCode()) {
 			x.End()
 			v.done(tag, false)
-			v.passOver(name)
+			v.markDown(name)
 			w.why = codes.WorkerNo
 			return nil
 		}
@@ -199,19 +199,19 @@
 	case x.Kind == upstream.NotSent:
 		v.done(tag, false)
 		if x.Down {
-			v.passOver(name)
+			v.markDown(name)
 		}
 		w.why = codes.NoWorker
 		v.Log.WithError(x.Err).WithField("worker", name).Warn("no connection to a worker")
 	case x.Kind == upstream.NotRun || x.Kind == upstream.Moved:
 		v.done(tag, false)
-		v.passOver(name)
+		v.markDown(name)
 		w.why = codes.WorkerNo
 	default:
 		w.ran = true
 		w.why = codes.Unknown
 		v.done(tag, !x.Down)
-		v.passOver(name)
+		v.markDown(name)
 		v.Log.WithError(x.Err).WithField("worker", name).Warn("a try of unknown outcome")
 	}
 }
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -152,7 +152,7 @@
 		return // broken off here
 	}
 	v.stats.count(codes.BrokenStream)
-	v.passOver(r.worker)
+	v.markDown(r.worker)
 	v.Log.WithError(err).WithField("worker", r.worker).Warn("a stream broke")
 }
 
@@ -215,7 +215,7 @@
 	}
 	if r.ended {
 		v.stats.count(codes.OK)
-		v.well(r.worker)
+		v.markUp(r.worker)
 	}
 	if w.reply == r {
 		w.over()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -37,54 +37,54 @@
 // Router is one process of the data plane.
 type Router struct {
 	*node.Base
-	rules      atomic.Pointer[rules]
-	tableMu    sync.Mutex
-	table      table
-	queueMu    sync.Mutex
-	queue      *admission.Queue
-	waiting    map[uint64]chan verdict
-	ledgerMu   sync.Mutex
-	ledger     *capacity.Ledger
-	claimantMu sync.Mutex
-	claimant   *idempotency.Claimant
-	claims     map[uint64]chan codes.Code
-	placer     placement.Placer
-	budget     sync.Map // service to *upstream.Budget
-	habits     sync.Map // service to *upstream.Habit
-	tallies    tallies
-	tag        atomic.Uint64
-	ready      atomic.Bool
-	departure  atomic.Pointer[departure] // nil: this node stays
-	closing    atomic.Bool               // nothing more is taken, however short
-	static     atomic.Int64              // since when no controller has been heard, zero while one is
-	began      units.Time
-	flight     atomic.Int64
-	web        *fasthttp.Server
-	ask        *fasthttp.Server // answers whether this node is ready, where that has an address of its own
-	Words      *adapter.Adapter // the outside world's words; nil: the product's own interface
-	pool       *upstream.Pool
-	pace       tasks.Loop // of the beat
-	clients    *clientwatch.Watcher
-	looks      tasks.Loop // at the clients
-	stats      stats
+	rules           atomic.Pointer[rules]
+	tableMu         sync.Mutex
+	table           table
+	queueMu         sync.Mutex
+	queue           *admission.Queue
+	waiting         map[uint64]chan verdict
+	ledgerMu        sync.Mutex
+	ledger          *capacity.Ledger
+	claimantMu      sync.Mutex
+	claimant        *idempotency.Claimant
+	claims          map[uint64]chan codes.Code
+	placer          placement.Placer
+	budget          sync.Map // service to *upstream.Budget
+	habits          sync.Map // service to *upstream.Habit
+	tallies         tallies
+	tag             atomic.Uint64
+	ready           atomic.Bool
+	departure       atomic.Pointer[departure] // nil: this node stays
+	closing         atomic.Bool               // nothing more is taken, however short
+	static          atomic.Int64              // since when no controller has been heard, zero while one is
+	began           units.Time
+	inFlight        atomic.Int64
+	server          *fasthttp.Server
+	readinessServer *fasthttp.Server // answers whether this node is ready, where that has an address of its own
+	Adapter         *adapter.Adapter // the outside world's words and formats; nil: the product's own interface
+	pool            *upstream.Pool
+	ticks           tasks.Loop
+	clients         *clientwatch.Watcher
+	clientLooks     tasks.Loop // at the clients
+	stats           stats
 }
 
-// New builds a router; with a book it speaks that world's words to clients and workers (design 11).
-func New(b *boot.Boot, book *adapter.Adapter) *Router {
+// New builds a router; with an adapter it speaks that world's words to clients and workers (design 11).
+func New(b *boot.Boot, outside *adapter.Adapter) *Router {
 	v := &Router{Base: node.New(b, node.Random(), membership.Router), waiting: map[uint64]chan verdict{}, claims: map[uint64]chan codes.Code{}}
-	if v.Words = book; book != nil {
-		v.pool = upstream.NewPool(book.Names)
+	if v.Adapter = outside; outside != nil {
+		v.pool = upstream.NewPool(outside.Names)
 	}
-	v.clients = clientwatch.New(v.looks.By)
+	v.clients = clientwatch.New(v.clientLooks.By)
 	v.queue = admission.New(v.Self)
 	v.ledger = capacity.New(v.Self)
 	v.claimant = idempotency.New(v.Self, v.Tasks.Now())
 	v.table = newTable()
-	v.table.watch.Lax = book != nil
+	v.table.watch.Lax = outside != nil
 	v.tag.Store(uint64(node.Random()) >> 1)
 	v.Woke = v.woke
 	v.Refused = v.gone
-	v.Moved = v.soon
+	v.Moved = v.tickSoon
 	v.Steps[message.KindCapacity] = v.permits
 	v.Steps[message.KindClaim] = func(now units.Time, n message.Message) {
 		v.screened(func() message.Effects { return v.claimant.Step(now, n) })
@@ -103,18 +103,18 @@
 		return err
 	}
 	v.began = v.Tasks.Now()
-	v.web = &fasthttp.Server{Handler: v.serve, Name: "router", MaxRequestBodySize: MaxPrompt, NoDefaultDate: true,
+	v.server = &fasthttp.Server{Handler: v.serve, Name: "router", MaxRequestBodySize: MaxPrompt, NoDefaultDate: true,
 		ReadTimeout: 30 * time.Second, Logger: quiet{}, ErrorHandler: v.malformed, Concurrency: 65536}
-	if v.Words != nil {
-		v.speak()
+	if v.Adapter != nil {
+		v.useAdapter()
 	}
-	if err := v.askable(); err != nil {
+	if err := v.serveReadiness(); err != nil {
 		ln.Close()
 		return err
 	}
-	v.looks.Start(v.Tasks, clientwatch.LookEvery, func(units.Time) time.Duration { return v.clients.Look(v.ending()) })
-	v.Tasks.Go(func() { _ = v.web.Serve(ln) })
-	v.pace.Start(v.Tasks, often, v.beat)
+	v.clientLooks.Start(v.Tasks, clientwatch.LookEvery, func(units.Time) time.Duration { return v.clients.Look(v.ending()) })
+	v.Tasks.Go(func() { _ = v.server.Serve(ln) })
+	v.ticks.Start(v.Tasks, tickGap, v.tick)
 	return nil
 }
 
@@ -127,7 +127,7 @@
 	if n.Kind != capacity.Ask && n.Kind != capacity.Return && n.Kind != capacity.Report {
 		v.queueMu.Lock()
 		out := v.queue.Step(now, n)
-		v.tell(now)
+		v.deliverVerdicts(now)
 		v.queueMu.Unlock()
 		v.Deliver(out)
 	}
@@ -138,13 +138,13 @@
 		v.ledgerMu.Unlock()
 		v.Deliver(out)
 		if busy {
-			v.soon()
+			v.tickSoon()
 		}
 	}
 }
 
-// tell passes verdicts to the prompts that wait for them; the desk's lock is held.
-func (v *Router) tell(now units.Time) {
+// deliverVerdicts passes verdicts to the prompts that wait for them; the queue's lock is held.
+func (v *Router) deliverVerdicts(now units.Time) {
 	for _, x := range v.queue.Verdicts {
 		if c := v.waiting[x.Tag]; c != nil {
 			delete(v.waiting, x.Tag)
@@ -191,7 +191,7 @@
 	x, ok := v.budget.Load(service)
 	if !ok {
 		ratio := v.Boot.Bounds.RetryRatio
-		if v.Words != nil {
+		if v.Adapter != nil {
 			ratio *= retryPart
 		}
 		x, _ = v.budget.LoadOrStore(service, &upstream.Budget{Ratio: ratio})
--- a/internal/router/rules.go
+++ b/internal/router/rules.go
@@ -23,18 +23,18 @@
 
 // table is what news and membership say, under tableMu.
 type table struct {
-	pools  map[string][]config.Worker
-	sky    *discovery.Catalog // what the platform was seen to list
-	out    map[string]bool    // zones evacuated
-	down   map[string]bad     // workers found dead or dark here
-	watch  *capacity.Watch
-	peers  []capacity.Peer
-	voters register.QuorumSet
-	fresh  bool
+	pools     map[string][]config.Worker
+	catalog   *discovery.Catalog // what the platform was seen to list
+	evacuated map[string]bool    // zones
+	down      map[string]outage  // workers found dead or dark here
+	watch     *capacity.Watch
+	peers     []capacity.Peer
+	voters    register.QuorumSet
+	fresh     bool
 }
 
 func newTable() table {
-	return table{pools: map[string][]config.Worker{}, sky: discovery.New(), out: map[string]bool{}, down: map[string]bad{}, watch: capacity.NewWatch()}
+	return table{pools: map[string][]config.Worker{}, catalog: discovery.New(), evacuated: map[string]bool{}, down: map[string]outage{}, watch: capacity.NewWatch()}
 }
 
 // refresh brings news and membership into the tables and from there to the keeper.
@@ -61,7 +61,7 @@
 	if r == nil {
 		return
 	}
-	ws := r.Keep(t.pools, t.sky.Start(), t.out)
+	ws := r.Keep(t.pools, t.catalog.Start(), t.evacuated)
 	v.ledgerMu.Lock()
 	v.ledger.Workers(ws)
 	v.ledger.Allow(v.Boot.Bounds.WarmExcess, v.Boot.Bounds.WarmSlack, t.watch.Part(now, len(peers)))
@@ -82,12 +82,12 @@
 		v.rules.Store(&rules{Config: c, num: it.Num})
 	case "zone":
 		v.tableMu.Lock()
-		v.table.out[name] = fastjson.GetBool(it.Data, "evacuated")
+		v.table.evacuated[name] = fastjson.GetBool(it.Data, "evacuated")
 		v.tableMu.Unlock()
 	case "workers":
 		v.tableMu.Lock()
-		pool, err := v.table.sky.Take(now, it.Key, it.Num, it.Data)
-		v.table.pools[pool] = v.table.sky.List(pool)
+		pool, err := v.table.catalog.Take(now, it.Key, it.Num, it.Data)
+		v.table.pools[pool] = v.table.catalog.List(pool)
 		v.tableMu.Unlock()
 		if err != nil {
 			v.Errors.Add(1)
@@ -117,7 +117,7 @@
 	v.tableMu.Lock()
 	voters, known := v.table.voters.Members, len(v.table.pools) > 0
 	v.tableMu.Unlock()
-	if v.Words != nil && !known {
+	if v.Adapter != nil && !known {
 		return // no worker is known yet
 	}
 	v.FeedMu.Lock()
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -11,7 +11,7 @@
 
 func (v *Router) health(ctx *fasthttp.RequestCtx) {
 	v.tableMu.Lock()
-	out := v.table.out[v.Boot.Zone]
+	out := v.table.evacuated[v.Boot.Zone]
 	v.tableMu.Unlock()
 	if !v.ready.Load() || v.leaving() || out || v.alone() {
 		ctx.SetStatusCode(503)
@@ -47,7 +47,7 @@
 	o.Set("zone", a.NewString(v.Boot.Zone))
 	o.Set("ready", flag(&a, v.ready.Load()))
 	o.Set("leaving", flag(&a, v.leaving()))
-	o.Set("in_flight", a.NewNumberInt(int(v.flight.Load())))
+	o.Set("in_flight", a.NewNumberInt(int(v.inFlight.Load())))
 	if t := v.static.Load(); t > 0 {
 		o.Set("cut_from_control_ms", a.NewNumberInt(int((int64(now)-t)/int64(time.Millisecond))))
 	}
--- a/internal/router/steps_test.go
+++ b/internal/router/steps_test.go
@@ -39,7 +39,7 @@
 	testutil.Until(t, "the news is looked at", func() bool {
 		v.tableMu.Lock()
 		defer v.tableMu.Unlock()
-		return v.table.out[marker]
+		return v.table.evacuated[marker]
 	})
 }
 
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -11,18 +11,18 @@
 )
 
 // end gives the final answer at once, with its code and when to come back.
-func (w *way) end() bool {
+func (w *ownRequest) end() bool {
 	w.refuse()
 	return true
 }
 
 // refuse says "not run" only where no byte of the prompt can still arrive anywhere; a doubt is "outcome unknown".
-func (w *way) refuse() {
+func (w *ownRequest) refuse() {
 	c := w.why
 	if c == 0 {
 		c = codes.NoWorker
 	}
-	if c == codes.HungUp {
+	if c == codes.ClientLeft {
 		w.ctx.SetConnectionClose()
 		w.ctx.SetStatusCode(c.Status())
 		return
@@ -51,7 +51,7 @@
 }
 
 // stream begins the caller's answer; the rest is read from the try as it comes.
-func (w *way) stream(tag uint64, t *upstream.Try, first upstream.Event, worker string) {
+func (w *ownRequest) stream(tag uint64, t *upstream.Try, first upstream.Event, worker string) {
 	w.streaming, w.at = true, stageStream
 	s := &stream{w: w, tag: tag, t: t, worker: worker, e: &first}
 	w.v.tallies.count(w.m, func(t *tally) { t.firstWords(w.v.Tasks.Now().Sub(w.begun)) })
@@ -68,7 +68,7 @@
 // stream is the body of a caller's answer. An error from Read makes the server break the wire off
 // without a final chunk, so that a broken answer never looks whole.
 type stream struct {
-	w      *way
+	w      *ownRequest
 	tag    uint64
 	t      *upstream.Try
 	worker string
@@ -116,7 +116,7 @@
 		var late net.Error
 		s.unsure = errors.As(e.Err, &late) && late.Timeout() // silence: nobody knows whether it still runs
 		v.stats.count(codes.BrokenStream)
-		v.passOver(s.worker)
+		v.markDown(s.worker)
 		v.Log.WithError(e.Err).WithField("worker", s.worker).Warn("a stream broke")
 	case <-s.w.client.Done():
 	case <-timeout.C:
@@ -142,7 +142,7 @@
 	})
 	if s.whole && len(s.rest) == 0 {
 		s.w.v.stats.count(codes.OK)
-		s.w.v.well(s.worker)
+		s.w.v.markUp(s.worker)
 	}
 	if s.whole || s.unsure {
 		s.w.v.done(s.tag, s.unsure)
--- a/internal/router/speak.go
+++ b/internal/router/with_adapter.go
@@ -14,9 +14,9 @@
 	"seamshunt/internal/units"
 )
 
-// speak has the door for clients take requests in the book's words, byte for byte.
-func (v *Router) speak() {
-	w := v.web
+// useAdapter has the server take clients' requests in the adapter's words, byte for byte.
+func (v *Router) useAdapter() {
+	w := v.server
 	w.Handler = v.relay
 	w.ReadTimeout, w.IdleTimeout = 30*time.Second, 60*time.Second
 	w.ReadBufferSize = 20 << 10
@@ -57,8 +57,8 @@
 	return len(line) > len(field) && line[len(field)] == ':' && strings.EqualFold(string(line[:len(field)]), field)
 }
 
-// askable answers at an address of its own whether this node is ready.
-func (v *Router) askable() error {
+// serveReadiness answers at an address of its own whether this node is ready.
+func (v *Router) serveReadiness() error {
 	if v.Boot.Ready == "" {
 		return nil
 	}
@@ -66,8 +66,8 @@
 	if err != nil {
 		return fmt.Errorf("router: %w", err)
 	}
-	v.ask = &fasthttp.Server{Handler: v.readiness, Name: "router", NoDefaultDate: true, Logger: quiet{}, ReduceMemoryUsage: true}
-	v.Tasks.Go(func() { _ = v.ask.Serve(ln) })
+	v.readinessServer = &fasthttp.Server{Handler: v.readiness, Name: "router", NoDefaultDate: true, Logger: quiet{}, ReduceMemoryUsage: true}
+	v.Tasks.Go(func() { _ = v.readinessServer.Serve(ln) })
 	return nil
 }
 
@@ -77,7 +77,7 @@
 		v.status(ctx)
 	case "/metrics":
 		v.metrics(ctx)
-	case v.Words.Ready:
+	case v.Adapter.Ready:
 		if !v.ready.Load() || v.leaving() || v.alone() {
 			ctx.SetStatusCode(503)
 			return
@@ -90,8 +90,8 @@
 
 // compile reads a configuration in whichever words it was given.
 func (v *Router) compile(b []byte) (*config.Config, []*codes.Fault) {
-	if v.Words != nil {
-		return v.Words.Config(b)
+	if v.Adapter != nil {
+		return v.Adapter.Config(b)
 	}
 	return config.Read(b)
 }
