Review case 4: a shortage of descriptors leaves a router deaf to all other nodes for good

Cause: the listener for other nodes ends with the first accept that fails, and nobody notices. Change: a script in which clients take all descriptors of a router while another machine's processes are started again.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(record string, trouble bool) (int, error){
 	"stale-withdrawal": staleWithdrawal,
 	"large-bodies":     largeBodies,
+	"descriptors":      descriptors,
 }
 
 func main() {
