--- a/review/stand/descriptors.go
+++ b/review/stand/descriptors.go
@@ -48,16 +48,17 @@
 }
 
 // press has many clients connect to one front at once; each sends one request and keeps its connection for a while.
-func (f *fleet) press(m standin.Machine, started chan<- struct{}) {
+func (f *fleet) press(m standin.Machine, started chan<- int) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	answered := 0
+	answered, open := 0, 0
 	begun := time.Now()
 	for i := range crowd {
 		c, err := net.DialTimeout("tcp", m.Front(), time.Second)
 		if err != nil {
 			continue
 		}
+		open++
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -73,8 +74,8 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
-	f.say("clients hold %d connections to %s", crowd, m.Name)
-	close(started)
+	f.say("clients hold %d connections to %s", open, m.Name)
+	started <- open
 	wg.Wait()
 	f.say("the clients have gone; %d of them got an answer", answered)
 }
@@ -120,10 +121,12 @@
 	}
 	a, b := f.site.Machines[0], f.site.Machines[1]
 	if trouble {
-		started := make(chan struct{})
+		started := make(chan int, 1)
 		gone := make(chan struct{})
 		go func() { f.press(a, started); close(gone) }()
-		<-started
+		if open := <-started; open < maxFds {
+			return failed, fmt.Errorf("this machine opens only %d connections", open)
+		}
 		if err := f.restart(b); err != nil {
 			return failed, err
 		}
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -13,10 +13,10 @@
 
 // arrival is a request that reached a worker and began to run there.
 type arrival struct {
-	at            time.Time
-	id, path      string
-	worker, zone  string
-	method, probe string
+	at           time.Time
+	id, path     string
+	worker, zone string
+	method       string
 }
 
 // worker is a sound server of one service.
