--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -19,6 +19,7 @@
 	"stale-withdrawal": staleWithdrawal,
 	"large-bodies":     largeBodies,
 	"descriptors":      descriptors,
+	"many-routes":      manyRoutes,
 }
 
 func main() {
