Review case 1: a write read back after a kill is acknowledged without a sync

Cause: wal.load takes every whole record of the file as synced, though a process that was killed in the sync of a write leaves the record unsynced. A voter that starts so answers the owner's repeated Accept without a write, and so without a sync. A loss of power right after the acknowledgement, with the loss of one disk, then takes the acknowledged configuration away. Change: a script that kills two of three control machines in the sync of a change, starts one again, and plays the closing fault as soon as the change is acknowledged.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -19,6 +19,7 @@
 	"stale-withdrawal": staleWithdrawal,
 	"descriptors":      descriptors,
 	"many-routes":      manyRoutes,
+	"unsynced":         unsynced,
 }
 
 func main() {
