--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -6,8 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -87,28 +85,6 @@
 	return w, nil
 }
 
-// settings writes a program's settings file.
-func (f *fleet) settings(m standin.Machine, program string, first bool) (string, error) {
-	path, err := f.site.Settings(f.dir, m, program, first)
-	if err != nil || f.memory == 0 {
-		return path, err
-	}
-	b, err := os.ReadFile(path)
-	if err != nil {
-		return path, err
-	}
-	var all map[string]any
-	if err := json.Unmarshal(b, &all); err != nil {
-		return path, err
-	}
-	limits, ok := all["limits"].(map[string]any)
-	if !ok {
-		return path, errors.New("settings without limits")
-	}
-	limits["memory_mb"] = f.memory
-	return path, os.WriteFile(path, jsonOf(all), 0o644)
-}
-
 // up starts every program; the settings say whether this is the very first start.
 func (f *fleet) up(first bool) error {
 	for _, m := range f.site.Machines {
