Observability: orders for zones and the zones' states are logged and counted

A controller now warns of each order for a zone (what was asked, the number that it builds on, its code, how long it took), a router of each change of a zone's state with its number; both give state and number in the metrics, controllers count orders by code.

--- a/internal/control/controller/status.go
+++ b/internal/control/controller/status.go
@@ -163,6 +163,8 @@
 	c.polled.mu.Lock()
 	fmt.Fprintf(ctx, "seamshunt_platform_answers_total %d\nseamshunt_platform_failures_total %d\n", c.polled.ok, c.polled.bad)
 	c.polled.mu.Unlock()
+	c.WriteZoneMetrics(ctx)
+	c.zoneOrders.write(ctx)
 	n, damaged := 0, 0
 	if c.disk.unfit(now) {
 		n = 1
--- /dev/null
+++ b/internal/node/zones_test.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"strings"
+	"testing"
+
+	"seamshunt/internal/boot"
+	"seamshunt/internal/cluster/configpush"
+	"seamshunt/internal/cluster/membership"
+)
+
+// The metrics tell each zone's state with its number, and no other value's.
+func TestZoneMetrics(t *testing.T) {
+	b := New(&boot.Boot{Name: "n"}, 1, membership.Router)
+	b.Feed.Take(configpush.Item{Key: "config", Num: 3, Data: []byte(`{}`)})
+	b.Feed.Take(configpush.Item{Key: ZonePrefix + "z1", Num: 4, Data: []byte(`{"evacuated":true}`)})
+	b.Feed.Take(configpush.Item{Key: ZonePrefix + "z2", Num: 2, Data: []byte(`{"evacuated":false}`)})
+	var out strings.Builder
+	b.WriteZoneMetrics(&out)
+	want := `seamshunt_zone_evacuated{zone="z1"} 1
+seamshunt_zone_number{zone="z1"} 4
+seamshunt_zone_evacuated{zone="z2"} 0
+seamshunt_zone_number{zone="z2"} 2
+`
+	if out.String() != want {
+		t.Errorf("%s", out.String())
+	}
+}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -79,6 +79,7 @@
 		fmt.Fprintf(ctx, "seamshunt_client_left_total{stage=%q} %d\n", at, s.left[at])
 	}
 	v.tallies.metrics(ctx)
+	v.WriteZoneMetrics(ctx)
 	v.upstreamMetrics(ctx)
 	fmt.Fprintf(ctx, "seamshunt_cross_zone_prompt_bytes_total %d\n", s.cross)
 	fmt.Fprintf(ctx, "seamshunt_wire_bytes_total %d\n", v.Transport.Out.Load())
--- a/internal/router/rules.go
+++ b/internal/router/rules.go
@@ -4,13 +4,14 @@
 	"slices"
 	"strings"
 
-	"github.com/valyala/fastjson"
+	"github.com/apex/log"
 
 	"seamshunt/internal/cluster/configpush"
 	"seamshunt/internal/cluster/discovery"
 	"seamshunt/internal/cluster/membership"
 	"seamshunt/internal/config"
 	"seamshunt/internal/control/register"
+	"seamshunt/internal/node"
 	"seamshunt/internal/router/capacity"
 	"seamshunt/internal/units"
 )
@@ -81,9 +82,7 @@
 		}
 		v.rules.Store(&rules{Config: c, num: it.Num})
 	case "zone":
-		v.tableMu.Lock()
-		v.table.evacuated[name] = fastjson.GetBool(it.Data, "evacuated")
-		v.tableMu.Unlock()
+		v.zoneNews(name, it)
 	case "workers":
 		v.tableMu.Lock()
 		pool, err := v.table.catalog.Take(now, it.Key, it.Num, it.Data)
@@ -102,6 +101,18 @@
 	}
 }
 
+// zoneNews takes a zone's state. A change of it is logged with the number by which it can be told from others.
+func (v *Router) zoneNews(zone string, it configpush.Item) {
+	evacuated := node.ZoneEvacuated(it.Data)
+	v.tableMu.Lock()
+	changed := v.table.evacuated[zone] != evacuated
+	v.table.evacuated[zone] = evacuated
+	v.tableMu.Unlock()
+	if changed {
+		v.Log.WithFields(log.Fields{"zone": zone, "evacuated": evacuated, "number": it.Num}).Warn("a zone's state has changed")
+	}
+}
+
 // confirm makes a starting or woken router ready once nothing newer than its news stands anywhere (design 4).
 func (v *Router) confirm(now units.Time) {
 	all := v.Members()
