--- a/cmd/testbed/random_plan.go
+++ b/cmd/testbed/random_plan.go
@@ -19,6 +19,17 @@
 	settleBeforeEnd = 6 * time.Second // nothing begins so shortly before the traffic's end
 )
 
+// Spans of an evacuation. It stays for longer than the rules allow until the zone gets nothing new; before, it may be withdrawn and
+// given again, as by an operator who can't make up his mind.
+const (
+	swingsMost     = 3
+	swingGapMost   = 1500 * time.Millisecond
+	freezeAhead    = 200 * time.Millisecond // a freeze that is to hold a withdrawal up begins so long before it
+	evacuatedLeast = 7 * time.Second
+	evacuatedMost  = 12 * time.Second
+	lastWithdrawal = 500 * time.Millisecond // before the traffic's end
+)
+
 // randomPlan draws troubles that come in series and overlap. Of the machines with a disk only as many are lost at one time as a
 // majority bears; others, workers and zones go at any time.
 type randomPlan struct {
@@ -28,12 +39,15 @@
 	disks    int
 	coreLost []time.Duration          // until when a core machine each counts as lost
 	busy     map[string]time.Duration // until when a machine, worker or zone is in a trouble of its own
+	length   time.Duration
+	out      time.Duration // until when a zone is evacuated
+	orders   bool          // evacuations withdrawn and given again while a machine of the core stands still come as often as they can
 	events   []fleet.Event
 }
 
 // newRandomPlan draws a plan for a run of a length.
-func newRandomPlan(rng *rand.Rand, machines []standin.Machine, disks int, workers []string, length time.Duration) []fleet.Event {
-	p := &randomPlan{rng: rng, machines: machines, workers: workers, disks: disks, busy: map[string]time.Duration{}}
+func newRandomPlan(rng *rand.Rand, machines []standin.Machine, disks int, workers []string, length time.Duration, orders bool) []fleet.Event {
+	p := &randomPlan{rng: rng, machines: machines, workers: workers, disks: disks, length: length, orders: orders, busy: map[string]time.Duration{}}
 	for at := time.Duration(0); at < length-settleBeforeEnd; at += time.Duration(rng.Int64N(int64(troubleGapMost))) {
 		p.draw(at)
 	}
@@ -43,12 +57,15 @@
 
 // draw adds one trouble.
 func (p *randomPlan) draw(at time.Duration) {
+	if p.orders && p.coreBears(at) {
+		p.evacuation(at, p.zone())
+	}
 	lasts := troubleLeast + time.Duration(p.rng.Int64N(int64(troubleMost-troubleLeast)))
 	switch p.rng.IntN(8) {
 	case 0, 1:
 		p.workerTrouble(at, lasts)
 	case 2:
-		p.pair(at, lasts, p.zone(), "evacuate", "readmit")
+		p.evacuation(at, p.zone())
 	case 3:
 		p.add(at, "storm", "")
 	default:
@@ -71,7 +88,47 @@
 	return true
 }
 
-// zone draws one; with all of them evacuated nobody could be served.
+// evacuation empties a zone, unless another is empty: with all of them evacuated nobody could be served.
+func (p *randomPlan) evacuation(at time.Duration, zone string) {
+	if p.out > at || p.busy[zone] > at {
+		return
+	}
+	p.add(at, "evacuate", zone)
+	swings := p.rng.IntN(swingsMost + 1)
+	if p.orders {
+		swings = max(1, swings)
+	}
+	for range swings {
+		at += freezeAhead + time.Duration(p.rng.Int64N(int64(swingGapMost)))
+		if p.orders || p.rng.IntN(2) == 0 {
+			p.freezeCore(at - freezeAhead)
+		}
+		p.add(at, "readmit", zone)
+		p.add(at, "evacuate", zone)
+	}
+	end := at + evacuatedLeast + time.Duration(p.rng.Int64N(int64(evacuatedMost-evacuatedLeast)))
+	p.out = max(at, min(end, p.length-lastWithdrawal))
+	p.busy[zone] = p.out
+	p.add(p.out, "readmit", zone)
+}
+
+// freezeCore freezes a machine of the core, if that bears it, for longer than callers wait for an answer.
+func (p *randomPlan) freezeCore(at time.Duration) {
+	i := p.rng.IntN(p.disks)
+	for _, m := range p.machines {
+		if !m.Disk {
+			continue
+		}
+		if i--; i < 0 && p.busy[m.Name] <= at && p.coreBears(at) {
+			lasts := troubleMost - time.Duration(p.rng.Int64N(int64(time.Second)))
+			p.pair(at, lasts, m.Name, "freeze", "thaw")
+			p.coreLost = append(p.coreLost, at+lasts+catchUp)
+			return
+		}
+	}
+}
+
+// zone draws one.
 func (p *randomPlan) zone() string { return p.machines[p.rng.IntN(len(p.machines))].Zone }
 
 // workerTrouble has a worker fall silent, unless half of them are in a trouble.
@@ -90,7 +147,7 @@
 // machineTrouble kills, freezes or restarts a machine.
 func (p *randomPlan) machineTrouble(at, lasts time.Duration) {
 	m := p.machines[p.rng.IntN(len(p.machines))]
-	if m.Disk && !p.coreBears(at) || p.busy[m.Name] > at {
+	if m.Disk && (p.orders || !p.coreBears(at)) || p.busy[m.Name] > at {
 		return
 	}
 	until := at + lasts
@@ -114,6 +171,11 @@
 
 // coreBears says whether one more machine of the core may be lost.
 func (p *randomPlan) coreBears(at time.Duration) bool {
-	p.coreLost = slices.DeleteFunc(p.coreLost, func(until time.Duration) bool { return until <= at })
-	return len(p.coreLost) < (p.disks-1)/2
+	lost := 0
+	for _, until := range p.coreLost {
+		if until > at {
+			lost++
+		}
+	}
+	return lost < (p.disks-1)/2
 }
--- a/cmd/testbed/random_plan_test.go
+++ b/cmd/testbed/random_plan_test.go
@@ -21,7 +21,7 @@
 	workers := []string{"w1", "w2", "w3", "w4", "w5"}
 	overlaps := 0
 	for seed := range uint64(200) {
-		plan := newRandomPlan(rand.New(rand.NewPCG(seed, 12)), machines, 5, workers, 30*time.Second)
+		plan := newRandomPlan(rand.New(rand.NewPCG(seed, 12)), machines, 5, workers, 30*time.Second, seed%2 == 1)
 		open := map[string]string{} // what ends the trouble that a thing is in
 		silent, down := 0, 0
 		for i, e := range plan {
--- a/cmd/testbed/site.go
+++ b/cmd/testbed/site.go
@@ -26,7 +26,7 @@
 	rate, served, leave             float64
 	patience                        time.Duration
 	seed                            uint64
-	random                          bool
+	random, orders                  bool
 	events, dir                     string
 	plan                            []fleet.Event
 	nodes                           []standin.Machine
@@ -57,6 +57,7 @@
 	f.Uint64Var(&x.seed, "seed", 1, "seed of the requests")
 	f.StringVar(&x.events, "events", "", "what happens: SECONDS:VERB:NAME,... of "+strings.Join(siteVerbs, " ")+"; the time counts from the traffic's beginning")
 	f.BoolVar(&x.random, "random", false, "draw what happens by the seed, in series and overlapping, within what the site bears")
+	f.BoolVar(&x.orders, "orders", false, "with --random: evacuations are withdrawn and given again as often as can be, while machines of the core stand still")
 	f.StringVar(&x.dir, "dir", "", "where the run's files go and stay; a passing folder unless given")
 	return c
 }
@@ -92,7 +93,7 @@
 		workers = append(workers, fmt.Sprint("w", i+1))
 	}
 	if x.random {
-		x.plan = append(x.plan, newRandomPlan(rand.New(rand.NewPCG(x.seed, 12)), x.nodes, x.disks, workers, time.Duration(x.secs)*time.Second)...)
+		x.plan = append(x.plan, newRandomPlan(rand.New(rand.NewPCG(x.seed, 12)), x.nodes, x.disks, workers, time.Duration(x.secs)*time.Second, x.orders)...)
 	}
 	for _, e := range x.plan {
 		names := machines
