Move the look at a connection's other side into a package of its own

Both planes need it: routers for their clients, controllers for their operators. Nothing else changes.

--- a/imports_test.go
+++ b/imports_test.go
@@ -61,6 +61,7 @@
 	"internal/rig":      rig,
 	"internal/router":   dataPlane,
 	"internal/shield":   base,
+	"internal/socket":   base,
 	"internal/standin":  rig,
 	"internal/storage":  storage,
 	"internal/codes":    base,
--- a/internal/router/cancellation_test.go
+++ b/internal/router/cancellation_test.go
@@ -16,12 +16,12 @@
 var uncancellable = []string{
 	"context.Background", "context.TODO", "context.WithoutCancel",
 	"net.Dial", "net.DialTimeout", "shield.Dial",
-	"time.Sleep", "Tasks.Sleep", "upstream.HungUp",
+	"time.Sleep", "Tasks.Sleep", "socket.HungUp",
 }
 
 // ownTime are the files that do something for the process itself rather than for a request, with what they may call.
 var ownTime = map[string][]string{
-	"clientwatch/clientwatch.go": {"context.Background", "upstream.HungUp"}, // where the contexts come from
+	"clientwatch/clientwatch.go": {"context.Background", "socket.HungUp"}, // where the contexts come from
 	"leave.go":                   {"context.Background", "Tasks.Sleep"},     // the end of the process
 }
 
--- a/internal/router/clientwatch/clientwatch.go
+++ b/internal/router/clientwatch/clientwatch.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"seamshunt/internal/router/upstream"
+	"seamshunt/internal/socket"
 )
 
 // LookEvery is how often the clients of all requests under way are looked at. Whoever begins something for a request looks
@@ -88,7 +88,7 @@
 
 // Look looks at the client now, and gives why the request is cancelled; nil while somebody waits for it.
 func (r *Request) Look() error {
-	if r.Err() == nil && upstream.HungUp(r.conn) {
+	if r.Err() == nil && socket.HungUp(r.conn) {
 		r.cancel(ErrClientLeft)
 	}
 	return r.Cause()
--- a/internal/router/upstream/pool.go
+++ b/internal/router/upstream/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"seamshunt/internal/adapter"
+	"seamshunt/internal/socket"
 )
 
 // FreshFor is how long a connection may have been idle for what may not be sent twice.
@@ -136,7 +137,7 @@
 		if !fresh {
 			if c = h.pop(o, now); c != nil {
 				p.mu.Unlock()
-				if peek(c.Conn) == socketQuiet {
+				if socket.Peek(c.Conn) == socket.Quiet {
 					return c, true, nil
 				}
 				p.drop(c)
--- a/internal/router/upstream/peek.go
+++ b/internal/socket/peek.go
@@ -1,4 +1,5 @@
-package upstream
+// Package socket looks at the other side of a connection without waiting for it.
+package socket
 
 import (
 	"net"
@@ -7,36 +8,37 @@
 	"golang.org/x/sys/unix"
 )
 
-// socketState is what a look at a socket shows.
-type socketState uint8
+// State is what a look at a socket shows.
+type State uint8
 
+// What there is to see.
 const (
-	socketQuiet    socketState = iota // open, and nothing to read
-	socketReadable                    // bytes wait to be read
-	socketClosed                      // closed or reset by the other side, even behind bytes, or closed here
-	socketUnknown                     // no socket that can be looked at
+	Quiet    State = iota // open, and nothing to read
+	Readable              // bytes wait to be read
+	Closed                // closed or reset by the other side, even behind bytes, or closed here
+	Unknown               // no socket that can be looked at
 )
 
-// peek looks at a connection's socket without waiting and without taking bytes. Deadlines don't matter to it: a read
+// Peek looks at a connection's socket without waiting and without taking bytes. Deadlines don't matter to it: a read
 // deadline that has passed says nothing about the other side.
-func peek(c net.Conn) socketState {
+func Peek(c net.Conn) State {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return socketUnknown
+		return Unknown
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return socketClosed
+		return Closed
 	}
-	state := socketClosed
+	state := Closed
 	err = raw.Control(func(fd uintptr) { state = peekDescriptor(int(fd)) })
 	if err != nil {
-		return socketClosed
+		return Closed
 	}
 	return state
 }
 
-func peekDescriptor(fd int) socketState {
+func peekDescriptor(fd int) State {
 	var b [1]byte
 	for {
 		n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
@@ -44,13 +46,13 @@
 		case err == syscall.EINTR:
 			continue
 		case err == syscall.EAGAIN:
-			return socketQuiet
+			return Quiet
 		case err != nil || n == 0:
-			return socketClosed
+			return Closed
 		case endLiesBehind(fd):
-			return socketClosed
+			return Closed
 		}
-		return socketReadable
+		return Readable
 	}
 }
 
@@ -68,4 +70,4 @@
 
 // HungUp looks, without waiting or taking anything, whether the other side has closed its connection. Closing the
 // write side alone looks the same.
-func HungUp(c net.Conn) bool { return peek(c) == socketClosed }
+func HungUp(c net.Conn) bool { return Peek(c) == Closed }
--- a/internal/router/upstream/peek_test.go
+++ b/internal/socket/peek_test.go
@@ -1,4 +1,4 @@
-package upstream
+package socket
 
 import (
 	"net"
@@ -6,6 +6,8 @@
 	"time"
 )
 
+const soon = 10 * time.Second // what never comes in a test that passes
+
 // pair gives both ends of a TCP connection.
 func pair(t *testing.T) (here, there *net.TCPConn) {
 	t.Helper()
@@ -27,11 +29,11 @@
 }
 
 // until waits for the other side's doing to arrive.
-func until(t *testing.T, c net.Conn, want socketState) {
+func until(t *testing.T, c net.Conn, want State) {
 	t.Helper()
-	for end := time.Now().Add(soon); peek(c) != want; {
+	for end := time.Now().Add(soon); Peek(c) != want; {
 		if time.Now().After(end) {
-			t.Fatalf("the socket shows %d, want %d", peek(c), want)
+			t.Fatalf("the socket shows %d, want %d", Peek(c), want)
 		}
 	}
 }
@@ -41,23 +43,23 @@
 func TestHungUp(t *testing.T) {
 	here, there := pair(t)
 	_ = here.SetReadDeadline(time.Now().Add(-time.Hour))
-	if HungUp(here) || peek(here) != socketQuiet {
+	if HungUp(here) || Peek(here) != Quiet {
 		t.Error("a passed deadline is taken for a hang-up")
 	}
 	_, _ = there.Write([]byte("POST"))
-	until(t, here, socketReadable)
+	until(t, here, Readable)
 	if HungUp(here) {
 		t.Error("a next request is taken for a hang-up")
 	}
 	_ = there.CloseWrite()
-	until(t, here, socketClosed) // behind those bytes
+	until(t, here, Closed) // behind those bytes
 	here, there = pair(t)
 	_ = there.CloseWrite()
-	until(t, here, socketClosed)
+	until(t, here, Closed)
 	here, there = pair(t)
 	_ = there.SetLinger(0)
 	there.Close()
-	until(t, here, socketClosed)
+	until(t, here, Closed)
 	here, _ = pair(t)
 	here.Close()
 	if !HungUp(here) {
