An operator's order is not begun for a caller that has left

What callers saw: traffic in a zone that was being emptied (EVAC). The main road to it: a DELETE waits in the socket of a controller that stands still; its caller leaves after a second of silence, has it acknowledged elsewhere, and has the zone evacuated again. The controller wakes, hears of the evacuation, reads the DELETE out of its socket and carries it out on top of it.

A call that would change something is answered 519 (503) at the door if its caller's connection is closed or reset, also where that end lies behind further bytes, and is counted and logged. Half-closed counts as closed, as at routers; such a caller gets the answer. Why it works: a caller goes on only after it has closed.

--- a/internal/codes/codes.go
+++ b/internal/codes/codes.go
@@ -45,6 +45,7 @@
 	BadZone      Code = 516
 	BadCall      Code = 517
 	Forgotten    Code = 518
+	CallerLeft   Code = 519
 	BadBoot      Code = 601
 )
 
@@ -84,7 +85,7 @@
 		return 400
 	case c < 500:
 		return 503
-	case c == NoMajority || c == DiskFull || c == Forgotten:
+	case c == NoMajority || c == DiskFull || c == Forgotten || c == CallerLeft:
 		return 503
 	}
 	return 400
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -30,33 +30,34 @@
 // Controller is one process of the control plane.
 type Controller struct {
 	*node.Base
-	replicaMu  sync.Mutex
-	replica    *register.Replica
-	claims     *idempotency.Registry // claims; under replicaMu, as what it says goes through the same queue
-	waits      map[uint64]chan register.Result
-	disk       disk
-	leaseMu    sync.Mutex
-	lease      *lease.Lease
-	tag        atomic.Uint64
-	plans      sync.Map // plan id to *plan
-	leaving    atomic.Bool
-	web        *fasthttp.Server
-	polled     poll
-	catalogMu  sync.Mutex // last in the lock order but for the disk queue
-	catalog    *discovery.Catalog
-	seeds      register.Seeds      // where voters are founded from seeds and grow
-	planner    register.Planner    // which replicas the quorum set is to have
-	shortfall  shortfall           // what the set does not bear of what the settings ask for; under replicaMu
-	born       []string            // the seeds that the disk bears
-	heir       bool                // a damaged file was set aside on this disk
-	audit      chan entry          // to the one writer of the audit record
-	missed     atomic.Uint64       // acknowledged changes that the audit record lacks
-	syncer     *antientropy.Syncer // under replicaMu
-	adapter    *adapter.Adapter    // the outside world's names and formats; nil for the product's own
-	door       fasthttp.RequestHandler
-	taken      versions
-	zoneOrders zoneOrders
-	kept       kept // the wire to the platform
+	replicaMu       sync.Mutex
+	replica         *register.Replica
+	claims          *idempotency.Registry // claims; under replicaMu, as what it says goes through the same queue
+	waits           map[uint64]chan register.Result
+	disk            disk
+	leaseMu         sync.Mutex
+	lease           *lease.Lease
+	tag             atomic.Uint64
+	plans           sync.Map // plan id to *plan
+	leaving         atomic.Bool
+	web             *fasthttp.Server
+	polled          poll
+	catalogMu       sync.Mutex // last in the lock order but for the disk queue
+	catalog         *discovery.Catalog
+	seeds           register.Seeds      // where voters are founded from seeds and grow
+	planner         register.Planner    // which replicas the quorum set is to have
+	shortfall       shortfall           // what the set does not bear of what the settings ask for; under replicaMu
+	born            []string            // the seeds that the disk bears
+	heir            bool                // a damaged file was set aside on this disk
+	audit           chan entry          // to the one writer of the audit record
+	missed          atomic.Uint64       // acknowledged changes that the audit record lacks
+	syncer          *antientropy.Syncer // under replicaMu
+	adapter         *adapter.Adapter    // the outside world's names and formats; nil for the product's own
+	door            fasthttp.RequestHandler
+	taken           versions
+	zoneOrders      zoneOrders
+	abandonedOrders atomic.Uint64 // orders whose callers had left
+	kept            kept          // the wire to the platform
 }
 
 // New opens the disk, and with it learns who it is. The book, if any, is the outside world that it speaks with.
--- a/internal/control/controller/status.go
+++ b/internal/control/controller/status.go
@@ -165,6 +165,7 @@
 	c.polled.mu.Unlock()
 	c.WriteZoneMetrics(ctx)
 	c.zoneOrders.write(ctx)
+	fmt.Fprintf(ctx, "seamshunt_abandoned_orders_total %d\n", c.abandonedOrders.Load())
 	n, damaged := 0, 0
 	if c.disk.unfit(now) {
 		n = 1
--- a/internal/control/controller/web.go
+++ b/internal/control/controller/web.go
@@ -20,6 +20,9 @@
 
 // serve is the operators' door (docs/operators.md).
 func (c *Controller) serve(ctx *fasthttp.RequestCtx) {
+	if c.abandoned(ctx) {
+		return
+	}
 	path, m := string(ctx.Path()), string(ctx.Method())
 	zone, isZone := strings.CutPrefix(path, "/v1/zones/")
 	switch {
@@ -77,6 +80,7 @@
 	codes.Forgotten:  "so many changes came since that the outcome is no longer kept: read what is in force",
 	codes.NoMajority: "no majority of the disks answers; nothing was written by this call",
 	codes.DiskFull:   "the disks are full; nothing was written by this call",
+	codes.CallerLeft: "the caller had closed its connection before the order was begun; nothing was done",
 }
 
 func (c *Controller) result(ctx *fasthttp.RequestCtx, r register.Result) {
--- a/internal/router/cancellation_test.go
+++ b/internal/router/cancellation_test.go
@@ -22,7 +22,7 @@
 // ownTime are the files that do something for the process itself rather than for a request, with what they may call.
 var ownTime = map[string][]string{
 	"clientwatch/clientwatch.go": {"context.Background", "socket.HungUp"}, // where the contexts come from
-	"leave.go":                   {"context.Background", "Tasks.Sleep"},     // the end of the process
+	"leave.go":                   {"context.Background", "Tasks.Sleep"},   // the end of the process
 }
 
 // selector gives the last two names of a call like v.Tasks.Sleep or net.Dial.
