An order for a zone changes only what its node knew before the order can have been sent

What callers saw: traffic in a zone that was being emptied (EVAC). Roads that a look at the caller doesn't close: its link is cut or lossy, so that the sender's kernel goes on sending after the caller has gone, and the end comes behind the bytes; or it goes on without closing its connection, and the order waits in the socket of a controller that stands still.

The call has no version, so it built on the number that the node knew when it was read. It builds now on what the node had heard when the order cannot have been sent yet: before its connection was made or, behind another call, before that was answered; in a freeze, and for catch_up_s after it, before the freeze began, since the sockets may still hold what came before. An order that comes too late for this is acknowledged if the zone is as wished, else left open (503); the next one on the connection may change the state. A node learns what it acknowledges at once, so that a caller that keeps its connection finds its own order known.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -3,6 +3,8 @@
 package adapter
 
 import (
+	"net"
+
 	"github.com/valyala/fasthttp"
 
 	"seamshunt/internal/boot"
@@ -44,7 +46,8 @@
 	Read   func() (data []byte, version uint64, code codes.Code)
 	Put    func(builds uint64, data []byte) (codes.Code, []*codes.Fault)
 	Change func(builds uint64, change []byte) (codes.Code, []*codes.Fault)
-	Zone   func(zone string, out bool) codes.Code
+	// Zone has a zone evacuated, or takes that back. The caller is the connection that the order came on.
+	Zone func(caller net.Conn, zone string, out bool) codes.Code
 }
 
 // Adapter is one outside world.
--- a/internal/cluster/configpush/feed.go
+++ b/internal/cluster/configpush/feed.go
@@ -31,9 +31,10 @@
 
 // Item is one key's newest news.
 type Item struct {
-	Key  string
-	Num  units.Num
-	Data []byte
+	Key   string
+	Num   units.Num
+	Data  []byte
+	Heard units.Time // when this node had it; the time isn't sent
 }
 
 type pushed struct {
@@ -83,6 +84,7 @@
 
 // Spread takes a chosen value and begins to push it to the nodes given.
 func (b *Feed) Spread(now units.Time, it Item, to []units.Node) (out message.Effects) {
+	it.Heard = now
 	b.Take(it)
 	p := &pushed{need: map[units.Node]bool{}, num: it.Num, sent: now}
 	for _, n := range to {
@@ -186,7 +188,7 @@
 	switch n.Kind {
 	case Push:
 		if err = message.Unpack(n.Body, &h, &key, &data); err == nil {
-			b.told = b.Take(Item{Key: string(key), Num: units.Num(h.Num), Data: data}) || b.told
+			b.told = b.Take(Item{Key: string(key), Num: units.Num(h.Num), Data: data, Heard: now}) || b.told
 			out.Send(n.From, Ack, message.Pack(h, key))
 		}
 	case Ack:
--- a/internal/control/controller/caller.go
+++ b/internal/control/controller/caller.go
@@ -1,12 +1,65 @@
 package controller
 
 import (
+	"net"
+	"sync/atomic"
+
 	"github.com/valyala/fasthttp"
 
 	"seamshunt/internal/codes"
 	"seamshunt/internal/socket"
+	"seamshunt/internal/units"
 )
 
+// callers accepts operators' connections.
+type callers struct {
+	net.Listener
+	arrivedAfter func() units.Time
+}
+
+// caller is the connection of an operator. It remembers a time before which the order that is read from it next was not sent:
+// when the connection was made, or when the order before was answered.
+type caller struct {
+	*net.TCPConn
+	arrivedAfter func() units.Time
+	sentAfter    atomic.Int64
+}
+
+// Accept gives the next connection.
+func (l *callers) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return conn, nil
+	}
+	x := &caller{TCPConn: tcp, arrivedAfter: l.arrivedAfter}
+	x.sentAfter.Store(int64(l.arrivedAfter()))
+	return x, nil
+}
+
+// Write sends an answer.
+func (x *caller) Write(b []byte) (int, error) {
+	n, err := x.TCPConn.Write(b)
+	x.sentAfter.Store(int64(x.arrivedAfter()))
+	return n, err
+}
+
+// callersOf has operators' connections remember when their orders can have been sent.
+func (c *Controller) callersOf(ln net.Listener) net.Listener {
+	return &callers{Listener: ln, arrivedAfter: func() units.Time { return c.ArrivedAfter(c.Tasks.Now()) }}
+}
+
+// sentAfter gives a time before which the order that came on a connection was not sent.
+func (c *Controller) sentAfter(conn net.Conn) units.Time {
+	if x, ok := conn.(*caller); ok {
+		return units.Time(x.sentAfter.Load())
+	}
+	return c.Tasks.Now()
+}
+
 // abandoned says whether a call would change something for a caller that has left, and answers it then: that caller has gone
 // on, and nobody would learn of the change.
 func (c *Controller) abandoned(ctx *fasthttp.RequestCtx) bool {
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -144,7 +144,7 @@
 		return err
 	}
 	c.web = &fasthttp.Server{Handler: c.serve, Name: "controller", MaxRequestBodySize: 16 << 20, NoDefaultDate: true, Logger: quiet{}}
-	c.Tasks.Go(func() { _ = c.web.Serve(ln) })
+	c.Tasks.Go(func() { _ = c.web.Serve(c.callersOf(ln)) })
 	c.Tasks.Go(c.writer)
 	c.Tasks.Go(c.recorder)
 	c.Tasks.Every(50*time.Millisecond, c.beat)
--- a/internal/control/controller/evacuation.go
+++ b/internal/control/controller/evacuation.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"sync"
 
 	"github.com/apex/log"
@@ -19,14 +20,15 @@
 
 // evacuate has a zone evacuated, or takes that back.
 //
-// The call has no version and no id of its own, so it builds on the number that this node knew when the call arrived, and changes
-// no later state: a copy that was held up on its way through this node undoes nothing that came after it. Every acknowledgement is a write with a number of its own, also where the zone is as
+// The call has no version and no id of its own, so what its caller knew has to follow from when it was sent. An order changes
+// a state only if this node had heard of that before the order can have been sent, and writes on that state's number: whatever
+// was acknowledged since has a newer one. Every acknowledgement is a write with a number of its own, also where the zone is as
 // wished already, so that an order which was given up before and is still on its way inside meets a newer number as well.
 // An order that comes too late for this is left open, never refused; its caller sends it again, as a new call.
-func (c *Controller) evacuate(zone string, out bool) codes.Code {
+func (c *Controller) evacuate(caller net.Conn, zone string, out bool) codes.Code {
 	began := c.Tasks.Now()
 	o := &zoneOrder{key: node.ZonePrefix + zone, wanted: fmt.Appendf(nil, `{"evacuated":%v}`, out)}
-	code := c.setZone(zone, o)
+	code := c.setZone(caller, zone, o)
 	c.zoneOrders.count(code)
 	c.Log.WithFields(log.Fields{"zone": zone, "evacuated": out, "builds_on": o.num, "may_change": o.mayChange, "code": int(code),
 		"took": c.Tasks.Now().Sub(began)}).Warn("an order for a zone")
@@ -39,17 +41,17 @@
 	wanted    []byte
 	num       units.Num
 	state     []byte
-	mayChange bool // it came before the order
+	mayChange bool // the caller can have known of that state
 }
 
 // setZone carries an order out.
-func (c *Controller) setZone(zone string, o *zoneOrder) codes.Code {
+func (c *Controller) setZone(caller net.Conn, zone string, o *zoneOrder) codes.Code {
 	ctx, done := answerTime(register.AnswerTimeout)
 	defer done()
 	if code := c.checkZoneExists(ctx, zone); code != codes.OK {
 		return code
 	}
-	if code := c.zoneState(ctx, o); code != codes.OK {
+	if code := c.zoneState(ctx, o, c.sentAfter(caller)); code != codes.OK {
 		return code
 	}
 	return c.writeZone(ctx, o)
@@ -81,17 +83,18 @@
 func (c *Controller) learn(item configpush.Item) {
 	c.FeedMu.Lock()
 	defer c.FeedMu.Unlock()
+	item.Heard = c.Tasks.Now()
 	c.Feed.Take(item)
 }
 
-// zoneState finds the state that an order is to be written on.
-func (c *Controller) zoneState(ctx context.Context, o *zoneOrder) codes.Code {
+// zoneState finds the state that an order is to be written on, given a time before which it was not sent.
+func (c *Controller) zoneState(ctx context.Context, o *zoneOrder, sentAfter units.Time) codes.Code {
 	if item, ok := c.heard(o.key); ok {
-		o.num, o.state, o.mayChange = item.Num, item.Data, true
+		o.num, o.state, o.mayChange = item.Num, item.Data, item.Heard <= sentAfter
 		return codes.OK
 	}
 	code := c.newestZoneState(ctx, o)
-	o.mayChange = true
+	o.mayChange = o.num == 0
 	return code
 }
 
@@ -108,7 +111,7 @@
 	return item.Num, item.Data
 }
 
-// heard is the same, and whether there was any.
+// heard is the same with the time at which this node had it.
 func (c *Controller) heard(key string) (configpush.Item, bool) {
 	c.FeedMu.Lock()
 	defer c.FeedMu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,7 +47,7 @@
 	Dropped atomic.Uint64
 	open    atomic.Bool // the wires stand
 	Errors  atomic.Uint64
-	last    units.Time
+	freezes freezes
 	pace    tasks.Loop
 	ver     atomic.Uint64 // of membership's table, as last seen
 	since   atomic.Int64  // when that changed
@@ -77,7 +77,7 @@
 		return fmt.Errorf("node: %w", err)
 	}
 	t.Transport = tel
-	t.last = t.Tasks.Now()
+	t.freezes.start(t.Tasks.Now(), t.Boot.Bounds.CatchUp)
 	t.open.Store(true)
 	t.pace.Start(t.Tasks, often, t.beat)
 	return nil
@@ -85,11 +85,10 @@
 
 // beat is all that goes by the clock; it gives how long the next may wait.
 func (t *Base) beat(now units.Time) time.Duration {
-	if gap := now.Sub(t.last); gap > time.Second && t.Woke != nil {
+	if gap := t.freezes.beat(now); gap > 0 && t.Woke != nil {
 		t.Log.WithField("gap", gap).Error("woke from a freeze: nothing held before is trusted")
 		t.Woke(now)
 	}
-	t.last = now
 	t.FeedMu.Lock()
 	sum := t.Feed.Sum
 	t.FeedMu.Unlock()
