Testbed: operators keep their connections, or leave them open when they go on

The stand-in of the operator closed each connection behind its call; one that goes on without closing, or keeps connections for further calls, has other roads to a late order. In a site's run the manners come in turn.

--- a/cmd/testbed/play.go
+++ b/cmd/testbed/play.go
@@ -56,6 +56,9 @@
 }
 
 func (p *play) close() {
+	if p.op != nil {
+		p.op.Close()
+	}
 	for _, ln := range p.lns {
 		ln.Close()
 	}
@@ -102,7 +105,8 @@
 			control = append(control, m.Control())
 		}
 	}
-	p.op = &standin.Operator{Nodes: func() []string { return control }, Sink: j, Tasks: p.f.Tasks}
+	p.op = &standin.Operator{Nodes: func() []string { return control }, Sink: j, Tasks: p.f.Tasks,
+		Manners: []standin.Manner{standin.Closes, standin.Abandons, standin.Keeps}}
 	p.doc = standin.Doc{Generation: 1, Targets: []standin.Service{{Name: "llm", Probe: "/health", Conns: 200, Protocol: "h1"}}, Limits: &standin.Bounds{Head: 16384, Body: 1 << 20, HeadMs: 3000, IdleMs: 15000}}
 	p.doc.Routes = routes
 	if status, err := p.op.Put(0, p.doc); status != 200 {
