Testbed: machines stand still for up to 5.2 s, and are judged once they are in touch again

A router that stood still may have a request under way that it handed over before its freeze, so runs by way of it count against EVAC only from contact_ms after its end, as in the rule. Freezes are noted by the front's address as well: the judge's excuse of a frozen router's late refusals looked for that and never found it in a site's run. TestZonesOfFrozenRouters; TestRandomPlan.

--- a/cmd/testbed/play_events.go
+++ b/cmd/testbed/play_events.go
@@ -92,8 +92,18 @@
 	return p.each(e)
 }
 
+// frontEvent notes what happens to a machine by its front's address as well: clients know a router by that.
+func (p *play) frontEvent(e fleet.Event) {
+	for _, m := range p.place.Machines {
+		if m.Name == e.On && (e.Verb == "freeze" || e.Verb == "thaw") {
+			p.f.Event(e.Verb, m.Front())
+		}
+	}
+}
+
 // each does a thing to every process of a machine, or of all.
 func (p *play) each(e fleet.Event) error {
+	p.frontEvent(e)
 	for _, n := range p.procs(e.On) {
 		p.f.Event(e.Verb, n)
 		var err error
--- a/cmd/testbed/random_plan.go
+++ b/cmd/testbed/random_plan.go
@@ -15,6 +15,7 @@
 	troubleGapMost  = 1200 * time.Millisecond // between the beginnings of two troubles
 	troubleLeast    = 300 * time.Millisecond  // how long one lasts
 	troubleMost     = 3500 * time.Millisecond
+	freezeMost      = 5200 * time.Millisecond
 	catchUp         = 4 * time.Second // how long a core machine counts as lost after it is back
 	settleBeforeEnd = 6 * time.Second // nothing begins so shortly before the traffic's end
 )
@@ -114,13 +115,16 @@
 
 // freezeCore freezes a machine of the core, if that bears it, for longer than callers wait for an answer.
 func (p *randomPlan) freezeCore(at time.Duration) {
+	lasts := freezeMost - time.Duration(p.rng.Int64N(int64(freezeMost/2)))
 	i := p.rng.IntN(p.disks)
+	if at+lasts > p.length-lastWithdrawal {
+		return
+	}
 	for _, m := range p.machines {
 		if !m.Disk {
 			continue
 		}
 		if i--; i < 0 && p.busy[m.Name] <= at && p.coreBears(at) {
-			lasts := troubleMost - time.Duration(p.rng.Int64N(int64(time.Second)))
 			p.pair(at, lasts, m.Name, "freeze", "thaw")
 			p.coreLost = append(p.coreLost, at+lasts+catchUp)
 			return
@@ -155,7 +159,8 @@
 	case 0:
 		p.pair(at, lasts, m.Name, "kill", "start")
 	case 1:
-		p.pair(at, lasts, m.Name, "freeze", "thaw")
+		until = at + troubleLeast + time.Duration(p.rng.Int64N(int64(freezeMost-troubleLeast)))
+		p.pair(at, until-at, m.Name, "freeze", "thaw")
 	case 2:
 		until = at + restartMost
 		p.busy[m.Name] = until
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -17,24 +17,25 @@
 
 // Rules say what was promised in the run that is judged.
 type Rules struct {
-	Once   map[string]bool     // mappings that may not repeat
-	Pools  map[string][]string // pools that each mapping may reach
-	Cap    int                 // prompts in flight per worker; 0 leaves it unjudged
-	First  time.Duration       // first words
-	Leave  time.Duration
-	Evac   time.Duration
-	Back   time.Duration
-	Budget float64
-	Served float64            // least share of calls answered whole and on time; 0 leaves it unjudged
-	Asked  bool               // callers and workers wrote down what was sent and what arrived
-	Window time.Duration      // of the budget where arrivals turned away count as well; 0 leaves that unjudged
-	Slack  int                // further arrivals of a service in it that are free
-	Cold   map[string]float64 // arrivals that a service's cold workers may have in any second
+	Once    map[string]bool     // mappings that may not repeat
+	Pools   map[string][]string // pools that each mapping may reach
+	Cap     int                 // prompts in flight per worker; 0 leaves it unjudged
+	First   time.Duration       // first words
+	Leave   time.Duration
+	Evac    time.Duration
+	Back    time.Duration
+	Contact time.Duration // how long after a freeze a router isn't yet in touch
+	Budget  float64
+	Served  float64            // least share of calls answered whole and on time; 0 leaves it unjudged
+	Asked   bool               // callers and workers wrote down what was sent and what arrived
+	Window  time.Duration      // of the budget where arrivals turned away count as well; 0 leaves that unjudged
+	Slack   int                // further arrivals of a service in it that are free
+	Cold    map[string]float64 // arrivals that a service's cold workers may have in any second
 }
 
 // DefaultRules are the brief's figures.
 func DefaultRules() Rules {
-	return Rules{Leave: 3 * time.Second, Evac: 5 * time.Second, Back: 12 * time.Second, Budget: 0.2, First: 160 * time.Millisecond,
+	return Rules{Leave: 3 * time.Second, Evac: 5 * time.Second, Back: 12 * time.Second, Contact: 3 * time.Second, Budget: 0.2, First: 160 * time.Millisecond,
 		Once: map[string]bool{}, Pools: map[string][]string{}}
 }
 
@@ -146,7 +147,7 @@
 	}
 	l := []Finding{
 		r.once(u, calls, runs), r.notRun(runs), r.whole(runs), r.service(u, calls),
-		r.atOnce(), r.leaving(u), r.zones(u), r.config(), r.cuts(), r.attended(calls),
+		r.atOnce(), r.leaving(u), r.zones(u, calls), r.config(), r.cuts(), r.attended(calls),
 	}
 	if u.Window == 0 {
 		l = append(l, r.retries(u))
--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"seamshunt/internal/standin"
@@ -114,3 +115,28 @@
 		}
 	}
 }
+
+// A run in an evacuated zone counts against every router but one that stood still a moment before.
+func TestZonesOfFrozenRouters(t *testing.T) {
+	for name, x := range map[string]struct {
+		thaw int64 // the run begins in second 40
+		good bool
+	}{"none stood still": {0, false}, "long ago": {36 * sec, false}, "just now": {38 * sec, true}, "it does still": {41 * sec, true}} {
+		r := good()
+		for _, e := range []entry{{How: "evacuate", At: 30 * sec, Target: "a"}, {How: "freeze", At: 31 * sec, Target: "v1"}, {How: "thaw", At: x.thaw, Target: "v1"},
+			{How: "readmit", At: 41 * sec, Target: "a"}} {
+			if e.Kind = "event"; x.thaw > 0 || e.Target == "a" {
+				r.Add(e)
+			}
+		}
+		r.Starts = slices.DeleteFunc(r.Starts, func(s entry) bool { return s.At > 35*sec && s.At < 41*sec && s.At != 40*sec })
+		r.Sort()
+		calls := map[string]entry{}
+		for _, c := range r.Calls {
+			calls[c.Job] = c
+		}
+		if f := r.zones(rules(), calls); f.Good != x.good {
+			t.Errorf("%s: %v, %s", name, f.Good, f.Seen)
+		}
+	}
+}
