Test rig: a listener falls silent only once no call of Accept is under way

TestSilence failed once beside load ("it answers in its silence"). Cause: a call of Accept that waited in the kernel as the silence began could run after the queue had been found full, take a connection out of it, and leave room for one more; and an attempt that timed out was taken for a full queue. Silence now feeds and waits out such calls, and asks the kernel (TCP_INFO of the listener) whether the queue is full. The test is unchanged.

--- a/internal/rig/netfault/listener.go
+++ b/internal/rig/netfault/listener.go
@@ -2,12 +2,15 @@
 package netfault
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // fillerLimit is how long an attempt to connect may take while the queue is filled; on loopback one that is answered takes far
@@ -18,12 +21,13 @@
 // power.
 type Listener struct {
 	net.Listener
-	mu      sync.Mutex
-	changed sync.Cond
-	silent  bool
-	closed  bool
-	fillers map[string]net.Conn // connections that fill the queue, by their own address
-	held    []net.Conn          // what was accepted as it fell silent
+	mu        sync.Mutex
+	changed   sync.Cond
+	silent    bool
+	closed    bool
+	accepting int                 // calls of Accept that take the next connection, silent or not
+	fillers   map[string]net.Conn // connections that fill the queue, by their own address
+	held      []net.Conn          // what was accepted as it fell silent
 }
 
 // Listen opens one that is not silent. Its queue of new connections is the shortest that the kernel allows.
@@ -57,21 +61,68 @@
 func (l *Listener) Silence() error {
 	l.mu.Lock()
 	l.silent = true
+	accepting := l.accepting
 	l.mu.Unlock()
-	for {
-		c, err := net.DialTimeout("tcp", l.Addr().String(), fillerLimit)
-		if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
-			return nil
+	for range accepting { // each takes one more
+		if err := l.fill(); err != nil {
+			return err
 		}
+	}
+	l.awaitAccepted()
+	for {
+		full, err := l.full()
 		if err != nil {
 			return fmt.Errorf("netfault: %w", err)
 		}
-		l.mu.Lock()
-		l.fillers[c.LocalAddr().String()] = c
-		l.mu.Unlock()
+		if full {
+			return nil
+		}
+		if err := l.fill(); err != nil {
+			return err
+		}
 	}
 }
 
+// fill puts one connection into the queue, unless that is full.
+func (l *Listener) fill() error {
+	c, err := net.DialTimeout("tcp", l.Addr().String(), fillerLimit)
+	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("netfault: %w", err)
+	}
+	l.mu.Lock()
+	l.fillers[c.LocalAddr().String()] = c
+	l.mu.Unlock()
+	return nil
+}
+
+// awaitAccepted waits until no call of Accept takes a connection any more.
+func (l *Listener) awaitAccepted() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.accepting > 0 && !l.closed {
+		l.changed.Wait()
+	}
+}
+
+// full asks the kernel whether the queue of new connections is full: for a listener it counts them as unacked, and gives their
+// most as sacked.
+func (l *Listener) full() (bool, error) {
+	raw, err := l.Listener.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	var info *unix.TCPInfo
+	var asked error
+	err = raw.Control(func(fd uintptr) { info, asked = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err = errors.Join(err, asked); err != nil {
+		return false, err
+	}
+	return info.Unacked > info.Sacked, nil
+}
+
 // Wake ends the silence; connections that were made meanwhile are closed.
 func (l *Listener) Wake() {
 	l.mu.Lock()
@@ -97,22 +148,32 @@
 	for {
 		l.await()
 		c, err := l.Listener.Accept()
+		keeps := err == nil && l.keeps(c)
+		l.accepted()
 		if err != nil {
 			return nil, err
 		}
-		if l.keeps(c) {
+		if keeps {
 			return c, nil
 		}
 	}
 }
 
-// await waits while it is silent.
+// await waits while it is silent. A connection is taken then, until accepted is called.
 func (l *Listener) await() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for l.silent && !l.closed {
 		l.changed.Wait()
 	}
+	l.accepting++
+}
+
+func (l *Listener) accepted() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.accepting--
+	l.changed.Broadcast()
 }
 
 // keeps says whether a connection is for the caller of Accept; one that came in the silence is held.
