No part of a process ends in silence; clients leave descriptors to the fleet

Cause: a crowd of clients takes its descriptors, an accept of the listener for other nodes fails, its event loop ends, and nobody reads of it.

A part that is to last (that listener, both servers of a router, a controller's) is run by Supervise: its end is logged with the cause, and it is started again with growing pauses. Clients hold half of max_fds at the most and are answered 503 past it; the rest is for nodes, workers and files.

--- a/internal/cluster/transport/transport_test.go
+++ b/internal/cluster/transport/transport_test.go
@@ -22,7 +22,7 @@
 		t.Fatal(err)
 	}
 	c := tasks.New(clockwork.NewRealClock(), 1)
-	x, err := Open(1, addr, c, take, nil)
+	x, err := Open(1, addr, c, Handlers{Take: take})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -89,7 +89,7 @@
 	}
 	x := pair(t, func(message.Message) {})
 	said := make(chan string, 1)
-	x.refused = func(a string) { said <- a }
+	x.handlers.Refused = func(a string) { said <- a }
 	x.Send(message.Message{Addr: free, Kind: 77})
 	select {
 	case a := <-said:
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	mrand "math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -143,8 +144,8 @@
 		ln.Close()
 		return err
 	}
-	c.web = &fasthttp.Server{Handler: c.serve, Name: "controller", MaxRequestBodySize: 16 << 20, NoDefaultDate: true, Logger: quiet{}}
-	c.Tasks.Go(func() { _ = c.web.Serve(c.callersOf(ln)) })
+	c.web = &fasthttp.Server{Handler: c.serve, Name: "controller", MaxRequestBodySize: 16 << 20, NoDefaultDate: true, Logger: quiet{}, Concurrency: c.ConnectionsMost()}
+	c.Serve("operators", ln, func(ln net.Listener) error { return c.web.Serve(c.callersOf(ln)) })
 	c.Tasks.Go(c.writer)
 	c.Tasks.Go(c.recorder)
 	c.Tasks.Every(50*time.Millisecond, c.beat)
--- a/internal/control/controller/submit.go
+++ b/internal/control/controller/submit.go
@@ -86,6 +86,7 @@
 	c.Flag(membership.Draining, true)
 	c.Tasks.Sleep(handOver) // the others take the keys over under higher epochs
 	c.leaveQuorum()
+	c.StopServing()
 	_ = c.web.Shutdown()
 	c.Goodbye()
 }
--- a/internal/hollow/frames.go
+++ b/internal/hollow/frames.go
@@ -31,17 +31,17 @@
 		addrs[i] = ln.Addr().String()
 		ln.Close()
 	}
-	a, err := transport.Open(1, addrs[0], c, func(message.Message) {}, nil)
+	a, err := transport.Open(1, addrs[0], c, transport.Handlers{Take: func(message.Message) {}})
 	if err != nil {
 		return 0, fmt.Errorf("hollow: %w", err)
 	}
 	defer a.Close()
-	b, err := transport.Open(2, addrs[1], c, func(message.Message) {
+	b, err := transport.Open(2, addrs[1], c, transport.Handlers{Take: func(message.Message) {
 		c.Do(func() {
 			came.Add(1)
 			wake <- struct{}{}
 		})
-	}, nil)
+	}})
 	if err != nil {
 		return 0, fmt.Errorf("hollow: %w", err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,18 +39,19 @@
 	FeedMu   sync.Mutex
 	Feed     *configpush.Feed
 
-	Steps   map[message.Kind]func(units.Time, message.Message) // by range of kinds, for the program's own machines
-	Woke    func(units.Time)                                   // after a freeze
-	Refused func(units.Time, []units.Node)                     // processes found to have ended
-	Moved   func()                                             // news came, or membership changed
-	Later   func(message.Effects)                              // disk work; nil on a router
-	Dropped atomic.Uint64
-	open    atomic.Bool // the wires stand
-	Errors  atomic.Uint64
-	freezes freezes
-	pace    tasks.Loop
-	ver     atomic.Uint64 // of membership's table, as last seen
-	since   atomic.Int64  // when that changed
+	Steps    map[message.Kind]func(units.Time, message.Message) // by range of kinds, for the program's own machines
+	Woke     func(units.Time)                                   // after a freeze
+	Refused  func(units.Time, []units.Node)                     // processes found to have ended
+	Moved    func()                                             // news came, or membership changed
+	Later    func(message.Effects)                              // disk work; nil on a router
+	Dropped  atomic.Uint64
+	open     atomic.Bool // the wires stand
+	Errors   atomic.Uint64
+	freezes  freezes
+	stopping atomic.Bool // servers end because they are to
+	pace     tasks.Loop
+	ver      atomic.Uint64 // of membership's table, as last seen
+	since    atomic.Int64  // when that changed
 }
 
 // Random gives a fresh id.
@@ -72,7 +73,8 @@
 
 // Start opens the wires and begins the common loops.
 func (t *Base) Start() error {
-	tel, err := transport.Open(t.Self, t.Boot.Addr, t.Tasks, t.take, t.refused)
+	tel, err := transport.Open(t.Self, t.Boot.Addr, t.Tasks, transport.Handlers{Take: t.take, Refused: t.refused,
+		Ended: func(err error) { t.Log.WithError(err).Error("the listener for other nodes ended; it is opened again") }})
 	if err != nil {
 		return fmt.Errorf("node: %w", err)
 	}
--- /dev/null
+++ b/internal/node/serve_test.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"seamshunt/internal/boot"
+	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/listener"
+	"seamshunt/internal/testutil"
+)
+
+// A server that ends is started again at the same address, until it is to end.
+func TestServerThatEndsIsStartedAgain(t *testing.T) {
+	b := New(&boot.Boot{Name: "n"}, 1, membership.Router)
+	defer b.Tasks.Stop(time.Second)
+	addr := testutil.Addr(t)
+	ln, err := listener.Listen(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	serving, result := make(chan net.Listener), make(chan error)
+	b.Serve("test", ln, func(ln net.Listener) error {
+		serving <- ln
+		return <-result
+	})
+	for _, cause := range []error{nil, errors.New("broken"), nil} {
+		if ln := <-serving; ln.Addr().String() != addr {
+			t.Errorf("it serves at %v, want %s", ln.Addr(), addr)
+		}
+		result <- cause
+	}
+	<-serving
+	b.StopServing()
+	result <- nil
+	testutil.Until(t, "the address is free", func() bool {
+		free, err := net.Listen("tcp", addr)
+		if err == nil {
+			free.Close()
+		}
+		return err == nil
+	})
+}
--- a/internal/router/leave.go
+++ b/internal/router/leave.go
@@ -101,6 +101,7 @@
 
 // Close ends the door and the wires at once.
 func (v *Router) Close() {
+	v.StopServing()
 	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
 	_ = v.server.ShutdownWithContext(ctx)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -104,7 +104,7 @@
 	}
 	v.began = v.Tasks.Now()
 	v.server = &fasthttp.Server{Handler: v.serve, Name: "router", MaxRequestBodySize: MaxPrompt, NoDefaultDate: true,
-		ReadTimeout: 30 * time.Second, Logger: quiet{}, ErrorHandler: v.malformed, Concurrency: 65536}
+		ReadTimeout: 30 * time.Second, Logger: quiet{}, ErrorHandler: v.malformed, Concurrency: v.ConnectionsMost()}
 	if v.Adapter != nil {
 		v.useAdapter()
 	}
@@ -113,7 +113,7 @@
 		return err
 	}
 	v.clientLooks.Start(v.Tasks, clientwatch.LookEvery, func(units.Time) time.Duration { return v.clients.Look(v.ending()) })
-	v.Tasks.Go(func() { _ = v.server.Serve(ln) })
+	v.Serve("clients", ln, v.server.Serve)
 	v.ticks.Start(v.Tasks, tickGap, v.tick)
 	return nil
 }
--- a/internal/router/with_adapter.go
+++ b/internal/router/with_adapter.go
@@ -67,7 +67,7 @@
 		return fmt.Errorf("router: %w", err)
 	}
 	v.readinessServer = &fasthttp.Server{Handler: v.readiness, Name: "router", NoDefaultDate: true, Logger: quiet{}, ReduceMemoryUsage: true}
-	v.Tasks.Go(func() { _ = v.readinessServer.Serve(ln) })
+	v.Serve("readiness", ln, v.readinessServer.Serve)
 	return nil
 }
 
