A process older than ten minutes leaves without a crash

Cause: leaving gives this node's own entry the state Left, whose time was never set; the next tick takes the entry for one that has been gone for over ten minutes and deletes it. A node's own entry is never forgotten now. TestLongLivedMemberLeaves (a minute to 30 days of virtual time) panicked before and passes now.

--- a/internal/cluster/membership/membership.go
+++ b/internal/cluster/membership/membership.go
@@ -146,7 +146,7 @@
 		if x.State == Suspect && now.Sub(x.since) >= doubt {
 			m.set(x, Dead, now)
 		}
-		if x.State >= Dead && now.Sub(x.since) > forget {
+		if x.State >= Dead && x.Node != m.Self && now.Sub(x.since) > forget {
 			delete(m.all, x.Node)
 			m.order = nil
 			m.changed()
