--- a/cmd/testbed/site_test.go
+++ b/cmd/testbed/site_test.go
@@ -44,3 +44,24 @@
 		t.Logf("%s", out)
 	}
 }
+
+// EVAC: evacuations are withdrawn and given again while machines of the core stand still, by operators that close their
+// connections, keep them, or leave them open.
+func TestSiteOrders(t *testing.T) {
+	if testing.Short() {
+		t.Skip("a run of real processes")
+	}
+	bin := build(t)
+	for _, seed := range []string{"9101", "9113"} {
+		t.Run(seed, func(t *testing.T) {
+			t.Parallel()
+			c := exec.Command(filepath.Join(bin, "testbed"), "site", "--machines", "7", "--workers", "6", "--seconds", "30", "--rate", "30",
+				"--leave", "0.1", "--random", "--orders", "--seed", seed)
+			out, err := c.CombinedOutput()
+			if err != nil || strings.Count(string(out), "s: evacuate") < 4 {
+				t.Errorf("%v\n%s", err, out)
+			}
+			t.Logf("%s", out)
+		})
+	}
+}
