Links between nodes are probed once a minute when idle, not every two seconds

A node holds a connection to each other one. At 400 nodes probes every 2 s would cost some 40 KB/s a node (worked out: 800 connections, 108 bytes a probe with its answer), over the 9 KB/s that control may cost; once a minute they cost 1.4.

--- a/internal/cluster/transport/engine.go
+++ b/internal/cluster/transport/engine.go
@@ -23,8 +23,8 @@
 
 const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of Linux, which package syscall lacks
 
-// probes find out that a neighbour is gone which has nothing to send.
-var probes = net.KeepAliveConfig{Enable: true, Idle: silentFor, Interval: time.Second, Count: 3}
+// probes find out that a neighbour is gone to which nothing is sent. They are rare, since a node has a connection to each other one.
+var probes = net.KeepAliveConfig{Enable: true, Idle: time.Minute, Interval: 5 * time.Second, Count: 3}
 
 // quiet keeps gnet's own log out of the process's.
 type quiet struct{}
