--- a/cmd/testbed/site.go
+++ b/cmd/testbed/site.go
@@ -77,6 +77,8 @@
 		return errors.New("--seconds and --rate are above 0")
 	case x.leave < 0 || x.leave > 1 || x.patience <= 0:
 		return errors.New("--leave is 0 to 1, --patience above 0")
+	case x.orders && !x.random:
+		return errors.New("--orders goes with --random")
 	}
 	if x.plan, err = fleet.ParseEvents(x.events, "silence", "wake"); err != nil {
 		return err
