An order's connection is as old as the kernel's answer to its first packet

What callers saw: traffic in a zone that was being emptied (EVAC), by roads that were named under "what is given up". Cause: a controller took the moment at which it accepted a connection for a moment before the order on it was sent. A connection may be accepted late by a node that is slow without standing still for a second, and it may be completed late: packets are lost, or the queue of new connections is full, and the caller's kernel sends them again after the caller has gone on. The order then built on what had been acknowledged since.

A new connection counts now from the kernel's answer to its first packet, by TCP_INFO: the time since its bytes came, and the time that the handshake took, which holds also where the answer was repeated. Why it works: the caller was still there when that answer came to it; what is acknowledged after it left is heard later. It needs no freeze to be noticed, and is the process's own steady clock. Where the kernel doesn't tell, acceptance counts as before.

--- a/internal/control/controller/caller.go
+++ b/internal/control/controller/caller.go
@@ -18,7 +18,7 @@
 }
 
 // caller is the connection of an operator. It remembers a time before which the order that is read from it next was not sent:
-// when the connection was made, or when the order before was answered.
+// when the connection was opened, or when the order before was answered.
 type caller struct {
 	*net.TCPConn
 	arrivedAfter func() units.Time
@@ -35,8 +35,9 @@
 	if !ok {
 		return conn, nil
 	}
+	age, _ := socket.Age(tcp) // 0 where the kernel doesn't tell
 	x := &caller{TCPConn: tcp, arrivedAfter: l.arrivedAfter}
-	x.sentAfter.Store(int64(l.arrivedAfter()))
+	x.sentAfter.Store(int64(l.arrivedAfter().Add(-age)))
 	return x, nil
 }
 
