An order that was there before the call ahead of it was answered counts from before that answer

What callers saw: traffic in a zone that was being emptied (EVAC), by a road that was named under "what is given up". Cause: behind another call on its connection an order counted from that call's answer, also where it had waited in the socket since before. What had been acknowledged elsewhere in the meantime passed for known to its caller.

The connection looks at its socket as an answer is written: bytes that wait were sent before it, and then the time before stays. What the server has read ahead needs nothing: it writes no answer while a further call is in its memory.

--- a/internal/control/controller/caller.go
+++ b/internal/control/controller/caller.go
@@ -18,7 +18,7 @@
 }
 
 // caller is the connection of an operator. It remembers a time before which the order that is read from it next was not sent:
-// when the connection was opened, or when the order before was answered.
+// when the connection was opened or, unless the order was there by then, when the order before was answered.
 type caller struct {
 	*net.TCPConn
 	arrivedAfter func() units.Time
@@ -41,11 +41,12 @@
 	return x, nil
 }
 
-// Write sends an answer.
+// Write sends an answer. What waits to be read already was sent before it.
 func (x *caller) Write(b []byte) (int, error) {
-	n, err := x.TCPConn.Write(b)
-	x.sentAfter.Store(int64(x.arrivedAfter()))
-	return n, err
+	if now := x.arrivedAfter(); socket.Peek(x.TCPConn) != socket.Readable {
+		x.sentAfter.Store(int64(now))
+	}
+	return x.TCPConn.Write(b)
 }
 
 // callersOf has operators' connections remember when their orders can have been sent.
