A list of workers that waited while its asker stood still is not believed

What callers could see: requests to a worker that had left (DRAIN). Cause: a controller that stands still has the platform's answer in its socket. It wakes, reads it as news and spreads it. It hadn't heard of the lists that others had since, so neither replaces the other, and a worker that had been draining and is gone by now stands on the merged list as ready until the next list of anybody.

A list is not used where its asker stood still since its question began; the next question is due within a gap.

What a freeze is, TestArrivedAfterAFreeze holds.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -76,6 +76,7 @@
 	if err := c.replica.Load(a.Live()); err != nil {
 		return nil, fmt.Errorf("controller: %w", err)
 	}
+	c.polled.stoodStill = c.StoodStill
 	c.seeds, c.born = founding(b, a.Live()), born(a.Live())
 	c.Flag(membership.Counts, b.Counts || !b.Grow)
 	c.Flag(membership.First, b.Grow && c.seeds.First)
--- a/internal/control/controller/platform_poll.go
+++ b/internal/control/controller/platform_poll.go
@@ -39,6 +39,8 @@
 	ok   uint64
 	bad  uint64
 	last string
+
+	stoodStill func(since units.Time) bool // whether this process did
 }
 
 // firstAsk is when a started node asks first. Until any list is known each asks once a gap, whatever its share: after
@@ -79,8 +81,12 @@
 	known := len(c.catalog.List(pool))
 	c.catalogMu.Unlock()
 	l, err := c.list(pool)
-	if err == nil && len(l) == 0 && known > 0 {
+	switch {
+	case err != nil:
+	case len(l) == 0 && known > 0:
 		err = errors.New("an empty list is not believed")
+	case c.polled.stoodStill(a.Began):
+		err = errors.New("a list that waited while this process stood still is not believed")
 	}
 	c.polled.mu.Lock()
 	if c.polled.at, c.polled.last = c.Tasks.Now(), ""; err == nil {
--- a/internal/node/freeze.go
+++ b/internal/node/freeze.go
@@ -50,5 +50,17 @@
 	return now
 }
 
+// stoodStill says whether the process stood still at any time since the one given.
+func (f *freezes) stoodStill(since, now units.Time) bool {
+	if now.Sub(units.Time(f.last.Load())) > freezeGap {
+		return true
+	}
+	latest := f.latest.Load()
+	return latest != nil && latest.ended > since
+}
+
+// StoodStill says whether this process stood still at any time since the one given.
+func (t *Base) StoodStill(since units.Time) bool { return t.freezes.stoodStill(since, t.Tasks.Now()) }
+
 // ArrivedAfter gives the latest time of which this process is sure that what it reads from a socket now came later.
 func (t *Base) ArrivedAfter(now units.Time) units.Time { return t.freezes.arrivedAfter(now) }
--- a/internal/node/freeze_test.go
+++ b/internal/node/freeze_test.go
@@ -26,11 +26,21 @@
 			t.Errorf("the beat at %v finds that it stood for %v, want %v", now, stood, want)
 		}
 	}
+	stood := func(since, now time.Duration, want bool) {
+		t.Helper()
+		if got := f.stoodStill(at(since), at(now)); got != want {
+			t.Errorf("it stood still between %v and %v: %v", since, now, got)
+		}
+	}
+	stood(0, second, false)
+	stood(0, 2*second, true) // the beat is yet to come
 	expect(second/2, second/2)
 	expect(second, second)
 	expect(3*second, 0) // it woke, and the beat is yet to come
 	beat(3*second, 3*second)
 	expect(3*second, 0)
+	stood(2*second, 3*second, true)
+	stood(3*second, 3*second, false)
 	beat(4*second, 0)
 	expect(5*second, 0)
 	expect(5100*time.Millisecond, 0) // a second freeze begins before the first one's sockets are empty
