--- a/cmd/testbed/play.go
+++ b/cmd/testbed/play.go
@@ -20,17 +20,18 @@
 // play is a site that runs.
 type play struct {
 	*site
-	f     *fleet.Fleet
-	began time.Time
-	place standin.Site
-	list  *standin.List
-	op    *standin.Operator
-	lns   []net.Listener
-	work  map[string]*standin.Worker
-	docMu sync.Mutex
-	doc   standin.Doc // as it was acknowledged last
-	mu    sync.Mutex
-	ready map[string][]string // fronts by zone
+	f      *fleet.Fleet
+	began  time.Time
+	place  standin.Site
+	list   *standin.List
+	op     *standin.Operator
+	lns    []net.Listener
+	work   map[string]*standin.Worker
+	docMu  sync.Mutex
+	doc    standin.Doc // as it was acknowledged last
+	mu     sync.Mutex
+	ready  map[string][]string      // fronts by zone
+	slowed map[string]chan struct{} // what ends each slow process's slowness
 }
 
 func (p *play) listen() (net.Listener, error) {
--- a/cmd/testbed/play_events.go
+++ b/cmd/testbed/play_events.go
@@ -48,16 +48,16 @@
 	return nil
 }
 
-func (p *play) procs(machine string) []string {
+// procs lists the processes of a machine, of all machines if none is named, or the one that is named.
+func (p *play) procs(on string) []string {
 	var l []string
 	for _, m := range p.place.Machines {
-		if machine != "" && m.Name != machine {
-			continue
-		}
-		if m.Disk {
-			l = append(l, m.Name+".controller")
+		for _, program := range []string{"controller", "router"} {
+			name := m.Name + "." + program
+			if (program == "router" || m.Disk) && (on == "" || on == m.Name || on == name) {
+				l = append(l, name)
+			}
 		}
-		l = append(l, m.Name+".router")
 	}
 	return l
 }
@@ -92,11 +92,22 @@
 	return p.each(e)
 }
 
+// noted is how an event stands in the journal: a slow machine counts as one that stands still, as it does for the rules.
+func noted(verb string) string {
+	switch verb {
+	case "slow":
+		return "freeze"
+	case "fast":
+		return "thaw"
+	}
+	return verb
+}
+
 // frontEvent notes what happens to a machine by its front's address as well: clients know a router by that.
 func (p *play) frontEvent(e fleet.Event) {
 	for _, m := range p.place.Machines {
-		if m.Name == e.On && (e.Verb == "freeze" || e.Verb == "thaw") {
-			p.f.Event(e.Verb, m.Front())
+		if verb := noted(e.Verb); m.Name == e.On && (verb == "freeze" || verb == "thaw") {
+			p.f.Event(verb, m.Front())
 		}
 	}
 }
@@ -105,7 +116,7 @@
 func (p *play) each(e fleet.Event) error {
 	p.frontEvent(e)
 	for _, n := range p.procs(e.On) {
-		p.f.Event(e.Verb, n)
+		p.f.Event(noted(e.Verb), n)
 		var err error
 		switch e.Verb {
 		case "kill":
@@ -120,6 +131,10 @@
 			err = p.f.Signal(n, syscall.SIGSTOP)
 		case "thaw":
 			err = p.f.Signal(n, syscall.SIGCONT)
+		case "slow":
+			p.slow(n)
+		case "fast":
+			p.fast(n)
 		}
 		if err != nil {
 			return err
--- a/cmd/testbed/random_plan.go
+++ b/cmd/testbed/random_plan.go
@@ -41,15 +41,27 @@
 	coreLost []time.Duration          // until when a core machine each counts as lost
 	busy     map[string]time.Duration // until when a machine, worker or zone is in a trouble of its own
 	length   time.Duration
-	out      time.Duration // until when a zone is evacuated
-	orders   bool          // evacuations withdrawn and given again while a machine of the core stands still come as often as they can
+	out      []time.Duration // until when each zone that was evacuated is so
+	orders   bool
+	several  bool // more than one zone may be evacuated at a time
 	events   []fleet.Event
 }
 
+// planOptions say what a random plan holds beside its usual troubles.
+type planOptions struct {
+	orders  bool // evacuations are withdrawn and given again while a machine of the core stands still, as often as can be
+	partial bool // troubles that don't take a whole machine come too, and several zones are evacuated at a time
+	seed    uint64
+}
+
 // newRandomPlan draws a plan for a run of a length.
-func newRandomPlan(rng *rand.Rand, machines []standin.Machine, disks int, workers []string, length time.Duration, orders bool) []fleet.Event {
-	p := &randomPlan{rng: rng, machines: machines, workers: workers, disks: disks, length: length, orders: orders, busy: map[string]time.Duration{}}
+func newRandomPlan(rng *rand.Rand, machines []standin.Machine, disks int, workers []string, length time.Duration, options planOptions) []fleet.Event {
+	p := &randomPlan{rng: rng, machines: machines, workers: workers, disks: disks, length: length, orders: options.orders, several: options.partial, busy: map[string]time.Duration{}}
+	more := &partialTroubles{plan: p, rng: rand.New(rand.NewPCG(options.seed, 13))}
 	for at := time.Duration(0); at < length-settleBeforeEnd; at += time.Duration(rng.Int64N(int64(troubleGapMost))) {
+		if options.partial {
+			more.upTo(at)
+		}
 		p.draw(at)
 	}
 	slices.SortStableFunc(p.events, func(a, b fleet.Event) int { return cmp.Compare(a.At, b.At) })
@@ -89,9 +101,13 @@
 	return true
 }
 
-// evacuation empties a zone, unless another is empty: with all of them evacuated nobody could be served.
+// evacuation empties a zone, unless too many others are empty: with all of them evacuated nobody could be served.
 func (p *randomPlan) evacuation(at time.Duration, zone string) {
-	if p.out > at || p.busy[zone] > at {
+	most := 1
+	if p.several && p.silent(at) == 0 {
+		most = p.zones() - 1
+	}
+	if p.evacuated(at) >= most || p.busy[zone] > at {
 		return
 	}
 	p.add(at, "evacuate", zone)
@@ -108,9 +124,30 @@
 		p.add(at, "evacuate", zone)
 	}
 	end := at + evacuatedLeast + time.Duration(p.rng.Int64N(int64(evacuatedMost-evacuatedLeast)))
-	p.out = max(at, min(end, p.length-lastWithdrawal))
-	p.busy[zone] = p.out
-	p.add(p.out, "readmit", zone)
+	until := max(at, min(end, p.length-lastWithdrawal))
+	p.out = append(p.out, until)
+	p.busy[zone] = until
+	p.add(until, "readmit", zone)
+}
+
+// evacuated counts the zones that are so at a time.
+func (p *randomPlan) evacuated(at time.Duration) int {
+	n := 0
+	for _, until := range p.out {
+		if until > at {
+			n++
+		}
+	}
+	return n
+}
+
+// zones counts the zones.
+func (p *randomPlan) zones() int {
+	all := map[string]bool{}
+	for _, m := range p.machines {
+		all[m.Zone] = true
+	}
+	return len(all)
 }
 
 // freezeCore freezes a machine of the core, if that bears it, for longer than callers wait for an answer.
@@ -135,17 +172,22 @@
 // zone draws one.
 func (p *randomPlan) zone() string { return p.machines[p.rng.IntN(len(p.machines))].Zone }
 
-// workerTrouble has a worker fall silent, unless half of them are in a trouble.
+// workerTrouble has a worker fall silent, unless half of them are in a trouble or several zones' workers get nothing.
 func (p *randomPlan) workerTrouble(at, lasts time.Duration) {
+	if 2*(p.silent(at)+1) <= len(p.workers) && p.evacuated(at) <= 1 {
+		p.pair(at, lasts, p.workers[p.rng.IntN(len(p.workers))], "silence", "wake")
+	}
+}
+
+// silent counts the workers that are so at a time.
+func (p *randomPlan) silent(at time.Duration) int {
 	n := 0
 	for _, w := range p.workers {
 		if p.busy[w] > at {
 			n++
 		}
 	}
-	if 2*(n+1) <= len(p.workers) {
-		p.pair(at, lasts, p.workers[p.rng.IntN(len(p.workers))], "silence", "wake")
-	}
+	return n
 }
 
 // machineTrouble kills, freezes or restarts a machine.
--- a/cmd/testbed/site.go
+++ b/cmd/testbed/site.go
@@ -26,7 +26,7 @@
 	rate, served, leave             float64
 	patience                        time.Duration
 	seed                            uint64
-	random, orders                  bool
+	random, orders, partial         bool
 	events, dir                     string
 	plan                            []fleet.Event
 	nodes                           []standin.Machine
@@ -58,11 +58,12 @@
 	f.StringVar(&x.events, "events", "", "what happens: SECONDS:VERB:NAME,... of "+strings.Join(siteVerbs, " ")+"; the time counts from the traffic's beginning")
 	f.BoolVar(&x.random, "random", false, "draw what happens by the seed, in series and overlapping, within what the site bears")
 	f.BoolVar(&x.orders, "orders", false, "with --random: evacuations are withdrawn and given again as often as can be, while machines of the core stand still")
+	f.BoolVar(&x.partial, "partial", false, "with --random: single programs stand still or are killed as well, machines run slow, and several zones are evacuated at once")
 	f.StringVar(&x.dir, "dir", "", "where the run's files go and stay; a passing folder unless given")
 	return c
 }
 
-var siteVerbs = []string{"kill", "stop", "start", "restart", "freeze", "thaw", "killall", "startall", "evacuate", "readmit", "leave", "silence", "wake", "storm"}
+var siteVerbs = []string{"kill", "stop", "start", "restart", "freeze", "thaw", "killall", "startall", "evacuate", "readmit", "leave", "silence", "wake", "storm", "slow", "fast"}
 
 // check reads what can be wrong before anything starts.
 func (x *site) check() (err error) {
@@ -77,16 +78,17 @@
 		return errors.New("--seconds and --rate are above 0")
 	case x.leave < 0 || x.leave > 1 || x.patience <= 0:
 		return errors.New("--leave is 0 to 1, --patience above 0")
-	case x.orders && !x.random:
-		return errors.New("--orders goes with --random")
+	case (x.orders || x.partial) && !x.random:
+		return errors.New("--orders and --partial go with --random")
 	}
-	if x.plan, err = fleet.ParseEvents(x.events, "silence", "wake"); err != nil {
+	if x.plan, err = fleet.ParseEvents(x.events, "silence", "wake", "slow", "fast"); err != nil {
 		return err
 	}
-	var machines, zones, workers []string
+	var machines, programs, zones, workers []string
 	x.nodes = standin.Machines(x.machines, x.zones, x.disks)
 	for _, m := range x.nodes {
 		machines = append(machines, m.Name)
+		programs = append(programs, m.Name, m.Name+".router", m.Name+".controller")
 		if !slices.Contains(zones, m.Zone) {
 			zones = append(zones, m.Zone)
 		}
@@ -95,11 +97,13 @@
 		workers = append(workers, fmt.Sprint("w", i+1))
 	}
 	if x.random {
-		x.plan = append(x.plan, newRandomPlan(rand.New(rand.NewPCG(x.seed, 12)), x.nodes, x.disks, workers, time.Duration(x.secs)*time.Second, x.orders)...)
+		x.plan = append(x.plan, newRandomPlan(rand.New(rand.NewPCG(x.seed, 12)), x.nodes, x.disks, workers, time.Duration(x.secs)*time.Second, planOptions{orders: x.orders, partial: x.partial, seed: x.seed})...)
 	}
 	for _, e := range x.plan {
 		names := machines
 		switch e.Verb {
+		case "freeze", "thaw", "kill", "start", "slow", "fast":
+			names = programs
 		case "evacuate", "readmit":
 			names = zones
 		case "leave", "silence", "wake":
@@ -137,7 +141,7 @@
 		return err
 	}
 	defer f.Down()
-	p := &play{site: x, f: f, began: time.Now()}
+	p := &play{site: x, f: f, began: time.Now(), slowed: map[string]chan struct{}{}}
 	defer p.close()
 	if err := p.up(ctx); err != nil {
 		return err
