A leaving router begins only what it knows to be over before its end

Cause: for 1.6 s after its SIGTERM a router began every request, however long it might last, and cut what was under way at the end of its grace.

Within that span it goes now by twice the longest of the mapping's latest whole answers at this node, if there were eight and it was watched for twice the time that is left; else, and behind the span, by the longest that the request may last. The rest is refused at once, as not run, and goes to another router.

Evidence: TestLeavingRouterRefusesWhatMayOutlastIt; its cases fail where the span takes everything. TestLeavingRouterRefusesWhatCannotEnd said that a router which was just warned takes a long request that nothing is known of: that was the fault. It asks now that it is refused, and that it is taken where such ones were seen to end within a second. TestDepartureBeginsNothingItCannotEnd holds both, with four times as many draws.

--- a/internal/router/leave.go
+++ b/internal/router/leave.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"seamshunt/internal/cluster/membership"
+	"seamshunt/internal/config"
 	"seamshunt/internal/units"
 )
 
@@ -13,11 +14,15 @@
 	// lingerFor is how long a leaving node waits for requests at the least: clients come until its readiness has been asked
 	// twice.
 	lingerFor = 3 * time.Second
-	// openFor is how long a leaving node takes every request, however long it may run, and at most openShare of the time
-	// there is. Clients that ask for readiness once a second and go by two answers know of the warning after 1 to 2 s, and
-	// what is sent later than 2 s behind it must not be cut; the warning may have been under way for a while.
+	// openFor is how long a leaving node goes by how long requests of a kind have lasted here, not by how long they may last, and at
+	// most openShare of the time there is. Clients that ask for readiness once a second and go by two answers know of the warning
+	// after 1 to 2 s, and what is sent later than 2 s behind it must not be cut; the warning may have been under way for a while.
 	openFor   = 1600 * time.Millisecond
 	openShare = 3
+	// watchShare is for how many times the time that is left requests of a kind must have been watched, and lastsShare how many times
+	// as long as the longest of them the next one may last.
+	watchShare = 2
+	lastsShare = 2
 	// endGap is how long before the end of its grace a leaving node answers whatever still waits: a request that nobody has
 	// begun to work on must not end with a cut (design 11).
 	endGap = 400 * time.Millisecond
@@ -38,7 +43,7 @@
 	return &departure{warned: now, end: now.Add(grace)}
 }
 
-// open says whether every request is still taken: clients can't know yet that the node leaves.
+// open says whether requests are still taken by how long they usually last: clients can't know yet that the node leaves.
 func (d *departure) open(now units.Time) bool {
 	return now.Sub(d.warned) < min(openFor, d.end.Sub(d.warned)/openShare)
 }
@@ -46,9 +51,13 @@
 // ending says whether the end is so near that what still waits gets its final answer.
 func (d *departure) ending(now units.Time) bool { return now > d.end.Add(-endGap) }
 
-// takes says whether a request may be begun that is over at until at the latest.
-func (d *departure) takes(now, until units.Time) bool {
-	return d.open(now) || until <= d.end.Add(-endGap)
+// takes says whether a request may be begun that is over at until at the latest, given what was seen of requests like it. That none of
+// them outlasts the time that is left can't be known before they have been watched for longer than that.
+func (d *departure) takes(now, until units.Time, seen lasted) bool {
+	if d.open(now) && seen.watched >= watchShare*d.end.Sub(now) {
+		until = min(until, now.Add(lastsShare*seen.longest))
+	}
+	return until <= d.end.Add(-endGap)
 }
 
 // leaving says whether this node has been warned.
@@ -60,10 +69,10 @@
 	return d != nil && d.ending(v.Tasks.Now())
 }
 
-// begins says whether a request that is over at until at the latest may be begun here.
-func (v *Router) begins(now, until units.Time) bool {
+// begins says whether a request of a mapping that is over at until at the latest may be begun here.
+func (v *Router) begins(now, until units.Time, m *config.Mapping) bool {
 	d := v.departure.Load()
-	return d == nil || !v.closing.Load() && d.takes(now, until)
+	return d == nil || !v.closing.Load() && d.takes(now, until, v.tallies.lasted(now, m))
 }
 
 // Drain gives this node's duties away and lets what is under way end within the grace.
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -1,16 +1,20 @@
 package router
 
 import (
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
 
+	"seamshunt/internal/config"
+	"seamshunt/internal/testutil"
 	"seamshunt/internal/units"
 )
 
-// Whatever a leaving node begins behind its open span is over before its end, for every grace and every moment.
+// Whatever a leaving node begins is over before its end, for every grace and every moment: within its open span by how long such
+// requests usually last, behind it however long they may last.
 func TestDepartureBeginsNothingItCannotEnd(t *testing.T) {
 	for seed := range uint64(200) {
 		rng := rand.New(rand.NewPCG(seed, 20))
@@ -18,14 +22,22 @@
 		grace := time.Duration(rng.Int64N(int64(30*time.Second))) + time.Second
 		d := newDeparture(warned, grace)
 		opened, refused := 0, 0
-		for range 500 {
+		for range 2000 {
 			now := warned.Add(time.Duration(rng.Int64N(int64(grace))))
 			until := now.Add(time.Duration(rng.Int64N(int64(2 * grace))))
-			taken := d.takes(now, until)
+			seen := lasted{longest: time.Duration(rng.Int64N(int64(grace) / lastsShare)), watched: time.Duration(rng.Int64N(int64(3 * grace)))}
+			taken := d.takes(now, until, seen)
 			switch {
 			case now.Sub(warned) < min(openFor, grace/openShare):
-				if opened++; !taken {
-					t.Fatalf("seed %d: %v after the warning nobody knows yet, and a request is refused", seed, now.Sub(warned))
+				ends := until
+				if seen.watched >= watchShare*d.end.Sub(now) {
+					ends = min(until, now.Add(lastsShare*seen.longest))
+				}
+				if taken != (ends <= d.end.Add(-endGap)) {
+					t.Fatalf("seed %d: taken %v after the warning: %v, though it ends %v before the end", seed, now.Sub(warned), taken, d.end.Sub(ends))
+				}
+				if taken && until > d.end.Add(-endGap) {
+					opened++
 				}
 			case taken && until > d.end.Add(-endGap):
 				t.Fatalf("seed %d: taken %v after the warning, over %v before the end", seed, now.Sub(warned), d.end.Sub(until))
@@ -62,6 +74,9 @@
 	}
 }
 
+// justWarned is the case of a leaving node that has seen requests of the kind end soon.
+const justWarned = "just warned, long, and such ones end within a second"
+
 // What comes to a leaving node when it can't end within the grace is refused at once, as not run and with when to come
 // back, on a new connection and on one that was kept; no worker hears of it. What can end is served.
 func TestLeavingRouterRefusesWhatCannotEnd(t *testing.T) {
@@ -71,7 +86,8 @@
 		timeLeft  string
 		status    int
 	}{
-		{"just warned, long", time.Second, 7 * time.Second, "15000", 200},
+		{justWarned, time.Second, 7 * time.Second, "15000", 200},
+		{"just warned, long, nobody knows how long", time.Second, 7 * time.Second, "15000", 503},
 		{"clients may have been told twice, long", 1900 * time.Millisecond, 5400 * time.Millisecond, "15000", 503},
 		{"open span over, long", 4 * time.Second, 4 * time.Second, "15000", 503},
 		{"open span over, ends in time", 4 * time.Second, 4 * time.Second, "3000", 200},
@@ -89,6 +105,9 @@
 				if got := kept.receive(); got.status != 200 || !got.whole || got.close {
 					t.Fatalf("before the warning: %+v", got)
 				}
+				if x.name == justWarned {
+					watch(t, v, route, lastedLeast, time.Second, time.Minute)
+				}
 				departing(v, x.ago, x.left)
 				for name, c := range map[string]*workerConn{"kept": kept, "new": clientConn(t, v)} {
 					text := strings.Replace(requestText(route, name, ""), "Time-Left-Ms: 15000", "Time-Left-Ms: "+x.timeLeft, 1)
@@ -106,6 +125,92 @@
 	}
 }
 
+// mappingOf finds a mapping of the rules in force.
+func mappingOf(t *testing.T, v *Router, name string) *config.Mapping {
+	t.Helper()
+	for _, m := range v.rules.Load().Mappings {
+		if m.Name == name {
+			return m
+		}
+	}
+	t.Fatalf("no mapping %s", name)
+	return nil
+}
+
+// LOST: a stream was sent to a leaving router so soon that its client couldn't know, and was cut at the end of the grace. Where it isn't
+// known that such requests are over in the time that is left, it is refused at once and goes to another router.
+func TestLeavingRouterRefusesWhatMayOutlastIt(t *testing.T) {
+	const left = 7 * time.Second
+	for _, x := range []struct {
+		name     string
+		measured int
+		longest  time.Duration
+		watched  time.Duration
+		status   int
+	}{
+		{"too few measured", lastedLeast - 1, time.Second, time.Hour, 503},
+		{"not watched for long enough", lastedLeast, time.Second, watchShare*left - time.Second, 503},
+		{"some last for longer than is left", lastedLeast, left, time.Hour, 503},
+		{"one may last for longer than those seen", lastedLeast, left - time.Second, time.Hour, 503},
+		{"all end in time", lastedLeast, left/lastsShare - time.Second, time.Hour, 200},
+	} {
+		for _, route := range []string{"pure", "effectful", "resumable", "streaming"} {
+			t.Run(x.name+"/"+route, func(t *testing.T) {
+				t.Parallel()
+				w := newScriptedWorker(t, "w1")
+				v := relayRig(t, w)
+				go answerShort(w)
+				watch(t, v, route, x.measured, x.longest, x.watched)
+				departing(v, time.Second, left)
+				c := clientConn(t, v)
+				c.send(route, "early", "")
+				head, got := c.receiveHead()
+				if got.status != x.status || !got.whole || !got.close {
+					t.Errorf("%+v, wanted %d and its end", got, x.status)
+				}
+				if told := head.Get("Retry-After"); (told != "") != (x.status == 503) {
+					t.Errorf("%d with Retry-After %q", got.status, told)
+				}
+			})
+		}
+	}
+}
+
+// watch has a router have seen whole requests of a mapping, the longest of which lasted for a time, since a while ago.
+func watch(t *testing.T, v *Router, mapping string, measured int, longest, since time.Duration) {
+	t.Helper()
+	began := v.Tasks.Now().Add(-since)
+	v.tallies.count(mappingOf(t, v, mapping), func(t *tally) {
+		t.asked, t.firstAsked = 1, began
+		t.lasting.Add(longest)
+		for range measured - 1 {
+			t.lasting.Add(min(longest, time.Second))
+		}
+	})
+}
+
+// How long a request lasted is counted from its reading to the end of its whole answer.
+func TestRequestsAreMeasuredWhole(t *testing.T) {
+	w := newScriptedWorker(t, "w1")
+	v := relayRig(t, w)
+	go answerShort(w)
+	mapping := mappingOf(t, v, "streaming")
+	for i := range lastedLeast {
+		if seen := v.tallies.lasted(v.Tasks.Now(), mapping); seen != (lasted{}) {
+			t.Fatalf("%v after %d requests", seen, i)
+		}
+		c := clientConn(t, v)
+		c.send("streaming", fmt.Sprint("s", i), "")
+		if got := c.receive(); got.status != 200 || !got.whole {
+			t.Fatalf("%+v", got)
+		}
+	}
+	testutil.Until(t, "all are measured", func() bool {
+		seen := v.tallies.lasted(v.Tasks.Now(), mapping)
+		return seen.longest > 0 && seen.watched > seen.longest
+	})
+}
+
 // A node that has decided to end takes nothing more, however short.
 func TestClosingRouterTakesNothing(t *testing.T) {
 	w := newScriptedWorker(t, "w1")
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -135,7 +135,7 @@
 // limit bounds the client's time left by the mapping's. A leaving node ends the way of what might outlast it.
 func (w *relay) limit(ms int) bool {
 	w.until = w.begun.Add(min(w.left, time.Duration(ms)*time.Millisecond))
-	if w.v.begins(w.v.Tasks.Now(), w.until) {
+	if w.v.begins(w.v.Tasks.Now(), w.until, w.m) {
 		return false
 	}
 	w.v.tallies.count(w.m, func(t *tally) { t.refused++ })
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -204,6 +204,7 @@
 		t.held += now.Sub(r.handed)
 		if r.ended && now <= w.until {
 			t.whole++
+			t.lasting.Add(now.Sub(w.begun))
 		}
 	})
 	if r.tag != 0 {
--- a/internal/router/tally.go
+++ b/internal/router/tally.go
@@ -16,20 +16,22 @@
 
 // tally counts how a mapping's promise is kept at this node (design 9).
 type tally struct {
-	promise string
-	service string
-	aim     time.Duration
-	asked   uint64
-	kept    uint64 // first words within the promise
-	missed  uint64
-	whole   uint64 // sealed, within the time left
-	refused uint64
-	again   uint64 // further tries
-	waited  time.Duration
-	held    time.Duration // by all streams that ended
-	ended   uint64
-	first   upstream.Habit
-	secs    [60]struct {
+	promise    string
+	service    string
+	aim        time.Duration
+	asked      uint64
+	kept       uint64 // first words within the promise
+	missed     uint64
+	whole      uint64 // sealed, within the time left
+	refused    uint64
+	again      uint64 // further tries
+	waited     time.Duration
+	held       time.Duration // by all streams that ended
+	ended      uint64
+	first      upstream.Habit
+	lasting    upstream.Habit // how long requests took from their reading to the end of their whole answers
+	firstAsked units.Time
+	secs       [60]struct {
 		at int64
 		n  int
 	}
@@ -56,8 +58,29 @@
 	f(x)
 }
 
+// lastedLeast is how many requests of a mapping must have been whole before it is known how long they last.
+const lastedLeast = 8
+
+// lasted is what was seen of how long a mapping's requests last, from their reading to the end of their whole answers.
+type lasted struct {
+	longest time.Duration
+	watched time.Duration // for how long they were watched; 0 if too few were whole
+}
+
+// lasted gives what was seen of a mapping's latest requests.
+func (t *tallies) lasted(now units.Time, m *config.Mapping) (seen lasted) {
+	t.count(m, func(x *tally) {
+		if longest, measured := x.lasting.At(1); measured >= lastedLeast {
+			seen = lasted{longest: longest, watched: now.Sub(x.firstAsked)}
+		}
+	})
+	return seen
+}
+
 func (x *tally) ask(now units.Time) {
-	x.asked++
+	if x.asked++; x.asked == 1 {
+		x.firstAsked = now
+	}
 	at := int64(now) / int64(time.Second)
 	s := &x.secs[at%60]
 	if s.at != at {
