--- a/cmd/testbed/site.go
+++ b/cmd/testbed/site.go
@@ -94,7 +94,9 @@
 	x.nodes = standin.Machines(x.machines, x.zones, x.disks)
 	for _, m := range x.nodes {
 		machines = append(machines, m.Name)
-		programs = append(programs, m.Name, m.Name+".router", m.Name+".controller")
+		if programs = append(programs, m.Name, m.Name+".router"); m.Disk {
+			programs = append(programs, m.Name+".controller")
+		}
 		if !slices.Contains(zones, m.Zone) {
 			zones = append(zones, m.Zone)
 		}
