The age of a connection stays right however often its answer was repeated

The time of a handshake was a shift by the count of repeated answers, which overflows above some 30 (the kernel's own limit is 5 unless it is raised to 255); the connection then passed for younger than it is. The count is bounded.

--- a/internal/socket/age.go
+++ b/internal/socket/age.go
@@ -14,6 +14,9 @@
 // synAckTimeout is how long the kernel waits before it answers a first packet once more; each further wait is twice as long.
 const synAckTimeout = time.Second
 
+// repeatsMost bounds how many repeated answers are reckoned with: by then a connection is over a day old.
+const repeatsMost = 16
+
 // Age gives how long ago, at the most, the kernel answered the first packet of a connection that was accepted and that nothing has
 // been written to since. Its caller was still there when that answer came. Accepting tells less: the connection may have waited to
 // be accepted, or to be completed, which a kernel goes on with after its process has left. False where the kernel doesn't tell.
@@ -32,7 +35,7 @@
 	if info.Total_retrans == 0 {
 		return measured
 	}
-	return max(measured, synAckTimeout<<(info.Total_retrans+1)-synAckTimeout)
+	return max(measured, synAckTimeout<<(min(info.Total_retrans, repeatsMost)+1)-synAckTimeout)
 }
 
 // tcpInfo gives what the kernel knows of a connection; nil if it doesn't tell.
